--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions and the measurements behind CAPACITY.md."""
--- /dev/null
+++ b/packages/cli/hickoryreach_cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line for operators and callers."""
--- /dev/null
+++ b/packages/cli/hickoryreach_cli/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Functions behind the commands of the command line."""
--- /dev/null
+++ b/packages/core/hickoryreach/__init__.py
@@ -0,0 +1,1 @@
+"""Scheduling decisions, operators' lists and platform adapters."""
--- /dev/null
+++ b/packages/core/hickoryreach/config/__init__.py
@@ -0,0 +1,1 @@
+"""Declared settings and their validation."""
--- /dev/null
+++ b/packages/core/hickoryreach/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions of a shard owner: one reducer over events, effects as data."""
--- /dev/null
+++ b/packages/core/hickoryreach/lists/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' two lists: plans and allowances."""
--- /dev/null
+++ b/packages/core/hickoryreach/structure/__init__.py
@@ -0,0 +1,1 @@
+"""Typed data of jobs, workers and workspaces."""
--- /dev/null
+++ b/packages/core/hickoryreach/structure/resources.py
@@ -0,0 +1,74 @@
+"""Resource vectors."""
+
+import dataclasses
+from typing import Self
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Resources:
+    """An amount of each resource a worker offers.
+
+    Attributes:
+        cpu_millis: Processor time in thousandths of a core.
+        memory_mb: Memory in MiB.
+        accelerators: Whole accelerators.
+        slots: Concurrent requests a minion serves.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+    def __add__(self, other: Self) -> "Resources":
+        """Returns the sum by component."""
+        return Resources(
+            cpu_millis=self.cpu_millis + other.cpu_millis,
+            memory_mb=self.memory_mb + other.memory_mb,
+            accelerators=self.accelerators + other.accelerators,
+            slots=self.slots + other.slots,
+        )
+
+    def __sub__(self, other: Self) -> "Resources":
+        """Returns the difference by component; components may go negative."""
+        return Resources(
+            cpu_millis=self.cpu_millis - other.cpu_millis,
+            memory_mb=self.memory_mb - other.memory_mb,
+            accelerators=self.accelerators - other.accelerators,
+            slots=self.slots - other.slots,
+        )
+
+    def times(self, count: int) -> "Resources":
+        """Returns the amount `count` tasks of this size need."""
+        return Resources(
+            cpu_millis=self.cpu_millis * count,
+            memory_mb=self.memory_mb * count,
+            accelerators=self.accelerators * count,
+            slots=self.slots * count,
+        )
+
+    def fits_in(self, other: Self) -> bool:
+        """Returns whether no component exceeds that of `other`."""
+        return (
+            self.cpu_millis <= other.cpu_millis
+            and self.memory_mb <= other.memory_mb
+            and self.accelerators <= other.accelerators
+            and self.slots <= other.slots
+        )
+
+    def dominant_part(self, total: Self) -> float:
+        """Returns the largest part of `total` that any component takes.
+
+        Source: dominant resource fairness, Ghodsi et al., NSDI 2011.
+        """
+        return max(
+            self.cpu_millis / total.cpu_millis if total.cpu_millis else 0.0,
+            self.memory_mb / total.memory_mb if total.memory_mb else 0.0,
+            self.accelerators / total.accelerators
+            if total.accelerators
+            else 0.0,
+            self.slots / total.slots if total.slots else 0.0,
+        )
+
+
+NOTHING = Resources()
--- /dev/null
+++ b/packages/core/hickoryreach/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between entry instances."""
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/__init__.py
@@ -0,0 +1,1 @@
+"""Entry server: callers' front door and, for some shards, the owner."""
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP resources for callers, operators and the balancer."""
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/owner/__init__.py
@@ -0,0 +1,1 @@
+"""A shard owner: journal, grants, worker links and the decision loop."""
