--- a/packages/core/hickoryreach/wire/messages.py
+++ b/packages/core/hickoryreach/wire/messages.py
@@ -51,7 +51,7 @@
         timeout_ms=job.timeout_ms,
         wave=job.wave,
         digest=job.digest,
-        service=job.service,
+        minion_service=job.service,
     )
 
 
@@ -81,5 +81,5 @@
         timeout_ms=message.timeout_ms,
         wave=message.wave,
         digest=message.digest,
-        service=message.service,
+        service=message.minion_service,
     )
--- a/packages/core/hickoryreach/wire/peer.thrift
+++ b/packages/core/hickoryreach/wire/peer.thrift
@@ -30,7 +30,7 @@
   15: i64 timeout_ms = 0,
   16: string wave = "",
   17: string digest = "",
-  18: string service = "",
+  18: string minion_service = "",
 }
 
 // entry -> owner: take this job; repeated until a notice arrives.
