--- a/bench/__init__.py
+++ b/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Benchmarks of the decisions and the measurements behind CAPACITY.md."""
+"""Bench of the decisions: seeded loads through the real reducer."""
--- /dev/null
+++ b/bench/baselines/__init__.py
@@ -0,0 +1,1 @@
+"""Plain schedulers of our own writing to compare with."""
