--- /dev/null
+++ b/tests/core/fuzz/__init__.py
@@ -0,0 +1,1 @@
+"""Stateful fuzzing of the reducer and its effects against an oracle."""
