Decide with lanes, shares, limits, gangs and preemption

Cause: the first reducer scanned every workspace, job and worker on each event and knew neither shares nor urgent work. Jobs that look alike now stand in one queue, queues of one size in one lane; a lane without room is not tried again until a worker gains room for it.

Ruled out: a vectorized scan of all workers (cost grows with the cell).

--- /dev/null
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -0,0 +1,86 @@
+"""Placing an attempt on a worker."""
+
+from hickoryreach.decisions import effects
+from hickoryreach.decisions import ledger
+from hickoryreach.decisions import reservations
+from hickoryreach.decisions import state
+from hickoryreach.structure import jobs
+from hickoryreach.structure import resources
+
+
+def place(
+    shard: state.ShardState,
+    record: state.JobRecord,
+    worker: state.WorkerRecord,
+    need: resources.Resources,
+) -> effects.Effect:
+    """Places the next waiting task on a worker."""
+    job = record.job
+    index, _ = record.waiting.popitem()
+    ledger.add_waiting(shard, record, -1)
+    number = record.attempts.get(index, 0) + 1
+    key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=number)
+    bind(shard, record, worker, key, need)
+    if record.claims:
+        reservations.trim(shard, record)
+    worker_id = worker.worker.worker_id
+    if job.kind is jobs.Kind.REQUEST:
+        return effects.DispatchRequest(
+            key=key, worker_id=worker_id, job=job, entry=record.entry
+        )
+    return effects.StartTask(key=key, worker_id=worker_id, need=need, job=job)
+
+
+def bind(
+    shard: state.ShardState,
+    record: state.JobRecord,
+    worker: state.WorkerRecord,
+    key: jobs.TaskKey,
+    need: resources.Resources,
+) -> state.Attempt:
+    """Makes an attempt the live one of its index and sets room aside."""
+    job = record.job
+    attempt = state.Attempt(
+        key=key,
+        worker_id=worker.worker.worker_id,
+        held=need,
+        placed_ms=shard.now_ms,
+        workspace=job.workspace,
+        preemptible=_is_preemptible(job),
+    )
+    record.running[key.index] = attempt
+    record.attempts[key.index] = key.attempt
+    if job.kind is jobs.Kind.SERVICE:
+        record.spread[worker.worker.failure_domain] += 1
+        record.spread[_name_rack(worker)] += 1
+    elif job.kind is jobs.Kind.REQUEST:
+        shard.sequence += 1
+        worker.turn = shard.sequence
+    ledger.hold(shard, worker, attempt)
+    return attempt
+
+
+def unbind(
+    shard: state.ShardState, record: state.JobRecord, attempt: state.Attempt
+) -> None:
+    """Ends an attempt's hold on its index and its worker."""
+    if record.running.get(attempt.key.index) is attempt:
+        del record.running[attempt.key.index]
+        worker = shard.workers.get(attempt.worker_id)
+        if worker is not None and record.job.kind is jobs.Kind.SERVICE:
+            record.spread[worker.worker.failure_domain] -= 1
+            record.spread[_name_rack(worker)] -= 1
+    ledger.release(shard, attempt)
+
+
+def _name_rack(worker: state.WorkerRecord) -> str:
+    return f"{worker.worker.failure_domain}/{worker.worker.rack}"
+
+
+def _is_preemptible(job: jobs.Job) -> bool:
+    return (
+        job.preemptible
+        and job.idempotent
+        and not job.urgent
+        and job.kind is jobs.Kind.BATCH
+    )
--- /dev/null
+++ b/packages/core/hickoryreach/decisions/estimates.py
@@ -0,0 +1,113 @@
+"""Sizes and run times learned from reported use."""
+
+import statistics
+
+from hickoryreach.decisions import state
+from hickoryreach.structure import jobs
+from hickoryreach.structure import resources
+
+MARGIN_PERCENT = 110
+GRAIN_BITS = 4
+
+
+def get_profile(shard: state.ShardState, job: jobs.Job) -> state.Profile:
+    """Returns what is known about a job's command in its workspace."""
+    key = (job.workspace, job.command)
+    profile = shard.profiles.get(key)
+    if profile is None:
+        profile = shard.profiles[key] = state.Profile()
+    return profile
+
+
+def observe(
+    profile: state.Profile, used: resources.Resources, run_ms: int
+) -> None:
+    """Takes in the peak use and run time of one attempt that ended."""
+    if used.cpu_millis or used.memory_mb:
+        profile.cpu_millis.append(used.cpu_millis)
+        profile.memory_mb.append(used.memory_mb)
+    if run_ms > 0:
+        profile.run_ms.append(run_ms)
+
+
+def learn(
+    shard: state.ShardState,
+    job: jobs.Job,
+    used: resources.Resources,
+    run_ms: int,
+) -> None:
+    """Takes in one attempt that ended and resizes what waits alike."""
+    profile = get_profile(shard, job)
+    before = _get_peaks(profile)
+    observe(profile, used, run_ms)
+    if _get_peaks(profile) != before:
+        shard.resized.append(profile)
+
+
+def _get_peaks(profile: state.Profile) -> tuple[int, int, int]:
+    if not profile.memory_mb:
+        return 0, 0, 0
+    return (
+        min(len(profile.memory_mb), 8),
+        max(profile.cpu_millis),
+        max(profile.memory_mb),
+    )
+
+
+def get_size(
+    shard: state.ShardState,
+    workspace: state.WorkspaceRecord,
+    profile: state.Profile,
+    job: jobs.Job,
+) -> resources.Resources:
+    """Returns what one task of a job is given.
+
+    The highest of the last reported peaks with a margin, in place of the
+    declared size, once enough were reported and where a worker and the
+    workspace's limit can hold it.
+    """
+    if job.kind is jobs.Kind.REQUEST or not shard.settings.learning:
+        return job.need
+    if len(profile.memory_mb) < shard.settings.learn_after:
+        return job.need
+    learned = resources.Resources(
+        cpu_millis=_round(max(profile.cpu_millis) * MARGIN_PERCENT // 100),
+        memory_mb=_round(max(profile.memory_mb) * MARGIN_PERCENT // 100),
+        accelerators=job.need.accelerators,
+        slots=job.need.slots,
+    )
+    limit = workspace.entitlement.limit
+    if limit is not None and not learned.times(_get_width(job)).fits_in(limit):
+        return job.need
+    if not fits_a_worker(shard, learned, job.service):
+        return job.need
+    return learned
+
+
+def _get_width(job: jobs.Job) -> int:
+    return job.tasks if job.kind is jobs.Kind.GANG else 1
+
+
+def _round(amount: int) -> int:
+    """Rounds up to one of 2**(GRAIN_BITS - 1) steps in each doubling."""
+    shift = amount.bit_length() - GRAIN_BITS
+    if shift <= 0:
+        return amount
+    return -(-amount >> shift) << shift
+
+
+def get_run_ms(profile: state.Profile, job: jobs.Job) -> int:
+    """Returns the run time to expect of one task, in ms; 0 when unknown."""
+    if len(profile.run_ms) >= 3:
+        return int(statistics.median(profile.run_ms))
+    return job.run_time_ms
+
+
+def fits_a_worker(
+    shard: state.ShardState, need: resources.Resources, service: str
+) -> bool:
+    """Returns whether some worker is large enough when empty."""
+    return any(
+        need.fits_in(size) and (not service or service == offered)
+        for size, offered in shard.capacities
+    )
--- /dev/null
+++ b/packages/core/hickoryreach/decisions/limits.py
@@ -0,0 +1,48 @@
+"""Upper limits of workspaces."""
+
+from hickoryreach.decisions import state
+from hickoryreach.structure import resources
+
+
+def has_room(
+    workspace: state.WorkspaceRecord, need: resources.Resources
+) -> bool:
+    """Returns whether the workspace may have `need` more running.
+
+    What an earlier owner may have left running, and what its gangs have
+    reserved, count as running.
+    """
+    if not workspace.allowed:
+        return False
+    limit = workspace.entitlement.limit
+    if limit is None:
+        return True
+    used = workspace.used
+    claimed = workspace.claimed
+    doubt = workspace.doubt
+    return (
+        used.cpu_millis
+        + claimed.cpu_millis
+        + doubt.cpu_millis
+        + need.cpu_millis
+        <= limit.cpu_millis
+        and used.memory_mb
+        + claimed.memory_mb
+        + doubt.memory_mb
+        + need.memory_mb
+        <= limit.memory_mb
+        and used.accelerators
+        + claimed.accelerators
+        + doubt.accelerators
+        + need.accelerators
+        <= limit.accelerators
+        and used.slots + claimed.slots + doubt.slots + need.slots <= limit.slots
+    )
+
+
+def can_ever_hold(
+    workspace: state.WorkspaceRecord, need: resources.Resources
+) -> bool:
+    """Returns whether `need` alone keeps within the limit."""
+    limit = workspace.entitlement.limit
+    return limit is None or need.fits_in(limit)
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -1,117 +1,157 @@
 """Places waiting tasks on workers."""
 
+from collections.abc import Callable
 from collections.abc import Iterator
 
+from hickoryreach.decisions import adoption
+from hickoryreach.decisions import attempts
+from hickoryreach.decisions import cancellation
 from hickoryreach.decisions import effects
+from hickoryreach.decisions import gangs
+from hickoryreach.decisions import limits
+from hickoryreach.decisions import ordering
+from hickoryreach.decisions import preemption
+from hickoryreach.decisions import quarantine
+from hickoryreach.decisions import registry
+from hickoryreach.decisions import requests
+from hickoryreach.decisions import services
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
+from hickoryreach.structure import resources
 
+Fit = Callable[
+    [state.ShardState, state.Lane, state.JobRecord],
+    state.WorkerRecord | None,
+]
 
-def enqueue(shard: state.ShardState, record: state.JobRecord) -> None:
-    """Puts a job with waiting tasks into its workspace's queue."""
-    workspace = shard.workspaces.get(record.job.workspace)
-    if workspace is not None and record.waiting:
-        workspace.queue[record.job.job_id] = None
-
-
-def dequeue(shard: state.ShardState, record: state.JobRecord) -> None:
-    """Takes a job out of its workspace's queue."""
-    workspace = shard.workspaces.get(record.job.workspace)
-    if workspace is not None:
-        workspace.queue.pop(record.job.job_id, None)
-
-
-def hold(
-    shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
-    key: jobs.TaskKey,
-) -> state.Attempt:
-    """Sets resources aside for an attempt."""
-    attempt = state.Attempt(
-        key=key,
-        worker_id=worker.worker.worker_id,
-        held=record.job.need,
-        placed_ms=shard.now_ms,
-    )
-    record.running[key.index] = attempt
-    record.attempts[key.index] = key.attempt
-    worker.attempts[key] = attempt
-    worker.free = worker.free - attempt.held
-    workspace = shard.workspaces[record.job.workspace]
-    workspace.used = workspace.used + attempt.held
-    return attempt
-
-
-def release(
-    shard: state.ShardState, record: state.JobRecord, attempt: state.Attempt
-) -> None:
-    """Gives back what an attempt held."""
-    record.running.pop(attempt.key.index, None)
-    worker = shard.workers.get(attempt.worker_id)
-    if worker is not None and worker.attempts.pop(attempt.key, None):
-        worker.free = worker.free + attempt.held
-    workspace = shard.workspaces[record.job.workspace]
-    workspace.used = workspace.used - attempt.held
-
-
-def place_waiting(shard: state.ShardState) -> Iterator[effects.Effect]:
-    """Starts waiting tasks that fit, in order of arrival."""
-    for workspace in shard.workspaces.values():
-        for job_id in list(workspace.queue):
-            record = shard.jobs[job_id]
-            if record.hold_until_ms > shard.now_ms:
-                continue
-            yield from _place_job(shard, workspace, record)
-            if not record.waiting:
-                workspace.queue.pop(job_id, None)
-
-
-def _place_job(
-    shard: state.ShardState,
-    workspace: state.WorkspaceRecord,
-    record: state.JobRecord,
+ACCELERATOR_COST = 10.0
+STRIKE_COST = 4.0
+SKEW_COST = 2.0
+
+fits: registry.Registry[str, Fit] = registry.Registry(title="fits")
+
+
+def advance(shard: state.ShardState) -> Iterator[effects.Effect]:
+    """Carries on with work that is bounded within each event."""
+    yield from cancellation.advance(shard)
+    yield from adoption.advance(shard)
+    ordering.resize_learned(shard)
+    yield from preemption.use_ready(shard)
+    gangs.choose(shard)
+    budget = shard.settings.placements_per_event
+    yield from gangs.launch(shard, budget)
+    yield from _place_waiting(shard, budget)
+    yield from preemption.make_room(shard)
+
+
+def _place_waiting(
+    shard: state.ShardState, budget: int
 ) -> Iterator[effects.Effect]:
-    job = record.job
-    while record.waiting:
-        limit = workspace.entitlement.limit
-        wanted = workspace.used + job.need
-        if limit is not None and not wanted.fits_in(limit):
+    for _ in range(shard.settings.steps_per_event):
+        found = ordering.next_lane(shard)
+        if found is None or budget <= 0:
             return
-        worker = _first_fit(shard, job)
+        lane, queue = found
+        if queue is None:
+            worker = _choose(shard, lane, lane.gang)
+            gangs.gather(shard, lane, worker)
+            continue
+        record = ordering.get_job(queue)
+        if record is None:
+            continue
+        if cancellation.is_marked(shard, record):
+            yield from cancellation.cancel(shard, record)
+            continue
+        if not limits.has_room(queue.workspace, lane.need):
+            ordering.park(queue)
+            continue
+        worker = _choose(shard, lane, record)
         if worker is None:
-            return
-        index = record.waiting.pop()
-        attempt = record.attempts.get(index, 0) + 1
-        key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=attempt)
-        hold(shard, record, worker, key)
-        yield _start_effect(record, worker, key)
+            ordering.block(shard, lane)
+            continue
+        budget -= 1
+        yield attempts.place(shard, record, worker, lane.need)
 
 
-def _first_fit(
-    shard: state.ShardState, job: jobs.Job
+def _choose(
+    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
 ) -> state.WorkerRecord | None:
-    for worker in shard.workers.values():
-        if not worker.reachable or worker.worker.departing:
-            continue
-        if job.service and worker.worker.service != job.service:
+    if lane.blocked:
+        return _choose_candidate(shard, lane, record)
+    if record.job.kind is jobs.Kind.SERVICE:
+        return services.choose(shard, lane, record)
+    if lane.pool:
+        return requests.choose(shard, lane, record)
+    return fits.find(shard.settings.fit)(shard, lane, record)
+
+
+def _choose_candidate(
+    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
+) -> state.WorkerRecord | None:
+    fitting = []
+    for worker_id in list(lane.candidates):
+        worker = shard.workers.get(worker_id)
+        if (
+            worker is None
+            or not worker.open
+            or not lane.need.fits_in(worker.available)
+        ):
+            del lane.candidates[worker_id]
+        elif quarantine.is_trusted(worker, record):
+            fitting.append(worker)
+    if not fitting:
+        return None
+    if record.job.kind is jobs.Kind.SERVICE:
+        return min(fitting, key=lambda each: services.rank(record, each))
+    return min(fitting, key=lambda each: score_fit(each, lane.need))
+
+
+def get_available(worker: state.WorkerRecord) -> resources.Resources:
+    """Returns the room for new tasks on a worker."""
+    return worker.available
+
+
+def score_fit(worker: state.WorkerRecord, need: resources.Resources) -> float:
+    """Returns how much a task would leave unused on a worker, and how skewed.
+
+    The lowest score is the best fit.
+    """
+    room = worker.available
+    size = worker.worker.capacity
+    cpu = (room.cpu_millis - need.cpu_millis) / (size.cpu_millis or 1)
+    memory = (room.memory_mb - need.memory_mb) / (size.memory_mb or 1)
+    score = cpu + memory + SKEW_COST * abs(cpu - memory)
+    if room.accelerators > need.accelerators:
+        score += ACCELERATOR_COST
+    if worker.strikes:
+        score += STRIKE_COST
+    return score
+
+
+@fits.register("best_fit")
+def find_best_fit(
+    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
+) -> state.WorkerRecord | None:
+    """Returns the worker whose remaining room a task fits best."""
+    need = lane.need
+    best = None
+    best_score = 0.0
+    for worker in shard.free.search(need, get_available):
+        if worker.probing and not quarantine.is_trusted(worker, record):
             continue
-        if job.need.fits_in(worker.free):
-            return worker
-    return None
+        score = score_fit(worker, need)
+        if best is None or score < best_score:
+            best = worker
+            best_score = score
+    return best
 
 
-def _start_effect(
-    record: state.JobRecord, worker: state.WorkerRecord, key: jobs.TaskKey
-) -> effects.Effect:
-    worker_id = worker.worker.worker_id
-    if record.job.kind is jobs.Kind.REQUEST:
-        return effects.DispatchRequest(
-            key=key, worker_id=worker_id, job=record.job, entry=record.entry
-        )
-    return effects.StartTask(
-        key=key,
-        worker_id=worker_id,
-        need=record.job.need,
-        job=record.job,
-    )
+@fits.register("first_fit")
+def find_first_fit(
+    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
+) -> state.WorkerRecord | None:
+    """Returns the first worker to have joined that has room."""
+    for worker in shard.workers.values():
+        if worker.open and lane.need.fits_in(worker.available):
+            return worker
+    return None
--- /dev/null
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -0,0 +1,198 @@
+"""Room for urgent work on a full cell."""
+
+from collections.abc import Iterator
+import itertools
+
+from hickoryreach.decisions import attempts
+from hickoryreach.decisions import effects
+from hickoryreach.decisions import gangs
+from hickoryreach.decisions import ledger
+from hickoryreach.decisions import limits
+from hickoryreach.decisions import outcomes
+from hickoryreach.decisions import reservations
+from hickoryreach.decisions import state
+from hickoryreach.decisions import timers
+from hickoryreach.structure import resources
+
+WORKERS_COMPARED = 8
+TASKS_PER_EVENT = 16
+JOBS_PER_EVENT = 64
+
+
+def make_room(shard: state.ShardState) -> Iterator[effects.Effect]:
+    """Displaces preemptible tasks for urgent ones that found no worker."""
+    if not shard.settings.preempting or not shard.pressing:
+        return
+    budget = TASKS_PER_EVENT
+    for lane in list(shard.pressing.values()):
+        for record in _list_jobs(lane):
+            while budget > 0 and _lacks_room(lane, record):
+                displaced = list(_displace(shard, lane, record))
+                yield from displaced
+                if not displaced:
+                    return
+                budget -= 1
+
+
+def _list_jobs(lane: state.Lane) -> Iterator[state.JobRecord]:
+    if lane.gang is not None:
+        yield lane.gang
+        return
+    seen: set[int] = set()
+    for _, _, queue in lane.queues[:JOBS_PER_EVENT]:
+        if queue.lane is not lane or queue.parked or id(queue) in seen:
+            continue
+        seen.add(id(queue))
+        for _, record in itertools.islice(queue.jobs, JOBS_PER_EVENT):
+            if record.waiting and not record.state.is_final:
+                yield record
+
+
+def _lacks_room(lane: state.Lane, record: state.JobRecord) -> bool:
+    gathered = record.gang.gathered if record.gang is not None else 0
+    return len(record.waiting) > len(record.claims) + gathered
+
+
+def _displace(
+    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
+) -> Iterator[effects.Effect]:
+    workspace = ledger.get_workspace(shard, record.job.workspace)
+    if record.gang is None and not limits.has_room(workspace, lane.need):
+        return
+    choice = _choose_cheapest(shard, lane)
+    if choice is None:
+        return
+    worker, victims = choice
+    kept = reservations.keep_for_task(shard, record, worker, lane.need)
+    due_ms = shard.now_ms + shard.settings.claim_ms
+    timers.schedule(shard, due_ms, "claim", kept)
+    for victim in victims:
+        yield from _stop(shard, worker, victim)
+
+
+def _choose_cheapest(
+    shard: state.ShardState, lane: state.Lane
+) -> tuple[state.WorkerRecord, list[state.Attempt]] | None:
+    options = []
+    found = shard.reclaim.search(lane.need, _get_reclaimable_room)
+    for worker in itertools.islice(found, WORKERS_COMPARED):
+        if lane.pool and worker.worker.service != lane.pool:
+            continue
+        victims = pick_victims(shard, worker, lane.need)
+        if victims:
+            cost = sum(get_cost(shard, victim) for victim in victims)
+            options.append((cost, worker.number, worker, victims))
+    if not options:
+        return None
+    _, _, worker, victims = min(options, key=lambda option: option[:2])
+    return worker, victims
+
+
+def _get_reclaimable_room(
+    worker: state.WorkerRecord,
+) -> resources.Resources:
+    return worker.available + worker.reclaimable
+
+
+def get_cost(shard: state.ShardState, attempt: state.Attempt) -> int:
+    """Returns the work lost by stopping an attempt, in core-microseconds."""
+    return (shard.now_ms - attempt.placed_ms + 1) * attempt.held.cpu_millis
+
+
+def pick_victims(
+    shard: state.ShardState,
+    worker: state.WorkerRecord,
+    need: resources.Resources,
+) -> list[state.Attempt]:
+    """Returns the cheapest attempts whose end makes room, if any do."""
+    candidates = sorted(
+        (each for each in worker.attempts.values() if each.preemptible),
+        key=lambda each: get_cost(shard, each),
+    )
+    room = worker.available
+    chosen = []
+    for each in candidates:
+        if need.fits_in(room):
+            break
+        chosen.append(each)
+        room = room + each.held
+    if not need.fits_in(room):
+        return []
+    for each in reversed(list(chosen)):
+        if need.fits_in(room - each.held):
+            chosen.remove(each)
+            room = room - each.held
+    return chosen
+
+
+def _stop(
+    shard: state.ShardState,
+    worker: state.WorkerRecord,
+    attempt: state.Attempt,
+) -> Iterator[effects.Effect]:
+    ledger.fix(shard, worker, attempt)
+    attempt.preempted = True
+    if not attempt.started:
+        yield outcomes.ask_to_stop(shard, attempt, "preempted")
+        return
+    attempt.stopping = True
+    attempt.stop_asked_ms = shard.now_ms
+    attempt.stop_reason = "preempted"
+    due_ms = shard.now_ms + shard.settings.checkpoint_ms
+    timers.schedule(shard, due_ms, "checkpoint", attempt)
+    yield effects.CheckpointTask(key=attempt.key, worker_id=attempt.worker_id)
+
+
+def displace(
+    shard: state.ShardState,
+    worker: state.WorkerRecord,
+    attempt: state.Attempt,
+) -> Iterator[effects.Effect]:
+    """Checkpoints one preemptible attempt to free what it holds."""
+    yield from _stop(shard, worker, attempt)
+
+
+@timers.handlers.register("checkpoint")
+def stop_unfinished(
+    shard: state.ShardState, attempt: state.Attempt
+) -> Iterator[effects.Effect]:
+    """Stops an attempt that was not checkpointed in time."""
+    worker = shard.workers.get(attempt.worker_id)
+    if worker is not None and worker.attempts.get(attempt.key) is attempt:
+        yield outcomes.ask_to_stop(shard, attempt, attempt.stop_reason)
+
+
+@timers.handlers.register("claim")
+def give_up(
+    shard: state.ShardState, kept: state.Claim
+) -> Iterator[effects.Effect]:
+    """Gives up room that was not made in time."""
+    reservations.drop(shard, kept)
+    yield from ()
+
+
+def use_ready(shard: state.ShardState) -> Iterator[effects.Effect]:
+    """Starts urgent tasks whose room has been made."""
+    for _ in range(len(shard.ready)):
+        kept = shard.ready.popleft()
+        record = kept.record
+        worker = shard.workers.get(kept.worker_id)
+        if worker is None or kept not in record.claims:
+            continue
+        if not worker.open or not kept.need.fits_in(_get_room(worker)):
+            continue
+        reservations.drop(shard, kept)
+        if record.gang is not None:
+            gangs.gather(shard, record.gang.lane, worker)
+            continue
+        workspace = ledger.get_workspace(shard, record.job.workspace)
+        if record.waiting and limits.has_room(workspace, kept.need):
+            yield attempts.place(shard, record, worker, kept.need)
+
+
+def _get_room(worker: state.WorkerRecord) -> resources.Resources:
+    room = worker.free
+    for kept in worker.claims:
+        if not kept.pending:
+            room = room - kept.need.times(kept.count)
+    return room
--- a/packages/core/hickoryreach/decisions/reducer.py
+++ b/packages/core/hickoryreach/decisions/reducer.py
@@ -3,12 +3,23 @@
 from collections.abc import Callable
 from collections.abc import Iterator
 
+from hickoryreach.decisions import adoption
+from hickoryreach.decisions import cancellation
 from hickoryreach.decisions import effects
+from hickoryreach.decisions import estimates
 from hickoryreach.decisions import events
+from hickoryreach.decisions import fleet
+from hickoryreach.decisions import intake
+from hickoryreach.decisions import ledger
+from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import placement
+from hickoryreach.decisions import quarantine
 from hickoryreach.decisions import registry
 from hickoryreach.decisions import state
+from hickoryreach.decisions import timers
+from hickoryreach.decisions import upkeep
 from hickoryreach.structure import jobs
+from hickoryreach.structure import resources
 
 Handler = Callable[[state.ShardState, object], Iterator[effects.Effect]]
 
@@ -20,10 +31,16 @@
 def reduce(
     shard: state.ShardState, event: events.Event, now_ms: int
 ) -> list[effects.Effect]:
-    """Applies `event` to `shard` and returns the effects in order."""
-    shard.now_ms = now_ms
+    """Applies `event` to `shard` and returns the effects in order.
+
+    Work that would take long is bounded within each event and carried on
+    with the next; `ShardState.has_more` tells whether some was left.
+    """
+    shard.now_ms = max(shard.now_ms, now_ms)
     handle = handlers.find(type(event))
-    return list(handle(shard, event))
+    out = list(handle(shard, event))
+    out.extend(placement.advance(shard))
+    return out
 
 
 @handlers.register(events.EntitlementsChanged)
@@ -31,15 +48,8 @@
     shard: state.ShardState, event: events.EntitlementsChanged
 ) -> Iterator[effects.Effect]:
     """Puts new entitlements in force."""
-    for entitlement in event.entitlements:
-        record = shard.workspaces.get(entitlement.workspace)
-        if record is None:
-            shard.workspaces[entitlement.workspace] = state.WorkspaceRecord(
-                entitlement=entitlement
-            )
-        else:
-            record.entitlement = entitlement
-    yield from placement.place_waiting(shard)
+    intake.change_entitlements(shard, event.entitlements)
+    yield from ()
 
 
 @handlers.register(events.WorkerJoined)
@@ -47,36 +57,11 @@
     shard: state.ShardState, event: events.WorkerJoined
 ) -> Iterator[effects.Effect]:
     """Adds a worker and adopts what it runs."""
-    worker_id = event.worker.worker_id
-    record = shard.workers.get(worker_id)
-    if record is None:
-        record = state.WorkerRecord(
-            worker=event.worker, free=event.worker.capacity
-        )
-        shard.workers[worker_id] = record
-    record.worker = event.worker
-    record.reachable = True
-    for task in event.running:
-        yield from _adopt(shard, record, task.key)
-    yield from placement.place_waiting(shard)
-
-
-def _adopt(
-    shard: state.ShardState, record: state.WorkerRecord, key: jobs.TaskKey
-) -> Iterator[effects.Effect]:
-    if key in record.attempts:
-        return
-    job_record = shard.jobs.get(key.job_id)
-    wanted = job_record is not None and key.index in job_record.waiting
-    if not wanted:
-        yield effects.StopTask(
-            key=key, worker_id=record.worker.worker_id, reason="unknown task"
-        )
-        return
-    job_record.waiting.remove(key.index)
-    placement.hold(shard, job_record, record, key)
-    job_record.running[key.index].started = True
-    job_record.ran = jobs.Ran.RAN
+    worker = fleet.join(shard, event.worker)
+    yield from adoption.take_list(shard, worker, event.running)
+    ledger.refresh(shard, worker)
+    yield from fleet.relieve(shard, worker)
+    yield from fleet.vacate(shard, worker)
 
 
 @handlers.register(events.WorkerReported)
@@ -84,10 +69,13 @@
     shard: state.ShardState, event: events.WorkerReported
 ) -> Iterator[effects.Effect]:
     """Takes in a usage report."""
-    record = shard.workers.get(event.worker_id)
-    if record is not None:
-        record.reachable = True
-    yield from ()
+    worker = shard.workers.get(event.worker_id)
+    if worker is None:
+        return
+    if not worker.reachable:
+        worker.reachable = True
+        ledger.refresh(shard, worker)
+    yield from adoption.take_list(shard, worker, event.running)
 
 
 @handlers.register(events.WorkerUnreachable)
@@ -95,9 +83,9 @@
     shard: state.ShardState, event: events.WorkerUnreachable
 ) -> Iterator[effects.Effect]:
     """Stops placing work on a worker that does not answer."""
-    record = shard.workers.get(event.worker_id)
-    if record is not None:
-        record.reachable = False
+    worker = shard.workers.get(event.worker_id)
+    if worker is not None:
+        fleet.suspend(shard, worker)
     yield from ()
 
 
@@ -106,32 +94,17 @@
     shard: state.ShardState, event: events.WorkerLost
 ) -> Iterator[effects.Effect]:
     """Takes back what a lost worker held."""
-    record = shard.workers.pop(event.worker_id, None)
-    if record is None:
-        return
-    for attempt in list(record.attempts.values()):
-        yield from _end_attempt(
-            shard, attempt, jobs.TaskResult.UNKNOWN, "worker lost"
-        )
-    yield from placement.place_waiting(shard)
+    worker = shard.workers.get(event.worker_id)
+    if worker is not None:
+        yield from fleet.lose(shard, worker)
 
 
 @handlers.register(events.JobSubmitted)
 def submit_job(
     shard: state.ShardState, event: events.JobSubmitted
 ) -> Iterator[effects.Effect]:
-    """Queues a job's tasks and places what fits."""
-    if event.job.job_id in shard.jobs:
-        return
-    record = state.JobRecord(
-        job=event.job,
-        entry=event.entry,
-        waiting=list(reversed(range(event.job.tasks))),
-        queued_ms=shard.now_ms,
-    )
-    shard.jobs[event.job.job_id] = record
-    placement.enqueue(shard, record)
-    yield from placement.place_waiting(shard)
+    """Queues a job's tasks."""
+    yield from intake.submit(shard, event)
 
 
 @handlers.register(events.JobRestored)
@@ -139,23 +112,7 @@
     shard: state.ShardState, event: events.JobRestored
 ) -> Iterator[effects.Effect]:
     """Takes over a job from the journal."""
-    settled = set(event.done) | set(event.failed)
-    record = state.JobRecord(
-        job=event.job,
-        waiting=[
-            index
-            for index in reversed(range(event.job.tasks))
-            if index not in settled
-        ],
-        done=set(event.done),
-        failed=set(event.failed),
-        attempts=dict(event.attempts),
-        queued_ms=shard.now_ms,
-        hold_until_ms=event.hold_until_ms,
-    )
-    shard.jobs[event.job.job_id] = record
-    placement.enqueue(shard, record)
-    yield from ()
+    yield from intake.restore(shard, event)
 
 
 @handlers.register(events.HoldsCleared)
@@ -163,9 +120,8 @@
     shard: state.ShardState, event: events.HoldsCleared
 ) -> Iterator[effects.Effect]:
     """Lets restored jobs start."""
-    for record in shard.jobs.values():
-        record.hold_until_ms = 0
-    yield from placement.place_waiting(shard)
+    adoption.begin_clearing(shard)
+    yield from ()
 
 
 @handlers.register(events.JobCancelled)
@@ -174,19 +130,8 @@
 ) -> Iterator[effects.Effect]:
     """Drops waiting tasks and stops running ones."""
     record = shard.jobs.get(event.job_id)
-    if record is None or record.state.is_final:
-        return
-    record.waiting.clear()
-    placement.dequeue(shard, record)
-    for attempt in record.running.values():
-        attempt.stopping = True
-        yield effects.StopTask(
-            key=attempt.key, worker_id=attempt.worker_id, reason="cancelled"
-        )
-    record.state = jobs.JobState.CANCELLED
-    yield effects.JobChanged(
-        job_id=event.job_id, state=record.state, ran=record.ran
-    )
+    if record is not None:
+        yield from cancellation.cancel(shard, record)
 
 
 @handlers.register(events.WaveCancelled)
@@ -194,14 +139,8 @@
     shard: state.ShardState, event: events.WaveCancelled
 ) -> Iterator[effects.Effect]:
     """Cancels every job of a wave."""
-    members = [
-        record.job.job_id
-        for record in shard.jobs.values()
-        if record.job.workspace == event.workspace
-        and record.job.wave == event.wave
-    ]
-    for job_id in members:
-        yield from cancel_job(shard, events.JobCancelled(job_id=job_id))
+    cancellation.begin_wave(shard, event.workspace, event.wave)
+    yield from ()
 
 
 @handlers.register(events.TaskStarted)
@@ -209,17 +148,10 @@
     shard: state.ShardState, event: events.TaskStarted
 ) -> Iterator[effects.Effect]:
     """Notes that an attempt is running."""
-    record = shard.jobs.get(event.key.job_id)
-    attempt = record and record.running.get(event.key.index)
-    if not attempt or attempt.key != event.key:
-        return
-    attempt.started = True
-    record.ran = jobs.Ran.RAN
-    if record.state is jobs.JobState.ACCEPTED:
-        record.state = jobs.JobState.RUNNING
-        yield effects.JobChanged(
-            job_id=event.key.job_id, state=record.state, ran=record.ran
-        )
+    worker = shard.workers.get(event.worker_id)
+    attempt = worker and worker.attempts.get(event.key)
+    if attempt and not attempt.started:
+        yield from adoption.confirm_start(shard, attempt)
 
 
 @handlers.register(events.TaskEnded)
@@ -227,84 +159,37 @@
     shard: state.ShardState, event: events.TaskEnded
 ) -> Iterator[effects.Effect]:
     """Settles or repeats an attempt that ended."""
-    record = shard.jobs.get(event.key.job_id)
-    attempt = record and record.running.get(event.key.index)
-    if not attempt or attempt.key != event.key:
+    worker = shard.workers.get(event.worker_id)
+    attempt = worker and worker.attempts.get(event.key)
+    if not attempt:
+        yield from adoption.end_unheld(shard, event)
         return
-    yield from _end_attempt(
-        shard, attempt, event.result, event.reason, event.status, event.answer
-    )
-    yield from placement.place_waiting(shard)
+    adoption.note_ended(shard, worker, event.key)
+    record = shard.jobs.get(event.key.job_id)
+    if record is not None:
+        _learn(shard, worker, record, attempt, event)
+    yield from outcomes.end(shard, attempt, event)
 
 
-def _end_attempt(
+def _learn(
     shard: state.ShardState,
-    attempt: state.Attempt,
-    outcome: jobs.TaskResult,
-    reason: str,
-    status: int = 0,
-    answer: bytes = b"",
-) -> Iterator[effects.Effect]:
-    record = shard.jobs[attempt.key.job_id]
-    placement.release(shard, record, attempt)
-    if outcome is not jobs.TaskResult.NOT_RUN:
-        record.ran = jobs.Ran.RAN
-    if record.state.is_final:
-        return
-    if _may_repeat(record.job, outcome):
-        record.waiting.append(attempt.key.index)
-        placement.enqueue(shard, record)
-        return
-    if outcome is jobs.TaskResult.SUCCEEDED:
-        record.done.add(attempt.key.index)
-    else:
-        record.failed.add(attempt.key.index)
-    yield effects.TaskSettled(key=attempt.key, result=outcome)
-    yield from _finish_job(record, outcome, reason, status, answer)
-
-
-def _may_repeat(job: jobs.Job, outcome: jobs.TaskResult) -> bool:
-    if outcome is jobs.TaskResult.NOT_RUN:
-        return True
-    if job.kind is jobs.Kind.SERVICE:
-        return True
-    unclear = (
-        jobs.TaskResult.UNKNOWN,
-        jobs.TaskResult.STOPPED,
-        jobs.TaskResult.CHECKPOINTED,
-    )
-    return job.idempotent and outcome in unclear
-
-
-def _finish_job(
+    worker: state.WorkerRecord,
     record: state.JobRecord,
-    outcome: jobs.TaskResult,
-    reason: str,
-    status: int,
-    answer: bytes,
-) -> Iterator[effects.Effect]:
-    if len(record.done) + len(record.failed) < record.job.tasks:
-        return
-    if not record.failed:
-        record.state = jobs.JobState.SUCCEEDED
-    elif outcome is jobs.TaskResult.UNKNOWN:
-        record.state = jobs.JobState.UNKNOWN
-        record.ran = jobs.Ran.UNKNOWN
-    else:
-        record.state = jobs.JobState.FAILED
-    yield effects.JobChanged(
-        job_id=record.job.job_id,
-        state=record.state,
-        ran=record.ran,
-        reason=reason,
-        status=status,
-        answer=answer,
-    )
+    attempt: state.Attempt,
+    event: events.TaskEnded,
+) -> None:
+    if not attempt.stopping:
+        quarantine.note_end(shard, worker, record.job, event.key, event.result)
+    if event.result is jobs.TaskResult.SUCCEEDED:
+        estimates.learn(shard, record.job, event.used, event.run_ms)
+    elif event.used != resources.NOTHING:
+        estimates.learn(shard, record.job, event.used, 0)
 
 
 @handlers.register(events.Ticked)
 def tick(
     shard: state.ShardState, event: events.Ticked
 ) -> Iterator[effects.Effect]:
-    """Retries placements whose holds or delays have passed."""
-    yield from placement.place_waiting(shard)
+    """Handles what has become due."""
+    yield from timers.run_due(shard)
+    yield from upkeep.run(shard)
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -1,14 +1,23 @@
 """State of one shard as its owner knows it."""
 
+from __future__ import annotations
+
+import collections
 import dataclasses
+import random
+from typing import Any
+
+import sortedcontainers
 
+from hickoryreach.decisions import capacity
+from hickoryreach.decisions import settings as settings_module
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
 from hickoryreach.structure import workspaces
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class Attempt:
     """One attempt that holds resources on a worker.
 
@@ -17,19 +26,37 @@
         worker_id: Where it is placed.
         held: What is set aside for it.
         placed_ms: When it was placed.
+        workspace: Workspace it counts for, or empty while unidentified.
         started: Whether the worker acknowledged the start.
         stopping: Whether a stop was asked for.
+        stop_asked_ms: When a stop was last asked for.
+        stop_reason: Cause given with the stop.
+        preempted: Whether it was stopped to make room.
+        preemptible: Whether it may be stopped to make room.
+        stray: Whether it is listed by a worker without being expected.
+        missing_since_ms: First complete list that left it out, or -1.
+        used: Last reported use.
+        throttled: Whether its processor use was capped.
     """
 
     key: jobs.TaskKey
     worker_id: str
     held: resources.Resources
     placed_ms: int
+    workspace: str = ""
     started: bool = False
     stopping: bool = False
+    stop_asked_ms: int = 0
+    stop_reason: str = ""
+    preempted: bool = False
+    preemptible: bool = False
+    stray: bool = False
+    missing_since_ms: int = -1
+    used: resources.Resources = resources.NOTHING
+    throttled: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class JobRecord:
     """A job and the progress of its tasks.
 
@@ -37,77 +64,426 @@
         job: The job.
         entry: Entry that holds the caller of a request.
         state: State as callers see it.
-        ran: Whether any of it was carried out.
+        sequence: Position in the order of arrival.
         waiting: Indexes to start, the next one last.
+        delayed: Indexes that wait for a retry delay.
         running: Attempts placed, by index.
+        unclear: Attempts of an earlier owner without outcome, by index.
         done: Indexes that succeeded.
         failed: Indexes that failed for good or have no known outcome.
+        unknown: Indexes in `failed` whose outcome nobody can tell.
         attempts: Highest attempt number used, by index.
+        repeats: Repeats so far, by index.
         queued_ms: When it began to wait.
         hold_until_ms: Start nothing of it earlier.
+        on_hold: Whether an earlier owner's attempts may still run.
+        doubt: What its attempts under an earlier owner may be using.
+        confirmed: Whether some of it has run.
+        doubtful: Whether some of it may have run.
+        queue: The queue it stands in, or None.
+        spread: Attempts by failure domain and by rack, of a service.
+        gang: Progress of a gang's reservation, or None.
+        reserve_turns: Times that it reserved room as a gang.
+        claims: Room being made for tasks of it.
+        misfit_ms: Since when the cell is too small for it, or -1.
     """
 
     job: jobs.Job
     entry: str = ""
     state: jobs.JobState = jobs.JobState.ACCEPTED
-    ran: jobs.Ran = jobs.Ran.NOT_RUN
-    waiting: list[int] = dataclasses.field(default_factory=list)
+    sequence: int = 0
+    waiting: dict[int, None] = dataclasses.field(default_factory=dict)
+    delayed: set[int] = dataclasses.field(default_factory=set)
     running: dict[int, Attempt] = dataclasses.field(default_factory=dict)
+    unclear: dict[int, jobs.TaskKey] = dataclasses.field(default_factory=dict)
     done: set[int] = dataclasses.field(default_factory=set)
     failed: set[int] = dataclasses.field(default_factory=set)
+    unknown: set[int] = dataclasses.field(default_factory=set)
     attempts: dict[int, int] = dataclasses.field(default_factory=dict)
+    repeats: dict[int, int] = dataclasses.field(default_factory=dict)
     queued_ms: int = 0
     hold_until_ms: int = 0
+    on_hold: bool = False
+    doubt: resources.Resources = resources.NOTHING
+    confirmed: bool = False
+    doubtful: bool = False
+    queue: JobQueue | None = None
+    spread: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+    gang: Gang | None = None
+    reserve_turns: int = 0
+    claims: list[Claim] = dataclasses.field(default_factory=list)
+    misfit_ms: int = -1
+
+    @property
+    def ran(self) -> jobs.Ran:
+        """Whether any of it was carried out, as far as is known."""
+        if self.state is jobs.JobState.UNKNOWN:
+            return jobs.Ran.UNKNOWN
+        if self.confirmed:
+            return jobs.Ran.RAN
+        if self.doubtful or self.running or self.unclear:
+            return jobs.Ran.UNKNOWN
+        return jobs.Ran.NOT_RUN
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Claim:
+    """Room on a worker that is kept for one job.
+
+    Attributes:
+        record: The job.
+        worker_id: The worker.
+        need: Size of one task.
+        count: Tasks it has room for.
+        pending: Whether tasks must leave before there is room.
+        charged: Whether it counts against the workspace's limit by itself.
+    """
+
+    record: JobRecord
+    worker_id: str
+    need: resources.Resources
+    count: int = 1
+    pending: bool = False
+    charged: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Gang:
+    """Progress of a gang towards starting all its tasks.
+
+    Attributes:
+        need: Size of one task.
+        lane: Where it looks for room, while it gathers.
+        claims: Room gathered so far, by worker.
+        gathered: Tasks there is room for.
+        reserving: Whether it keeps what it gathered until complete.
+        launching: Whether its tasks are being started.
+        charged: What is counted against the workspace's limit for it.
+    """
+
+    need: resources.Resources
+    lane: Lane | None = None
+    claims: dict[str, Claim] = dataclasses.field(default_factory=dict)
+    gathered: int = 0
+    reserving: bool = False
+    launching: bool = False
+    charged: resources.Resources = resources.NOTHING
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class JobQueue:
+    """Jobs of one workspace that look alike, in order of arrival.
+
+    Attributes:
+        key: What they have in common.
+        workspace: The workspace.
+        lane: Lane of the size they are placed with.
+        profile: What is known about their command.
+        declared: Size that the jobs declare.
+        jobs: Heap of sequence and job.
+        pushed: Key of its valid entry in the lane's heap, or None.
+        parked: Whether the workspace's limit keeps it from starting.
+    """
+
+    key: tuple[Any, ...]
+    workspace: WorkspaceRecord
+    lane: Lane
+    profile: Profile
+    declared: resources.Resources
+    jobs: list[tuple[int, JobRecord]] = dataclasses.field(default_factory=list)
+    pushed: float | None = None
+    parked: bool = False
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Lane:
+    """Queues whose tasks fit the same workers.
+
+    Attributes:
+        key: Identity within the shard.
+        need: Size of one task.
+        pool: Minion service that the worker must have, or empty.
+        kind: Kind of the jobs.
+        priority: Lower goes first.
+        queues: Heap of order key, sequence and queue.
+        pushed: Key of its valid entry in the shard's heap, or None.
+        blocked: Whether no worker had room at the last search.
+        blocked_ms: When it became blocked.
+        misfit_ms: Since when no worker is large enough, or -1.
+        candidates: Workers that gained room since it was blocked.
+        gang: Gang that gathers here, or None.
+        size: Queues that belong to it.
+    """
+
+    key: tuple[Any, ...]
+    need: resources.Resources
+    pool: str = ""
+    kind: jobs.Kind = jobs.Kind.BATCH
+    priority: int = 0
+    queues: list[tuple[float, int, JobQueue]] = dataclasses.field(
+        default_factory=list
+    )
+    pushed: float | None = None
+    blocked: bool = False
+    blocked_ms: int = 0
+    misfit_ms: int = -1
+    candidates: dict[str, None] = dataclasses.field(default_factory=dict)
+    gang: JobRecord | None = None
+    size: int = 0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Profile:
+    """What is known about a workspace's command.
+
+    Attributes:
+        cpu_millis: Recent peaks of processor use.
+        memory_mb: Recent peaks of memory use.
+        run_ms: Recent run times.
+        queues: Queues of its jobs.
+        succeeded_on: Workers it succeeded on lately.
+        failed_on: Workers it failed on lately.
+        tokens: Repeats it may make now.
+    """
+
+    cpu_millis: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=16)
+    )
+    memory_mb: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=16)
+    )
+    run_ms: collections.deque[int] = dataclasses.field(
+        default_factory=lambda: collections.deque(maxlen=16)
+    )
+    queues: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
+        default_factory=dict
+    )
+    succeeded_on: dict[str, None] = dataclasses.field(default_factory=dict)
+    failed_on: dict[str, None] = dataclasses.field(default_factory=dict)
+    tokens: float = 10.0
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class WorkerRecord:
     """A worker and what is placed on it.
 
     Attributes:
         worker: The worker.
         free: Capacity not set aside.
+        number: Position in the order of joining.
         attempts: Attempts placed on it.
-        reachable: Whether new work may go there.
+        reachable: Whether it answers.
+        available: Room for new tasks: free less what is claimed.
+        reclaimable: Part of what is held that urgent work may displace.
+        claimed: Room kept for particular jobs.
+        claims: Reservations on it.
+        unidentified: Listed tasks whose job is not known.
+        strikes: Failures since the last success, by cause.
+        quarantined_until_ms: No work before this time, or 0.
+        quarantines: Quarantines in a row.
+        probing: Whether it gets one task at a time.
+        turn: When it last got a request, as a count.
+        ended: Attempts that ended lately, with the time.
+        open: Whether new work may go there.
     """
 
     worker: workers.Worker
     free: resources.Resources
+    number: int = 0
     attempts: dict[jobs.TaskKey, Attempt] = dataclasses.field(
         default_factory=dict
     )
     reachable: bool = True
+    available: resources.Resources = resources.NOTHING
+    reclaimable: resources.Resources = resources.NOTHING
+    claimed: resources.Resources = resources.NOTHING
+    claims: list[Claim] = dataclasses.field(default_factory=list)
+    unidentified: int = 0
+    strikes: dict[Any, Profile] = dataclasses.field(default_factory=dict)
+    quarantined_until_ms: int = 0
+    quarantines: int = 0
+    probing: bool = False
+    turn: int = 0
+    ended: dict[jobs.TaskKey, int] = dataclasses.field(default_factory=dict)
+    open: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class WorkspaceRecord:
     """A workspace and what it has running.
 
     Attributes:
         entitlement: What it may use.
+        allowed: Whether the configuration in force names it.
         used: Sum set aside for its attempts.
-        queue: Ids of its jobs with waiting tasks, in order of arrival.
+        claimed: Sum reserved for its gangs.
+        doubt: Sum that attempts under an earlier owner may use.
+        part: Largest part of the cell that any resource of `used` takes.
+        queues: Queues with its jobs.
+        parked: Queues that its limit keeps from starting.
+        waiting: Tasks waiting, requests left out.
+        requests: Requests waiting.
     """
 
     entitlement: workspaces.Entitlement
+    allowed: bool = True
     used: resources.Resources = resources.NOTHING
-    queue: dict[str, None] = dataclasses.field(default_factory=dict)
+    claimed: resources.Resources = resources.NOTHING
+    doubt: resources.Resources = resources.NOTHING
+    part: float = 0.0
+    queues: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
+        default_factory=dict
+    )
+    parked: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
+        default_factory=dict
+    )
+    waiting: int = 0
+    requests: int = 0
+
+
+def _make_blocked() -> sortedcontainers.SortedKeyList:
+    return sortedcontainers.SortedKeyList(key=lambda lane: lane.need.cpu_millis)
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class ShardState:
     """Everything one owner decides from.
 
     Attributes:
+        settings: Bounds and delays.
+        seed: Seed of the generator.
         now_ms: Time of the event being reduced.
+        generator: Generator for jitter.
         workers: Workers by id.
         jobs: Jobs by id, final ones until forgotten.
         workspaces: Workspaces by name.
+        total: Capacity of all workers.
+        capacities: Count of workers by capacity and service.
+        totals_changed: Whether parts of the cell must be worked out again.
+        free: Index of the room for new tasks.
+        reclaim: Index of the room that displacing would give.
+        pools: Workers of each minion service, the freest first.
+        racks: Workers by rack.
+        lanes: Lanes by key.
+        order: Heap of lanes that may have room.
+        blocked: Lanes without room, by pool.
+        pressing: Urgent lanes without room.
+        profiles: What is known about commands, by workspace and command.
+        resized: Profiles whose learned size may have changed.
+        gangs: Waiting gangs, in order.
+        gathering: The gang that gathers room.
+        launching: Gangs whose tasks are being started.
+        ready: Urgent reservations to look at.
+        waves: Jobs by workspace and wave.
+        cancelling: Waves being cancelled, with the last sequence meant.
+        restored: Jobs on hold.
+        settled: Whether all holds of an earlier owner are cleared.
+        clearing: Whether holds are being cleared.
+        strays: Unidentified tasks, by job.
+        early_ends: Ends of attempts whose job is not restored yet.
+        timers: Heap of due time, sequence, kind and subject.
+        quarantined: Workers set aside or being probed.
+        finals: Final jobs in the order they are forgotten.
+        sequence: Last sequence given out.
+        growth: Times that a worker gained room.
+        rescan_ms: When slow checks run next.
+        requests: Requests waiting.
+        waiting: Other tasks waiting.
+        weight: Sum of the shares.
     """
 
+    settings: settings_module.Settings = dataclasses.field(
+        default_factory=settings_module.Settings
+    )
+    seed: int = 0
     now_ms: int = 0
+    generator: random.Random = dataclasses.field(default_factory=random.Random)
     workers: dict[str, WorkerRecord] = dataclasses.field(default_factory=dict)
     jobs: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     workspaces: dict[str, WorkspaceRecord] = dataclasses.field(
         default_factory=dict
     )
+    total: resources.Resources = resources.NOTHING
+    capacities: collections.Counter[tuple[resources.Resources, str]] = (
+        dataclasses.field(default_factory=collections.Counter)
+    )
+    totals_changed: bool = False
+    free: capacity.RoomIndex = dataclasses.field(
+        default_factory=capacity.RoomIndex
+    )
+    reclaim: capacity.RoomIndex = dataclasses.field(
+        default_factory=capacity.RoomIndex
+    )
+    pools: dict[str, capacity.SlotIndex] = dataclasses.field(
+        default_factory=dict
+    )
+    racks: dict[tuple[str, str], dict[str, WorkerRecord]] = dataclasses.field(
+        default_factory=dict
+    )
+    lanes: dict[tuple[Any, ...], Lane] = dataclasses.field(default_factory=dict)
+    order: list[tuple[int, float, int, Lane]] = dataclasses.field(
+        default_factory=list
+    )
+    blocked: dict[str, sortedcontainers.SortedKeyList] = dataclasses.field(
+        default_factory=lambda: collections.defaultdict(_make_blocked)
+    )
+    pressing: dict[tuple[Any, ...], Lane] = dataclasses.field(
+        default_factory=dict
+    )
+    profiles: dict[tuple[str, str], Profile] = dataclasses.field(
+        default_factory=dict
+    )
+    resized: list[Profile] = dataclasses.field(default_factory=list)
+    gangs: sortedcontainers.SortedDict = dataclasses.field(
+        default_factory=sortedcontainers.SortedDict
+    )
+    gathering: JobRecord | None = None
+    launching: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
+    ready: collections.deque[Claim] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    waves: dict[tuple[str, str], dict[str, JobRecord]] = dataclasses.field(
+        default_factory=dict
+    )
+    cancelling: dict[tuple[str, str], int] = dataclasses.field(
+        default_factory=dict
+    )
+    restored: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
+    settled: bool = False
+    clearing: bool = False
+    strays: dict[str, dict[jobs.TaskKey, Attempt]] = dataclasses.field(
+        default_factory=dict
+    )
+    early_ends: dict[str, dict[jobs.TaskKey, Any]] = dataclasses.field(
+        default_factory=dict
+    )
+    timers: list[tuple[int, int, str, Any]] = dataclasses.field(
+        default_factory=list
+    )
+    quarantined: dict[str, None] = dataclasses.field(default_factory=dict)
+    finals: collections.deque[tuple[int, JobRecord]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    sequence: int = 0
+    growth: int = 0
+    rescan_ms: int = 0
+    requests: int = 0
+    waiting: int = 0
+    weight: float = 0.0
+
+    def __post_init__(self) -> None:
+        """Seeds the generator."""
+        self.generator.seed(self.seed)
+
+    @property
+    def has_more(self) -> bool:
+        """Whether bounded work was left over for the next event."""
+        return bool(
+            self.order
+            or self.cancelling
+            or self.clearing
+            or self.launching
+            or self.ready
+        )
