--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -48,10 +48,15 @@
     workspace = ledger.get_workspace(shard, job.workspace)
     profile = estimates.get_profile(shard, job)
     need = estimates.get_size(shard, workspace, profile, job)
+    if count_room(shard, need, job.service) < len(record.waiting):
+        need = job.need
     total = need.times(len(record.waiting))
     if count_room(shard, need, job.service) < len(record.waiting):
+        shard.misfits[job.job_id] = record
         _postpone(shard, record)
         return
+    shard.misfits.pop(job.job_id, None)
+    record.misfit_ms = -1
     if not limits.has_room(workspace, total):
         _postpone(shard, record)
         return
@@ -69,6 +74,7 @@
         kind=jobs.Kind.GANG,
         priority=ordering.URGENT if job.urgent else ordering.RESERVED,
         gang=record,
+        careful=ordering.is_careful(job),
     )
     shard.gathering = record
     if gang.reserving:
--- a/packages/core/hickoryreach/decisions/ledger.py
+++ b/packages/core/hickoryreach/decisions/ledger.py
@@ -144,7 +144,7 @@
         return
     _index(shard, worker, worker_id)
     if not was_open or not worker.available.fits_in(before):
-        _offer(shard, worker, worker_id)
+        offer(shard, worker)
 
 
 def _is_open(worker: state.WorkerRecord) -> bool:
@@ -187,9 +187,10 @@
         pool.remove(worker_id)
 
 
-def _offer(
-    shard: state.ShardState, worker: state.WorkerRecord, worker_id: str
-) -> None:
+def offer(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+    """Tells lanes without room of a worker that has gained some."""
+    worker_id = worker.worker.worker_id
+    wary = worker.probing and worker.suspect
     shard.growth += 1
     room = worker.available
     service = worker.worker.service
@@ -200,7 +201,7 @@
         fitting = [
             lane
             for lane in lanes.irange_key(None, room.cpu_millis)
-            if lane.need.fits_in(room)
+            if lane.need.fits_in(room) and not (wary and lane.careful)
         ]
         for lane in fitting:
             ordering.offer(shard, lane, worker_id)
--- a/packages/core/hickoryreach/decisions/ordering.py
+++ b/packages/core/hickoryreach/decisions/ordering.py
@@ -66,6 +66,11 @@
     return REQUEST if job.kind is jobs.Kind.REQUEST else ORDINARY
 
 
+def is_careful(job: jobs.Job) -> bool:
+    """Returns whether a job's tasks are no fit means to probe a worker."""
+    return job.urgent or not job.idempotent
+
+
 def enqueue(shard: state.ShardState, record: state.JobRecord) -> None:
     """Puts a job with waiting tasks into its queue."""
     if record.on_hold or not record.waiting or record.state.is_final:
@@ -202,7 +207,8 @@
 
 def _find_queue(shard: state.ShardState, job: jobs.Job) -> state.JobQueue:
     workspace = shard.workspaces[job.workspace]
-    key = (job.command, job.need, job.kind, job.urgent, job.service)
+    careful = is_careful(job)
+    key = (job.command, job.need, job.kind, careful, job.urgent, job.service)
     queue = workspace.queues.get(key)
     if queue is not None:
         return queue
@@ -223,7 +229,8 @@
 
 def _find_lane(shard, job: jobs.Job, need) -> state.Lane:
     priority = get_priority(shard, job)
-    key = (job.service, job.kind, priority, need)
+    careful = is_careful(job)
+    key = (job.service, job.kind, careful, priority, need)
     lane = shard.lanes.get(key)
     if lane is None:
         lane = state.Lane(
@@ -232,6 +239,7 @@
             pool=job.service,
             kind=job.kind,
             priority=priority,
+            careful=careful,
         )
         shard.lanes[key] = lane
     return lane
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -88,7 +88,7 @@
 def _choose_candidate(
     shard: state.ShardState, lane: state.Lane, record: state.JobRecord
 ) -> state.WorkerRecord | None:
-    fitting = []
+    fitting: list[state.WorkerRecord] = []
     for worker_id in list(lane.candidates):
         worker = shard.workers.get(worker_id)
         if (
@@ -97,7 +97,7 @@
             or not lane.need.fits_in(worker.available)
         ):
             del lane.candidates[worker_id]
-        elif quarantine.is_trusted(worker, record):
+        elif quarantine.is_trusted(worker, lane):
             fitting.append(worker)
     if not fitting:
         return None
@@ -137,7 +137,7 @@
     best = None
     best_score = 0.0
     for worker in shard.free.search(need, get_available):
-        if worker.probing and not quarantine.is_trusted(worker, record):
+        if worker.probing and not quarantine.is_trusted(worker, lane):
             continue
         score = score_fit(worker, need)
         if best is None or score < best_score:
--- a/packages/core/hickoryreach/decisions/quarantine.py
+++ b/packages/core/hickoryreach/decisions/quarantine.py
@@ -123,16 +123,32 @@
     shard: state.ShardState, worker: state.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Lets a worker in quarantine have one task at a time."""
-    worker_id = worker.worker.worker_id
-    if shard.workers.get(worker_id) is worker:
+    if _is_member(shard, worker):
         worker.quarantined_until_ms = 0
         worker.probing = True
+        worker.suspect = True
         ledger.refresh(shard, worker)
+        due_ms = shard.now_ms + shard.settings.suspicion_ms
+        timers.schedule(shard, due_ms, "suspicion", worker)
     yield from ()
 
 
-def is_trusted(worker: state.WorkerRecord, record: state.JobRecord) -> bool:
-    """Returns whether a worker that may be failing may get a job's task."""
-    return not worker.probing or (
-        record.job.idempotent and not record.job.urgent
-    )
+@timers.handlers.register("suspicion")
+def end_suspicion(
+    shard: state.ShardState, worker: state.WorkerRecord
+) -> Iterator[effects.Effect]:
+    """Lets any task be the one that a worker is probed with."""
+    if _is_member(shard, worker) and worker.probing and worker.suspect:
+        worker.suspect = False
+        if worker.open:
+            ledger.offer(shard, worker)
+    yield from ()
+
+
+def _is_member(shard: state.ShardState, worker: state.WorkerRecord) -> bool:
+    return shard.workers.get(worker.worker.worker_id) is worker
+
+
+def is_trusted(worker: state.WorkerRecord, lane: state.Lane) -> bool:
+    """Returns whether a worker may get the tasks of a lane."""
+    return not (worker.probing and worker.suspect and lane.careful)
--- a/packages/core/hickoryreach/decisions/requests.py
+++ b/packages/core/hickoryreach/decisions/requests.py
@@ -21,6 +21,6 @@
             if worker.available.slots < lane.need.slots:
                 return None
             continue
-        if quarantine.is_trusted(worker, record):
+        if quarantine.is_trusted(worker, lane):
             return worker
     return None
--- a/packages/core/hickoryreach/decisions/settings.py
+++ b/packages/core/hickoryreach/decisions/settings.py
@@ -38,6 +38,7 @@
         strikes: Failures in a row that put a worker into quarantine.
         quarantine_base_ms: First quarantine.
         quarantine_cap_ms: Longest quarantine.
+        suspicion_ms: A probed worker that nothing tried is trusted after this.
         request_queue_limit: Most requests waiting in the shard.
         queue_limit: Most other tasks waiting in the shard.
         learn_after: Reports needed before a learned size is used.
@@ -73,6 +74,7 @@
     strikes: int = 3
     quarantine_base_ms: int = 10_000
     quarantine_cap_ms: int = 600_000
+    suspicion_ms: int = 30_000
     request_queue_limit: int = 8_192
     queue_limit: int = 1_000_000
     learn_after: int = 3
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -215,6 +215,7 @@
         candidates: Workers that gained room since it was blocked.
         gang: Gang that gathers here, or None.
         size: Queues that belong to it.
+        careful: Whether its tasks keep off workers that may be failing.
     """
 
     key: tuple[Any, ...]
@@ -232,6 +233,7 @@
     candidates: dict[str, None] = dataclasses.field(default_factory=dict)
     gang: JobRecord | None = None
     size: int = 0
+    careful: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -284,6 +286,7 @@
         quarantined_until_ms: No work before this time, or 0.
         quarantines: Quarantines in a row.
         probing: Whether it gets one task at a time.
+        suspect: Whether that must be one that may be repeated.
         turn: When it last got a request, as a count.
         ended: Attempts that ended lately, with the time.
         open: Whether new work may go there.
@@ -305,6 +308,7 @@
     quarantined_until_ms: int = 0
     quarantines: int = 0
     probing: bool = False
+    suspect: bool = False
     turn: int = 0
     ended: dict[jobs.TaskKey, int] = dataclasses.field(default_factory=dict)
     open: bool = False
@@ -373,6 +377,7 @@
         profiles: What is known about commands, by workspace and command.
         resized: Profiles whose learned size may have changed.
         gangs: Waiting gangs, in order.
+        misfits: Gangs that the cell is too small for.
         gathering: The gang that gathers room.
         launching: Gangs whose tasks are being started.
         ready: Urgent reservations to look at.
@@ -439,6 +444,7 @@
     gangs: sortedcontainers.SortedDict = dataclasses.field(
         default_factory=sortedcontainers.SortedDict
     )
+    misfits: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     gathering: JobRecord | None = None
     launching: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     ready: collections.deque[Claim] = dataclasses.field(
--- a/packages/core/hickoryreach/decisions/upkeep.py
+++ b/packages/core/hickoryreach/decisions/upkeep.py
@@ -34,6 +34,7 @@
 def _end_misfits(shard: state.ShardState) -> Iterator[effects.Effect]:
     if not shard.workers:
         return
+    yield from _end_misfit_gangs(shard)
     for lane in list(shard.lanes.values()):
         if not lane.blocked:
             continue
@@ -41,10 +42,25 @@
             lane.misfit_ms = -1
         elif lane.misfit_ms < 0:
             lane.misfit_ms = shard.now_ms
-        elif shard.now_ms - lane.misfit_ms >= shard.settings.impossible_ms:
+        elif _is_overdue(shard, lane.misfit_ms):
             yield from _end_lane(shard, lane)
 
 
+def _end_misfit_gangs(shard: state.ShardState) -> Iterator[effects.Effect]:
+    for job_id, record in list(shard.misfits.items()):
+        if record.state.is_final:
+            del shard.misfits[job_id]
+        elif record.misfit_ms < 0:
+            record.misfit_ms = shard.now_ms
+        elif _is_overdue(shard, record.misfit_ms):
+            del shard.misfits[job_id]
+            yield from refuse(shard, record)
+
+
+def _is_overdue(shard: state.ShardState, since_ms: int) -> bool:
+    return shard.now_ms - since_ms >= shard.settings.impossible_ms
+
+
 def _end_lane(
     shard: state.ShardState, lane: state.Lane
 ) -> Iterator[effects.Effect]:
