--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -71,7 +71,7 @@
     if attempt.stopping:
         asked_ms = shard.now_ms - attempt.stop_asked_ms
         if asked_ms >= shard.settings.stop_retry_ms:
-            yield outcomes.ask_to_stop(shard, attempt, attempt.stop_reason)
+            yield attempts.ask_to_stop(shard, attempt, attempt.stop_reason)
     elif task.used != attempt.used:
         attempt.used = task.used
         record = shard.jobs.get(task.key.job_id)
@@ -176,7 +176,7 @@
     )
     ledger.hold(shard, worker, attempt)
     reason = "cancelled" if record.state.is_final else "superseded"
-    yield outcomes.ask_to_stop(shard, attempt, reason)
+    yield attempts.ask_to_stop(shard, attempt, reason)
 
 
 def _keep_unidentified(
@@ -196,7 +196,7 @@
     shard.strays.setdefault(task.key.job_id, {})[task.key] = attempt
     ledger.hold(shard, worker, attempt)
     if shard.settled:
-        yield outcomes.ask_to_stop(shard, attempt, "unknown task")
+        yield attempts.ask_to_stop(shard, attempt, "unknown task")
         return
     due_ms = shard.now_ms + shard.settings.stray_ms
     timers.schedule(shard, due_ms, "stray", attempt)
@@ -209,7 +209,7 @@
     """Stops a listed task whose job did not turn up."""
     group = shard.strays.get(attempt.key.job_id, {})
     if group.get(attempt.key) is attempt and not attempt.stopping:
-        yield outcomes.ask_to_stop(shard, attempt, "unknown task")
+        yield attempts.ask_to_stop(shard, attempt, "unknown task")
 
 
 def identify(
@@ -331,4 +331,4 @@
     for group in list(shard.strays.values()):
         for attempt in group.values():
             if not attempt.stopping:
-                yield outcomes.ask_to_stop(shard, attempt, "unknown task")
+                yield attempts.ask_to_stop(shard, attempt, "unknown task")
--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -73,6 +73,18 @@
     ledger.release(shard, attempt)
 
 
+def ask_to_stop(
+    shard: state.ShardState, attempt: state.Attempt, reason: str
+) -> effects.StopTask:
+    """Notes that a stop was asked for, and returns it."""
+    attempt.stopping = True
+    attempt.stop_asked_ms = shard.now_ms
+    attempt.stop_reason = reason
+    return effects.StopTask(
+        key=attempt.key, worker_id=attempt.worker_id, reason=reason
+    )
+
+
 def _name_rack(worker: state.WorkerRecord) -> str:
     return f"{worker.worker.failure_domain}/{worker.worker.rack}"
 
--- a/packages/core/hickoryreach/decisions/cancellation.py
+++ b/packages/core/hickoryreach/decisions/cancellation.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 
+from hickoryreach.decisions import attempts
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import state
@@ -15,7 +16,7 @@
     if record.state.is_final:
         return
     for attempt in record.running.values():
-        yield outcomes.ask_to_stop(shard, attempt, "cancelled")
+        yield attempts.ask_to_stop(shard, attempt, "cancelled")
     yield from outcomes.finish(shard, record, jobs.JobState.CANCELLED)
 
 
--- a/packages/core/hickoryreach/decisions/fleet.py
+++ b/packages/core/hickoryreach/decisions/fleet.py
@@ -3,9 +3,9 @@
 from collections.abc import Iterator
 
 from hickoryreach.decisions import adoption
+from hickoryreach.decisions import attempts
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import ledger
-from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import preemption
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
@@ -103,7 +103,7 @@
             continue
         if not attempt.stopping and record.job.idempotent:
             attempt.preempted = True
-            yield outcomes.ask_to_stop(shard, attempt, "worker departing")
+            yield attempts.ask_to_stop(shard, attempt, "worker departing")
 
 
 def suspend(shard: state.ShardState, worker: state.WorkerRecord) -> None:
--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -173,7 +173,7 @@
             budget -= 1
             yield _start(shard, record, gang)
         if not gang.claims or not record.waiting:
-            disband(shard, record)
+            yield from regroup(shard, record)
 
 
 def _start(
@@ -191,6 +191,26 @@
     return attempts.place(shard, record, worker, gang.need)
 
 
+def regroup(
+    shard: state.ShardState, record: state.JobRecord
+) -> Iterator[effects.Effect]:
+    """Stops what runs of a gang that is incomplete, to start over together.
+
+    Tasks that may not be repeated are left to end.
+    """
+    missing = bool(record.waiting) or record.gang is None
+    disband(shard, record)
+    if not missing:
+        return
+    queue(shard, record)
+    if not record.job.idempotent:
+        return
+    for attempt in record.running.values():
+        if not attempt.stopping:
+            attempt.preempted = True
+            yield attempts.ask_to_stop(shard, attempt, "gang member lost")
+
+
 def disband(shard: state.ShardState, record: state.JobRecord) -> None:
     """Gives back all room that a gang still keeps."""
     gang = record.gang
--- a/packages/core/hickoryreach/decisions/outcomes.py
+++ b/packages/core/hickoryreach/decisions/outcomes.py
@@ -84,7 +84,8 @@
             shard, record, index, blameless=blameless
         )
         if delay_ms is not None:
-            yield from _regroup(shard, record)
+            if job.kind is jobs.Kind.GANG:
+                yield from gangs.regroup(shard, record)
             retries.wait(shard, record, index, delay_ms)
             yield from expire(shard, record)
             return
@@ -116,31 +117,6 @@
     return jobs.TaskResult.UNKNOWN
 
 
-def _regroup(
-    shard: state.ShardState, record: state.JobRecord
-) -> Iterator[effects.Effect]:
-    """Stops the rest of a gang that lost a member, to start over together."""
-    if record.job.kind is not jobs.Kind.GANG or not record.job.idempotent:
-        return
-    gangs.disband(shard, record)
-    for attempt in record.running.values():
-        if not attempt.stopping:
-            attempt.preempted = True
-            yield ask_to_stop(shard, attempt, "gang member lost")
-
-
-def ask_to_stop(
-    shard: state.ShardState, attempt: state.Attempt, reason: str
-) -> effects.StopTask:
-    """Notes that a stop was asked for, and returns it."""
-    attempt.stopping = True
-    attempt.stop_asked_ms = shard.now_ms
-    attempt.stop_reason = reason
-    return effects.StopTask(
-        key=attempt.key, worker_id=attempt.worker_id, reason=reason
-    )
-
-
 def finish_if_settled(
     shard: state.ShardState, record: state.JobRecord, event: events.TaskEnded
 ) -> Iterator[effects.Effect]:
--- a/packages/core/hickoryreach/decisions/preemption.py
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -8,10 +8,10 @@
 from hickoryreach.decisions import gangs
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import limits
-from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
+from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 
 WORKERS_COMPARED = 8
@@ -133,7 +133,7 @@
     ledger.fix(shard, worker, attempt)
     attempt.preempted = True
     if not attempt.started:
-        yield outcomes.ask_to_stop(shard, attempt, "preempted")
+        yield attempts.ask_to_stop(shard, attempt, "preempted")
         return
     attempt.stopping = True
     attempt.stop_asked_ms = shard.now_ms
@@ -159,7 +159,7 @@
     """Stops an attempt that was not checkpointed in time."""
     worker = shard.workers.get(attempt.worker_id)
     if worker is not None and worker.attempts.get(attempt.key) is attempt:
-        yield outcomes.ask_to_stop(shard, attempt, attempt.stop_reason)
+        yield attempts.ask_to_stop(shard, attempt, attempt.stop_reason)
 
 
 @timers.handlers.register("claim")
@@ -182,8 +182,9 @@
         if not worker.open or not kept.need.fits_in(_get_room(worker)):
             continue
         reservations.drop(shard, kept)
-        if record.gang is not None:
-            gangs.gather(shard, record.gang.lane, worker)
+        if record.job.kind is jobs.Kind.GANG:
+            if record.gang is not None and record.gang.lane is not None:
+                gangs.gather(shard, record.gang.lane, worker)
             continue
         workspace = ledger.get_workspace(shard, record.job.workspace)
         if record.waiting and limits.has_room(workspace, kept.need):
