Tell attempts of different owners apart, and what they were given

Cause: after a takeover the first attempt of a task had the number the earlier owner had used, so a late end of the one ended the other; and an adopted task was set aside at its declared size although it may have been given more. Attempt numbers now start from the owner's term, and a listed task says what it was given.

--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -19,6 +19,7 @@
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
 from hickoryreach.structure import jobs
+from hickoryreach.structure import resources
 from hickoryreach.structure import workers
 
 
@@ -129,9 +130,23 @@
     if record is None:
         yield from _keep_unidentified(shard, worker, task)
     elif _is_wanted(record, task.key):
-        yield from _adopt(shard, record, worker, task.key)
+        yield from _adopt(shard, record, worker, task)
     else:
-        yield from _keep_stray(shard, record, worker, task.key)
+        yield from _keep_stray(shard, record, worker, task)
+
+
+def _get_held(
+    record: state.JobRecord, task: workers.RunningTask
+) -> resources.Resources:
+    """Returns what to set aside for a listed task.
+
+    An earlier owner may have given it more or less than its job declares.
+    """
+    if record.job.kind is jobs.Kind.REQUEST:
+        return record.job.need
+    if task.given != resources.NOTHING:
+        return task.given.upper(task.used)
+    return record.job.need.upper(task.used)
 
 
 def _is_wanted(record: state.JobRecord, key: jobs.TaskKey) -> bool:
@@ -148,14 +163,16 @@
     shard: state.ShardState,
     record: state.JobRecord,
     worker: state.WorkerRecord,
-    key: jobs.TaskKey,
+    task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
+    key = task.key
     if record.unclear.pop(key.index, None) is None:
         ledger.add_waiting(shard, record, -1)
         record.waiting.pop(key.index, None)
         record.delayed.discard(key.index)
     outcomes.reduce_doubt(shard, record)
-    attempt = attempts.bind(shard, record, worker, key, record.job.need)
+    held = _get_held(record, task)
+    attempt = attempts.bind(shard, record, worker, key, held)
     yield from confirm_start(shard, attempt)
 
 
@@ -163,12 +180,12 @@
     shard: state.ShardState,
     record: state.JobRecord,
     worker: state.WorkerRecord,
-    key: jobs.TaskKey,
+    task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
     attempt = state.Attempt(
-        key=key,
+        key=task.key,
         worker_id=worker.worker.worker_id,
-        held=record.job.need,
+        held=_get_held(record, task),
         placed_ms=shard.now_ms,
         workspace=record.job.workspace,
         started=True,
@@ -187,7 +204,7 @@
     attempt = state.Attempt(
         key=task.key,
         worker_id=worker.worker.worker_id,
-        held=task.used,
+        held=task.given.upper(task.used),
         placed_ms=shard.now_ms,
         started=True,
         stray=True,
@@ -220,7 +237,9 @@
     for attempt in list(shard.strays.get(job_id, {}).values()):
         worker = shard.workers[attempt.worker_id]
         outcomes.drop_stray(shard, attempt)
-        task = workers.RunningTask(key=attempt.key, used=attempt.used)
+        task = workers.RunningTask(
+            key=attempt.key, used=attempt.used, given=attempt.held
+        )
         yield from _meet(shard, worker, task)
     for event in shard.early_ends.pop(job_id, {}).values():
         yield from end_unheld(shard, event)
@@ -281,6 +300,8 @@
     record.hold_until_ms = 0
     record.on_hold = False
     outcomes.clear_doubt(shard, record)
+    if record.state.is_final:
+        return
     for key in list(record.unclear.values()):
         del record.unclear[key.index]
         record.doubtful = True
--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -7,6 +7,8 @@
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 
+ATTEMPTS_PER_TERM = 10_000
+
 
 def place(
     shard: state.ShardState,
@@ -18,7 +20,8 @@
     job = record.job
     index, _ = record.waiting.popitem()
     ledger.add_waiting(shard, record, -1)
-    number = record.attempts.get(index, 0) + 1
+    floor = shard.term * ATTEMPTS_PER_TERM
+    number = max(record.attempts.get(index, 0), floor) + 1
     key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=number)
     bind(shard, record, worker, key, need)
     if record.claims:
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -358,6 +358,7 @@
     Attributes:
         settings: Bounds and delays.
         seed: Seed of the generator.
+        term: Term of the owner; attempts of different terms differ by it.
         now_ms: Time of the event being reduced.
         generator: Generator for jitter.
         workers: Workers by id.
@@ -403,6 +404,7 @@
         default_factory=settings_module.Settings
     )
     seed: int = 0
+    term: int = 0
     now_ms: int = 0
     generator: random.Random = dataclasses.field(default_factory=random.Random)
     workers: dict[str, WorkerRecord] = dataclasses.field(default_factory=dict)
--- a/packages/core/hickoryreach/structure/resources.py
+++ b/packages/core/hickoryreach/structure/resources.py
@@ -38,6 +38,15 @@
             slots=self.slots - other.slots,
         )
 
+    def upper(self, other: Self) -> "Resources":
+        """Returns the larger of each component."""
+        return Resources(
+            cpu_millis=max(self.cpu_millis, other.cpu_millis),
+            memory_mb=max(self.memory_mb, other.memory_mb),
+            accelerators=max(self.accelerators, other.accelerators),
+            slots=max(self.slots, other.slots),
+        )
+
     def times(self, count: int) -> "Resources":
         """Returns the amount `count` tasks of this size need."""
         return Resources(
