--- a/tests/core/fuzz/machine.py
+++ b/tests/core/fuzz/machine.py
@@ -46,9 +46,11 @@
 
     Attributes:
         broken: Names of protections that are taken out.
+        left_out: Kinds of work that are submitted as batch jobs instead.
     """
 
     broken: frozenset[str] = frozenset()
+    left_out: frozenset[jobs.Kind] = frozenset()
 
     def __init__(self) -> None:
         """Creates three workers, two workspaces and the first owner."""
@@ -104,6 +106,8 @@
     ) -> None:
         """A caller's job is accepted, or refused for good."""
         self.made += 1
+        if kind in self.left_out:
+            kind = jobs.Kind.BATCH
         request = kind is jobs.Kind.REQUEST
         service = kind is jobs.Kind.SERVICE
         self.owner.submit(
@@ -256,8 +260,17 @@
         """All workers have listed their tasks, or their leases lapsed."""
         self._clear_holds()
 
-    @stateful.rule(carried=strategies.integers(min_value=0, max_value=3))
-    def replace_owner(self, carried: int) -> None:
+    @stateful.rule()
+    def sync_all(self) -> None:
+        """The owner syncs every worker; nothing is lost."""
+        for worker_id in WORKERS:
+            self._sync(worker_id, "none")
+
+    @stateful.rule(
+        carried=strategies.integers(min_value=0, max_value=3),
+        joined=strategies.sets(worker_ids),
+    )
+    def replace_owner(self, carried: int, joined: set[str]) -> None:
         """Another owner takes over while the last one was deciding."""
         old = self.owner
         old.take(events.Ticked(), carried=carried)
@@ -267,6 +280,9 @@
         self.owner.entitle()
         self.owner.restore()
         self._submit_again()
+        for worker_id in sorted(joined):
+            self._join(worker_id)
+        self._clear_holds()
 
     def teardown(self) -> None:
         """Ends the faults; everything accepted must get its answer."""
--- a/tests/core/fuzz/owner.py
+++ b/tests/core/fuzz/owner.py
@@ -1,5 +1,6 @@
 """One owner around the reducer: commands to workers, and a journal."""
 
+import collections
 from collections.abc import Iterable
 import dataclasses
 
@@ -74,6 +75,7 @@
         links: Its end of each worker.
         dispatches: Requests on their way to a minion.
         heard: Events that may be repeated.
+        begun: Gangs of which tasks were started or restored.
     """
 
     def __init__(
@@ -96,6 +98,7 @@
         self.links = {worker_id: Link() for worker_id in worker_ids}
         self.dispatches: list[effects.DispatchRequest] = []
         self.heard: list[events.Event] = []
+        self.begun: set[str] = set()
 
     def entitle(self) -> None:
         """Puts the limits now in force into the shard."""
@@ -116,6 +119,7 @@
         for kept in self.journal.values():
             if kept.final:
                 continue
+            self.begun.add(kept.job.job_id)
             settled = kept.done | kept.failed
             floor = self.term * ATTEMPTS_PER_TERM
             self.take(
@@ -160,9 +164,12 @@
         link = self.links[fake.worker.worker_id]
         reply = fake.join(self.term)
         link.grant = fake.grant
-        self.take(
-            events.WorkerJoined(worker=fake.worker, running=reply.running)
-        )
+        worker = fake.worker
+        if "size" in self.broken:
+            worker = dataclasses.replace(
+                worker, capacity=worker.capacity.times(2)
+            )
+        self.take(events.WorkerJoined(worker=worker, running=reply.running))
         self.learn(fake.worker.worker_id, reply)
 
     def message(self, worker_id: str) -> fakes.Sync:
@@ -205,6 +212,11 @@
     def forget(self, worker_id: str) -> None:
         """Tells the reducer that a worker's leases have lapsed."""
         self.links[worker_id] = Link()
+        self.dispatches = [
+            effect
+            for effect in self.dispatches
+            if effect.worker_id != worker_id
+        ]
         self.take(events.WorkerLost(worker_id=worker_id))
 
     def _seen_by_reducer(self, job: jobs.Job) -> jobs.Job:
@@ -213,20 +225,17 @@
         return job
 
     def _check_gangs(self, out: list[effects.Effect]) -> None:
-        starts = [
+        starts = collections.Counter(
             effect.key.job_id
             for effect in out
             if isinstance(effect, effects.StartTask)
             and effect.job.kind is jobs.Kind.GANG
-        ]
-        for job_id in set(starts):
-            tasks = range(self.oracle.accepted[job_id].tasks)
-            first = not any(
-                self.oracle.executions[(job_id, index)] for index in tasks
-            )
-            placed = len(self.shard.jobs[job_id].running)
-            if first and placed != len(tasks):
+        )
+        for job_id, count in starts.items():
+            first = job_id not in self.begun
+            if first and count != self.oracle.accepted[job_id].tasks:
                 raise self.oracle.fail(f"gang {job_id} starts in part")
+        self.begun.update(starts)
 
     def _carry(self, effect: effects.Effect) -> None:
         match effect:
@@ -241,7 +250,8 @@
             case effects.TaskSettled():
                 self._settle(effect)
             case effects.JobChanged() if effect.state.is_final:
-                self._tell(effect)
+                if "answer" not in self.broken:
+                    self._tell(effect)
             case effects.JobChanged():
                 pass
             case _ if self._is_request(effect.key.job_id):
--- /dev/null
+++ b/tests/core/fuzz/test_found.py
@@ -0,0 +1,40 @@
+"""Shortest runs of faults that the fuzz has found."""
+
+import unittest
+
+from hickoryreach.structure import jobs
+from tests.core.fuzz import machine
+
+
+class FoundTest(unittest.TestCase):
+    """Each test is one run that once broke what must hold."""
+
+    def setUp(self):
+        super().setUp()
+        self.state = machine.Machine()
+
+    def submit(self, kind: jobs.Kind, **changes: object) -> None:
+        """Submits a job of one workspace."""
+        values = {
+            "workspace": "north",
+            "tasks": 1,
+            "size": 1_000,
+            "idempotent": False,
+            "urgent": False,
+            "preemptible": False,
+        }
+        self.state.submit(kind=kind, **(values | changes))
+
+    def test_gang_with_room_kept_starts_nothing_above_a_lowered_limit(self):
+        self.submit(jobs.Kind.GANG)
+        self.state.set_limit(workspace="north", size=0)
+        self.state.teardown()
+
+    def test_gang_starts_whole_when_a_worker_it_counted_on_departs(self):
+        self.submit(jobs.Kind.GANG, tasks=3, size=2_000)
+        self.state.depart(worker_id="w1", departing=True)
+        self.state.teardown()
+
+
+if __name__ == "__main__":
+    unittest.main()
