Carry one piece of work through separate processes

The thin path: a caller's HTTP call reaches any entry, which forwards it over thrift to the shard's owner; the owner journals it, decides, starts the task on a worker and tells the caller's entry how it ended.

--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/health.py
@@ -0,0 +1,35 @@
+"""Resources for the balancer and for metrics."""
+
+import falcon
+import prometheus_client
+
+
+class Health:
+    """Answers while the process serves."""
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers 200."""
+        resp.media = {"status": "ok"}
+
+
+class Ready:
+    """Answers whether the balancer should send callers here."""
+
+    def __init__(self, *, is_ready) -> None:
+        """Keeps the check."""
+        self.is_ready = is_ready
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers 200, or 503 while not ready or draining."""
+        ready = self.is_ready()
+        resp.status = 200 if ready else 503
+        resp.media = {"ready": ready}
+
+
+class Metrics:
+    """The metrics of this process."""
+
+    def on_get(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers in the Prometheus text format."""
+        resp.content_type = prometheus_client.CONTENT_TYPE_LATEST
+        resp.data = prometheus_client.generate_latest()
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -0,0 +1,99 @@
+"""Settings of the entry server, declared once."""
+
+from typing import Self
+
+import pydantic
+import pydantic_settings
+from returns import result
+
+ENVIRONMENT_PREFIX = "HICKORYREACH_"
+
+
+class Settings(pydantic_settings.BaseSettings):
+    """Every setting with its type, default and check."""
+
+    model_config = pydantic_settings.SettingsConfigDict(
+        env_prefix=ENVIRONMENT_PREFIX, extra="forbid"
+    )
+
+    name: str = pydantic.Field(
+        min_length=1, description="Name of this instance, unique among all."
+    )
+    failure_domain: str = pydantic.Field(
+        min_length=1, description="Failure domain this instance stands in."
+    )
+    http_host: str = pydantic.Field(
+        default="127.0.0.1", description="Address callers reach."
+    )
+    http_port: int = pydantic.Field(
+        default=8080, ge=1, le=65535, description="Port callers reach."
+    )
+    peer_host: str = pydantic.Field(
+        default="127.0.0.1", description="Address other entries reach."
+    )
+    peer_port: int = pydantic.Field(
+        default=8081, ge=1, le=65535, description="Port other entries reach."
+    )
+    store_url: str = pydantic.Field(
+        default="http://127.0.0.1:8500",
+        pattern=r"^https?://",
+        description="Base URL of the platform's key-value store.",
+    )
+    instances_url: str = pydantic.Field(
+        default="",
+        description="Base URL of the instance list; the store's if empty.",
+    )
+    shards: int = pydantic.Field(
+        default=1, ge=1, le=1024, description="Number of shards of the cell."
+    )
+    member_lease_s: float = pydantic.Field(
+        default=4.0, gt=0.5, le=60, description="Lease of a membership, in s."
+    )
+    grant_ms: int = pydantic.Field(
+        default=3_000, ge=500, description="Length of a worker grant, in ms."
+    )
+    task_lease_ms: int = pydantic.Field(
+        default=6_000, ge=1_000, description="Length of a task lease, in ms."
+    )
+    sync_ms: int = pydantic.Field(
+        default=1_000, ge=50, description="Time between worker syncs, in ms."
+    )
+    commit_ms: int = pydantic.Field(
+        default=5, ge=1, description="Time a journal commit gathers, in ms."
+    )
+    log_level: str = pydantic.Field(
+        default="INFO",
+        pattern="^(DEBUG|INFO|WARNING|ERROR)$",
+        description="Least severe level that is logged.",
+    )
+
+    @pydantic.model_validator(mode="after")
+    def check_lengths(self) -> Self:
+        """Checks settings that depend on one another."""
+        if self.grant_ms <= 2 * self.sync_ms:
+            raise ValueError(
+                "grant_ms must be more than twice sync_ms; raise grant_ms or "
+                "lower sync_ms"
+            )
+        return self
+
+
+def load(flags: dict[str, str]) -> result.Result[Settings, list[str]]:
+    """Returns the settings from flags and environment, or every fault.
+
+    Flags go before environment variables.
+    """
+    try:
+        return result.Success(Settings(**flags))
+    except pydantic.ValidationError as error:
+        return result.Failure([describe_fault(row) for row in error.errors()])
+
+
+def describe_fault(row: dict) -> str:
+    """Returns one line that names the flag, the variable and the fault."""
+    name = str(row["loc"][0]) if row["loc"] else ""
+    if not name:
+        return row["msg"]
+    flag = f"--{name.replace('_', '-')}"
+    variable = f"{ENVIRONMENT_PREFIX}{name.upper()}"
+    return f"{flag} ({variable}): {row['msg']}"
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/membership.py
@@ -0,0 +1,126 @@
+"""Membership of this instance, and the members it knows."""
+
+import dataclasses
+import logging
+
+import gevent
+import orjson
+from returns import result
+
+from hickoryreach.platform import store
+
+log = logging.getLogger(__name__)
+
+PREFIX = "hickoryreach/members/"
+WATCH_WAIT_S = 30.0
+RETRY_S = 0.5
+RENEWALS_PER_LEASE = 3
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Member:
+    """One live entry instance.
+
+    Attributes:
+        name: Its name.
+        peer_address: `host:port` other entries reach.
+        failure_domain: Where it stands.
+        draining: Whether it gives up its shards.
+    """
+
+    name: str
+    peer_address: str
+    failure_domain: str
+    draining: bool = False
+
+
+class Membership:
+    """Keeps this instance listed, and watches the others.
+
+    Attributes:
+        me: This instance.
+        members: Members by name, as last read.
+        listeners: Called without arguments after a change.
+    """
+
+    def __init__(
+        self, *, client: store.Store, me: Member, lease_s: float
+    ) -> None:
+        """Creates a membership that is not announced yet."""
+        self.client = client
+        self.me = me
+        self.lease_s = lease_s
+        self.lease = ""
+        self.members: dict[str, Member] = {}
+        self.listeners: list = []
+
+    def start(self) -> None:
+        """Begins to renew and to watch."""
+        self.announce()
+        gevent.spawn(self.renew_forever)
+        gevent.spawn(self.watch_forever)
+
+    def announce(self) -> None:
+        """Writes this instance's record under a lease."""
+        if not self.lease:
+            created = self.client.create_lease(
+                ttl_s=self.lease_s, name=self.me.name
+            )
+            self.lease = created.value_or("")
+        if not self.lease:
+            return
+        written = self.client.put_if(
+            PREFIX + self.me.name,
+            orjson.dumps(self.me),
+            index=0,
+            lease=self.lease,
+        )
+        if isinstance(written, result.Failure):
+            log.warning("member_write_failed", extra={"name_": self.me.name})
+            self.lease = ""
+
+    def drain(self) -> None:
+        """Tells the others that this instance gives up its shards."""
+        self.me = dataclasses.replace(self.me, draining=True)
+        self.announce()
+
+    def leave(self) -> None:
+        """Ends the lease, so that the record vanishes at once."""
+        if self.lease:
+            self.client.drop_lease(self.lease)
+
+    def renew_forever(self) -> None:
+        """Renews the lease, and announces anew once it has lapsed."""
+        while True:
+            gevent.sleep(self.lease_s / RENEWALS_PER_LEASE)
+            alive = self.lease and self.client.renew_lease(self.lease)
+            if alive == result.Success(False) or not alive:
+                self.lease = ""
+                self.announce()
+
+    def watch_forever(self) -> None:
+        """Follows the members."""
+        index = 0
+        while True:
+            read = self.client.watch(
+                PREFIX, index=index, wait_s=WATCH_WAIT_S, recurse=True
+            )
+            if isinstance(read, result.Failure):
+                gevent.sleep(RETRY_S)
+                continue
+            snapshot = read.unwrap()
+            index = snapshot.index
+            self.take(snapshot)
+
+    def take(self, snapshot: store.Snapshot) -> None:
+        """Takes in the members read."""
+        members = [
+            Member(**orjson.loads(value.data)) for value in snapshot.values
+        ]
+        known = {member.name: member for member in members}
+        if known == self.members:
+            return
+        self.members = known
+        log.info("members_changed", extra={"members": sorted(known)})
+        for listener in self.listeners:
+            listener()
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -0,0 +1,112 @@
+"""The entry server: wires its parts together and drains on request."""
+
+import logging
+import socket
+
+import gevent
+from gevent import event as gevent_event
+import gevent.pywsgi
+
+from hickoryreach.platform import store
+from hickoryreach_entry import lists
+from hickoryreach_entry import membership
+from hickoryreach_entry import peers
+from hickoryreach_entry import router
+from hickoryreach_entry.api import app
+from hickoryreach_entry.config import settings as entry_settings
+
+log = logging.getLogger(__name__)
+
+DRAIN_POLL_S = 0.05
+LISTED_S = 1.0
+
+
+class HttpServer(gevent.pywsgi.WSGIServer):
+    """A WSGI server that sends each write at once."""
+
+    def do_handle(self, *args) -> None:
+        """Turns Nagle's algorithm off before serving a connection."""
+        args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().do_handle(*args)
+
+
+class EntryServer:
+    """One entry instance.
+
+    Attributes:
+        settings: Its settings.
+        draining: Whether it was asked to stop.
+        stopped: Set once it has stopped.
+    """
+
+    def __init__(self, *, settings: entry_settings.Settings) -> None:
+        """Creates a server that is not started yet."""
+        self.settings = settings
+        self.draining = False
+        self.stopped = gevent_event.Event()
+        self.client = store.Store(url=settings.store_url)
+        self.lists = lists.Lists(client=self.client)
+        self.membership = membership.Membership(
+            client=self.client,
+            me=membership.Member(
+                name=settings.name,
+                peer_address=f"{settings.peer_host}:{settings.peer_port}",
+                failure_domain=settings.failure_domain,
+            ),
+            lease_s=settings.member_lease_s,
+        )
+        self.router = router.Router(
+            settings=settings,
+            client=self.client,
+            members=self.membership,
+            in_force=self.lists,
+        )
+        self.peer_server = peers.PeerServer(
+            host=settings.peer_host,
+            port=settings.peer_port,
+            handler=self.router,
+        )
+        self.http_server = HttpServer(
+            (settings.http_host, settings.http_port),
+            app.build_app(
+                door=self.router.front,
+                in_force=self.lists,
+                settings=settings,
+                is_ready=self.is_ready,
+            ),
+            log=None,
+        )
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should be sent here."""
+        return (
+            not self.draining
+            and bool(self.membership.members)
+            and self.lists.revisions["plans"] > 0
+        )
+
+    def run(self) -> None:
+        """Serves until drained."""
+        self.peer_server.start()
+        self.lists.start()
+        self.membership.start()
+        self.http_server.start()
+        log.info("entry_started", extra={"port": self.settings.http_port})
+        self.stopped.wait()
+
+    def drain(self) -> None:
+        """Stops taking callers, finishes with those it has, then stops."""
+        if self.draining:
+            return
+        self.draining = True
+        log.info("drain_started", extra={})
+        self.membership.drain()
+        gevent.sleep(LISTED_S)
+        self.http_server.close()
+        while self.router.front.waiters:
+            gevent.sleep(DRAIN_POLL_S)
+        for shard in list(self.router.owners):
+            self.router.stop_owner(shard)
+        self.membership.leave()
+        log.info("drain_finished", extra={})
+        self.stopped.set()
