Learn sizes with a margin that follows their spread

Cause: a fixed margin of a tenth and rounding in eighths of a doubling made a task of one core hold 1,152 millis, so a full cell was used to four fifths. Ruled out: no margin at all, which overruns whenever use varies.

--- a/packages/core/hickoryreach/decisions/estimates.py
+++ b/packages/core/hickoryreach/decisions/estimates.py
@@ -1,13 +1,15 @@
 """Sizes and run times learned from reported use."""
 
+from collections.abc import Collection
 import statistics
 
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 
-MARGIN_PERCENT = 110
-GRAIN_BITS = 4
+MARGIN_CAP_PERCENT = 150
+CPU_STEP_MILLIS = 50
+MEMORY_STEP_MB = 50
 
 
 def get_profile(shard: state.ShardState, job: jobs.Job) -> state.Profile:
@@ -44,13 +46,13 @@
         shard.resized.append(profile)
 
 
-def _get_peaks(profile: state.Profile) -> tuple[int, int, int]:
+def _get_peaks(profile: state.Profile) -> tuple[int, ...]:
     if not profile.memory_mb:
-        return 0, 0, 0
+        return ()
     return (
-        min(len(profile.memory_mb), 8),
-        max(profile.cpu_millis),
-        max(profile.memory_mb),
+        min(len(profile.memory_mb), profile.memory_mb.maxlen // 2),
+        _estimate(profile.cpu_millis, CPU_STEP_MILLIS),
+        _estimate(profile.memory_mb, MEMORY_STEP_MB),
     )
 
 
@@ -62,17 +64,17 @@
 ) -> resources.Resources:
     """Returns what one task of a job is given.
 
-    The highest of the last reported peaks with a margin, in place of the
-    declared size, once enough were reported and where a worker and the
-    workspace's limit can hold it.
+    The highest of the last reported peaks, with a margin that grows with
+    their spread, in place of the declared size, once enough were reported
+    and where a worker and the workspace's limit can hold it.
     """
     if job.kind is jobs.Kind.REQUEST or not shard.settings.learning:
         return job.need
     if len(profile.memory_mb) < shard.settings.learn_after:
         return job.need
     learned = resources.Resources(
-        cpu_millis=_round(max(profile.cpu_millis) * MARGIN_PERCENT // 100),
-        memory_mb=_round(max(profile.memory_mb) * MARGIN_PERCENT // 100),
+        cpu_millis=_estimate(profile.cpu_millis, CPU_STEP_MILLIS),
+        memory_mb=_estimate(profile.memory_mb, MEMORY_STEP_MB),
         accelerators=job.need.accelerators,
         slots=job.need.slots,
     )
@@ -88,12 +90,12 @@
     return job.tasks if job.kind is jobs.Kind.GANG else 1
 
 
-def _round(amount: int) -> int:
-    """Rounds up to one of 2**(GRAIN_BITS - 1) steps in each doubling."""
-    shift = amount.bit_length() - GRAIN_BITS
-    if shift <= 0:
-        return amount
-    return -(-amount >> shift) << shift
+def _estimate(peaks: Collection[int], step: int) -> int:
+    """Returns the highest peak and half the spread, rounded up to a step."""
+    highest = max(peaks)
+    margin = (highest - min(peaks)) // 2
+    wanted = min(highest + margin, highest * MARGIN_CAP_PERCENT // 100)
+    return -(-wanted // step) * step
 
 
 def get_run_ms(profile: state.Profile, job: jobs.Job) -> int:
