Count a broken HTTP answer of the store as a failed call

Cause: the client library raises http.client.HTTPException, which is neither OSError nor ValueError, so an answer lost in the middle ended the greenlet that had asked. Ruled out: catching Exception, which would hide broken invariants. Conclusion: the exception is caught by its base.

--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -7,6 +7,7 @@
 
 import base64
 import dataclasses
+import http.client
 import logging
 import urllib.parse
 
@@ -182,7 +183,7 @@
             if expired is not timeout:
                 raise
             return self._fail(kind, "timeout")
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, http.client.HTTPException) as error:
             return self._fail(kind, str(error) or type(error).__name__)
         if reply.status >= 500:
             return self._fail(kind, f"status {reply.status}")
