--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -18,7 +18,7 @@
     job = record.job
     index, _ = record.waiting.popitem()
     ledger.add_waiting(shard, record, -1)
-    number = record.attempts.get(index, 0) + 1
+    number = max(record.attempts.get(index, 0), record.attempt_floor) + 1
     key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=number)
     bind(shard, record, worker, key, need)
     if record.claims:
--- a/packages/core/hickoryreach/platform/workers.py
+++ b/packages/core/hickoryreach/platform/workers.py
@@ -1,12 +1,14 @@
 """Client of a worker's task interface.
 
-The least that is assumed of a worker is on the design page on leases: it
-keeps the highest term it was asked under, refuses a start under a lower term
-or a lapsed grant, stops a task whose lease lapses, and keeps the end of a
-task until it is acknowledged.
+The least that is assumed of a worker is on the design page on grants: it
+keeps the highest term it was asked under and refuses a lower one, carries
+out nothing of a sync that names another boot or arrives after its deadline,
+stops a task whose lease lapses, starts an attempt once, and keeps the end of
+a task until it is acknowledged.
 """
 
 import dataclasses
+import http.client
 
 import gevent
 import geventhttpclient
@@ -19,6 +21,7 @@
 from hickoryreach.structure import resources
 
 CALL_TIMEOUT_S = 1.0
+REPLY_LIMIT_BYTES = 16_000_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -53,6 +56,9 @@
     Attributes:
         owner: Name of the entry that owns the shard.
         term: Term of its ownership.
+        boot_id: Boot of the worker that leases and commands are meant for.
+        deadline_ms: Time by the worker's own clock after which nothing but
+            the term is taken in; 0 when only the term is claimed.
         grant_ms: How long the grant is to last from receipt.
         task_lease_ms: How long listed tasks may go on from receipt.
         operations: Commands, carried out in order.
@@ -61,6 +67,8 @@
 
     owner: str
     term: int
+    boot_id: str = ""
+    deadline_ms: int = 0
     grant_ms: int
     task_lease_ms: int
     operations: tuple[Operation, ...] = ()
@@ -106,6 +114,9 @@
     Attributes:
         term: Highest term the worker was asked under.
         boot_id: Changes when the worker restarts and forgets its tasks.
+        clock_ms: The worker's monotonic clock.
+        late: Whether leases were not renewed and commands left out, because
+            of another boot or a passed deadline.
         running: All running attempts.
         ended: Ends not acknowledged yet, refusals included.
         requests: Job ids its minion is serving.
@@ -113,6 +124,8 @@
 
     term: int
     boot_id: str
+    clock_ms: int
+    late: bool = False
     running: tuple[TaskRow, ...] = ()
     ended: tuple[TaskEnd, ...] = ()
     requests: tuple[str, ...] = ()
@@ -158,8 +171,10 @@
                 response = self.http.post(
                     "/v1/sync", body=orjson.dumps(request)
                 )
+                if (response.content_length or 0) > REPLY_LIMIT_BYTES:
+                    raise ValueError("reply too large")
                 body = bytes(response.read())
-        except (OSError, ValueError) as error:
+        except (OSError, ValueError, http.client.HTTPException) as error:
             return result.Failure(
                 exceptions.WorkerFailure(reason=str(error) or "no answer")
             )
--- a/packages/core/hickoryreach/wire/peer.thrift
+++ b/packages/core/hickoryreach/wire/peer.thrift
@@ -36,6 +36,10 @@
 // entry -> owner: take this job; repeated until a notice arrives.
 struct Submission {
   1: Job job,
+  // Unique to the caller's call; a call refused once stays refused.
+  2: string call_id = "",
+  // An earlier owner may have been given this call already.
+  3: bool repeated = 0,
 }
 
 // entry -> owner: tell me about this job now and when it changes.
@@ -55,23 +59,27 @@
 // owner -> entry: send the request to this minion now.
 struct Dispatch {
   1: string job_id,
-  2: i32 attempt,
+  2: i64 attempt,
   3: string worker_id,
   4: string address,
   5: i64 term,
   6: i64 valid_ms,
+  // Connections to this minion that the receiver may use.
+  7: i32 connections = 0,
 }
 
-// entry -> owner: a dispatched request has ended.
+// entry -> owner: a dispatched request has ended; repeated until a notice
+// names its attempt and term as taken in.
 struct Outcome {
   1: string job_id,
-  2: i32 attempt,
+  2: i64 attempt,
   3: string worker_id,
   4: string result,
   5: i64 run_ms = 0,
   6: binary answer = "",
   7: i32 status = 0,
   8: string reason = "",
+  9: i64 term = 0,
 }
 
 // owner -> entry: the state of a job.
@@ -88,6 +96,25 @@
   10: i32 tasks_failed = 0,
   11: list<string> workers = [],
   12: i32 tasks = 0,
+  // The outcome of this attempt, under this term, need not be repeated.
+  13: i64 taken_attempt = 0,
+  14: i64 taken_term = 0,
+  // Call that a refusal is meant for.
+  15: string call_id = "",
+}
+
+// A shard that the sender owns.
+struct Claim {
+  1: i32 shard,
+  2: i64 term,
+}
+
+// What each entry tells the others about itself, at least once a second.
+struct Status {
+  1: list<Claim> claims = [],
+  2: bool draining = 0,
+  // Entries that answered the sender a short while ago.
+  3: list<string> heard = [],
 }
 
 // Newest revision of one operators' list that the sender has in force.
@@ -106,11 +133,15 @@
   6: list<Dispatch> dispatches = [],
   7: list<Notice> notices = [],
   8: list<ListHead> heads = [],
+  9: Status status,
 }
 
 struct Receipt {
   1: string receiver,
   2: list<ListHead> heads = [],
+  3: Status status,
+  // Shards of the envelope's messages that the receiver does not own.
+  4: list<i32> not_owned = [],
 }
 
 struct ListRequest {
--- a/packages/entry/hickoryreach_entry/assignment.py
+++ b/packages/entry/hickoryreach_entry/assignment.py
@@ -1,30 +1,42 @@
 """Which entry owns which shard.
 
-The assignment is a pure function of the members, so no value of it is kept:
-each entry works it out from the members it knows. Two entries that differ
-for a moment do no harm, since journal and grants admit one owner.
+The assignment is worked out by each entry from the members it knows and from
+what they say they own, so no value of it is kept. Two entries that differ for
+a moment do no harm, since journal and grants admit one owner.
 """
 
+from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
+import math
 
 import xxhash
 
-from hickoryreach_entry import membership
-
 
 def choose_owner(
-    shard: int, members: Iterable[membership.Member]
-) -> membership.Member | None:
-    """Returns the owner of a shard, or None without members.
+    shard: int, candidates: Iterable[str], loads: Mapping[str, int], shards: int
+) -> str | None:
+    """Returns who is to take a shard that nobody owns, or None.
+
+    Those who own less than their part go first.
 
     Source: highest random weight hashing, Thaler and Ravishankar, 1998.
     """
-    candidates = [member for member in members if not member.draining]
-    return max(
-        candidates,
-        key=lambda member: (weigh(shard, member.name), member.name),
-        default=None,
-    )
+    names = sorted(candidates)
+    if not names:
+        return None
+    part = math.ceil(shards / len(names))
+    open_names = [name for name in names if loads.get(name, 0) < part]
+    return max(open_names or names, key=lambda name: weigh(shard, name))
+
+
+def find_surplus(
+    mine: Collection[int], candidates: int, shards: int
+) -> int | None:
+    """Returns a shard to hand over for balance, or None."""
+    if not candidates or len(mine) <= math.ceil(shards / candidates):
+        return None
+    return max(mine)
 
 
 def weigh(shard: int, name: str) -> int:
--- a/packages/entry/hickoryreach_entry/config/settings.py
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -61,6 +61,23 @@
     commit_ms: int = pydantic.Field(
         default=5, ge=1, description="Time a journal commit gathers, in ms."
     )
+    store_writes_per_s: int = pydantic.Field(
+        default=200,
+        ge=10,
+        le=10_000,
+        description="Writes per second the whole cell may make to the store.",
+    )
+    finished_retention_s: int = pydantic.Field(
+        default=900,
+        ge=60,
+        description="Time a finished job's answer is remembered, in s.",
+    )
+    drain_lag_s: float = pydantic.Field(
+        default=2.0,
+        ge=0,
+        le=60,
+        description="Time the balancer needs to notice a drain, in s.",
+    )
     log_level: str = pydantic.Field(
         default="INFO",
         pattern="^(DEBUG|INFO|WARNING|ERROR)$",
--- a/packages/entry/hickoryreach_entry/membership.py
+++ b/packages/entry/hickoryreach_entry/membership.py
@@ -1,5 +1,6 @@
 """Membership of this instance, and the members it knows."""
 
+from collections.abc import Callable
 import dataclasses
 import logging
 
@@ -8,6 +9,7 @@
 from returns import result
 
 from hickoryreach.platform import store
+from hickoryreach_entry import metrics
 
 log = logging.getLogger(__name__)
 
@@ -37,9 +39,15 @@
 class Membership:
     """Keeps this instance listed, and watches the others.
 
+    While the store does not answer, the members last read stay known. A
+    member whose record vanished stays too while it is heard: after an outage
+    leases may have lapsed that their holders could not renew.
+
     Attributes:
         me: This instance.
-        members: Members by name, as last read.
+        members: Members by name.
+        stored: Members as last read.
+        is_heard: Whether a member answered a short while ago.
         listeners: Called without arguments after a change.
     """
 
@@ -51,7 +59,10 @@
         self.me = me
         self.lease_s = lease_s
         self.lease = ""
+        self.left = False
+        self.stored: dict[str, Member] = {}
         self.members: dict[str, Member] = {}
+        self.is_heard: Callable[[str], bool] = lambda name: False
         self.listeners: list = []
 
     def start(self) -> None:
@@ -76,7 +87,7 @@
             lease=self.lease,
         )
         if isinstance(written, result.Failure):
-            log.warning("member_write_failed", extra={"name_": self.me.name})
+            log.warning("member_write_failed", extra={"member": self.me.name})
             self.lease = ""
 
     def drain(self) -> None:
@@ -86,22 +97,25 @@
 
     def leave(self) -> None:
         """Ends the lease, so that the record vanishes at once."""
+        self.left = True
         if self.lease:
             self.client.drop_lease(self.lease)
 
     def renew_forever(self) -> None:
         """Renews the lease, and announces anew once it has lapsed."""
-        while True:
+        while not self.left:
             gevent.sleep(self.lease_s / RENEWALS_PER_LEASE)
+            if self.left:
+                return
             alive = self.lease and self.client.renew_lease(self.lease)
-            if alive == result.Success(False) or not alive:
+            if not alive or alive == result.Success(False):
                 self.lease = ""
                 self.announce()
 
     def watch_forever(self) -> None:
         """Follows the members."""
         index = 0
-        while True:
+        while not self.left:
             read = self.client.watch(
                 PREFIX, index=index, wait_s=WATCH_WAIT_S, recurse=True
             )
@@ -109,7 +123,8 @@
                 gevent.sleep(RETRY_S)
                 continue
             snapshot = read.unwrap()
-            index = snapshot.index
+            restored = snapshot.index < index
+            index = 0 if restored else snapshot.index
             self.take(snapshot)
 
     def take(self, snapshot: store.Snapshot) -> None:
@@ -117,10 +132,23 @@
         members = [
             Member(**orjson.loads(value.data)) for value in snapshot.values
         ]
-        known = {member.name: member for member in members}
+        self.stored = {member.name: member for member in members}
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Works the members out again."""
+        kept = {
+            name: member
+            for name, member in self.members.items()
+            if name not in self.stored
+            and not member.draining
+            and (name == self.me.name or self.is_heard(name))
+        }
+        known = {**kept, **self.stored}
         if known == self.members:
             return
         self.members = known
+        metrics.members_known.set(len(known))
         log.info("members_changed", extra={"members": sorted(known)})
         for listener in self.listeners:
             listener()
--- a/packages/entry/hickoryreach_entry/owner/grants.py
+++ b/packages/entry/hickoryreach_entry/owner/grants.py
@@ -81,9 +81,7 @@
 
     def take_proof(self, sent: float) -> None:
         """Counts a kept segment from when its write was first sent, in s."""
-        self.proven_until = max(
-            self.proven_until, sent + shorten(self.grant_s)
-        )
+        self.proven_until = max(self.proven_until, sent + shorten(self.grant_s))
 
     def propose(self, members: frozenset[str]) -> None:
         """Asks for a majority of a set whose record is under way as well."""
@@ -107,6 +105,15 @@
         """Returns whether the owner may act now."""
         return now < self.until(now)
 
+    def admits(self, worker_id: str, now: float) -> bool:
+        """Returns whether a worker may be counted in for work.
+
+        Whoever takes the shard next must know of the worker, so only those
+        of the journaled set are.
+        """
+        known = all(worker_id in members for members in self.sets)
+        return known and bool(self.sets) and self.holds(now)
+
     def count_grants(self, now: float) -> int:
         """Returns the number of unexpired grants."""
         return sum(end > now for end in self.granted_until.values())
--- a/packages/entry/hickoryreach_entry/owner/image.py
+++ b/packages/entry/hickoryreach_entry/owner/image.py
@@ -32,7 +32,9 @@
     job: jobs.Job | None = None
     done: set[int] = dataclasses.field(default_factory=set)
     failed: set[int] = dataclasses.field(default_factory=set)
-    intents: dict[int, jobs.TaskKey] = dataclasses.field(default_factory=dict)
+    intents: dict[int, records.IntentRecorded] = dataclasses.field(
+        default_factory=dict
+    )
     finished: records.JobFinished | None = None
     generation: int = 0
     base: int = 0
@@ -201,9 +203,7 @@
 
 
 @replay.register(records.OwnerTook)
-def replay_took(
-    image: Image, record: records.OwnerTook, sequence: int
-) -> None:
+def replay_took(image: Image, record: records.OwnerTook, sequence: int) -> None:
     """Notes an owner."""
     image.owner = record.owner
     image.term = max(image.term, record.term)
@@ -250,7 +250,20 @@
     """Notes an attempt about to be sent."""
     progress = image.jobs.get(record.key.job_id)
     if progress is not None:
-        progress.intents[record.key.index] = record.key
+        progress.intents[record.key.index] = record
+
+
+@replay.register(records.IntentVoided)
+def replay_voided(
+    image: Image, record: records.IntentVoided, sequence: int
+) -> None:
+    """Notes that an attempt was not carried out."""
+    progress = image.jobs.get(record.key.job_id)
+    if progress is None:
+        return
+    intent = progress.intents.get(record.key.index)
+    if intent is not None and intent.key == record.key:
+        del progress.intents[record.key.index]
 
 
 @replay.register(records.TaskSettled)
@@ -295,7 +308,7 @@
     progress.job = record.job
     progress.done = set(spread(record.done))
     progress.failed = set(spread(record.failed))
-    progress.intents = {key.index: key for key in record.intents}
+    progress.intents = {intent.key.index: intent for intent in record.intents}
     progress.finished = record.finished
     progress.generation = record.generation
     image.live_bytes += progress.estimate_bytes()
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -1,6 +1,7 @@
 """The link from an owner to one worker: renewals, commands and reports."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 import time
 
@@ -8,15 +9,56 @@
 from gevent import event as gevent_event
 from returns import result
 
+from hickoryreach import exceptions
 from hickoryreach.decisions import events
 from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
+from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach_entry.owner import grants
 
 log = logging.getLogger(__name__)
 
 OPERATIONS_PER_SYNC = 500
 RETRY_S = 0.2
+COMMAND_LIFE_S = 1.5
+MILLISECONDS = 1000
+ONE_REQUEST = resources.Resources(slots=1)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Lengths:
+    """Lengths of leases and intervals, in s.
+
+    Attributes:
+        grant_s: Length of a grant.
+        task_lease_s: Length of a task's lease.
+        sync_s: Time between syncs without commands.
+    """
+
+    grant_s: float
+    task_lease_s: float
+    sync_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Boot:
+    """A worker's boot and its clock, as of one reply.
+
+    Attributes:
+        boot_id: The boot.
+        clock_ms: The worker's clock when it replied.
+        received: Owner's time, in s, when the reply had come.
+    """
+
+    boot_id: str
+    clock_ms: int
+    received: float
+
+    def translate(self, until: float) -> int:
+        """Returns a worker time, in ms, that is not after `until`."""
+        ahead_s = max(0.0, until - self.received)
+        return int(self.clock_ms + grants.shorten(ahead_s) * MILLISECONDS)
 
 
 class WorkerLink:
@@ -24,9 +66,15 @@
 
     Attributes:
         worker: The worker.
-        granted_until: Monotonic time, in s, until which its grant holds.
-        leases_until: Monotonic time, in s, until which its tasks may run.
-        joined: Whether it has answered under this term.
+        client: Calls to the worker.
+        authority: The owner's right to act.
+        boot: Boot and clock of the last reply, or None.
+        joined: Whether the reducer counts the worker in.
+        reachable: Whether it answered within its grant.
+        leases_until: Time, in s, by which its tasks' leases have lapsed.
+        uncertain_until: Time, in s, by which unanswered syncs have lapsed.
+        replied_sent: When the last answered sync was sent, in s.
+        requests: Job ids its minion serves, as of the last reply.
     """
 
     def __init__(
@@ -35,31 +83,46 @@
         worker: workers.Worker,
         owner: str,
         term: int,
-        grant_ms: int,
-        task_lease_ms: int,
-        sync_ms: int,
+        lengths: Lengths,
+        authority: grants.Authority,
         emit: Callable[[events.Event], None],
         on_stale: Callable[[int], None],
+        on_reply: Callable[["WorkerLink"], None],
+        may_lose: Callable[[str], bool],
+        name_request: Callable[[str], jobs.TaskKey],
+        leases_until: float,
+        client: platform_workers.WorkerClient | None = None,
     ) -> None:
         """Creates a link that is not started yet."""
         self.worker = worker
         self.owner = owner
         self.term = term
-        self.grant_ms = grant_ms
-        self.task_lease_ms = task_lease_ms
-        self.sync_s = sync_ms / 1000
+        self.lengths = lengths
+        self.authority = authority
         self.emit = emit
         self.on_stale = on_stale
-        self.client = platform_workers.WorkerClient(address=worker.address)
+        self.on_reply = on_reply
+        self.may_lose = may_lose
+        self.name_request = name_request
+        self.client = client or platform_workers.WorkerClient(
+            address=worker.address
+        )
         self.operations: list[platform_workers.Operation] = []
-        self.acknowledged: list[jobs.TaskKey] = []
+        self.sent_starts: set[jobs.TaskKey] = set()
+        self.acknowledged: dict[jobs.TaskKey, None] = {}
         self.announced: set[jobs.TaskKey] = set()
         self.reported_ends: set[jobs.TaskKey] = set()
+        self.requests: frozenset[str] = frozenset()
+        self.running: frozenset[jobs.TaskKey] = frozenset()
         self.wake = gevent_event.Event()
-        self.granted_until = 0.0
-        self.leases_until = 0.0
+        self.boot: Boot | None = None
+        self.leases_until = leases_until
+        self.uncertain_until = 0.0
+        self.replied_sent = 0.0
         self.joined = False
         self.reachable = False
+        self.lost = False
+        self.described = False
         self.greenlet = None
 
     def start(self) -> None:
@@ -77,51 +140,92 @@
         self.operations.append(operation)
         self.wake.set()
 
+    def withdraw(self, key: jobs.TaskKey) -> bool:
+        """Takes back a start that was never sent; returns whether it was."""
+        if key in self.sent_starts:
+            return False
+        kept = [each for each in self.operations if each.key != key]
+        withdrawn = len(kept) < len(self.operations)
+        self.operations = kept
+        return withdrawn
+
     def acknowledge(self, key: jobs.TaskKey) -> None:
         """Lets the worker forget an end that is recorded."""
-        self.acknowledged.append(key)
+        self.acknowledged[key] = None
 
     def sync_forever(self) -> None:
         """Syncs on a fixed interval, and at once for commands."""
         while True:
-            kept = self.sync_once()
-            if not kept:
+            answered = self.sync_once()
+            if not answered or not self.joined:
                 gevent.sleep(RETRY_S)
                 continue
-            self.wake.wait(self.sync_s)
+            if not self.operations:
+                self.wake.wait(self.lengths.sync_s)
             self.wake.clear()
 
     def sync_once(self) -> bool:
         """Makes one sync; returns whether the worker answered."""
-        operations = self.operations[:OPERATIONS_PER_SYNC]
-        acknowledged = tuple(self.acknowledged)
-        request = platform_workers.SyncRequest(
-            owner=self.owner,
-            term=self.term,
-            grant_ms=self.grant_ms,
-            task_lease_ms=self.task_lease_ms,
-            operations=tuple(operations),
-            acknowledged=acknowledged,
-        )
+        request = self.build_request(time.monotonic())
         sent = time.monotonic()
         answer = self.client.sync(request)
+        received = time.monotonic()
         if isinstance(answer, result.Failure):
-            self.take_failure(answer.failure())
+            self.take_failure(answer.failure(), received)
             return False
-        del self.operations[: len(operations)]
-        del self.acknowledged[: len(acknowledged)]
-        self.granted_until = sent + self.grant_ms / 1000
-        self.leases_until = time.monotonic() + self.task_lease_ms / 1000
-        self.take_reply(answer.unwrap(), operations)
+        self.take_reply(answer.unwrap(), request, sent, received)
         return True
 
-    def take_failure(self, failure) -> None:
+    def build_request(self, now: float) -> platform_workers.SyncRequest:
+        """Returns a claim, or with authority a renewal with commands.
+
+        What a sync renews or commands is void once the owner's authority has
+        lapsed, however late it arrives: it names the worker's boot and a
+        deadline by the worker's clock.
+        """
+        lengths = self.lengths
+        claim = platform_workers.SyncRequest(
+            owner=self.owner,
+            term=self.term,
+            grant_ms=int(lengths.grant_s * MILLISECONDS),
+            task_lease_ms=int(lengths.task_lease_s * MILLISECONDS),
+        )
+        until = min(self.authority.until(now), now + COMMAND_LIFE_S)
+        if self.boot is None or not self.joined or until <= now:
+            return claim
+        acknowledged = () if now < self.uncertain_until else self.acknowledged
+        operations = tuple(self.operations[:OPERATIONS_PER_SYNC])
+        self.sent_starts.update(
+            operation.key
+            for operation in operations
+            if operation.verb == "start"
+        )
+        self.uncertain_until = max(self.uncertain_until, until)
+        self.leases_until = max(
+            self.leases_until, until + grants.lengthen(lengths.task_lease_s)
+        )
+        return dataclasses.replace(
+            claim,
+            boot_id=self.boot.boot_id,
+            deadline_ms=self.boot.translate(until),
+            operations=operations,
+            acknowledged=tuple(acknowledged),
+        )
+
+    def take_failure(
+        self, failure: exceptions.WorkerFailure, now: float
+    ) -> None:
         """Reports an unreachable worker or a higher term."""
-        if failure.stale_term:
+        if failure.stale_term > self.term:
             self.on_stale(failure.stale_term)
-        if self.reachable and time.monotonic() > self.granted_until:
+            return
+        granted = self.authority.granted_until.get(self.worker.worker_id, 0.0)
+        if self.reachable and now > granted:
             self.reachable = False
-            self.emit(events.WorkerUnreachable(worker_id=self.worker.worker_id))
+            if self.joined:
+                self.emit(
+                    events.WorkerUnreachable(worker_id=self.worker.worker_id)
+                )
             log.warning(
                 "worker_unreachable",
                 extra={
@@ -129,44 +233,130 @@
                     "reason": failure.reason,
                 },
             )
+        if self.reachable or now <= self.leases_until:
+            return
+        if self.may_lose(self.worker.worker_id):
+            self.lose("leases lapsed")
+
+    def lose(self, reason: str) -> None:
+        """Reports that nothing of ours can run on the worker any more."""
+        if self.lost:
+            return
+        self.lost = True
+        log.warning(
+            "worker_lost",
+            extra={"worker": self.worker.worker_id, "reason": reason},
+        )
+        for operation in self.operations:
+            if operation.verb == "start":
+                self.report_unsent(operation.key, reason)
+        self.operations.clear()
+        self.sent_starts.clear()
+        self.acknowledged.clear()
+        self.announced.clear()
+        self.reported_ends.clear()
+        self.running = frozenset()
+        if self.joined:
+            self.joined = False
+            self.emit(events.WorkerLost(worker_id=self.worker.worker_id))
+
+    def report_unsent(self, key: jobs.TaskKey, reason: str) -> None:
+        """Reports a start that was never sent as not run."""
+        if key in self.sent_starts:
+            return
+        self.emit(
+            events.TaskEnded(
+                key=key,
+                worker_id=self.worker.worker_id,
+                result=jobs.TaskResult.NOT_RUN,
+                reason=reason,
+            )
+        )
 
     def take_reply(
         self,
         reply: platform_workers.SyncReply,
-        operations: list[platform_workers.Operation],
+        request: platform_workers.SyncRequest,
+        sent: float,
+        received: float,
     ) -> None:
         """Turns a reply into events."""
-        running = tuple(
-            workers.RunningTask(key=row.key, used=row.used)
-            for row in reply.running
+        if self.boot is not None and reply.boot_id != self.boot.boot_id:
+            self.lose("worker restarted")
+        self.boot = Boot(
+            boot_id=reply.boot_id, clock_ms=reply.clock_ms, received=received
         )
-        if not self.reachable:
-            self.reachable = True
-            self.joined = True
-            self.emit(events.WorkerJoined(worker=self.worker, running=running))
-        else:
-            self.emit(
-                events.WorkerReported(
-                    worker_id=self.worker.worker_id, running=running
-                )
-            )
-        self.report_starts(running, operations)
+        self.reachable = True
+        self.replied_sent = sent
+        self.requests = frozenset(reply.requests)
+        self.authority.take_grant(self.worker.worker_id, sent, received)
+        if request.deadline_ms and not reply.late and not self.lost:
+            self.settle_request(request)
+        self.report_running(reply, received)
         for end in reply.ended:
             self.report_end(end)
+        self.on_reply(self)
 
-    def report_starts(self, running, operations) -> None:
-        """Emits a start for each command the worker now lists."""
-        listed = {task.key for task in running}
-        for operation in operations:
-            if operation.verb == "start" and operation.key in listed:
-                self.emit(
-                    events.TaskStarted(
-                        key=operation.key, worker_id=self.worker.worker_id
-                    )
-                )
+    def settle_request(self, request: platform_workers.SyncRequest) -> None:
+        """Drops what the worker has carried out."""
+        del self.operations[: len(request.operations)]
+        for operation in request.operations:
+            self.sent_starts.discard(operation.key)
+        for key in request.acknowledged:
+            self.acknowledged.pop(key, None)
+            self.reported_ends.discard(key)
+
+    def report_running(
+        self, reply: platform_workers.SyncReply, now: float
+    ) -> None:
+        """Reports what the worker lists; joins it once that is allowed."""
+        running = self.list_running(reply)
+        self.running = frozenset(task.key for task in running)
+        if not self.joined:
+            if self.authority.admits(self.worker.worker_id, now):
+                self.joined = True
+                self.lost = False
+                self.join(running)
+            return
+        if not self.described:
+            self.join(running)
+            return
+        for key in self.running - self.announced:
+            self.emit(
+                events.TaskStarted(key=key, worker_id=self.worker.worker_id)
+            )
+        self.announced = set(self.running)
+        self.emit(
+            events.WorkerReported(
+                worker_id=self.worker.worker_id, running=running
+            )
+        )
+
+    def list_running(
+        self, reply: platform_workers.SyncReply
+    ) -> tuple[workers.RunningTask, ...]:
+        """Returns the tasks and requests that a worker lists."""
+        tasks = tuple(
+            workers.RunningTask(key=row.key, used=row.used)
+            for row in reply.running
+        )
+        requests = tuple(
+            workers.RunningTask(key=self.name_request(job_id), used=ONE_REQUEST)
+            for job_id in sorted(self.requests)
+        )
+        return tasks + requests
+
+    def join(self, running: tuple[workers.RunningTask, ...]) -> None:
+        """Reports the worker with all it runs."""
+        self.described = True
+        self.announced = set(self.running)
+        self.emit(events.WorkerJoined(worker=self.worker, running=running))
 
     def report_end(self, end: platform_workers.TaskEnd) -> None:
-        """Emits an end; the owner acknowledges it once it is recorded."""
+        """Emits an end once; the owner acknowledges it when recorded."""
+        if not self.joined or end.key in self.reported_ends:
+            return
+        self.reported_ends.add(end.key)
         self.emit(
             events.TaskEnded(
                 key=end.key,
@@ -177,3 +367,13 @@
                 reason=end.reason,
             )
         )
+
+    def change_worker(self, worker: workers.Worker) -> None:
+        """Takes in a new description."""
+        if worker == self.worker:
+            return
+        self.worker = worker
+        if worker.address != self.client.address:
+            self.client.close()
+            self.client = platform_workers.WorkerClient(address=worker.address)
+        self.described = False
--- a/packages/entry/hickoryreach_entry/peers.py
+++ b/packages/entry/hickoryreach_entry/peers.py
@@ -1,6 +1,7 @@
 """Calls between entry instances over thrift."""
 
 import collections
+from collections.abc import Callable
 import logging
 
 import gevent
@@ -11,15 +12,19 @@
 from thriftpy2.protocol import cybin
 from thriftpy2.thrift import TException
 from thriftpy2.thrift import TProcessor
+from thriftpy2.transport import TTransportException
 from thriftpy2.transport import socket as thrift_socket
 
 from hickoryreach.wire import messages
+from hickoryreach_entry import metrics
 
 log = logging.getLogger(__name__)
 
 CALL_TIMEOUT_MS = 1_000
 BATCH_LIMIT = 500
+QUEUE_LIMIT = 20_000
 RETRY_S = 0.05
+HEARTBEAT_S = 1.0
 
 FIELDS = (
     "submissions",
@@ -28,7 +33,6 @@
     "outcomes",
     "dispatches",
     "notices",
-    "heads",
 )
 
 _protocol_factory = cybin.TCyBinaryProtocolFactory()
@@ -66,63 +70,118 @@
             buffered.close()
 
 
+class Outbox:
+    """Messages that wait to be sent, in queues of bounded length.
+
+    Attributes:
+        waiting: Messages by envelope field.
+        pending: Set while something waits.
+    """
+
+    def __init__(self) -> None:
+        """Creates an empty outbox."""
+        self.waiting = {field: collections.deque() for field in FIELDS}
+        self.pending = gevent_event.Event()
+
+    def put(self, field: str, message: object) -> None:
+        """Adds a message; above the limit it is dropped.
+
+        Senders repeat what is not answered, so a drop only delays.
+        """
+        if len(self.waiting[field]) >= QUEUE_LIMIT:
+            metrics.peer_messages_dropped.labels("full").inc()
+            return
+        self.waiting[field].append(message)
+        self.pending.set()
+
+    def take(self, envelope: messages.Envelope) -> int:
+        """Moves up to a batch of each field; returns how many messages."""
+        count = 0
+        for field, waiting in self.waiting.items():
+            batch = [
+                waiting.popleft() for _ in range(min(len(waiting), BATCH_LIMIT))
+            ]
+            setattr(envelope, field, batch)
+            count += len(batch)
+        return count
+
+    def has_messages(self) -> bool:
+        """Returns whether something waits."""
+        return any(self.waiting.values())
+
+
 class Peer:
     """The connection to one other entry, and what waits to be sent.
 
     Attributes:
         name: Name of the other entry.
         address: `host:port` of its peer interface.
+        outbox: What waits to be sent.
     """
 
-    def __init__(self, *, name: str, address: str, sender: str, on_receipt):
+    def __init__(
+        self,
+        *,
+        name: str,
+        address: str,
+        build_envelope: Callable[[], messages.Envelope],
+        on_receipt: Callable[[str, messages.Receipt], None],
+        on_refused: Callable[[str], None] = lambda name: None,
+    ) -> None:
         """Creates a peer and begins to send."""
         self.name = name
         self.address = address
-        self.sender = sender
+        self.build_envelope = build_envelope
         self.on_receipt = on_receipt
-        self.waiting = {field: collections.deque() for field in FIELDS}
-        self.pending = gevent_event.Event()
+        self.on_refused = on_refused
+        self.outbox = Outbox()
         self.client = None
+        self.failing = False
         self.greenlet = gevent.spawn(self.send_forever)
 
     def send(self, field: str, message: object) -> None:
         """Adds one message to the next envelope."""
-        self.waiting[field].append(message)
-        self.pending.set()
+        self.outbox.put(field, message)
 
     def send_forever(self) -> None:
-        """Sends what waits, in envelopes."""
+        """Sends what waits, and an empty envelope as a heartbeat."""
         while True:
-            self.pending.wait()
-            self.pending.clear()
-            self.flush()
+            self.outbox.pending.clear()
+            sent = self.flush()
+            if not sent:
+                gevent.sleep(RETRY_S)
+            if not self.outbox.has_messages():
+                self.outbox.pending.wait(HEARTBEAT_S)
 
-    def flush(self) -> None:
-        """Sends everything that waits; what fails is dropped.
+    def flush(self) -> bool:
+        """Sends one envelope; returns whether it was answered.
 
-        Senders repeat what is not answered, so a lost envelope only delays.
+        Senders repeat what is not answered, so what fails is dropped.
         """
-        while any(self.waiting.values()):
-            envelope = messages.Envelope(sender=self.sender)
-            for field in FIELDS:
-                setattr(envelope, field, self.take(field))
-            try:
-                receipt = self.connect().deliver(envelope)
-            except (TException, OSError, EOFError) as error:
-                log.warning(
-                    "peer_send_failed",
-                    extra={"peer": self.name, "error": str(error)},
-                )
-                self.disconnect()
-                gevent.sleep(RETRY_S)
-                continue
-            self.on_receipt(receipt)
+        envelope = self.build_envelope()
+        count = self.outbox.take(envelope)
+        try:
+            receipt = self.connect().deliver(envelope)
+        except (TException, OSError, EOFError) as error:
+            self.fail(count, error)
+            return False
+        self.failing = False
+        self.on_receipt(self.name, receipt)
+        return True
 
-    def take(self, field: str) -> list:
-        """Returns up to a batch of what waits in one field."""
-        waiting = self.waiting[field]
-        count = min(len(waiting), BATCH_LIMIT)
-        return [waiting.popleft() for _ in range(count)]
+    def fail(self, count: int, error: Exception) -> None:
+        """Notes an envelope that was not answered."""
+        if count:
+            metrics.peer_messages_dropped.labels("failed").inc(count)
+        if not self.failing:
+            log.warning(
+                "peer_send_failed",
+                extra={"peer": self.name, "error": str(error)},
+            )
+        self.failing = True
+        self.disconnect()
+        if is_refusal(error):
+            self.on_refused(self.name)
 
     def connect(self):
         """Returns the open client, opening it when needed."""
@@ -142,6 +201,52 @@
         self.disconnect()
 
 
+class LocalPeer:
+    """Messages of an entry to itself, delivered outside the sender's call.
+
+    Attributes:
+        outbox: What waits to be delivered.
+    """
+
+    def __init__(
+        self,
+        *,
+        build_envelope: Callable[[], messages.Envelope],
+        deliver: Callable[[messages.Envelope], messages.Receipt],
+    ) -> None:
+        """Creates the peer and begins to deliver."""
+        self.build_envelope = build_envelope
+        self.deliver = deliver
+        self.outbox = Outbox()
+        self.greenlet = gevent.spawn(self.deliver_forever)
+
+    def send(self, field: str, message: object) -> None:
+        """Adds one message to the next envelope."""
+        self.outbox.put(field, message)
+
+    def deliver_forever(self) -> None:
+        """Delivers what waits."""
+        while True:
+            self.outbox.pending.wait()
+            self.outbox.pending.clear()
+            while self.outbox.has_messages():
+                envelope = self.build_envelope()
+                self.outbox.take(envelope)
+                self.deliver(envelope)
+
+    def close(self) -> None:
+        """Stops delivering."""
+        self.greenlet.kill(block=False)
+
+
+def is_refusal(error: Exception) -> bool:
+    """Returns whether a call failed since nobody listens."""
+    return (
+        isinstance(error, TTransportException)
+        and error.type == TTransportException.NOT_OPEN
+    )
+
+
 def open_client(address: str):
     """Opens a client of the peer interface.
 
@@ -157,3 +262,19 @@
         trans_factory=_transport_factory,
         timeout=CALL_TIMEOUT_MS,
     )
+
+
+def list_jobs(
+    address: str, request: messages.ListRequest
+) -> messages.ListReply | None:
+    """Asks an entry for the jobs of a shard; None when it does not answer."""
+    client = None
+    try:
+        client = open_client(address)
+        return client.list_jobs(request)
+    except (TException, OSError, EOFError) as error:
+        log.warning("list_failed", extra={"error": str(error)})
+        return None
+    finally:
+        if client is not None:
+            client.close()
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -1,19 +1,30 @@
 """Routes messages between this entry, its peers and the shards it owns."""
 
+import heapq
 import logging
+import time
+
+import gevent
 
 from hickoryreach.platform import store
 from hickoryreach.wire import messages
 from hickoryreach_entry import assignment
+from hickoryreach_entry import detector
 from hickoryreach_entry import front
 from hickoryreach_entry import lists
 from hickoryreach_entry import membership
+from hickoryreach_entry import metrics
 from hickoryreach_entry import peers
 from hickoryreach_entry.config import settings as entry_settings
+from hickoryreach_entry.owner import notices
 from hickoryreach_entry.owner import shard as owner_shard
 
 log = logging.getLogger(__name__)
 
+REVIEW_S = 0.5
+LOST_PAUSE_S = 1.0
+REBALANCE_S = 10.0
+
 
 class Router:
     """Knows the owner of each shard and the way to each entry.
@@ -22,6 +33,8 @@
         owners: Shards this entry owns.
         peers: Connections to other entries, by name.
         front: Callers of this entry.
+        detector: What the other entries told.
+        draining: Whether this entry gives up its shards.
     """
 
     def __init__(
@@ -39,23 +52,151 @@
         self.lists = in_force
         self.owners: dict[int, owner_shard.ShardOwner] = {}
         self.peers: dict[str, peers.Peer] = {}
+        self.draining = False
+        self.lost_at: dict[int, float] = {}
+        self.known_owners: dict[int, str | None] = {}
+        self.balanced_at = time.monotonic()
+        self.detector = detector.Detector(name=settings.name)
+        self.local = peers.LocalPeer(
+            build_envelope=self.build_envelope, deliver=self.deliver
+        )
         self.front = front.Front(
             name=settings.name, send_to_owner=self.send_to_owner
         )
-        members.listeners.append(self.reassign)
+        members.is_heard = lambda name: self.detector.is_heard(
+            name, time.monotonic()
+        )
+        members.listeners.append(self.change_members)
         in_force.listeners.append(self.change_entitlements)
 
-    def reassign(self) -> None:
-        """Starts and stops owners after a change of members."""
+    def start(self) -> None:
+        """Begins to look after shards and callers."""
+        gevent.spawn(self.front.repeat_forever)
+        gevent.spawn(self.review_forever)
+
+    def review_forever(self) -> None:
+        """Looks at members and shards from time to time."""
+        while True:
+            gevent.sleep(REVIEW_S)
+            self.membership.refresh()
+            self.reassign()
+            self.rebalance(time.monotonic())
+
+    def change_members(self) -> None:
+        """Connects to each member, and forgets those who left."""
+        members = self.membership.members
+        for name, known in list(self.peers.items()):
+            member = members.get(name)
+            if member is None or member.peer_address != known.address:
+                self.peers.pop(name).close()
+        for name in set(self.detector.told) - set(members):
+            self.detector.forget(name)
+        for name, member in members.items():
+            if name != self.settings.name and name not in self.peers:
+                self.peers[name] = peers.Peer(
+                    name=name,
+                    address=member.peer_address,
+                    build_envelope=self.build_envelope,
+                    on_receipt=self.take_receipt,
+                    on_refused=self.note_refused,
+                )
+        self.reassign()
+
+    def note_refused(self, name: str) -> None:
+        """Notes an entry that does not listen any more."""
+        if self.detector.note_refused(name):
+            self.announce()
+
+    def list_candidates(self, now: float) -> list[str]:
+        """Returns the members that may take a shard."""
+        members = self.membership.members
+        return [
+            name
+            for name, member in members.items()
+            if not self.is_draining(name, member)
+            and not self.detector.is_suspected(name, members, now)
+        ]
+
+    def is_draining(self, name: str, member: membership.Member) -> bool:
+        """Returns whether a member gives up its shards."""
+        if name == self.settings.name:
+            return self.draining
+        told = self.detector.told.get(name)
+        return member.draining or (told is not None and told.draining)
+
+    def list_claims(self, now: float) -> dict[int, tuple[int, str]]:
+        """Returns the highest term and its owner for each claimed shard."""
+        members = self.membership.members
+        claims: dict[int, tuple[int, str]] = {}
+        for name, told in self.detector.told.items():
+            if name not in members or self.detector.is_suspected(
+                name, members, now
+            ):
+                continue
+            for shard, term in told.claims.items():
+                claims[shard] = max(claims.get(shard, (0, "")), (term, name))
+        for shard, owner in self.owners.items():
+            if owner.ready:
+                claim = (owner.journal.term, self.settings.name)
+                claims[shard] = max(claims.get(shard, (0, "")), claim)
+        return claims
+
+    def find_owners(self, now: float) -> dict[int, str | None]:
+        """Returns who owns, or is to take, each shard."""
+        claims = self.list_claims(now)
+        loads: dict[str, int] = {}
+        for _, name in claims.values():
+            loads[name] = loads.get(name, 0) + 1
+        candidates = self.list_candidates(now)
+        owners: dict[int, str | None] = {}
         for shard in range(self.settings.shards):
-            owner = assignment.choose_owner(
-                shard, self.membership.members.values()
+            if shard in claims:
+                owners[shard] = claims[shard][1]
+                continue
+            chosen = assignment.choose_owner(
+                shard, candidates, loads, self.settings.shards
             )
-            mine = owner is not None and owner.name == self.settings.name
-            if mine and shard not in self.owners:
+            owners[shard] = chosen
+            if chosen is not None:
+                loads[chosen] = loads.get(chosen, 0) + 1
+        return owners
+
+    def reassign(self) -> None:
+        """Starts and stops owners after a change of members or claims."""
+        now = time.monotonic()
+        owners = self.find_owners(now)
+        for shard, name in owners.items():
+            mine = name == self.settings.name and not self.draining
+            if mine and shard not in self.owners and self.may_start(shard, now):
                 self.start_owner(shard)
-            if not mine and shard in self.owners:
+            elif not mine and shard in self.owners and not self.draining:
                 self.stop_owner(shard)
+            if self.known_owners.get(shard) != name:
+                self.known_owners[shard] = name
+                self.front.resend(shard)
+        metrics.shards_owned.set(len(self.owners))
+
+    def may_start(self, shard: int, now: float) -> bool:
+        """Returns whether a shard may be taken now.
+
+        A new entry first hears what the others own, and one that lost a
+        shard leaves the other time to tell.
+        """
+        if now - self.lost_at.get(shard, 0.0) < LOST_PAUSE_S:
+            return False
+        return self.detector.is_settled(self.membership.members, now)
+
+    def rebalance(self, now: float) -> None:
+        """Hands one shard over when this entry owns more than its part."""
+        if self.draining or now - self.balanced_at < REBALANCE_S:
+            return
+        self.balanced_at = now
+        ready = [shard for shard, each in self.owners.items() if each.ready]
+        surplus = assignment.find_surplus(
+            ready, len(self.list_candidates(now)), self.settings.shards
+        )
+        if surplus is not None:
+            gevent.spawn(self.release_owner, surplus)
 
     def start_owner(self, shard: int) -> None:
         """Begins to own a shard."""
@@ -66,6 +207,9 @@
             send=self.send,
             get_entitlements=self.lists.get_entitlements,
             on_lost=self.lose_shard,
+            on_ready=self.announce,
+            count_entries=lambda: len(self.membership.members),
+            is_member=lambda name: name in self.membership.members,
         )
         self.owners[shard] = owner
         owner.start()
@@ -74,12 +218,38 @@
         """Gives a shard up."""
         self.owners.pop(shard).stop()
         log.info("shard_given_up", extra={"shard": shard})
+        self.announce()
+
+    def release_owner(self, shard: int) -> None:
+        """Hands a shard over: keeps what waits, then tells the others."""
+        owner = self.owners.get(shard)
+        if owner is None:
+            return
+        self.lost_at[shard] = time.monotonic()
+        owner.release()
+        self.owners.pop(shard, None)
+        self.announce()
+
+    def release_all(self) -> None:
+        """Hands every shard over, for a drain."""
+        self.draining = True
+        gevent.joinall(
+            [gevent.spawn(self.release_owner, shard) for shard in self.owners]
+        )
+        self.announce()
 
     def lose_shard(self, shard: int) -> None:
         """Gives up a shard that another entry took."""
         if shard in self.owners:
+            self.lost_at[shard] = time.monotonic()
             self.stop_owner(shard)
 
+    def announce(self) -> None:
+        """Tells every peer at once what this entry owns."""
+        for peer in self.peers.values():
+            peer.outbox.pending.set()
+        self.reassign()
+
     def change_entitlements(self) -> None:
         """Passes newly accepted lists on to the owners."""
         for owner in self.owners.values():
@@ -91,82 +261,163 @@
         Returns:
             False when no owner is known; the message is dropped.
         """
-        owner = assignment.choose_owner(shard, self.membership.members.values())
-        if owner is None:
+        name = self.known_owners.get(shard)
+        if name is None:
             return False
-        self.send(owner.name, field, message)
-        return True
+        return self.send(name, field, message)
 
-    def send(self, name: str, field: str, message: object) -> None:
-        """Sends a message to an entry, itself included."""
+    def send(self, name: str, field: str, message: object) -> bool:
+        """Sends a message to an entry, itself included.
+
+        Returns:
+            False when the entry is not known; the message is dropped.
+        """
         if name == self.settings.name:
-            envelope = messages.Envelope(sender=name, **{field: [message]})
-            self.deliver(envelope)
-            return
-        member = self.membership.members.get(name)
-        if member is None:
-            return
+            self.local.send(field, message)
+            return True
         peer = self.peers.get(name)
-        if peer is not None and peer.address != member.peer_address:
-            self.peers.pop(name).close()
-            peer = None
         if peer is None:
-            peer = peers.Peer(
-                name=name,
-                address=member.peer_address,
-                sender=self.settings.name,
-                on_receipt=self.take_receipt,
-            )
-            self.peers[name] = peer
+            return False
         peer.send(field, message)
+        return True
+
+    def build_envelope(self) -> messages.Envelope:
+        """Returns an envelope with what this entry tells about itself."""
+        return messages.Envelope(
+            sender=self.settings.name,
+            heads=self.get_heads(),
+            status=self.build_status(),
+        )
+
+    def build_status(self) -> messages.Status:
+        """Returns what this entry tells about itself."""
+        return messages.Status(
+            claims=[
+                messages.Claim(shard=shard, term=owner.journal.term)
+                for shard, owner in self.owners.items()
+                if owner.ready
+            ],
+            draining=self.draining,
+            heard=self.detector.list_heard(time.monotonic()),
+        )
+
+    def get_heads(self) -> list[messages.ListHead]:
+        """Returns the newest revisions of the operators' lists."""
+        get_heads = getattr(self.lists, "get_heads", None)
+        return get_heads() if get_heads is not None else []
+
+    def take_heads(self, heads: list[messages.ListHead] | None) -> None:
+        """Passes revisions that a peer told on to the lists."""
+        take_heads = getattr(self.lists, "take_heads", None)
+        if heads and take_heads is not None:
+            take_heads(heads)
 
-    def take_receipt(self, receipt: messages.Receipt) -> None:
+    def take_receipt(self, name: str, receipt: messages.Receipt) -> None:
         """Takes in what a peer answered."""
+        self.take_heads(receipt.heads)
+        now = time.monotonic()
+        if self.detector.take(name, receipt.status, now, answered=True):
+            self.reassign()
 
     def deliver(self, envelope: messages.Envelope) -> messages.Receipt:
         """Takes in an envelope from an entry, itself included."""
+        sender = envelope.sender
+        if sender != self.settings.name:
+            self.take_heads(envelope.heads)
+            now = time.monotonic()
+            if self.detector.take(sender, envelope.status, now, answered=False):
+                self.reassign()
         for notice in envelope.notices or ():
             self.front.take_notice(notice)
         for dispatch in envelope.dispatches or ():
             self.front.take_dispatch(dispatch)
-        for owner in self.owners.values():
-            if owner.ready:
-                owner.take_envelope(self.select(owner.shard, envelope))
-        return messages.Receipt(receiver=self.settings.name)
-
-    def select(
-        self, shard: int, envelope: messages.Envelope
-    ) -> messages.Envelope:
-        """Returns the part of an envelope meant for one shard."""
-
-        def belongs(job_id: str) -> bool:
-            return not job_id or assignment.shard_of_job(job_id) == shard
-
-        return messages.Envelope(
-            sender=envelope.sender,
-            submissions=[
-                s for s in envelope.submissions or () if belongs(s.job.job_id)
-            ],
-            queries=[q for q in envelope.queries or () if belongs(q.job_id)],
-            cancellations=[
-                c for c in envelope.cancellations or () if belongs(c.job_id)
-            ],
-            outcomes=[o for o in envelope.outcomes or () if belongs(o.job_id)],
+        return messages.Receipt(
+            receiver=self.settings.name,
+            heads=self.get_heads(),
+            status=self.build_status(),
+            not_owned=self.deliver_to_owners(envelope),
         )
 
+    def deliver_to_owners(self, envelope: messages.Envelope) -> list[int]:
+        """Hands each part to its owner; returns the shards not owned."""
+        missed = []
+        for shard, part in split_envelope(envelope).items():
+            owner = self.owners.get(shard)
+            if owner is None or not owner.ready:
+                missed.append(shard)
+            else:
+                owner.take_envelope(part)
+        return missed
+
     def list_jobs(self, request: messages.ListRequest) -> messages.ListReply:
         """Lists a workspace's jobs in one shard this entry owns."""
         owner = self.owners.get(request.shard)
         if owner is None or not owner.ready:
             return messages.ListReply(owner=False)
-        rows = [
-            owner_shard.describe_record(record)
-            for job_id, record in sorted(owner.state.jobs.items())
-            if record.job.workspace == request.workspace
-            and job_id > (request.after or "")
-            and (not request.wave or record.job.wave == request.wave)
-            and (not request.state or record.state == request.state)
-        ]
+        rows = heapq.nsmallest(
+            request.limit + 1, select_rows(owner, request), key=get_job_id
+        )
         page = rows[: request.limit]
         after = page[-1].job_id if len(rows) > len(page) else ""
         return messages.ListReply(owner=True, jobs=page, after=after)
+
+    def find_jobs(self, request: messages.ListRequest) -> messages.ListReply:
+        """Lists a workspace's jobs in one shard, whoever owns it."""
+        name = self.known_owners.get(request.shard)
+        if name == self.settings.name:
+            return self.list_jobs(request)
+        member = self.membership.members.get(name or "")
+        reply = None
+        if member is not None:
+            reply = peers.list_jobs(member.peer_address, request)
+        return reply or messages.ListReply(owner=False)
+
+
+def get_job_id(notice: messages.Notice) -> str:
+    """Returns the order of a listed job."""
+    return notice.job_id
+
+
+def select_rows(owner: owner_shard.ShardOwner, request: messages.ListRequest):
+    """Yields the notices that a listing asks for."""
+    after = request.after or ""
+    for job_id, record in owner.state.jobs.items():
+        job = record.job
+        if (
+            job.workspace == request.workspace
+            and job_id > after
+            and (not request.wave or job.wave == request.wave)
+            and (not request.state or record.state == request.state)
+        ):
+            yield notices.describe_record(record)
+
+
+def split_envelope(
+    envelope: messages.Envelope,
+) -> dict[int, messages.Envelope]:
+    """Returns the part of an envelope that is meant for each shard."""
+    parts: dict[int, messages.Envelope] = {}
+
+    def find(job_id: str) -> messages.Envelope | None:
+        try:
+            shard = assignment.shard_of_job(job_id)
+        except ValueError:
+            log.warning("job_id_malformed", extra={"sender": envelope.sender})
+            return None
+        if shard not in parts:
+            parts[shard] = messages.Envelope(
+                sender=envelope.sender,
+                submissions=[],
+                queries=[],
+                cancellations=[],
+                outcomes=[],
+            )
+        return parts[shard]
+
+    for field in ("submissions", "queries", "cancellations", "outcomes"):
+        for message in getattr(envelope, field) or ():
+            job = getattr(message, "job", None)
+            part = find(job.job_id if job is not None else message.job_id)
+            if part is not None:
+                getattr(part, field).append(message)
+    return parts
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import time
 
 import gevent
 from gevent import event as gevent_event
@@ -18,11 +19,44 @@
 log = logging.getLogger(__name__)
 
 DRAIN_POLL_S = 0.05
-LISTED_S = 1.0
+DRAIN_LIMIT_S = 90.0
+BACKLOG_S = 0.2
+
+
+class HttpHandler(gevent.pywsgi.WSGIHandler):
+    """Counts the requests being answered, and ends connections in a drain."""
+
+    def handle_one_response(self) -> None:
+        """Answers one request."""
+        self.server.active += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.active -= 1
+
+    def finalize_headers(self) -> None:
+        """Asks the client for another connection while draining."""
+        super().finalize_headers()
+        if self.server.draining:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
 
 
 class HttpServer(gevent.pywsgi.WSGIServer):
-    """A WSGI server that sends each write at once."""
+    """A WSGI server that sends each write at once.
+
+    Attributes:
+        active: Requests being answered.
+        draining: Whether connections end with their next answer.
+    """
+
+    handler_class = HttpHandler
+
+    def __init__(self, *args, **kwargs) -> None:
+        """Creates a server that is not started yet."""
+        super().__init__(*args, **kwargs)
+        self.active = 0
+        self.draining = False
 
     def do_handle(self, *args) -> None:
         """Turns Nagle's algorithm off before serving a connection."""
@@ -90,23 +124,34 @@
         self.peer_server.start()
         self.lists.start()
         self.membership.start()
+        self.router.start()
         self.http_server.start()
         log.info("entry_started", extra={"port": self.settings.http_port})
         self.stopped.wait()
 
     def drain(self) -> None:
-        """Stops taking callers, finishes with those it has, then stops."""
+        """Hands shards over, finishes with every caller, then stops."""
         if self.draining:
             return
         self.draining = True
         log.info("drain_started", extra={})
+        self.router.release_all()
         self.membership.drain()
-        gevent.sleep(LISTED_S)
+        gevent.sleep(self.settings.drain_lag_s)
+        self.http_server.draining = True
+        self.router.front.drain()
+        gevent.sleep(BACKLOG_S)
         self.http_server.close()
-        while self.router.front.waiters:
-            gevent.sleep(DRAIN_POLL_S)
-        for shard in list(self.router.owners):
-            self.router.stop_owner(shard)
+        finished = self.wait_for_callers()
         self.membership.leave()
-        log.info("drain_finished", extra={})
+        log.info("drain_finished", extra={"finished": finished})
         self.stopped.set()
+
+    def wait_for_callers(self) -> bool:
+        """Waits until nobody depends on this entry; returns whether so."""
+        deadline = time.monotonic() + DRAIN_LIMIT_S
+        while time.monotonic() < deadline:
+            if not self.http_server.active and not self.router.front.is_busy():
+                return True
+            gevent.sleep(DRAIN_POLL_S)
+        return False
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,9 +1,10 @@
 """Stand-in for a worker and the minion on it.
 
 It keeps to the least that the product assumes of a worker: the highest term
-it was asked under, refusal of starts under a lower term or a lapsed grant,
-a stop of each task whose lease lapses, and the end of each task until it is
-acknowledged. What it did is kept in a record for the checks.
+it was asked under, refusal of a lower term, nothing carried out of a sync
+that names another boot or arrives after its deadline, a stop of each task
+whose lease lapses, and the end of each task until it is acknowledged. What it
+did is kept in a record for the checks.
 """
 
 import argparse
@@ -65,6 +66,8 @@
             return None
         now = time.monotonic()
         self.term = body["term"]
+        if self.is_late(body, now):
+            return {**self.describe(), "late": True}
         self.grant_until = now + body["grant_ms"] / 1000
         self.lease_s = body["task_lease_ms"] / 1000
         for task in self.tasks.values():
@@ -75,6 +78,12 @@
             self.operate(operation, now)
         return self.describe()
 
+    def is_late(self, body: dict, now: float) -> bool:
+        """Returns whether a sync is meant for another boot or came late."""
+        return (
+            body["boot_id"] != self.boot_id or now * 1000 > body["deadline_ms"]
+        )
+
     def operate(self, operation: dict, now: float) -> None:
         """Carries out one command."""
         key = operation["key"]
@@ -133,6 +142,7 @@
         return {
             "term": self.term,
             "boot_id": self.boot_id,
+            "clock_ms": int(time.monotonic() * 1000),
             "running": [
                 {"key": task.key, "used": task.need}
                 for task in self.tasks.values()
