--- a/packages/core/hickoryreach/lists/allowances.py
+++ b/packages/core/hickoryreach/lists/allowances.py
@@ -1,11 +1,22 @@
 """The list of what each plan may use."""
 
+from typing import Annotated
+
 import pydantic
 
 from hickoryreach.lists import plans
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 
+STEP_PATTERN = r"^[a-z0-9][a-z0-9-]{0,31}\.[A-Za-z0-9][A-Za-z0-9_-]{0,31}$"
+WORD_PATTERN = r"^-{0,2}[A-Za-z0-9][A-Za-z0-9_.-]{0,31}$"
+SHARE_MAX = 1_000_000.0
+EXIT_CODE_MAX = 255
+
+StepName = Annotated[str, pydantic.Field(pattern=STEP_PATTERN)]
+Word = Annotated[str, pydantic.Field(pattern=WORD_PATTERN)]
+ExitCode = Annotated[int, pydantic.Field(ge=0, le=EXIT_CODE_MAX)]
+
 
 class Amount(plans.Model):
     """An amount of each resource.
@@ -17,40 +28,75 @@
         slots: Concurrent requests.
     """
 
-    cpu_millis: int = pydantic.Field(default=0, ge=0)
-    memory_mb: int = pydantic.Field(default=0, ge=0)
-    accelerators: int = pydantic.Field(default=0, ge=0)
-    slots: int = pydantic.Field(default=0, ge=0)
+    cpu_millis: int = pydantic.Field(default=0, ge=0, le=2**40)
+    memory_mb: int = pydantic.Field(default=0, ge=0, le=2**40)
+    accelerators: int = pydantic.Field(default=0, ge=0, le=2**30)
+    slots: int = pydantic.Field(default=0, ge=0, le=2**30)
 
     def to_resources(self) -> resources.Resources:
         """Returns the amount as used inside."""
         return resources.Resources(**self.model_dump())
 
 
+class Argument(plans.Model):
+    """One argument of an old command.
+
+    Attributes:
+        field: What it sets: a name in `runbooks.fields`.
+        pattern: Regular expression that the whole value must match.
+        required: Whether the command is refused without it.
+        default: Value taken when it is left out.
+        repeated: Whether it may stand more than once.
+    """
+
+    field: str
+    pattern: str = pydantic.Field(default="", max_length=200)
+    required: bool = False
+    default: str = ""
+    repeated: bool = False
+
+
 class Step(plans.Model):
     """What one command of an old system stands for.
 
     Attributes:
         action: submit, status or cancel.
+        style: How the command writes its arguments: a name in
+            `runbooks.styles`.
+        arguments: Its arguments by name, in order of position.
         kind: Kind of work of a submit.
+        command: Command of the tasks, or the request's path.
         queue: Queue of a submit.
         service: Minion service of a request.
         idempotent: Whether it may be run again after an unclear end.
         urgent: Whether it must start within the urgent bound.
         preemptible: Whether it may be stopped for urgent work.
-        need: Need of one task.
+        tasks: Number of tasks where no argument gives it.
+        need: Need of one task where no argument gives it.
         run_time_ms: Usual run time of one task, in ms.
+        wait_ms: How long the step waits for the end, in ms.
+        output: Line the old command printed; `$name` stands for a field.
+        words: The old system's word for each state.
+        exit_codes: The old command's exit code for each state.
     """
 
     action: str = pydantic.Field(pattern="^(submit|status|cancel)$")
+    style: str = "options"
+    arguments: dict[Word, Argument] = {}
     kind: jobs.Kind = jobs.Kind.BATCH
+    command: str = ""
     queue: plans.Name = "default"
     service: str = ""
     idempotent: bool = True
     urgent: bool = False
     preemptible: bool = False
+    tasks: int = pydantic.Field(default=1, ge=1, le=100_000)
     need: Amount = Amount()
-    run_time_ms: int = pydantic.Field(default=0, ge=0)
+    run_time_ms: int = pydantic.Field(default=0, ge=0, le=2**40)
+    wait_ms: int = pydantic.Field(default=0, ge=0, le=60_000)
+    output: str = "$reference $state"
+    words: dict[jobs.JobState, str] = {}
+    exit_codes: dict[jobs.JobState, ExitCode] = {}
 
 
 class Queue(plans.Model):
@@ -79,10 +125,12 @@
     """
 
     plan: plans.Name
-    share: float = pydantic.Field(default=1.0, gt=0)
+    share: float = pydantic.Field(
+        default=1.0, gt=0, le=SHARE_MAX, allow_inf_nan=False
+    )
     limit: Amount | None = None
     queues: tuple[plans.Name, ...] = ("default",)
-    steps: tuple[str, ...] = ()
+    steps: tuple[StepName, ...] = ()
 
 
 class Allowances(plans.Model):
@@ -96,4 +144,4 @@
 
     allowances: tuple[Allowance, ...] = ()
     queues: tuple[Queue, ...] = (Queue(name="default"),)
-    steps: dict[str, Step] = {}
+    steps: dict[StepName, Step] = {}
--- /dev/null
+++ b/packages/core/hickoryreach/lists/storage.py
@@ -0,0 +1,117 @@
+"""Reads and writes of lists in the platform's store."""
+
+import dataclasses
+
+import orjson
+from returns import result
+
+from hickoryreach import exceptions
+from hickoryreach.lists import documents
+from hickoryreach.lists import heads
+from hickoryreach.platform import store
+
+Failure = exceptions.Conflict | exceptions.StoreFailure
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Kept:
+    """A list as the store keeps it.
+
+    Attributes:
+        head: Its head.
+        flat: Its document.
+        index: Modification index of the head, for compare-and-swap.
+    """
+
+    head: heads.Head
+    flat: documents.Flat
+    index: int
+
+
+def read_head(
+    client: store.Store, name: str
+) -> result.Result[tuple[heads.Head, int], exceptions.StoreFailure]:
+    """Reads a list's head and its index; an absent one has index 0."""
+    return client.get(heads.get_head_key(name)).bind(_parse_head)
+
+
+def _parse_head(
+    snapshot: store.Snapshot,
+) -> result.Result[tuple[heads.Head, int], exceptions.StoreFailure]:
+    if not snapshot.values:
+        return result.Success((heads.Head(), 0))
+    value = snapshot.values[0]
+    try:
+        return result.Success((heads.parse_head(value.data), value.index))
+    except ValueError:
+        return result.Failure(
+            exceptions.StoreFailure(reason=f"malformed value {value.key}")
+        )
+
+
+def read_snapshot(
+    client: store.Store, name: str, revision: int
+) -> result.Result[documents.Flat, exceptions.StoreFailure]:
+    """Reads the document at the revision of a snapshot."""
+    if revision == 0:
+        return result.Success({})
+    key = heads.get_snapshot_key(name, revision)
+    return client.get(key).bind(
+        lambda found: (
+            result.Success(orjson.loads(found.values[0].data))
+            if found.values
+            else result.Failure(
+                exceptions.StoreFailure(reason=f"no value {key}")
+            )
+        )
+    )
+
+
+def read_list(
+    client: store.Store, name: str
+) -> result.Result[Kept, exceptions.StoreFailure]:
+    """Reads a list whole."""
+    return read_head(client, name).bind(
+        lambda found: read_snapshot(client, name, found[0].base_revision).map(
+            lambda flat: Kept(
+                head=found[0],
+                flat=heads.advance(flat, found[0].base_revision, found[0]),
+                index=found[1],
+            )
+        )
+    )
+
+
+def read_segment(
+    client: store.Store, name: str, revision: int
+) -> result.Result[heads.Segment | None, exceptions.StoreFailure]:
+    """Reads the segment that ends with a revision; None when absent."""
+    key = heads.get_segment_key(name, revision)
+    return client.get(key).map(
+        lambda found: (
+            heads.parse_segment(found.values[0].data) if found.values else None
+        )
+    )
+
+
+def write_roll(
+    client: store.Store, name: str, head: heads.Head, flat: documents.Flat
+) -> result.Result[None, exceptions.StoreFailure]:
+    """Writes the snapshot and the segment at a head's revision.
+
+    Every writer would write the same bytes under these keys, so one that
+    finds them written has nothing to do.
+    """
+    values = {
+        heads.get_snapshot_key(name, head.revision): heads.pack(flat),
+        heads.get_segment_key(name, head.revision): heads.pack(
+            heads.get_segment(head)
+        ),
+    }
+    for key, data in values.items():
+        written = client.put_if(key, data, index=0)
+        if isinstance(written, result.Failure) and isinstance(
+            written.failure(), exceptions.StoreFailure
+        ):
+            return result.Failure(written.failure())
+    return result.Success(None)
--- /dev/null
+++ b/packages/core/hickoryreach/runbooks/fields.py
@@ -0,0 +1,132 @@
+"""What an argument of an old command may set on the work it stands for."""
+
+from collections.abc import Callable
+import dataclasses
+import re
+
+from hickoryreach.decisions import registry
+from hickoryreach.structure import resources
+
+MS_PER_S = 1_000
+MS_PER_MINUTE = 60_000
+MILLIS_PER_CORE = 1_000
+MB_PER_GB = 1_024
+REFERENCE_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._:/-]{0,99}")
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Work:
+    """The work that a command stands for.
+
+    Attributes:
+        reference: The old command's own name for the work.
+        tasks: Number of tasks.
+        need: Need of one task.
+        run_time_ms: Declared run time of one task, in ms.
+        wave: Name under which jobs are cancelled together.
+        arguments: Arguments of the tasks' command.
+    """
+
+    reference: str = ""
+    tasks: int = 1
+    need: resources.Resources = resources.NOTHING
+    run_time_ms: int = 0
+    wave: str = ""
+    arguments: tuple[str, ...] = ()
+
+
+Setter = Callable[[Work, str], Work]
+
+fields: registry.Registry[str, Setter] = registry.Registry(
+    title="argument fields"
+)
+
+
+@fields.register("reference")
+def set_reference(work: Work, value: str) -> Work:
+    """Sets the reference; a repeated one is the same request.
+
+    Raises:
+        ValueError: The value cannot be a reference.
+    """
+    if not REFERENCE_PATTERN.fullmatch(value):
+        raise ValueError("use letters, digits and . _ : / -")
+    return dataclasses.replace(work, reference=value)
+
+
+@fields.register("tasks")
+def set_tasks(work: Work, value: str) -> Work:
+    """Sets the number of tasks; a range such as 1-12 counts its members."""
+    first, separator, last = value.partition("-")
+    count = int(last) - int(first) + 1 if separator else int(value)
+    if not 1 <= count <= 100_000:
+        raise ValueError("ask for 1 to 100000 tasks")
+    return dataclasses.replace(work, tasks=count)
+
+
+@fields.register("wave")
+def set_wave(work: Work, value: str) -> Work:
+    """Sets the wave."""
+    return dataclasses.replace(work, wave=value)
+
+
+@fields.register("argument")
+def add_argument(work: Work, value: str) -> Work:
+    """Adds an argument of the tasks' command."""
+    return dataclasses.replace(work, arguments=(*work.arguments, value))
+
+
+@fields.register("ignored")
+def ignore(work: Work, value: str) -> Work:
+    """Drops an argument that has no meaning any more."""
+    return work
+
+
+@fields.register("cpu_millis")
+def set_cpu_millis(work: Work, value: str) -> Work:
+    """Sets the processor need in thousandths of a core."""
+    return _set_need(work, cpu_millis=int(value))
+
+
+@fields.register("cpu_cores")
+def set_cpu_cores(work: Work, value: str) -> Work:
+    """Sets the processor need in cores."""
+    return _set_need(work, cpu_millis=round(float(value) * MILLIS_PER_CORE))
+
+
+@fields.register("memory_mb")
+def set_memory_mb(work: Work, value: str) -> Work:
+    """Sets the memory need in MiB."""
+    return _set_need(work, memory_mb=int(value))
+
+
+@fields.register("memory_gb")
+def set_memory_gb(work: Work, value: str) -> Work:
+    """Sets the memory need in GiB."""
+    return _set_need(work, memory_mb=round(float(value) * MB_PER_GB))
+
+
+@fields.register("run_time_s")
+def set_run_time_s(work: Work, value: str) -> Work:
+    """Sets the declared run time in seconds."""
+    return _set_run_time(work, round(float(value) * MS_PER_S))
+
+
+@fields.register("run_time_minutes")
+def set_run_time_minutes(work: Work, value: str) -> Work:
+    """Sets the declared run time in minutes."""
+    return _set_run_time(work, round(float(value) * MS_PER_MINUTE))
+
+
+def _set_need(work: Work, **amounts: int) -> Work:
+    if any(not 0 <= amount <= 2**40 for amount in amounts.values()):
+        raise ValueError("an amount is out of range")
+    return dataclasses.replace(
+        work, need=dataclasses.replace(work.need, **amounts)
+    )
+
+
+def _set_run_time(work: Work, run_time_ms: int) -> Work:
+    if not 0 <= run_time_ms <= 2**40:
+        raise ValueError("the run time is out of range")
+    return dataclasses.replace(work, run_time_ms=run_time_ms)
--- /dev/null
+++ b/tests/core/lists/__init__.py
@@ -0,0 +1,1 @@
+"""Tests that mirror the package of the same name."""
--- /dev/null
+++ b/tests/core/lists/test_editor.py
@@ -0,0 +1,163 @@
+"""Changes under races, lost answers and rolls."""
+
+import unittest
+
+from returns import result
+
+from hickoryreach.lists import documents
+from hickoryreach.lists import editor
+from hickoryreach.lists import heads
+from hickoryreach.lists import plans
+from hickoryreach.lists import storage
+from tests.core.lists import fakes
+
+
+def grant(workspace: str, number: int, **fields) -> editor.Edit:
+    """Returns the grant of one more key."""
+    return editor.Edit(
+        name="plans",
+        actor="ops",
+        action="grant",
+        revision=None,
+        build=editor.grant_key(workspace, fakes.build_key(workspace, number)),
+        **fields,
+    )
+
+
+def replace(document: plans.Plans, revision: int) -> editor.Edit:
+    """Returns the replacement of the list of plans."""
+    return editor.Edit(
+        name="plans",
+        actor="ops",
+        action="set",
+        revision=revision,
+        build=lambda _: result.Success(document),
+    )
+
+
+class EditorTest(unittest.TestCase):
+    """A change is carried by one swap with its audit record."""
+
+    def setUp(self):
+        self.store = fakes.build_store("north", "south")
+        retry_s = editor.RETRY_S
+        editor.RETRY_S = 0.0
+        self.addCleanup(setattr, editor, "RETRY_S", retry_s)
+
+    def read(self) -> storage.Kept:
+        return storage.read_list(self.store, "plans").unwrap()
+
+    def test_change_and_audit_record_stand_in_one_write(self):
+        self.store.writes.clear()
+        editor.change(self.store, grant("north", 2)).unwrap()
+        self.assertEqual(self.store.writes, ["hickoryreach/lists/plans"])
+        change = self.read().head.changes[-1]
+        self.assertEqual((change.actor, change.action), ("ops", "grant"))
+        self.assertEqual(change.revision, 2)
+        self.assertEqual(list(change.put), ["plans/north/keys/north-2/hash"])
+
+    def test_loser_of_a_race_is_shown_the_newer_list(self):
+        def race():
+            editor.change(self.store, grant("south", 2)).unwrap()
+
+        self.store.before_write = race
+        edit = replace(fakes.build_plans("north"), revision=1)
+        failure = editor.change(self.store, edit).failure()
+        self.assertIsInstance(failure, editor.Outdated)
+        self.assertEqual(failure.kept.head.revision, 2)
+        self.assertIn("plans/south/keys/south-2/hash", self.read().flat)
+
+    def test_racing_grants_are_both_accepted(self):
+        def race():
+            editor.change(self.store, grant("south", 2)).unwrap()
+
+        self.store.before_write = race
+        editor.change(self.store, grant("north", 2)).unwrap()
+        kept = self.read()
+        self.assertEqual(kept.head.revision, 3)
+        self.assertIn("plans/south/keys/south-2/hash", kept.flat)
+        self.assertIn("plans/north/keys/north-2/hash", kept.flat)
+
+    def test_lost_answer_is_settled_by_the_token(self):
+        self.store.lost_answers = 1
+        accepted = editor.change(self.store, grant("north", 2)).unwrap()
+        self.assertEqual(accepted.head.revision, 2)
+        self.assertEqual(self.read().head.revision, 2)
+
+    def test_lost_answer_is_settled_after_the_change_was_rolled_out(self):
+        def race():
+            self.store.lost_answers = 0
+            for number in range(3, 40):
+                editor.change(self.store, grant("south", number)).unwrap()
+
+        real = self.store.put_if
+
+        def put_and_lose(key, data, *, index):
+            written = real(key, data, index=index)
+            if key == "hickoryreach/lists/plans":
+                self.store.put_if = real
+                race()
+                return self.store.fail()
+            return written
+
+        self.store.put_if = put_and_lose
+        accepted = editor.change(self.store, grant("north", 2)).unwrap()
+        self.assertEqual(accepted.head.revision, 2)
+        self.assertGreater(self.read().head.base_revision, 2)
+
+    def test_change_without_any_answer_is_unclear(self):
+        self.store.before_write = lambda: setattr(self.store, "down", True)
+        failure = editor.change(self.store, grant("north", 2)).failure()
+        self.assertIsInstance(failure, editor.Unavailable)
+        self.assertNotEqual(failure.token, "")
+
+    def test_restored_older_store_takes_no_change(self):
+        failure = editor.change(
+            self.store, grant("north", 2, floor=7)
+        ).failure()
+        self.assertIsInstance(failure, editor.Unavailable)
+        self.assertEqual(failure.token, "")
+        self.assertEqual(self.read().head.revision, 1)
+
+    def test_rolled_changes_keep_head_small_and_trail_whole(self):
+        for number in range(2, 100):
+            editor.change(self.store, grant("north", number)).unwrap()
+        kept = self.read()
+        self.assertEqual(kept.head.revision, 99)
+        self.assertLessEqual(len(heads.pack(kept.head)), heads.HEAD_LIMIT_BYTES)
+        found = [
+            editor.find_change(self.store, "plans", kept.head, r).unwrap()
+            for r in range(1, 100)
+        ]
+        self.assertEqual([c.revision for c in found], list(range(1, 100)))
+        snapshots = [k for k in self.store.values if heads.SNAPSHOTS in k]
+        self.assertEqual(len(snapshots), 1)
+
+    def test_operators_cannot_lock_themselves_out(self):
+        document = fakes.build_plans("north").model_copy(
+            update={"operators": ()}
+        )
+        failure = editor.change(
+            self.store, replace(document, revision=1)
+        ).failure()
+        self.assertEqual(
+            failure.faults, ("operators: at least one operator must stay",)
+        )
+
+    def test_withdrawn_key_is_gone_and_twice_is_no_fault(self):
+        edit = editor.Edit(
+            name="plans",
+            actor="ops",
+            action="withdraw",
+            revision=None,
+            build=editor.withdraw_key("north", "north-1"),
+        )
+        for _ in range(2):
+            accepted = editor.change(self.store, edit).unwrap()
+            self.assertEqual(accepted.head.revision, 2)
+        document = documents.unflatten("plans", self.read().flat)
+        self.assertEqual(document.plans[0].keys, ())
+
+
+if __name__ == "__main__":
+    unittest.main()
