Serve work, waves, runbook steps and the lists over HTTP

Only one job could be submitted, followed or cancelled; the lists could be changed only in the store itself, and a fault of ours answered with the framework's own page.

Each call is now a pipeline of outcomes that ends in an answer or a typed problem saying not_run, ran or unknown and what to do. Keys are found by digest, operators' keys apart from callers'. Keyed and open queues are told apart, and nothing is taken while the lists may be outdated. Bodies are bounded in size and time, callers in number. A digest of the checked submission replaces that of the raw body, so that a retry in another order of members is the same request.

--- a/packages/core/hickoryreach/lists/plans.py
+++ b/packages/core/hickoryreach/lists/plans.py
@@ -1,7 +1,6 @@
 """The list of customers' plans."""
 
 import hashlib
-import hmac
 from typing import Annotated
 
 import pydantic
@@ -72,22 +71,3 @@
 def hash_key(key: str) -> str:
     """Returns the SHA-256 of a key, in hexadecimal."""
     return hashlib.sha256(key.encode()).hexdigest()
-
-
-def find_workspace(document: Plans, key: str) -> Plan | None:
-    """Returns the plan whose key this is, or None."""
-    digest = hash_key(key)
-    for plan in document.plans:
-        for granted in plan.keys:
-            if hmac.compare_digest(granted.hash, digest):
-                return plan
-    return None
-
-
-def find_operator(document: Plans, key: str) -> Operator | None:
-    """Returns the operator whose key this is, or None."""
-    digest = hash_key(key)
-    for operator in document.operators:
-        if hmac.compare_digest(operator.hash, digest):
-            return operator
-    return None
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/answers.py
@@ -0,0 +1,125 @@
+"""Outcomes of calls, written as HTTP answers."""
+
+from collections.abc import Callable
+import dataclasses
+import functools
+import logging
+
+import falcon
+import orjson
+from returns import result
+
+from hickoryreach.structure import jobs
+from hickoryreach_entry.api import problems
+
+log = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Answer:
+    """What a call answers.
+
+    Attributes:
+        media: The JSON value.
+        status: HTTP status.
+    """
+
+    media: object
+    status: int = 200
+
+
+Outcome = result.Result[Answer, problems.Problem]
+
+
+def answered(handle: Callable[..., Outcome]) -> Callable[..., None]:
+    """Makes a falcon responder of a method that returns an outcome."""
+
+    @functools.wraps(handle)
+    def respond(
+        self: object,
+        req: falcon.Request,
+        resp: falcon.Response,
+        **parameters: str,
+    ) -> None:
+        write(resp, handle(self, req, **parameters))
+
+    return respond
+
+
+def write(resp: falcon.Response, outcome: Outcome) -> None:
+    """Writes an outcome as the answer."""
+    if isinstance(outcome, result.Failure):
+        write_problem(resp, outcome.failure())
+        return
+    answer = outcome.unwrap()
+    resp.status = answer.status
+    resp.content_type = falcon.MEDIA_JSON
+    resp.data = orjson.dumps(answer.media)
+
+
+def write_problem(resp: falcon.Response, problem: problems.Problem) -> None:
+    """Writes a problem as the answer."""
+    resp.status = problem.status
+    resp.content_type = problems.CONTENT_TYPE
+    resp.data = orjson.dumps(problem.to_media())
+    if problem.retry_after_s:
+        resp.set_header("Retry-After", str(problem.retry_after_s))
+
+
+def handle_http_error(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: falcon.HTTPError,
+    params: dict,
+) -> None:
+    """Answers what the framework refused before any work was taken."""
+    title = error.title or "error"
+    write_problem(
+        resp,
+        problems.Problem(
+            status=error.status_code,
+            reason=title.lower().replace(" ", "_"),
+            detail=error.description or "See the HTTP reference.",
+        ),
+    )
+
+
+def handle_fault(
+    req: falcon.Request,
+    resp: falcon.Response,
+    error: Exception,
+    params: dict,
+) -> None:
+    """Answers a fault of ours, and tells the caller nothing of its cause.
+
+    The error's text is not logged either, since it may quote the call.
+    """
+    log.error(
+        "call_failed",
+        extra={
+            "method": req.method,
+            "route": req.uri_template or "",
+            "error": type(error).__name__,
+            "where": find_line(error),
+        },
+    )
+    write_problem(
+        resp,
+        problems.Problem(
+            status=500,
+            reason="internal_fault",
+            detail="Ask for the state by job id, then send the call again.",
+            ran=jobs.Ran.UNKNOWN,
+        ),
+    )
+
+
+def find_line(error: Exception) -> str:
+    """Returns the module and line that raised an error."""
+    trace = error.__traceback__
+    while trace is not None and trace.tb_next is not None:
+        trace = trace.tb_next
+    if trace is None:
+        return ""
+    module = trace.tb_frame.f_globals.get("__name__", "")
+    return f"{module}:{trace.tb_lineno}"
--- a/packages/entry/hickoryreach_entry/api/app.py
+++ b/packages/entry/hickoryreach_entry/api/app.py
@@ -6,7 +6,12 @@
 
 from hickoryreach_entry import front
 from hickoryreach_entry import lists
+from hickoryreach_entry.api import access
+from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import health
+from hickoryreach_entry.api import limits
+from hickoryreach_entry.api import operators
+from hickoryreach_entry.api import steps
 from hickoryreach_entry.api import work
 from hickoryreach_entry.config import settings as entry_settings
 
@@ -17,15 +22,48 @@
     in_force: lists.Lists,
     settings: entry_settings.Settings,
     is_ready: Callable[[], bool],
+    list_jobs: work.ListJobs | None = None,
 ) -> falcon.App:
-    """Returns the HTTP interface of one entry."""
-    app = falcon.App()
-    app.add_route(
-        "/v1/jobs",
-        work.Jobs(door=door, in_force=in_force, shards=settings.shards),
-    )
-    app.add_route("/v1/jobs/{job_id}", work.Job(door=door, in_force=in_force))
+    """Returns the HTTP interface of one entry.
+
+    Args:
+        door: Submits work and waits for it.
+        in_force: The operators' lists.
+        settings: Settings of the entry.
+        is_ready: Tells whether the balancer should send callers here.
+        list_jobs: Lists the jobs of one shard, whoever owns it.
+    """
+    app = falcon.App(middleware=[limits.CallerLimit(most=settings.max_callers)])
+    app.add_error_handler(Exception, answers.handle_fault)
+    app.add_error_handler(falcon.HTTPError, answers.handle_http_error)
+    gate = access.Access(in_force=in_force, settings=settings)
+    add_work(app, door, gate, settings.shards, list_jobs)
+    add_lists(app, gate)
     app.add_route("/health", health.Health())
     app.add_route("/ready", health.Ready(is_ready=is_ready))
     app.add_route("/metrics", health.Metrics())
     return app
+
+
+def add_work(
+    app: falcon.App,
+    door: front.Front,
+    gate: access.Access,
+    shards: int,
+    list_jobs: work.ListJobs | None,
+) -> None:
+    """Adds what callers use."""
+    common = {"door": door, "gate": gate, "shards": shards}
+    app.add_route("/v1/jobs", work.Jobs(**common, list_jobs=list_jobs))
+    app.add_route("/v1/jobs/{job_id}", work.Job(**common))
+    app.add_route("/v1/waves/{wave}", work.Wave(**common))
+    app.add_route("/v1/steps", steps.Steps(**common))
+
+
+def add_lists(app: falcon.App, gate: access.Access) -> None:
+    """Adds what operators use."""
+    app.add_route("/v1/lists/{name}", operators.Document(gate=gate))
+    app.add_route("/v1/lists/{name}/check", operators.Check(gate=gate))
+    app.add_route("/v1/keys", operators.Keys(gate=gate))
+    app.add_route("/v1/keys/{workspace}/{key_id}", operators.Key(gate=gate))
+    app.add_route("/v1/audit/{name}", operators.Audit(gate=gate))
--- a/packages/entry/hickoryreach_entry/api/problems.py
+++ b/packages/entry/hickoryreach_entry/api/problems.py
@@ -1,41 +1,40 @@
 """Problem details (RFC 9457) that say whether the work ran."""
 
-import falcon
-import orjson
+import dataclasses
 
 from hickoryreach.structure import jobs
 
 CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:hickoryreach:problem:"
 
 
-def answer(
-    resp: falcon.Response,
-    *,
-    status: int,
-    reason: str,
-    detail: str,
-    ran: jobs.Ran = jobs.Ran.NOT_RUN,
-    **fields: object,
-) -> None:
-    """Writes a problem as the answer.
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """Why a call was not carried out as asked.
 
-    Args:
-        resp: The answer.
+    Attributes:
         status: HTTP status.
         reason: Short machine-readable cause.
         detail: One sentence that tells the caller what to do.
-        ran: Whether the work was carried out.
-        **fields: Further members of the problem.
+        ran: Whether the work, or the change, was carried out.
+        retry_after_s: When to try again, in s; 0 for no advice.
+        extra: Further members, each a JSON value.
     """
-    resp.status = status
-    resp.content_type = CONTENT_TYPE
-    resp.data = orjson.dumps(
-        {
-            "type": f"urn:hickoryreach:problem:{reason}",
-            "title": reason.replace("_", " "),
-            "status": status,
-            "detail": detail,
-            "ran": str(ran),
-            **fields,
+
+    status: int
+    reason: str
+    detail: str
+    ran: jobs.Ran = jobs.Ran.NOT_RUN
+    retry_after_s: int = 0
+    extra: dict[str, object] = dataclasses.field(default_factory=dict)
+
+    def to_media(self) -> dict[str, object]:
+        """Returns the problem as JSON members."""
+        return {
+            "type": TYPE_PREFIX + self.reason,
+            "title": self.reason.replace("_", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "ran": str(self.ran),
+            **self.extra,
         }
-    )
--- a/packages/entry/hickoryreach_entry/api/work.py
+++ b/packages/entry/hickoryreach_entry/api/work.py
@@ -1,225 +1,265 @@
 """Resources through which callers submit, follow and cancel work."""
 
-import hashlib
-import time
+from collections.abc import Callable
 
 import falcon
-import orjson
+import gevent
 import pydantic
+from returns import result
 
-from hickoryreach.lists import allowances
-from hickoryreach.lists import plans
 from hickoryreach.structure import jobs
 from hickoryreach.wire import messages
-from hickoryreach_entry import assignment
 from hickoryreach_entry import front
-from hickoryreach_entry import lists
+from hickoryreach_entry.api import access
+from hickoryreach_entry.api import answers
+from hickoryreach_entry.api import bodies
+from hickoryreach_entry.api import notices
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import submissions
 
-BODY_LIMIT_BYTES = 1_000_000
 WAIT_LIMIT_MS = 60_000
-BEARER = "Bearer "
+REQUEST_WAIT_MS = 30_000
+PAGE_LIMIT = 500
+PAGE_DEFAULT = 100
+WAVE_SENDS = 3
+WAVE_REPEAT_S = 0.2
 
-
-class Submission(pydantic.BaseModel):
-    """Body of a submission."""
-
-    model_config = pydantic.ConfigDict(extra="forbid")
-
-    request_id: str = pydantic.Field(min_length=1, max_length=200)
-    queue: str = "default"
-    kind: jobs.Kind = jobs.Kind.BATCH
-    command: str = pydantic.Field(min_length=1, max_length=1_000)
-    arguments: tuple[str, ...] = ()
-    tasks: int = pydantic.Field(default=1, ge=1, le=100_000)
-    need: allowances.Amount = allowances.Amount()
-    run_time_ms: int = pydantic.Field(default=0, ge=0)
-    idempotent: bool = True
-    urgent: bool = False
-    preemptible: bool = False
-    timeout_ms: int = pydantic.Field(default=0, ge=0)
-    wave: str = ""
-    service: str = ""
+ListJobs = Callable[[messages.ListRequest], messages.ListReply]
 
 
 class Jobs:
-    """Submits a job."""
+    """Submits a job, and lists a workspace's jobs."""
 
     def __init__(
-        self, *, door: front.Front, in_force: lists.Lists, shards: int
+        self,
+        *,
+        door: front.Front,
+        gate: access.Access,
+        shards: int,
+        list_jobs: ListJobs | None,
     ) -> None:
         """Keeps what it needs."""
         self.front = door
-        self.lists = in_force
+        self.access = gate
         self.shards = shards
+        self.list_jobs = list_jobs
 
-    def on_post(self, req: falcon.Request, resp: falcon.Response) -> None:
+    @answers.answered
+    def on_post(self, req: falcon.Request) -> answers.Outcome:
         """Submits the job in the body, and waits up to `wait_ms`."""
-        plan = authenticate(req, self.lists)
-        if plan is None:
-            refuse_key(resp)
-            return
-        body = req.bounded_stream.read(BODY_LIMIT_BYTES + 1)
-        if len(body) > BODY_LIMIT_BYTES:
-            problems.answer(
-                resp,
-                status=413,
-                reason="body_too_large",
-                detail=f"Send at most {BODY_LIMIT_BYTES} bytes.",
-            )
-            return
-        try:
-            submission = Submission.model_validate_json(body)
-        except pydantic.ValidationError as error:
-            problems.answer(
-                resp,
-                status=400,
-                reason="malformed",
-                detail="Correct the fields listed in `faults`.",
-                faults=[describe_fault(row) for row in error.errors()],
+        return (
+            bodies.read(req)
+            .bind(lambda body: bodies.parse(submissions.Submission, body))
+            .bind(lambda submission: self.submit(req, submission))
+        )
+
+    def submit(
+        self, req: falcon.Request, submission: submissions.Submission
+    ) -> answers.Outcome:
+        """Submits a checked submission for the caller."""
+        return get_wait_s(req, submission.kind).bind(
+            lambda wait_s: self.access.find_submitter(
+                req, submission.queue
+            ).bind(
+                lambda caller: self.send(submission, caller.workspace, wait_s)
             )
-            return
-        job = build_job(submission, plan.workspace, body, self.shards)
+        )
+
+    def send(
+        self,
+        submission: submissions.Submission,
+        workspace: str,
+        wait_s: float,
+    ) -> answers.Outcome:
+        """Sends a submission to its owner, and waits."""
+        job = submissions.build_job(submission, workspace, self.shards)
         waiter = self.front.submit(
-            job,
-            body=orjson.dumps({"arguments": job.arguments}),
-            wait_s=wait_s(req),
+            job, body=submissions.build_body(job), wait_s=wait_s
+        )
+        return notices.answer_waiter(waiter)
+
+    @answers.answered
+    def on_get(self, req: falcon.Request) -> answers.Outcome:
+        """Lists jobs by id: `state`, `wave`, `limit`, and `after` a page."""
+        limit = req.get_param_as_int("limit", min_value=1) or PAGE_DEFAULT
+        return self.access.find_reader(req).bind(
+            lambda caller: self.list_page(
+                messages.ListRequest(
+                    workspace=caller.workspace,
+                    state=req.get_param("state") or "",
+                    wave=req.get_param("wave") or "",
+                    after=req.get_param("after") or "",
+                    limit=min(limit, PAGE_LIMIT),
+                )
+            )
         )
-        answer_waiter(resp, waiter)
+
+    def list_page(self, request: messages.ListRequest) -> answers.Outcome:
+        """Fills one page from the shards in order, from the cursor on."""
+        first, _, after = request.after.partition("/")
+        if first and not first.isdecimal():
+            return result.Failure(
+                problems.Problem(
+                    status=400,
+                    reason="malformed",
+                    detail="Pass `after` as the last page gave it.",
+                )
+            )
+        rows: list[dict] = []
+        cursor = ""
+        for shard in range(int(first or 0), self.shards):
+            reply = self.list_shard(
+                messages.ListRequest(
+                    shard=shard,
+                    workspace=request.workspace,
+                    state=request.state,
+                    wave=request.wave,
+                    after=after,
+                    limit=request.limit - len(rows),
+                )
+            )
+            if reply is None or not reply.owner:
+                return result.Failure(no_owner())
+            after = ""
+            rows += [notices.describe(row) for row in reply.jobs or ()]
+            if reply.after:
+                cursor = f"{shard}/{reply.after}"
+                break
+            if len(rows) >= request.limit and shard + 1 < self.shards:
+                cursor = f"{shard + 1}/"
+                break
+        return result.Success(
+            answers.Answer(media={"jobs": rows, "after": cursor})
+        )
+
+    def list_shard(
+        self, request: messages.ListRequest
+    ) -> messages.ListReply | None:
+        """Returns one shard's part of a page."""
+        return self.list_jobs(request) if self.list_jobs else None
 
 
 class Job:
     """Follows or cancels one job."""
 
-    def __init__(self, *, door: front.Front, in_force: lists.Lists) -> None:
+    def __init__(
+        self, *, door: front.Front, gate: access.Access, shards: int
+    ) -> None:
         """Keeps what it needs."""
         self.front = door
-        self.lists = in_force
+        self.access = gate
+        self.shards = shards
 
-    def on_get(
-        self, req: falcon.Request, resp: falcon.Response, job_id: str
-    ) -> None:
+    @answers.answered
+    def on_get(self, req: falcon.Request, job_id: str) -> answers.Outcome:
         """Answers the job's state, and waits up to `wait_ms` for its end."""
-        plan = authenticate(req, self.lists)
-        if plan is None:
-            refuse_key(resp)
-            return
-        waiter = self.front.query(job_id, plan.workspace, wait_s=wait_s(req))
-        answer_waiter(resp, waiter)
-
-    def on_delete(
-        self, req: falcon.Request, resp: falcon.Response, job_id: str
+        return self.reach(req, job_id, self.front.query)
+
+    @answers.answered
+    def on_delete(self, req: falcon.Request, job_id: str) -> answers.Outcome:
+        """Cancels the job, and waits up to `wait_ms` for its end."""
+        return self.reach(req, job_id, self.front.cancel)
+
+    def reach(
+        self,
+        req: falcon.Request,
+        job_id: str,
+        ask: Callable[..., front.Waiter],
+    ) -> answers.Outcome:
+        """Asks the owner of a job on behalf of the caller."""
+        return get_wait_s(req).bind(
+            lambda wait_s: self.access.find_reader(req).bind(
+                lambda caller: check_job_id(job_id, self.shards).bind(
+                    lambda known: notices.answer_waiter(
+                        ask(known, caller.workspace, wait_s=wait_s)
+                    )
+                )
+            )
+        )
+
+
+class Wave:
+    """Cancels every job of one wave."""
+
+    def __init__(
+        self, *, door: front.Front, gate: access.Access, shards: int
     ) -> None:
-        """Cancels the job."""
-        plan = authenticate(req, self.lists)
-        if plan is None:
-            refuse_key(resp)
-            return
-        waiter = self.front.cancel(job_id, plan.workspace, wait_s=wait_s(req))
-        answer_waiter(resp, waiter)
-
-
-def authenticate(
-    req: falcon.Request, in_force: lists.Lists
-) -> plans.Plan | None:
-    """Returns the plan of the key that came with a request."""
-    header = req.get_header("Authorization") or ""
-    if not header.startswith(BEARER):
-        return None
-    return plans.find_workspace(in_force.plans, header.removeprefix(BEARER))
-
-
-def refuse_key(resp: falcon.Response) -> None:
-    """Answers a request without a granted key."""
-    problems.answer(
-        resp,
-        status=401,
-        reason="key_refused",
-        detail="Send a granted key as `Authorization: Bearer KEY`.",
-    )
+        """Keeps what it needs."""
+        self.front = door
+        self.access = gate
+        self.shards = shards
 
+    @answers.answered
+    def on_delete(self, req: falcon.Request, wave: str) -> answers.Outcome:
+        """Asks every owner to cancel the caller's jobs of a wave."""
+        return self.access.find_caller(req).bind(
+            lambda caller: self.cancel(caller.workspace, wave)
+        )
 
-def wait_s(req: falcon.Request) -> float:
-    """Returns how long the caller wants to wait, in s."""
-    wanted = req.get_param_as_int("wait_ms") or 0
-    return min(wanted, WAIT_LIMIT_MS) / 1000
-
-
-def build_job(
-    submission: Submission, workspace: str, body: bytes, shards: int
-) -> jobs.Job:
-    """Returns the job for a checked submission."""
-    fields = submission.model_dump(exclude={"need"})
-    return jobs.Job(
-        **fields,
-        job_id=assignment.make_job_id(workspace, submission.request_id, shards),
-        workspace=workspace,
-        need=submission.need.to_resources(),
-        submitted_ms=int(time.time() * 1000),
-        digest=hashlib.sha256(body).hexdigest(),
-    )
+    def cancel(self, workspace: str, wave: str) -> answers.Outcome:
+        """Sends the cancellation to each shard, against loss more than once."""
+        message = messages.Cancellation(workspace=workspace, wave=wave)
+        known = True
+        for _ in range(WAVE_SENDS):
+            known = all(
+                [
+                    self.front.send_to_owner(shard, "cancellations", message)
+                    for shard in range(self.shards)
+                ]
+            )
+            gevent.sleep(WAVE_REPEAT_S)
+        if not known:
+            return result.Failure(no_owner())
+        return result.Success(
+            answers.Answer(media={"wave": wave, "cancelling": True}, status=202)
+        )
 
 
-def describe_fault(row: dict) -> str:
-    """Returns one line for a fault of the body."""
-    where = ".".join(str(part) for part in row["loc"])
-    return f"{where}: {row['msg']}" if where else row["msg"]
+def no_owner() -> problems.Problem:
+    """Returns the problem of a shard whose owner does not answer."""
+    return problems.Problem(
+        status=503,
+        reason="no_owner",
+        detail="No answer from a shard's owner; send the call again.",
+        ran=jobs.Ran.UNKNOWN,
+        retry_after_s=notices.RETRY_S,
+    )
 
 
-def answer_waiter(resp: falcon.Response, waiter: front.Waiter) -> None:
-    """Writes what a waiter learned as the answer."""
-    notice = waiter.notice
-    if notice is None:
-        problems.answer(
-            resp,
-            status=503,
-            reason="no_owner",
-            detail="No answer from the shard's owner; ask again by job id.",
+def check_job_id(
+    job_id: str, shards: int
+) -> result.Result[str, problems.Problem]:
+    """Returns a job id that names a shard of this cell."""
+    shard = job_id.split(".", 1)[0]
+    if shard.isdecimal() and int(shard) < shards:
+        return result.Success(job_id)
+    return result.Failure(
+        problems.Problem(
+            status=404,
+            reason="not_found",
+            detail="No job has this id; use the id of the submission's answer.",
             ran=jobs.Ran.UNKNOWN,
-            job_id=waiter.job_id,
-        )
-        return
-    state = jobs.JobState(notice.state)
-    if state is jobs.JobState.REFUSED:
-        problems.answer(
-            resp,
-            status=422,
-            reason=notice.reason,
-            detail=notice.detail,
-            ran=jobs.Ran(notice.ran),
-            job_id=notice.job_id,
         )
-        return
-    resp.status = 200 if state.is_final else 202
-    resp.content_type = falcon.MEDIA_JSON
-    resp.data = orjson.dumps(describe_notice(notice, waiter))
-
-
-def describe_notice(
-    notice: messages.Notice, waiter: front.Waiter
-) -> dict[str, object]:
-    """Returns the JSON form of a notice."""
-    answer = waiter.answer.body if waiter.answer else notice.answer
-    return {
-        "job_id": notice.job_id,
-        "state": notice.state,
-        "ran": notice.ran,
-        "reason": notice.reason,
-        "detail": notice.detail,
-        "tasks": notice.tasks,
-        "tasks_running": notice.tasks_running,
-        "tasks_done": notice.tasks_done,
-        "tasks_failed": notice.tasks_failed,
-        "workers": list(notice.workers or ()),
-        "status": notice.status,
-        "answer": decode_answer(answer or b""),
-    }
-
-
-def decode_answer(data: bytes | str) -> object:
-    """Returns an answer as JSON if it is JSON, else as text."""
-    raw = data.encode() if isinstance(data, str) else data
+    )
+
+
+def get_wait_s(
+    req: falcon.Request, kind: jobs.Kind | None = None
+) -> result.Result[float, problems.Problem]:
+    """Returns how long the caller wants to wait, in s."""
+    default = REQUEST_WAIT_MS if kind is jobs.Kind.REQUEST else 0
+    text = req.get_param("wait_ms")
     try:
-        return orjson.loads(raw) if raw else None
-    except ValueError:
-        return raw.decode(errors="replace")
+        wanted = default if text is None else _wait_type.validate_python(text)
+    except pydantic.ValidationError:
+        return result.Failure(
+            problems.Problem(
+                status=400,
+                reason="malformed",
+                detail="Give `wait_ms` as a whole number of ms, 0 or more.",
+            )
+        )
+    return result.Success(min(wanted, WAIT_LIMIT_MS) / 1000)
+
+
+_wait_type = pydantic.TypeAdapter(pydantic.NonNegativeInt)
--- a/packages/entry/hickoryreach_entry/config/settings.py
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -61,6 +61,24 @@
     commit_ms: int = pydantic.Field(
         default=5, ge=1, description="Time a journal commit gathers, in ms."
     )
+    lists_max_age_s: float = pydantic.Field(
+        default=8.0,
+        gt=4,
+        le=60,
+        description="Longest this instance takes keyed work without a "
+        "confirmation that its lists are the newest, in s.",
+    )
+    max_callers: int = pydantic.Field(
+        default=2_000,
+        ge=1,
+        description="Most callers served at once; more are refused.",
+    )
+    first_operator_hash: str = pydantic.Field(
+        default="",
+        pattern="^([0-9a-f]{64})?$",
+        description="SHA-256 of the key that may set the lists while no "
+        "operator is listed.",
+    )
     log_level: str = pydantic.Field(
         default="INFO",
         pattern="^(DEBUG|INFO|WARNING|ERROR)$",
--- /dev/null
+++ b/tests/entry/api/test_operators.py
@@ -0,0 +1,147 @@
+"""The lists over HTTP."""
+
+import unittest
+
+from hickoryreach.lists import plans
+from tests.core.lists import fakes as list_fakes
+from tests.entry.api import fakes
+
+
+class OperatorsTest(unittest.TestCase):
+    """Operators change the lists; nobody else reads them."""
+
+    def setUp(self):
+        self.entry = fakes.Entry()
+
+    def call(self, method, path, key=fakes.OPERATOR_KEY, **fields):
+        return self.entry.call(method, path, key, **fields)
+
+    def get_plans(self):
+        return self.call("GET", "/v1/lists/plans").json
+
+    def test_callers_and_strangers_are_refused(self):
+        for key in ("", "nobody", fakes.NORTH_KEY):
+            for method, path in (
+                ("GET", "/v1/lists/plans"),
+                ("PUT", "/v1/lists/plans"),
+                ("POST", "/v1/lists/plans/check"),
+                ("POST", "/v1/keys"),
+                ("DELETE", "/v1/keys/north/north-1"),
+                ("GET", "/v1/audit/plans"),
+            ):
+                with self.subTest((key, path)):
+                    answer = self.call(method, path, key)
+                    self.assertEqual(answer.status_code, 401)
+                    self.assertEqual(answer.json["ran"], "not_run")
+
+    def test_list_is_replaced_on_its_newest_revision_only(self):
+        kept = self.get_plans()
+        document = kept["document"]
+        document["plans"] = document["plans"][1:]
+        path = "/v1/lists/plans?revision=1"
+        self.assertEqual(
+            self.call("PUT", path, json=document).json["revision"], 2
+        )
+        late = self.call("PUT", path, json=kept["document"])
+        self.assertEqual(late.status_code, 409)
+        self.assertEqual(late.json["current"]["revision"], 2)
+        self.assertEqual(late.json["current"]["document"], document)
+
+    def test_revision_is_asked_for(self):
+        answer = self.call("PUT", "/v1/lists/plans", json={})
+        self.assertEqual(answer.status_code, 400)
+
+    def test_check_shows_faults_and_difference_and_changes_nothing(self):
+        document = self.get_plans()["document"]
+        document["plans"][0]["plan"] = "gold"
+        found = self.call("POST", "/v1/lists/plans/check", json=document).json
+        self.assertEqual(
+            found["faults"], ["plans.north: no allowance for plan gold"]
+        )
+        self.assertEqual(found["diff"], ["~ plans/north/plan: basic -> gold"])
+        self.assertEqual(self.get_plans()["revision"], 1)
+        wrong = self.call("POST", "/v1/lists/plans/check", json={"plans": 3})
+        self.assertEqual(len(wrong.json["faults"]), 1)
+
+    def test_granted_key_works_at_once_until_withdrawn(self):
+        self.call(
+            "POST",
+            "/v1/keys",
+            json={
+                "workspace": "north",
+                "key_id": "north-2",
+                "hash": plans.hash_key("fresh"),
+            },
+        )
+        submission = {"request_id": "r1", "command": "issue"}
+        path = "/v1/jobs"
+        answer = self.call("POST", path, "fresh", json=submission)
+        self.assertEqual(answer.status_code, 200)
+        self.call("DELETE", "/v1/keys/north/north-2")
+        answer = self.call("POST", path, "fresh", json=submission)
+        self.assertEqual(answer.status_code, 401)
+
+    def test_audit_tells_who_what_and_revisions_without_hashes(self):
+        self.call("DELETE", "/v1/keys/north/north-1")
+        self.call(
+            "POST",
+            "/v1/keys",
+            json={
+                "workspace": "north",
+                "key_id": "north-2",
+                "hash": plans.hash_key("fresh"),
+            },
+        )
+        changes = self.call("GET", "/v1/audit/plans").json["changes"]
+        told = [
+            (c["actor"], c["action"], c["from_revision"], c["to_revision"])
+            for c in changes[:2]
+        ]
+        self.assertEqual(
+            told, [("ops", "grant", 2, 3), ("ops", "withdraw", 1, 2)]
+        )
+        self.assertEqual(
+            changes[1]["removed"], ["plans/north/keys/north-1/hash"]
+        )
+        self.assertNotIn(plans.hash_key("fresh"), str(changes))
+        page = self.call("GET", "/v1/audit/plans?before=3&limit=1").json
+        self.assertEqual(page["changes"], changes[1:2])
+
+    def test_store_outage_refuses_changes_truthfully(self):
+        self.entry.store.down = True
+        answer = self.call("DELETE", "/v1/keys/north/north-1")
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.json["ran"], "not_run")
+
+    def test_no_key_or_hash_is_logged(self):
+        with self.assertLogs(level="DEBUG") as logs:
+            self.test_granted_key_works_at_once_until_withdrawn()
+            self.call("GET", "/v1/lists/plans", "nobody-key")
+            self.call("POST", "/v1/keys", json={"hash": "nobody-key"})
+        shown = repr([vars(record) for record in logs.records])
+        secrets = ["fresh", "nobody-key", fakes.OPERATOR_KEY, fakes.NORTH_KEY]
+        for key in secrets:
+            self.assertNotIn(key, shown)
+            self.assertNotIn(plans.hash_key(key), shown)
+
+    def test_first_operator_may_set_the_lists_of_an_empty_store(self):
+        entry = fakes.Entry(
+            store=list_fakes.FakeStore(),
+            first_operator_hash=plans.hash_key("first"),
+        )
+        allowed = list_fakes.build_allowances().model_dump(mode="json")
+        listed = list_fakes.build_plans("north").model_dump(mode="json")
+        for name, document in (("allowances", allowed), ("plans", listed)):
+            answer = entry.call(
+                "PUT",
+                f"/v1/lists/{name}?revision=0",
+                "first",
+                json=document,
+            )
+            self.assertEqual(answer.status_code, 200, answer.text)
+        answer = entry.call("GET", "/v1/lists/plans", "first")
+        self.assertEqual(answer.status_code, 401)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/tests/entry/api/test_work.py
@@ -0,0 +1,259 @@
+"""Submissions, queries and cancellations over HTTP."""
+
+import json
+import unittest
+
+from hickoryreach.wire import messages
+from hickoryreach_entry.api import bodies
+from tests.entry.api import fakes
+
+SUBMISSION = {"request_id": "r1", "command": "issue", "tasks": 2}
+REQUEST = {
+    "request_id": "r2",
+    "kind": "request",
+    "command": "check",
+    "service": "registry",
+}
+
+
+class WorkTest(unittest.TestCase):
+    """Every refusal says whether the work ran, and what to do."""
+
+    def setUp(self):
+        self.entry = fakes.Entry()
+        self.door = self.entry.door
+
+    def submit(self, body=None, key=fakes.NORTH_KEY, **fields):
+        return self.entry.call(
+            "POST", "/v1/jobs", key, json=body or SUBMISSION, **fields
+        )
+
+    def assert_refused(self, answer, status, reason, ran="not_run"):
+        self.assertEqual(answer.status_code, status, answer.text)
+        self.assertEqual(
+            answer.headers["content-type"], "application/problem+json"
+        )
+        self.assertEqual(
+            answer.json["type"], f"urn:hickoryreach:problem:{reason}"
+        )
+        self.assertEqual(answer.json["ran"], ran)
+        self.assertTrue(answer.json["detail"])
+
+    def test_job_is_counted_for_the_workspace_of_its_key(self):
+        answer = self.submit()
+        self.assertEqual(answer.status_code, 200)
+        self.assertEqual(answer.json["ran"], "ran")
+        self.assertEqual(self.door.submitted[0].workspace, "north")
+
+    def test_request_holds_a_slot(self):
+        self.submit(REQUEST)
+        self.assertEqual(self.door.submitted[0].need.slots, 1)
+
+    def test_bodies_that_mean_the_same_have_one_digest(self):
+        self.submit()
+        self.submit(dict(reversed(SUBMISSION.items())) | {"queue": "default"})
+        self.submit(SUBMISSION | {"tasks": 3})
+        digests = [job.digest for job in self.door.submitted]
+        self.assertEqual(digests[0], digests[1])
+        self.assertNotEqual(digests[0], digests[2])
+
+    def test_bad_bodies_are_refused_with_every_fault(self):
+        cases = [
+            (b"{", "malformed"),
+            (b"[]", "malformed"),
+            (b"\xff\xfe", "malformed"),
+            (json.dumps(SUBMISSION | {"tasks": "x"}), "malformed"),
+            (json.dumps(SUBMISSION | {"tasks": 0}), "malformed"),
+            (json.dumps(SUBMISSION | {"color": 1}), "malformed"),
+            (json.dumps(REQUEST | {"service": ""}), "malformed"),
+            (json.dumps(SUBMISSION | {"service": "x"}), "malformed"),
+        ]
+        for body, reason in cases:
+            with self.subTest(body):
+                answer = self.entry.call(
+                    "POST", "/v1/jobs", fakes.NORTH_KEY, body=body
+                )
+                self.assert_refused(answer, 400, reason)
+                self.assertEqual(len(answer.json["faults"]), 1)
+        self.assertEqual(self.door.submitted, [])
+
+    def test_huge_body_is_refused(self):
+        answer = self.entry.call(
+            "POST",
+            "/v1/jobs",
+            fakes.NORTH_KEY,
+            body=b" " * (bodies.LIMIT_BYTES + 1),
+        )
+        self.assert_refused(answer, 413, "body_too_large")
+
+    def test_wrong_and_missing_keys_are_refused(self):
+        for key in ("", "nobody", fakes.OPERATOR_KEY):
+            with self.subTest(key):
+                self.assert_refused(self.submit(key=key), 401, "key_refused")
+        self.assertEqual(self.door.submitted, [])
+
+    def test_queues(self):
+        unknown = self.submit(SUBMISSION | {"queue": "none"})
+        self.assert_refused(unknown, 422, "unknown_queue")
+        barred = self.submit(SUBMISSION | {"queue": "late"})
+        self.assert_refused(barred, 403, "queue_not_allowed")
+        public = SUBMISSION | {"queue": "public"}
+        self.assertEqual(self.submit(public, key="").status_code, 200)
+        self.assertEqual(self.submit(public).status_code, 200)
+        self.assert_refused(self.submit(public, "bad"), 401, "key_refused")
+        counted = [job.workspace for job in self.door.submitted]
+        self.assertEqual(counted, ["south", "north"])
+
+    def test_refusals_of_the_owner_keep_their_truth(self):
+        cases = {
+            "request_id_reused": 409,
+            "impossible": 422,
+            "overload": 429,
+            "store_unavailable": 503,
+            "anything_else": 422,
+        }
+        for reason, status in cases.items():
+            with self.subTest(reason):
+                self.door.notice = {
+                    "state": "refused",
+                    "ran": "not_run",
+                    "reason": reason,
+                    "detail": "Change it.",
+                }
+                self.assert_refused(self.submit(), status, reason)
+
+    def test_silence_of_the_owner_is_unknown(self):
+        self.door.notice = None
+        answer = self.submit()
+        self.assert_refused(answer, 503, "no_owner", ran="unknown")
+        self.assertTrue(answer.json["job_id"])
+
+    def test_fault_of_ours_is_unknown_and_tells_nothing(self):
+        self.door.crash = RuntimeError(f"secret {fakes.NORTH_KEY}")
+        with self.assertLogs("hickoryreach_entry", "ERROR") as logs:
+            answer = self.submit()
+        self.assert_refused(answer, 500, "internal_fault", ran="unknown")
+        shown = answer.text + repr([vars(r) for r in logs.records])
+        self.assertNotIn("secret", shown)
+
+    def test_stale_lists_take_no_work_until_confirmed(self):
+        self.entry.now_s += fakes.SETTINGS.lists_max_age_s + 0.1
+        self.assert_refused(self.submit(), 503, "lists_stale")
+        public = SUBMISSION | {"queue": "public"}
+        self.assert_refused(self.submit(public, ""), 503, "lists_stale")
+        self.assertEqual(self.door.submitted, [])
+        self.entry.read_store()
+        self.assertEqual(self.submit().status_code, 200)
+
+    def test_reads_and_cancellations_are_for_the_key_s_workspace(self):
+        for method in ("GET", "DELETE"):
+            self.entry.call(method, "/v1/jobs/0.ab", fakes.SOUTH_KEY)
+        self.assertEqual(self.door.asked, [("0.ab", "south")] * 2)
+
+    def test_job_ids_of_no_shard_are_unknown(self):
+        for job_id in ("x", "7.ab", "-1.ab"):
+            answer = self.entry.call(
+                "GET", f"/v1/jobs/{job_id}", fakes.NORTH_KEY
+            )
+            self.assert_refused(answer, 404, "not_found", ran="unknown")
+
+    def test_malformed_wait_is_refused(self):
+        for text in ("x", "-1", "1.5"):
+            answer = self.submit(params={"wait_ms": text})
+            self.assert_refused(answer, 400, "malformed")
+
+    def test_wave_is_cancelled_in_the_workspace_of_the_key(self):
+        answer = self.entry.call("DELETE", "/v1/waves/w1", fakes.NORTH_KEY)
+        self.assertEqual(answer.status_code, 202)
+        message = self.door.sent[0][2]
+        self.assertEqual((message.workspace, message.wave), ("north", "w1"))
+
+    def test_listing_pages_with_a_cursor(self):
+        self.entry.list_reply = messages.ListReply(
+            owner=True,
+            jobs=[messages.Notice(job_id="0.a", state="running", ran="ran")],
+            after="0.a",
+        )
+        path = "/v1/jobs"
+        page = self.entry.call(
+            "GET",
+            path,
+            fakes.NORTH_KEY,
+            params={"limit": 1, "state": "running"},
+        ).json
+        self.assertEqual([job["job_id"] for job in page["jobs"]], ["0.a"])
+        self.entry.call(
+            "GET", path, fakes.NORTH_KEY, params={"after": page["after"]}
+        )
+        first, second = self.entry.list_requests
+        self.assertEqual((first.workspace, first.state), ("north", "running"))
+        self.assertEqual(second.after, "0.a")
+
+    def test_unknown_paths_and_methods_are_problems(self):
+        self.assert_refused(self.entry.call("GET", "/v2"), 404, "404_not_found")
+        self.assert_refused(
+            self.entry.call("PATCH", "/v1/jobs"), 405, "405_method_not_allowed"
+        )
+
+    def test_callers_above_the_bound_are_refused(self):
+        inner = []
+
+        def fill(job, **_):
+            if len(inner) < fakes.SETTINGS.max_callers:
+                inner.append(self.submit())
+            return self.door.answer(job.job_id)
+
+        self.door.submit = fill
+        self.assertEqual(self.submit().status_code, 200)
+        self.assert_refused(inner[0], 503, "too_many_callers")
+        self.assertEqual(self.submit().status_code, 200)
+
+
+class StepsTest(unittest.TestCase):
+    """Old commands over HTTP."""
+
+    def setUp(self):
+        self.entry = fakes.Entry()
+
+    def run_step(self, **body):
+        return self.entry.call("POST", "/v1/steps", fakes.NORTH_KEY, json=body)
+
+    def test_command_runs_as_words_or_as_a_line_under_one_request_id(self):
+        first = self.run_step(system="quill", argv=["qsend", "-N", "july"])
+        again = self.run_step(system="quill", line="qsend -N 'july'")
+        self.assertEqual(
+            first.json["output"], 'Your job "july" has been submitted'
+        )
+        self.assertEqual(first.json["exit_code"], 0)
+        self.assertEqual(first.json["request_id"], "quill/july")
+        self.assertEqual(
+            again.json["job"]["job_id"], first.json["job"]["job_id"]
+        )
+        one, two = self.entry.door.submitted
+        self.assertEqual(one.digest, two.digest)
+
+    def test_refused_commands_end_with_the_code_of_not_run(self):
+        cases = [
+            ({"argv": ["qmove", "-N", "x"]}, 403, "step_not_allowed"),
+            ({"argv": ["qnone"]}, 404, "unknown_step"),
+            ({"argv": ["qsend"]}, 422, "malformed_step"),
+            ({"line": "qsend -N 'july"}, 400, "malformed"),
+            ({}, 400, "malformed"),
+        ]
+        for body, status, reason in cases:
+            with self.subTest(body):
+                answer = self.run_step(system="quill", **body)
+                self.assertEqual(answer.status_code, status, answer.text)
+                self.assertIn(reason, answer.json["type"])
+                self.assertEqual(answer.json["ran"], "not_run")
+                self.assertEqual(answer.json["exit_code"], 3)
+        self.assertEqual(self.entry.door.submitted, [])
+
+    def test_unclear_end_has_a_code_of_its_own(self):
+        self.entry.door.notice = None
+        answer = self.run_step(system="quill", line="qsend -N july")
+        self.assertEqual(answer.json["exit_code"], 4)
+
+
+if __name__ == "__main__":
+    unittest.main()
