--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/problems.py
@@ -0,0 +1,40 @@
+"""Problem details (RFC 9457) that say whether the work ran."""
+
+import dataclasses
+
+from hickoryreach.structure import jobs
+
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:hickoryreach:problem:"
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Problem:
+    """Why a call was not carried out as asked.
+
+    Attributes:
+        status: HTTP status.
+        reason: Short machine-readable cause.
+        detail: One sentence that tells the caller what to do.
+        ran: Whether the work, or the change, was carried out.
+        retry_after_s: When to try again, in s; 0 for no advice.
+        extra: Further members, each a JSON value.
+    """
+
+    status: int
+    reason: str
+    detail: str
+    ran: jobs.Ran = jobs.Ran.NOT_RUN
+    retry_after_s: int = 0
+    extra: dict[str, object] = dataclasses.field(default_factory=dict)
+
+    def to_media(self) -> dict[str, object]:
+        """Returns the problem as JSON members."""
+        return {
+            "type": TYPE_PREFIX + self.reason,
+            "title": self.reason.replace("_", " "),
+            "status": self.status,
+            "detail": self.detail,
+            "ran": str(self.ran),
+            **self.extra,
+        }
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -0,0 +1,157 @@
+"""The entry server: wires its parts together and drains on request."""
+
+import logging
+import socket
+import time
+
+import gevent
+from gevent import event as gevent_event
+import gevent.pywsgi
+
+from hickoryreach.platform import store
+from hickoryreach_entry import lists
+from hickoryreach_entry import membership
+from hickoryreach_entry import peers
+from hickoryreach_entry import router
+from hickoryreach_entry.api import app
+from hickoryreach_entry.config import settings as entry_settings
+
+log = logging.getLogger(__name__)
+
+DRAIN_POLL_S = 0.05
+DRAIN_LIMIT_S = 90.0
+BACKLOG_S = 0.2
+
+
+class HttpHandler(gevent.pywsgi.WSGIHandler):
+    """Counts the requests being answered, and ends connections in a drain."""
+
+    def handle_one_response(self) -> None:
+        """Answers one request."""
+        self.server.active += 1
+        try:
+            super().handle_one_response()
+        finally:
+            self.server.active -= 1
+
+    def finalize_headers(self) -> None:
+        """Asks the client for another connection while draining."""
+        super().finalize_headers()
+        if self.server.draining:
+            self.close_connection = True
+            self.response_headers.append((b"Connection", b"close"))
+
+
+class HttpServer(gevent.pywsgi.WSGIServer):
+    """A WSGI server that sends each write at once.
+
+    Attributes:
+        active: Requests being answered.
+        draining: Whether connections end with their next answer.
+    """
+
+    handler_class = HttpHandler
+
+    def __init__(self, *args, **kwargs) -> None:
+        """Creates a server that is not started yet."""
+        super().__init__(*args, **kwargs)
+        self.active = 0
+        self.draining = False
+
+    def do_handle(self, *args) -> None:
+        """Turns Nagle's algorithm off before serving a connection."""
+        args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        super().do_handle(*args)
+
+
+class EntryServer:
+    """One entry instance.
+
+    Attributes:
+        settings: Its settings.
+        draining: Whether it was asked to stop.
+        stopped: Set once it has stopped.
+    """
+
+    def __init__(self, *, settings: entry_settings.Settings) -> None:
+        """Creates a server that is not started yet."""
+        self.settings = settings
+        self.draining = False
+        self.stopped = gevent_event.Event()
+        self.client = store.Store(url=settings.store_url)
+        self.lists = lists.Lists(client=self.client)
+        self.membership = membership.Membership(
+            client=self.client,
+            me=membership.Member(
+                name=settings.name,
+                peer_address=f"{settings.peer_host}:{settings.peer_port}",
+                failure_domain=settings.failure_domain,
+            ),
+            lease_s=settings.member_lease_s,
+        )
+        self.router = router.Router(
+            settings=settings,
+            client=self.client,
+            members=self.membership,
+            in_force=self.lists,
+        )
+        self.peer_server = peers.PeerServer(
+            host=settings.peer_host,
+            port=settings.peer_port,
+            handler=self.router,
+        )
+        self.http_server = HttpServer(
+            (settings.http_host, settings.http_port),
+            app.build_app(
+                door=self.router.front,
+                in_force=self.lists,
+                settings=settings,
+                is_ready=self.is_ready,
+            ),
+            log=None,
+        )
+
+    def is_ready(self) -> bool:
+        """Returns whether callers should be sent here."""
+        return (
+            not self.draining
+            and bool(self.membership.members)
+            and self.lists.revisions["plans"] > 0
+        )
+
+    def run(self) -> None:
+        """Serves until drained."""
+        self.peer_server.start()
+        self.lists.start()
+        self.membership.start()
+        self.router.start()
+        self.http_server.start()
+        log.info("entry_started", extra={"port": self.settings.http_port})
+        self.stopped.wait()
+
+    def drain(self) -> None:
+        """Hands shards over, finishes with every caller, then stops."""
+        if self.draining:
+            return
+        self.draining = True
+        log.info("drain_started", extra={})
+        self.router.release_all()
+        self.membership.drain()
+        gevent.sleep(self.settings.drain_lag_s)
+        self.http_server.draining = True
+        self.router.front.drain()
+        gevent.sleep(BACKLOG_S)
+        self.http_server.close()
+        finished = self.wait_for_callers()
+        self.membership.leave()
+        log.info("drain_finished", extra={"finished": finished})
+        self.stopped.set()
+
+    def wait_for_callers(self) -> bool:
+        """Waits until nobody depends on this entry; returns whether so."""
+        deadline = time.monotonic() + DRAIN_LIMIT_S
+        while time.monotonic() < deadline:
+            if not self.http_server.active and not self.router.front.is_busy():
+                return True
+            gevent.sleep(DRAIN_POLL_S)
+        return False
