--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -8,6 +8,8 @@
 
 from collections.abc import Iterator
 
+import sortedcontainers
+
 from hickoryreach.decisions import attempts
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import estimates
@@ -29,7 +31,11 @@
         return
     if record.delayed or not record.waiting or record.gang is not None:
         return
-    shard.gangs[(not record.job.urgent, record.sequence)] = record
+    name = record.job.workspace
+    group = shard.gangs.get(name)
+    if group is None:
+        group = shard.gangs[name] = sortedcontainers.SortedDict()
+    group[(not record.job.urgent, record.sequence)] = record
 
 
 def choose(shard: state.ShardState) -> None:
@@ -37,12 +43,28 @@
     for _ in range(TRIES_PER_EVENT):
         if shard.gathering is not None or not shard.gangs:
             return
-        _, record = shard.gangs.popitem(0)
+        record = _take_next(shard)
         if record.state.is_final or not record.waiting or record.running:
             continue
         _begin(shard, record)
 
 
+def _take_next(shard: state.ShardState) -> state.JobRecord:
+    name = min(shard.gangs, key=lambda name: _rank(shard, name))
+    group = shard.gangs[name]
+    _, record = group.popitem(0)
+    if not group:
+        del shard.gangs[name]
+    return record
+
+
+def _rank(shard: state.ShardState, name: str) -> tuple[bool, float, int]:
+    """Ranks workspaces by urgency, then by how little of the cell they use."""
+    (late, sequence), _ = shard.gangs[name].peekitem(0)
+    workspace = shard.workspaces[name]
+    return late, workspace.part / workspace.entitlement.share, sequence
+
+
 def _begin(shard: state.ShardState, record: state.JobRecord) -> None:
     job = record.job
     workspace = ledger.get_workspace(shard, job.workspace)
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -377,7 +377,7 @@
         pressing: Urgent lanes without room.
         profiles: What is known about commands, by workspace and command.
         resized: Profiles whose learned size may have changed.
-        gangs: Waiting gangs, in order.
+        gangs: Waiting gangs by workspace, in order.
         misfits: Gangs that the cell is too small for.
         gathering: The gang that gathers room.
         launching: Gangs whose tasks are being started.
@@ -443,8 +443,8 @@
         default_factory=dict
     )
     resized: list[Profile] = dataclasses.field(default_factory=list)
-    gangs: sortedcontainers.SortedDict = dataclasses.field(
-        default_factory=sortedcontainers.SortedDict
+    gangs: dict[str, sortedcontainers.SortedDict] = dataclasses.field(
+        default_factory=dict
     )
     misfits: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     gathering: JobRecord | None = None
