--- a/packages/core/hickoryreach/decisions/capacity.py
+++ b/packages/core/hickoryreach/decisions/capacity.py
@@ -105,6 +105,15 @@
         if not found:
             yield from self._scan(need, get_room, bounded=False)
 
+    def list_roomiest(self, accelerators: int) -> Iterator[Any]:
+        """Yields workers with so many accelerators, most processors first."""
+        for count in self.planes.irange(accelerators):
+            plane = self.planes[count]
+            for level in reversed(plane):
+                row = plane[level]
+                for memory_level in reversed(row):
+                    yield from row[memory_level].values()
+
     def _scan(
         self,
         need: resources.Resources,
--- a/packages/core/hickoryreach/decisions/ordering.py
+++ b/packages/core/hickoryreach/decisions/ordering.py
@@ -130,7 +130,7 @@
             continue
         if lane.gang is not None:
             return lane, None
-        queue = _get_head(shard, lane)
+        queue = get_head(shard, lane)
         if queue is None:
             _retract(shard, lane)
         elif queue.pushed > key:
@@ -146,9 +146,10 @@
     lane.pushed = None
 
 
-def _get_head(
+def get_head(
     shard: state.ShardState, lane: state.Lane
 ) -> state.JobQueue | None:
+    """Returns the queue of a lane that goes first, or None."""
     get_key = orderings.find(shard.settings.ordering).get_key
     while lane.queues:
         key, _, queue = lane.queues[0]
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -70,6 +70,10 @@
             ordering.block(shard, lane)
             continue
         budget -= 1
+        lane.placed_ms = shard.now_ms
+        if lane.priority == ordering.ORDINARY:
+            shard.served_key = queue.pushed
+            shard.served_sequence = record.sequence
         yield attempts.place(shard, record, worker, lane.need)
 
 
--- a/packages/core/hickoryreach/decisions/reducer.py
+++ b/packages/core/hickoryreach/decisions/reducer.py
@@ -15,6 +15,7 @@
 from hickoryreach.decisions import placement
 from hickoryreach.decisions import quarantine
 from hickoryreach.decisions import registry
+from hickoryreach.decisions import starvation
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
 from hickoryreach.decisions import upkeep
@@ -193,3 +194,4 @@
     """Handles what has become due."""
     yield from timers.run_due(shard)
     yield from upkeep.run(shard)
+    starvation.keep_room(shard)
--- a/packages/core/hickoryreach/decisions/settings.py
+++ b/packages/core/hickoryreach/decisions/settings.py
@@ -42,7 +42,10 @@
         request_queue_limit: Most requests waiting in the shard.
         queue_limit: Most other tasks waiting in the shard.
         learn_after: Reports needed before a learned size is used.
-        starvation_ms: A blocked workspace gets a worker reserved after this.
+        starvation_ms: Room is kept for a size of which nothing could start
+            for this long; 0 to keep none.
+        workers_per_reservation: Room is kept on one worker in this many.
+        reservation_ms: Room kept for a large task is given up after this.
     """
 
     ordering: str = "weighted_drf"
@@ -78,4 +81,6 @@
     request_queue_limit: int = 8_192
     queue_limit: int = 1_000_000
     learn_after: int = 3
-    starvation_ms: int = 2_000
+    starvation_ms: int = 500
+    workers_per_reservation: int = 8
+    reservation_ms: int = 10_000
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -211,6 +211,7 @@
         pushed: Key of its valid entry in the shard's heap, or None.
         blocked: Whether no worker had room at the last search.
         blocked_ms: When it became blocked.
+        placed_ms: When a task of it was last placed.
         misfit_ms: Since when no worker is large enough, or -1.
         candidates: Workers that gained room since it was blocked.
         gang: Gang that gathers here, or None.
@@ -229,6 +230,7 @@
     pushed: float | None = None
     blocked: bool = False
     blocked_ms: int = 0
+    placed_ms: int = 0
     misfit_ms: int = -1
     candidates: dict[str, None] = dataclasses.field(default_factory=dict)
     gang: JobRecord | None = None
@@ -374,6 +376,9 @@
         lanes: Lanes by key.
         order: Heap of lanes that may have room.
         blocked: Lanes without room, by pool.
+        kept: Room kept for large tasks.
+        served_key: Key of the queue that an ordinary task was placed from.
+        served_sequence: Sequence of that task's job.
         pressing: Urgent lanes without room.
         profiles: What is known about commands, by workspace and command.
         resized: Profiles whose learned size may have changed.
@@ -436,6 +441,9 @@
     blocked: dict[str, sortedcontainers.SortedKeyList] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(_make_blocked)
     )
+    kept: list[Claim] = dataclasses.field(default_factory=list)
+    served_key: float = 0.0
+    served_sequence: int = 0
     pressing: dict[tuple[Any, ...], Lane] = dataclasses.field(
         default_factory=dict
     )
