--- a/bench/driver.py
+++ b/bench/driver.py
@@ -38,6 +38,7 @@
 TASK_LEASE_MS = 10_000
 WRITE_LIMIT_BYTES = 500_000
 OWNER = "e1"
+BOOT_ID = "4b7f0c1d2e3a4f50"
 
 carriers: registry.Registry[type, Callable] = registry.Registry(
     title="effect carriers"
@@ -251,6 +252,8 @@
         request = platform_workers.SyncRequest(
             owner=OWNER,
             term=1,
+            boot_id=BOOT_ID,
+            deadline_ms=int(self.now_ms) + GRANT_MS,
             grant_ms=GRANT_MS,
             task_lease_ms=TASK_LEASE_MS,
             operations=tuple(link.operations),
@@ -275,7 +278,8 @@
         ]
         reply = platform_workers.SyncReply(
             term=request.term,
-            boot_id="b1",
+            boot_id=BOOT_ID,
+            clock_ms=int(self.now_ms),
             running=worker.list_running(self.now_ms),
             ended=tuple(worker.ended),
         )
--- a/tests/core/fuzz/machine.py
+++ b/tests/core/fuzz/machine.py
@@ -290,9 +290,9 @@
             return
         for name in WORKSPACES:
             self.set_limit(name, None)
-        for name, fake in self.fakes.items():
+        for name in WORKERS:
             self.cut.discard(name)
-            fake.worker = dataclasses.replace(fake.worker, departing=False)
+            self.depart(name, False)
         for job_id, job in self.oracle.accepted.items():
             if job.kind is jobs.Kind.SERVICE:
                 self.owner.take(events.JobCancelled(job_id=job_id))
@@ -377,7 +377,7 @@
             self.owner.take(events.HoldsCleared())
 
     def _old_requests(self) -> bool:
-        floor = self.owner.term * owners.ATTEMPTS_PER_TERM
+        floor = (self.owner.term - 1) * owners.ATTEMPTS_PER_TERM
         return self.owner.term > 1 and any(
             running.job.kind is jobs.Kind.REQUEST and key.attempt <= floor
             for key, running in self.oracle.running.items()
--- a/tests/core/fuzz/owner.py
+++ b/tests/core/fuzz/owner.py
@@ -121,7 +121,7 @@
                 continue
             self.begun.add(kept.job.job_id)
             settled = kept.done | kept.failed
-            floor = self.term * ATTEMPTS_PER_TERM
+            floor = (self.term - 1) * ATTEMPTS_PER_TERM
             self.take(
                 events.JobRestored(
                     job=self._seen_by_reducer(kept.job),
@@ -133,8 +133,10 @@
                         if index not in settled
                     ),
                     attempts=tuple(
-                        (index, floor) for index in range(kept.job.tasks)
+                        (index, key.attempt)
+                        for index, key in sorted(kept.intents.items())
                     ),
+                    attempt_floor=floor,
                     hold_until_ms=HOLD_FOREVER_MS,
                 )
             )
