Keep more room for large tasks and reserve for gangs sooner

Cause: workspaces below their share waited with gangs and large tasks while others took the room that was freed. Room is kept on up to every second worker after 200 ms (was every eighth after 500 ms), and a gang reserves after 1 s (was 5 s).

--- a/packages/core/hickoryreach/decisions/settings.py
+++ b/packages/core/hickoryreach/decisions/settings.py
@@ -66,7 +66,7 @@
     claim_ms: int = 2_000
     checkpoint_ms: int = 300
     impossible_ms: int = 60_000
-    gang_patience_ms: int = 5_000
+    gang_patience_ms: int = 1_000
     gang_reserve_ms: int = 60_000
     gang_retry_ms: int = 200
     retry_limit: int = 16
@@ -81,6 +81,6 @@
     request_queue_limit: int = 8_192
     queue_limit: int = 1_000_000
     learn_after: int = 3
-    starvation_ms: int = 500
-    workers_per_reservation: int = 8
+    starvation_ms: int = 200
+    workers_per_reservation: int = 2
     reservation_ms: int = 10_000
