Learn from use above the given size while attempts still run

Cause: a command declared at a fifth of its memory overfilled workers until its first attempts had ended, and tasks that may not be repeated were stopped by their worker. Reports show the use after their lag.

--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -11,6 +11,7 @@
 
 from hickoryreach.decisions import attempts
 from hickoryreach.decisions import effects
+from hickoryreach.decisions import estimates
 from hickoryreach.decisions import events
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import outcomes
@@ -77,6 +78,8 @@
         attempt.used = task.used
         record = shard.jobs.get(task.key.job_id)
         if record is not None and record.job.kind is not jobs.Kind.REQUEST:
+            if not task.used.fits_in(attempt.held):
+                estimates.note_overrun(shard, record.job, task.used)
             yield from overruns.check(shard, worker, attempt)
 
 
--- a/packages/core/hickoryreach/decisions/estimates.py
+++ b/packages/core/hickoryreach/decisions/estimates.py
@@ -46,6 +46,22 @@
         shard.resized.append(profile)
 
 
+def note_overrun(
+    shard: state.ShardState, job: jobs.Job, used: resources.Resources
+) -> None:
+    """Takes in use above what was given, while attempts still run.
+
+    Reports lag, so this is known well before the first attempts end.
+    """
+    profile = get_profile(shard, job)
+    seen = resources.Resources(
+        cpu_millis=used.cpu_millis, memory_mb=used.memory_mb
+    )
+    if not seen.fits_in(profile.overrun):
+        profile.overrun = profile.overrun.upper(seen)
+        shard.resized.append(profile)
+
+
 def _get_peaks(profile: state.Profile) -> tuple[int, ...]:
     if not profile.memory_mb:
         return ()
@@ -70,14 +86,17 @@
     """
     if job.kind is jobs.Kind.REQUEST or not shard.settings.learning:
         return job.need
-    if len(profile.memory_mb) < shard.settings.learn_after:
+    if len(profile.memory_mb) >= shard.settings.learn_after:
+        learned = resources.Resources(
+            cpu_millis=_estimate(profile.cpu_millis, CPU_STEP_MILLIS),
+            memory_mb=_estimate(profile.memory_mb, MEMORY_STEP_MB),
+            accelerators=job.need.accelerators,
+            slots=job.need.slots,
+        )
+    elif profile.overrun != resources.NOTHING:
+        learned = job.need.upper(profile.overrun)
+    else:
         return job.need
-    learned = resources.Resources(
-        cpu_millis=_estimate(profile.cpu_millis, CPU_STEP_MILLIS),
-        memory_mb=_estimate(profile.memory_mb, MEMORY_STEP_MB),
-        accelerators=job.need.accelerators,
-        slots=job.need.slots,
-    )
     limit = workspace.entitlement.limit
     if limit is not None and not learned.times(_get_width(job)).fits_in(limit):
         return job.need
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -246,6 +246,8 @@
         cpu_millis: Recent peaks of processor use.
         memory_mb: Recent peaks of memory use.
         run_ms: Recent run times.
+        overrun: Highest use reported above what was given, before enough
+            attempts have ended.
         queues: Queues of its jobs.
         succeeded_on: Workers it succeeded on lately.
         failed_on: Workers it failed on lately.
@@ -261,6 +263,7 @@
     run_ms: collections.deque[int] = dataclasses.field(
         default_factory=lambda: collections.deque(maxlen=16)
     )
+    overrun: resources.Resources = resources.NOTHING
     queues: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
         default_factory=dict
     )
