Raise the cap of one attempt to learn a command's processor demand

Cause: an attempt held at its cap reports the cap, so a command declared at a fifth of its demand was never learned and ran five times longer. Ruled out: counting a capped report as double (true declarations would hold twice their size until the first attempts end).

--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -16,6 +16,7 @@
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import overruns
+from hickoryreach.decisions import probes
 from hickoryreach.decisions import retries
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -78,9 +79,20 @@
         attempt.used = task.used
         record = shard.jobs.get(task.key.job_id)
         if record is not None and record.job.kind is not jobs.Kind.REQUEST:
-            if not task.used.fits_in(attempt.held):
-                estimates.note_overrun(shard, record.job, task.used)
-            yield from overruns.check(shard, worker, attempt)
+            yield from _weigh_use(shard, worker, attempt, record.job)
+
+
+def _weigh_use(
+    shard: state.ShardState,
+    worker: state.WorkerRecord,
+    attempt: state.Attempt,
+    job: jobs.Job,
+) -> Iterator[effects.Effect]:
+    if not attempt.used.fits_in(attempt.held):
+        estimates.note_overrun(shard, job, attempt.used)
+    probes.note_use(shard, attempt, job)
+    yield from overruns.check(shard, worker, attempt)
+    yield from probes.check(shard, worker, attempt, job)
 
 
 def confirm_start(
--- a/packages/core/hickoryreach/decisions/estimates.py
+++ b/packages/core/hickoryreach/decisions/estimates.py
@@ -72,6 +72,22 @@
     )
 
 
+def correct(
+    shard: state.ShardState,
+    job: jobs.Job,
+    used: resources.Resources,
+    held: resources.Resources,
+) -> resources.Resources:
+    """Returns a peak use; at its cap, no less than another attempt's use."""
+    if used.cpu_millis < held.cpu_millis:
+        return used
+    return used.upper(
+        resources.Resources(
+            cpu_millis=get_profile(shard, job).overrun.cpu_millis
+        )
+    )
+
+
 def get_size(
     shard: state.ShardState,
     workspace: state.WorkspaceRecord,
--- a/packages/core/hickoryreach/decisions/reducer.py
+++ b/packages/core/hickoryreach/decisions/reducer.py
@@ -13,6 +13,7 @@
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import placement
+from hickoryreach.decisions import probes
 from hickoryreach.decisions import quarantine
 from hickoryreach.decisions import registry
 from hickoryreach.decisions import starvation
@@ -181,10 +182,15 @@
 ) -> None:
     if not attempt.stopping:
         quarantine.note_end(shard, worker, record.job, event.key, event.result)
-    if event.result is jobs.TaskResult.SUCCEEDED:
-        estimates.learn(shard, record.job, event.used, event.run_ms)
-    elif event.used != resources.NOTHING:
-        estimates.learn(shard, record.job, event.used, 0)
+    if record.job.kind is jobs.Kind.REQUEST:
+        used = resources.NOTHING
+    else:
+        used = estimates.correct(shard, record.job, event.used, attempt.held)
+    probes.note_end(shard, attempt, record.job, event.used)
+    succeeded = event.result is jobs.TaskResult.SUCCEEDED
+    run_ms = event.run_ms if succeeded else 0
+    if run_ms or used != resources.NOTHING:
+        estimates.learn(shard, record.job, used, run_ms)
 
 
 @handlers.register(events.Ticked)
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -248,6 +248,9 @@
         run_ms: Recent run times.
         overrun: Highest use reported above what was given, before enough
             attempts have ended.
+        probe: Attempt whose processor cap was raised to see its demand.
+        probed_from: Processor cap of that attempt before.
+        cap_known: Whether a raised cap was seen not to be used.
         queues: Queues of its jobs.
         succeeded_on: Workers it succeeded on lately.
         failed_on: Workers it failed on lately.
@@ -264,6 +267,9 @@
         default_factory=lambda: collections.deque(maxlen=16)
     )
     overrun: resources.Resources = resources.NOTHING
+    probe: Attempt | None = None
+    probed_from: int = 0
+    cap_known: bool = False
     queues: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
         default_factory=dict
     )
