--- a/bench/cells.py
+++ b/bench/cells.py
@@ -57,6 +57,13 @@
             if entry.workspace not in self.large
         )
 
+    @property
+    def large_share(self) -> float:
+        """Part of all shares that the large workspaces have."""
+        shares = {entry.workspace: entry.share for entry in self.entitlements}
+        large = sum(shares[name] for name in self.large)
+        return large / sum(shares.values())
+
 
 def make_cedarline() -> Cell:
     """Returns the cell of the registry of guarantees of origin."""
