--- a/bench/loads.py
+++ b/bench/loads.py
@@ -235,6 +235,9 @@
         rng: Random source.
         factors: Factor between true and declared need, by command.
         made: Jobs made so far.
+        large: Names of the large workspaces.
+        small: Names of the others.
+        large_share: Part of all shares that the large ones have.
     """
 
     def __init__(
@@ -249,6 +252,9 @@
         self.rng = rng
         self.factors = factors or {}
         self.made = 0
+        self.large = cell.large
+        self.small = cell.small
+        self.large_share = cell.large_share
 
     def make(
         self,
@@ -293,10 +299,9 @@
         Without one, each workspace is as likely as its share is large.
         """
         if large_part is None:
-            large_part = self.cell.large_share
-        if self.rng.random() < large_part:
-            return self.rng.choice(self.cell.large)
-        return self.rng.choice(self.cell.small)
+            large_part = self.large_share
+        names = self.large if self.rng.random() < large_part else self.small
+        return self.rng.choice(names)
 
     def batch(
         self,
@@ -326,7 +331,7 @@
     def urgent(self, from_ms: float, to_ms: float) -> Iterator[Submission]:
         """Yields urgent jobs of the small workspaces."""
         for at_ms in self.arrivals(from_ms, to_ms, URGENT_PER_S / 1000):
-            workspace = self.rng.choice(self.cell.small)
+            workspace = self.rng.choice(self.small)
             yield self.make(URGENT, at_ms, workspace, urgent=True)
 
     def _run_times(self, mean_ms: int, count: int) -> Iterator[int]:
