Let urgent work take the limit a gang of its workspace has reserved

Cause: a gang of an overdeclared size was charged to its workspace's limit while it gathered, and urgent tasks of that workspace waited for seconds; a stop of a task not yet acknowledged was asked for once only, so its end came with the next routine sync.

--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -250,6 +250,26 @@
     ledger.promote(shard, workspace)
 
 
+def make_way(
+    shard: state.ShardState,
+    workspace: state.WorkspaceRecord,
+    need: resources.Resources,
+) -> bool:
+    """Gives up a gang's reservation when urgent work needs its limit.
+
+    Returns:
+        Whether the workspace's limit has room for `need` now.
+    """
+    record = shard.gathering
+    if record is None or record.job.urgent:
+        return False
+    if record.job.workspace != workspace.entitlement.workspace:
+        return False
+    disband(shard, record)
+    _postpone(shard, record)
+    return limits.has_room(workspace, need)
+
+
 def count_room(
     shard: state.ShardState, need: resources.Resources, service: str
 ) -> int:
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -62,7 +62,7 @@
         if cancellation.is_marked(shard, record):
             yield from cancellation.cancel(shard, record)
             continue
-        if not limits.has_room(queue.workspace, lane.need):
+        if not _is_allowed(shard, lane, queue.workspace):
             ordering.park(queue)
             continue
         worker = _choose(shard, lane, record)
@@ -77,6 +77,18 @@
         yield attempts.place(shard, record, worker, lane.need)
 
 
+def _is_allowed(
+    shard: state.ShardState,
+    lane: state.Lane,
+    workspace: state.WorkspaceRecord,
+) -> bool:
+    if limits.has_room(workspace, lane.need):
+        return True
+    if lane.priority != ordering.URGENT:
+        return False
+    return gangs.make_way(shard, workspace, lane.need)
+
+
 def _choose(
     shard: state.ShardState, lane: state.Lane, record: state.JobRecord
 ) -> state.WorkerRecord | None:
--- a/packages/core/hickoryreach/decisions/preemption.py
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -132,14 +132,14 @@
 ) -> Iterator[effects.Effect]:
     ledger.fix(shard, worker, attempt)
     attempt.preempted = True
+    due_ms = shard.now_ms + shard.settings.checkpoint_ms
+    timers.schedule(shard, due_ms, "checkpoint", attempt)
     if not attempt.started:
         yield attempts.ask_to_stop(shard, attempt, "preempted")
         return
     attempt.stopping = True
     attempt.stop_asked_ms = shard.now_ms
     attempt.stop_reason = "preempted"
-    due_ms = shard.now_ms + shard.settings.checkpoint_ms
-    timers.schedule(shard, due_ms, "checkpoint", attempt)
     yield effects.CheckpointTask(key=attempt.key, worker_id=attempt.worker_id)
 
 
@@ -156,9 +156,11 @@
 def stop_unfinished(
     shard: state.ShardState, attempt: state.Attempt
 ) -> Iterator[effects.Effect]:
-    """Stops an attempt that was not checkpointed in time."""
+    """Stops an attempt that is not gone yet, and asks again until it is."""
     worker = shard.workers.get(attempt.worker_id)
     if worker is not None and worker.attempts.get(attempt.key) is attempt:
+        due_ms = shard.now_ms + shard.settings.stop_retry_ms
+        timers.schedule(shard, due_ms, "checkpoint", attempt)
         yield attempts.ask_to_stop(shard, attempt, attempt.stop_reason)
 
 
--- a/packages/core/hickoryreach/decisions/starvation.py
+++ b/packages/core/hickoryreach/decisions/starvation.py
@@ -40,6 +40,7 @@
     for lane in shard.lanes.values():
         if (
             lane.blocked
+            and not lane.candidates
             and lane.queues
             and lane.kind is not jobs.Kind.REQUEST
             and lane.blocked_ms <= horizon_ms
@@ -86,7 +87,7 @@
         if lane.pool and described.service != lane.pool:
             continue
         lack = _get_lack(lane.need, worker)
-        if best is None or lack < least:
+        if lack > 0 and (best is None or lack < least):
             best = worker
             least = lack
     return best
