--- /dev/null
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -0,0 +1,390 @@
+"""The owner of one shard: journal, decision loop and worker links."""
+
+from collections.abc import Callable
+import logging
+import time
+
+import gevent
+from gevent import queue
+from returns import result
+
+from hickoryreach.decisions import effects
+from hickoryreach.decisions import events
+from hickoryreach.decisions import reducer
+from hickoryreach.decisions import state
+from hickoryreach.platform import instances
+from hickoryreach.platform import store
+from hickoryreach.structure import jobs
+from hickoryreach.structure import workspaces
+from hickoryreach.wire import messages
+from hickoryreach_entry import assignment
+from hickoryreach_entry import metrics
+from hickoryreach_entry.config import settings as entry_settings
+from hickoryreach_entry.owner import carriers
+from hickoryreach_entry.owner import image as journal_image
+from hickoryreach_entry.owner import intake
+from hickoryreach_entry.owner import journal
+from hickoryreach_entry.owner import link
+from hickoryreach_entry.owner import notices
+from hickoryreach_entry.owner import records
+from hickoryreach_entry.owner import recovery
+from hickoryreach_entry.owner import requests
+from hickoryreach_entry.owner import roster
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.05
+INSTANCES_S = 1.0
+ITEMS_PER_TURN = 16
+FLUSH_S = 2.0
+FAR_AHEAD_MS = 10**12
+JOURNAL_PART = 0.8
+REMEMBERED_LIMIT = 200_000
+
+
+class ShardOwner:
+    """Owns one shard until stopped or until another owner takes it.
+
+    Attributes:
+        shard: The shard.
+        state: What the reducer decides from.
+        journal: What must last.
+        roster: Links to the workers.
+        requests: Requests in flight.
+        intake: Messages of entries.
+        watchers: Entries to tell about a job, by job id.
+        unkept: Final notices whose record is not kept yet, by job id.
+        ending: The end being reduced, if any.
+        ready: Whether the journal is taken.
+        stopped: Whether the shard was given up.
+    """
+
+    def __init__(
+        self,
+        *,
+        shard: int,
+        settings: entry_settings.Settings,
+        client: store.Store,
+        send: Callable[[str, str, object], None],
+        get_entitlements: Callable[[], tuple[workspaces.Entitlement, ...]],
+        on_lost: Callable[[int], None],
+        on_ready: Callable[[], None] = lambda: None,
+        count_entries: Callable[[], int] = lambda: 1,
+        is_member: Callable[[str], bool] = lambda name: True,
+        instances_client: store.Store | None = None,
+    ) -> None:
+        """Creates an owner that has taken nothing yet."""
+        self.shard = shard
+        self.settings = settings
+        self.client = client
+        self.instances_client = instances_client or client
+        self.send = send
+        self.get_entitlements = get_entitlements
+        self.on_lost = on_lost
+        self.on_ready = on_ready
+        self.count_entries = count_entries
+        self.is_member = is_member
+        self.state = state.ShardState()
+        self.requests = requests.Requests()
+        self.watchers: dict[str, set[str]] = {}
+        self.inbox: queue.Queue = queue.Queue()
+        self.ready = False
+        self.stopped = False
+        self.ending: events.TaskEnded | None = None
+        self.unkept: dict[str, messages.Notice] = {}
+        self.began = time.monotonic()
+        self.journal = journal.Journal(
+            client=client,
+            shard=shard,
+            owner=settings.name,
+            commit_s=settings.commit_ms / 1000,
+            spacing_s=settings.shards
+            / (settings.store_writes_per_s * JOURNAL_PART),
+            on_lost=lambda: on_lost(shard),
+            on_kept=self.take_proof,
+        )
+        self.roster = roster.Roster(
+            shard=shard,
+            owner=settings.name,
+            log_book=self.journal,
+            lengths=link.Lengths(
+                grant_s=settings.grant_ms / 1000,
+                task_lease_s=settings.task_lease_ms / 1000,
+                sync_s=settings.sync_ms / 1000,
+            ),
+            emit=self.emit,
+            on_reply=self.review_requests,
+            may_lose=lambda worker_id: (
+                not self.requests.is_used(worker_id, time.monotonic())
+            ),
+            name_request=self.requests.name,
+        )
+        self.intake = intake.Intake(owner=self)
+
+    def start(self) -> None:
+        """Takes the shard in the background."""
+        gevent.spawn(self.run)
+
+    def stop(self) -> None:
+        """Gives the shard up at once."""
+        self.stopped = True
+        self.ready = False
+        self.journal.close()
+        self.roster.stop()
+        self.inbox.put((lambda argument: None, None))
+
+    def release(self) -> None:
+        """Hands the shard over: keeps what waits, then gives it up."""
+        self.ready = False
+        flushed = self.journal.flush(FLUSH_S)
+        log.info(
+            "shard_released", extra={"shard": self.shard, "flushed": flushed}
+        )
+        self.stop()
+
+    def take_proof(self, sent: float) -> None:
+        """Counts a kept segment as a proof of ownership."""
+        self.roster.authority.take_proof(sent)
+
+    def run(self) -> None:
+        """Takes the journal, then decides until stopped."""
+        taken = self.journal.take()
+        while isinstance(taken, result.Failure) and not self.stopped:
+            gevent.sleep(journal.RETRY_S)
+            taken = self.journal.take()
+        if self.stopped:
+            return
+        metrics.takeover_seconds.labels("taken").observe(
+            time.monotonic() - self.began
+        )
+        log.info(
+            "shard_taken",
+            extra={
+                "shard": self.shard,
+                "term": self.journal.term,
+                "jobs": len(self.journal.image.jobs),
+                "segments": len(self.journal.image.segments),
+            },
+        )
+        self.restore()
+        self.journal.start()
+        gevent.spawn(self.follow_instances)
+        gevent.spawn(self.tick_forever)
+        self.ready = True
+        self.on_ready()
+        self.decide_forever()
+
+    def restore(self) -> None:
+        """Takes over what the journal tells."""
+        self.roster.begin(self.journal.image.worker_ids, time.monotonic())
+        self.apply(
+            events.EntitlementsChanged(entitlements=self.get_entitlements())
+        )
+        self.forget_finished()
+        for progress in tuple(self.journal.image.jobs.values()):
+            if progress.job is None or progress.finished is not None:
+                continue
+            intent = find_intent(progress)
+            if intent is not None:
+                self.requests.inherited[intent.key.job_id] = requests.Inherited(
+                    progress=progress, intent=intent
+                )
+                continue
+            self.apply(
+                recovery.restore_job(
+                    progress, self.journal.generation, FAR_AHEAD_MS
+                )
+            )
+
+    def restore_request(self, job_id: str) -> None:
+        """Takes over a non-idempotent request whose attempt is accounted for.
+
+        The reducer adopts it when its worker lists it, settles it with the
+        end that follows, or calls its outcome unknown.
+        """
+        inherited = self.requests.inherited.pop(job_id, None)
+        if inherited is None:
+            return
+        self.apply(
+            recovery.restore_job(
+                inherited.progress, self.journal.generation, FAR_AHEAD_MS
+            )
+        )
+
+    def decide_forever(self) -> None:
+        """Handles the inbox, one item at a time."""
+        handled = 0
+        while not self.stopped:
+            handle, argument = self.inbox.get()
+            handle(argument)
+            if self.state.has_more and self.inbox.empty():
+                self.emit(events.Ticked())
+            handled += 1
+            if handled % ITEMS_PER_TURN == 0:
+                gevent.sleep(0)
+
+    def emit(self, event: events.Event) -> None:
+        """Queues an event for the reducer."""
+        self.inbox.put((self.apply, event))
+
+    def call(self, handle: Callable[[object], None], argument: object) -> None:
+        """Queues a call for the decision loop."""
+        self.inbox.put((handle, argument))
+
+    def apply(self, event: events.Event) -> None:
+        """Reduces one event and carries out its effects."""
+        if self.stopped:
+            return
+        if isinstance(event, events.TaskEnded):
+            self.requests.settle(event.key)
+            carriers.void_intent(self, event)
+        self.ending = event if isinstance(event, events.TaskEnded) else None
+        started = time.perf_counter()
+        decided = reducer.reduce(self.state, event, now_ms())
+        settled = False
+        for effect in decided:
+            settled = settled or is_settling(effect, event)
+            carriers.carriers.find(type(effect))(self, effect)
+        metrics.decision_seconds.observe(time.perf_counter() - started)
+        if isinstance(event, events.TaskEnded) and not settled:
+            self.acknowledge(event.worker_id, event.key)
+
+    def acknowledge(self, worker_id: str, key: jobs.TaskKey) -> None:
+        """Lets the worker forget an end that is taken in."""
+        worker_link = self.roster.links.get(worker_id)
+        if worker_link is not None:
+            worker_link.acknowledge(key)
+
+    def tick_forever(self) -> None:
+        """Sends the passing of time."""
+        turns = 0
+        while not self.stopped:
+            gevent.sleep(TICK_S)
+            now = time.monotonic()
+            self.roster.tick(now)
+            self.emit(events.Ticked())
+            turns += 1
+            if turns * TICK_S >= INSTANCES_S:
+                turns = 0
+                self.call(self.review, now)
+
+    def review(self, now: float) -> None:
+        """Looks once a second at what is due."""
+        shard = str(self.shard)
+        metrics.inbox_length.labels(shard).set(self.inbox.qsize())
+        metrics.journal_waiting.labels(shard).set(len(self.journal.waiting))
+        for event in self.requests.list_overdue(now):
+            self.apply(event)
+        carriers.drop_unheld(self, now)
+        self.review_inherited(now)
+        self.intake.forget(now)
+        self.forget_finished()
+
+    def forget_finished(self) -> None:
+        """Forgets finished jobs whose time has passed."""
+        horizon_ms = int(time.time() * 1000) - (
+            self.settings.finished_retention_s * 1000
+        )
+        self.journal.image.forget_before(horizon_ms)
+        self.journal.image.trim(REMEMBERED_LIMIT)
+
+    def review_requests(self, worker_link: link.WorkerLink) -> None:
+        """Ends requests that a worker's list rules out."""
+        for event in self.requests.list_gone(worker_link):
+            self.emit(event)
+
+    def review_inherited(self, now: float) -> None:
+        """Takes over inherited requests once their attempt is accounted for.
+
+        One that its worker lists is adopted. One that it does not list has
+        ended or was never sent, so its entry gets some time to report.
+        """
+        for job_id, inherited in list(self.requests.inherited.items()):
+            progress = inherited.progress
+            worker_link = self.roster.links.get(inherited.intent.worker_id)
+            joined = worker_link is not None and worker_link.joined
+            listed = joined and job_id in worker_link.requests
+            since = self.roster.taken_at + requests.OUTCOME_GRACE_S
+            if not joined:
+                since = self.roster.get_hold_end() + requests.get_timeout_s(
+                    progress.job
+                )
+            if listed or (self.roster.cleared and now > since):
+                self.restore_request(job_id)
+
+    def change_entitlements(self) -> None:
+        """Puts newly accepted lists in force."""
+        self.emit(
+            events.EntitlementsChanged(entitlements=self.get_entitlements())
+        )
+
+    def follow_instances(self) -> None:
+        """Follows the platform's list of this shard's workers."""
+        while not self.stopped:
+            listed = instances.get_workers(self.instances_client)
+            if isinstance(listed, result.Success):
+                mine = tuple(
+                    worker
+                    for worker in listed.unwrap()
+                    if assignment.shard_of_worker(
+                        worker.worker_id, self.settings.shards
+                    )
+                    == self.shard
+                )
+                self.roster.take_list(mine, time.monotonic())
+            gevent.sleep(INSTANCES_S)
+
+    def take_envelope(self, envelope: messages.Envelope) -> None:
+        """Queues the messages of one entry."""
+        self.intake.take_envelope(envelope)
+
+    def describe(self, job_id: str) -> messages.Notice:
+        """Returns what is known of a job."""
+        record = self.state.jobs.get(job_id)
+        answered = self.intake.answers.get(job_id)
+        if answered is not None:
+            return answered
+        if job_id in self.unkept:
+            return notices.describe_unkept(
+                self.unkept[job_id], told=not self.journal.healthy
+            )
+        progress = self.journal.image.jobs.get(job_id)
+        if progress is not None and progress.finished is not None:
+            return notices.describe_finished(progress.finished)
+        if record is not None:
+            return notices.describe_record(record)
+        inherited = self.requests.inherited.get(job_id)
+        if inherited is not None:
+            return notices.describe_progress(inherited.progress)
+        return notices.describe_absent(job_id)
+
+    def tell(self, job_id: str, notice: messages.Notice) -> None:
+        """Sends a notice to the entries that wait for a job."""
+        for name in self.watchers.get(job_id, ()):
+            self.send(name, "notices", notice)
+        if jobs.JobState(notice.state).is_final:
+            self.watchers.pop(job_id, None)
+            self.requests.holders.pop(job_id, None)
+
+
+def now_ms() -> int:
+    """Returns the monotonic time in ms."""
+    return int(time.monotonic() * 1000)
+
+
+def find_intent(
+    progress: journal_image.Progress,
+) -> records.IntentRecorded | None:
+    """Returns the open attempt of a non-idempotent request, if any."""
+    if progress.job.kind is not jobs.Kind.REQUEST or progress.job.idempotent:
+        return None
+    return progress.intents.get(0)
+
+
+def is_settling(effect: effects.Effect, event: events.Event) -> bool:
+    """Returns whether an effect records the end that an event tells."""
+    return (
+        isinstance(effect, effects.TaskSettled)
+        and isinstance(event, events.TaskEnded)
+        and effect.key == event.key
+    )
