Hand shards over cleanly and let entries disown attempts never sent

* A releasing owner stops deciding, keeps what waits, then gives up its claim.
* An intent names the entry that is to send it; that entry may tell a new owner that it has not, and takes no dispatch of the earlier term any more.
* Syncs come sooner after a change and back off to the full interval.

--- a/packages/core/hickoryreach/wire/peer.thrift
+++ b/packages/core/hickoryreach/wire/peer.thrift
@@ -40,6 +40,10 @@
   2: string call_id = "",
   // An earlier owner may have been given this call already.
   3: bool repeated = 0,
+  // The sender may have sent an attempt of it to a minion.
+  4: bool sent = 0,
+  // The sender takes no dispatch of a lower term for this shard any more.
+  5: i64 barrier = 0,
 }
 
 // entry -> owner: tell me about this job now and when it changes.
--- a/packages/entry/hickoryreach_entry/detector.py
+++ b/packages/entry/hickoryreach_entry/detector.py
@@ -6,7 +6,7 @@
 
 from hickoryreach.wire import messages
 
-HEARD_S = 2.5
+HEARD_S = 2.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -119,6 +119,7 @@
         waiters: Callers by job id.
         held: Requests whose body this entry keeps, by job id.
         carried: Attempts sent to minions, by job id.
+        barriers: Term by shard, below which no dispatch is taken.
         draining: Whether long waits are cut short with a job id.
     """
 
@@ -136,6 +137,7 @@
         self.waiters: dict[str, list[Waiter]] = {}
         self.held: dict[str, Held] = {}
         self.carried: dict[str, list[Carried]] = {}
+        self.barriers: dict[int, int] = {}
         self.draining = False
 
     def submit(self, job: jobs.Job, *, body: bytes, wait_s: float) -> Waiter:
@@ -214,6 +216,8 @@
         started = time.monotonic()
         shard = assignment.shard_of_job(waiter.job_id)
         while not waiter.is_final():
+            if field == "submissions":
+                self.describe_attempts(waiter.held, message)
             if self.send_to_owner(shard, field, message):
                 waiter.handed_over = True
                 if field == "submissions":
@@ -229,6 +233,18 @@
             waiter.changed.wait(min(REPEAT_S, left))
             waiter.changed.clear()
 
+    def describe_attempts(
+        self, held: Held | None, submission: messages.Submission
+    ) -> None:
+        """Tells in a submission what this entry knows of its attempts."""
+        shard = assignment.shard_of_job(submission.job.job_id)
+        submission.sent = held is not None and held.sent
+        submission.barrier = self.barriers.get(shard, 0)
+
+    def note_term(self, shard: int, term: int) -> None:
+        """Takes no dispatch of an earlier owner of a shard any more."""
+        self.barriers[shard] = max(self.barriers.get(shard, 0), term)
+
     def may_leave(self, waiter: Waiter) -> bool:
         """Returns whether a drain may answer a caller before the end."""
         return self.draining and waiter.held is None
@@ -314,6 +330,7 @@
             ):
                 held.repeated_at = now
                 held.submission.repeated = True
+                self.describe_attempts(held, held.submission)
                 shard = assignment.shard_of_job(job_id)
                 self.send_to_owner(shard, "submissions", held.submission)
 
@@ -344,6 +361,9 @@
     def take_dispatch(self, dispatch: messages.Dispatch) -> None:
         """Sends a request to its minion, once, and never twice at a time."""
         received = time.monotonic()
+        shard = assignment.shard_of_job(dispatch.job_id)
+        if dispatch.term < self.barriers.get(shard, 0):
+            return
         carried = Carried(dispatch=dispatch)
         group = self.carried.setdefault(dispatch.job_id, [])
         for known in group:
--- a/packages/entry/hickoryreach_entry/owner/carriers.py
+++ b/packages/entry/hickoryreach_entry/owner/carriers.py
@@ -1,6 +1,7 @@
 """Carries out the effects that the reducer asks for."""
 
 from collections.abc import Callable
+import dataclasses
 import time
 
 from hickoryreach.decisions import effects
@@ -55,8 +56,11 @@
     if effect.job.idempotent:
         send(owner, effect)
         return
+    entry = getattr(effect, "entry", "")
     owner.journal.append(
-        records.IntentRecorded(key=effect.key, worker_id=effect.worker_id),
+        records.IntentRecorded(
+            key=effect.key, worker_id=effect.worker_id, entry=entry
+        ),
         lambda kept: (
             owner.call(lambda e: send(owner, e), effect) if kept else None
         ),
@@ -93,20 +97,32 @@
 def dispatch_request(owner, effect: effects.DispatchRequest) -> None:
     """Sends a dispatch, after its intent is kept where that is needed."""
     metrics.placements.labels(str(effect.job.kind)).inc()
-    record_intent(owner, effect, send_dispatch)
+    begin_dispatch(owner, effect)
+
+
+def begin_dispatch(owner, effect: effects.DispatchRequest) -> None:
+    """Finds the entry that holds the caller, and keeps the intent."""
+    job_id = effect.key.job_id
+    entry = owner.requests.holders.get(job_id, effect.entry)
+    if not entry:
+        owner.requests.unheld[job_id] = (effect, time.monotonic())
+        return
+    record_intent(
+        owner, dataclasses.replace(effect, entry=entry), send_dispatch
+    )
 
 
 def send_dispatch(owner, effect: effects.DispatchRequest) -> None:
-    """Tells the caller's entry where to send a request."""
+    """Tells the caller's entry where to send a request.
+
+    A non-idempotent one goes to the entry that its intent names.
+    """
     key = effect.key
     worker_link = owner.roster.links.get(effect.worker_id)
     if worker_link is None or not is_current(owner, key):
         report_not_run(owner, key, effect.worker_id, "withdrawn")
         return
-    entry = owner.requests.holders.get(key.job_id, effect.entry)
-    if not entry:
-        owner.requests.unheld[key.job_id] = (effect, time.monotonic())
-        return
+    entry = effect.entry
     if not owner.is_member(entry):
         report_not_run(owner, key, effect.worker_id, CALLER_GONE)
         owner.emit(events.JobCancelled(job_id=key.job_id))
@@ -144,7 +160,7 @@
     """Sends a dispatch again to the entry that has it, or lacks it."""
     if job.job_id in owner.requests.unheld:
         effect, _ = owner.requests.unheld.pop(job.job_id)
-        send_dispatch(owner, effect)
+        begin_dispatch(owner, effect)
         return
     live = owner.requests.live.get(job.job_id)
     if live is None or live.entry != sender or live.unclear is not None:
--- a/packages/entry/hickoryreach_entry/owner/intake.py
+++ b/packages/entry/hickoryreach_entry/owner/intake.py
@@ -179,6 +179,7 @@
             return
         if job.job_id in self.accepting:
             return
+        self.owner.disown_attempt(sender, submission)
         notice = self.owner.describe(job.job_id)
         if job.kind is jobs.Kind.REQUEST and not (
             jobs.JobState(notice.state).is_final
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -22,6 +22,8 @@
 OPERATIONS_PER_SYNC = 500
 RETRY_S = 0.2
 COMMAND_LIFE_S = 1.5
+CLOSE_S = 1.0
+SOON_S = 0.1
 MILLISECONDS = 1000
 ONE_REQUEST = resources.Resources(slots=1)
 
@@ -75,6 +77,7 @@
         uncertain_until: Time, in s, by which unanswered syncs have lapsed.
         replied_sent: When the last answered sync was sent, in s.
         requests: Job ids its minion serves, as of the last reply.
+        pause_s: Time to the next sync without commands, in s.
     """
 
     def __init__(
@@ -123,6 +126,7 @@
         self.reachable = False
         self.lost = False
         self.described = False
+        self.pause_s = lengths.sync_s
         self.greenlet = None
 
     def start(self) -> None:
@@ -133,7 +137,7 @@
         """Ends syncing; the grant lapses by itself."""
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
-        self.client.close()
+        gevent.spawn_later(CLOSE_S, self.client.close)
 
     def send(self, operation: platform_workers.Operation) -> None:
         """Adds a command to the next sync, which goes at once."""
@@ -161,7 +165,8 @@
                 gevent.sleep(RETRY_S)
                 continue
             if not self.operations:
-                self.wake.wait(self.lengths.sync_s)
+                self.pause_s = min(2 * self.pause_s, self.lengths.sync_s)
+                self.wake.wait(self.pause_s)
             self.wake.clear()
 
     def sync_once(self) -> bool:
@@ -290,6 +295,8 @@
         self.replied_sent = sent
         self.requests = frozenset(reply.requests)
         self.authority.take_grant(self.worker.worker_id, sent, received)
+        if request.operations or self.has_changed(reply):
+            self.pause_s = SOON_S / 2
         if request.deadline_ms and not reply.late and not self.lost:
             self.settle_request(request)
         self.report_running(reply, received)
@@ -297,6 +304,18 @@
             self.report_end(end)
         self.on_reply(self)
 
+    def has_changed(self, reply: platform_workers.SyncReply) -> bool:
+        """Returns whether tasks began or ended since the last reply.
+
+        More may follow soon, so the next sync comes sooner, and each one
+        after it later until the full interval is reached.
+        """
+        listed = len(reply.running) + len(reply.requests)
+        changed = listed != len(self.running) or any(
+            end.key not in self.reported_ends for end in reply.ended
+        )
+        return changed and self.joined
+
     def settle_request(self, request: platform_workers.SyncRequest) -> None:
         """Drops what the worker has carried out."""
         del self.operations[: len(request.operations)]
--- a/packages/entry/hickoryreach_entry/owner/records.py
+++ b/packages/entry/hickoryreach_entry/owner/records.py
@@ -52,10 +52,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class IntentRecorded:
-    """A non-idempotent attempt is about to be sent."""
+    """A non-idempotent attempt is about to be sent.
+
+    Attributes:
+        key: The attempt.
+        worker_id: Where it is to run.
+        entry: Entry that is to send it, if it is a request.
+    """
 
     key: jobs.TaskKey
     worker_id: str
+    entry: str = ""
     type: Literal["intent_recorded"] = "intent_recorded"
 
 
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -55,7 +55,9 @@
         watchers: Entries to tell about a job, by job id.
         unkept: Final notices whose record is not kept yet, by job id.
         ending: The end being reduced, if any.
-        ready: Whether the journal is taken.
+        ready: Whether the journal is taken and messages are.
+        owning: Whether others are told that this entry owns the shard.
+        deciding: Whether events are reduced.
         stopped: Whether the shard was given up.
     """
 
@@ -89,6 +91,8 @@
         self.watchers: dict[str, set[str]] = {}
         self.inbox: queue.Queue = queue.Queue()
         self.ready = False
+        self.owning = False
+        self.deciding = True
         self.stopped = False
         self.ending: events.TaskEnded | None = None
         self.unkept: dict[str, messages.Notice] = {}
@@ -129,6 +133,7 @@
         """Gives the shard up at once."""
         self.stopped = True
         self.ready = False
+        self.owning = False
         self.journal.close()
         self.roster.stop()
         self.inbox.put((lambda argument: None, None))
@@ -136,6 +141,7 @@
     def release(self) -> None:
         """Hands the shard over: keeps what waits, then gives it up."""
         self.ready = False
+        self.deciding = False
         flushed = self.journal.flush(FLUSH_S)
         log.info(
             "shard_released", extra={"shard": self.shard, "flushed": flushed}
@@ -171,6 +177,7 @@
         gevent.spawn(self.follow_instances)
         gevent.spawn(self.tick_forever)
         self.ready = True
+        self.owning = True
         self.on_ready()
         self.decide_forever()
 
@@ -211,6 +218,27 @@
             )
         )
 
+    def disown_attempt(self, sender: str, submission) -> None:
+        """Takes an inherited attempt as not run, on its entry's word.
+
+        The entry that was to send it has not, and takes no dispatch of an
+        earlier term any more.
+        """
+        inherited = self.requests.inherited.get(submission.job.job_id)
+        if inherited is None or inherited.intent.entry != sender:
+            return
+        if submission.sent or submission.barrier < self.journal.term:
+            return
+        self.restore_request(submission.job.job_id)
+        self.apply(
+            events.TaskEnded(
+                key=inherited.intent.key,
+                worker_id=inherited.intent.worker_id,
+                result=jobs.TaskResult.NOT_RUN,
+                reason="never sent",
+            )
+        )
+
     def decide_forever(self) -> None:
         """Handles the inbox, one item at a time."""
         handled = 0
@@ -233,7 +261,7 @@
 
     def apply(self, event: events.Event) -> None:
         """Reduces one event and carries out its effects."""
-        if self.stopped:
+        if self.stopped or not self.deciding:
             return
         if isinstance(event, events.TaskEnded):
             self.requests.settle(event.key)
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -21,7 +21,7 @@
 
 log = logging.getLogger(__name__)
 
-REVIEW_S = 0.5
+REVIEW_S = 0.25
 LOST_PAUSE_S = 1.0
 REBALANCE_S = 10.0
 
@@ -56,6 +56,7 @@
         self.lost_at: dict[int, float] = {}
         self.known_owners: dict[int, str | None] = {}
         self.balanced_at = time.monotonic()
+        self.heard: list[str] = []
         self.detector = detector.Detector(name=settings.name)
         self.local = peers.LocalPeer(
             build_envelope=self.build_envelope, deliver=self.deliver
@@ -79,9 +80,17 @@
         while True:
             gevent.sleep(REVIEW_S)
             self.membership.refresh()
+            self.share_heard()
             self.reassign()
             self.rebalance(time.monotonic())
 
+    def share_heard(self) -> None:
+        """Tells the others at once when somebody is not heard any more."""
+        heard = self.detector.list_heard(time.monotonic())
+        if heard != self.heard:
+            self.heard = heard
+            self.announce()
+
     def change_members(self) -> None:
         """Connects to each member, and forgets those who left."""
         members = self.membership.members
@@ -136,7 +145,7 @@
             for shard, term in told.claims.items():
                 claims[shard] = max(claims.get(shard, (0, "")), (term, name))
         for shard, owner in self.owners.items():
-            if owner.ready:
+            if owner.owning:
                 claim = (owner.journal.term, self.settings.name)
                 claims[shard] = max(claims.get(shard, (0, "")), claim)
         return claims
@@ -149,6 +158,8 @@
             loads[name] = loads.get(name, 0) + 1
         candidates = self.list_candidates(now)
         owners: dict[int, str | None] = {}
+        for shard, (term, _) in claims.items():
+            self.front.note_term(shard, term)
         for shard in range(self.settings.shards):
             if shard in claims:
                 owners[shard] = claims[shard][1]
@@ -295,7 +306,7 @@
             claims=[
                 messages.Claim(shard=shard, term=owner.journal.term)
                 for shard, owner in self.owners.items()
-                if owner.ready
+                if owner.owning
             ],
             draining=self.draining,
             heard=self.detector.list_heard(time.monotonic()),
