--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -7,6 +7,8 @@
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 
+ATTEMPTS_PER_TERM = 10_000
+
 
 def place(
     shard: state.ShardState,
@@ -18,7 +20,9 @@
     job = record.job
     index, _ = record.waiting.popitem()
     ledger.add_waiting(shard, record, -1)
-    number = max(record.attempts.get(index, 0), record.attempt_floor) + 1
+    floor = shard.term * ATTEMPTS_PER_TERM
+    used = record.attempts.get(index, 0)
+    number = max(used, floor, record.attempt_floor) + 1
     key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=number)
     bind(shard, record, worker, key, need)
     if record.claims:
@@ -73,6 +77,18 @@
     ledger.release(shard, attempt)
 
 
+def ask_to_stop(
+    shard: state.ShardState, attempt: state.Attempt, reason: str
+) -> effects.StopTask:
+    """Notes that a stop was asked for, and returns it."""
+    attempt.stopping = True
+    attempt.stop_asked_ms = shard.now_ms
+    attempt.stop_reason = reason
+    return effects.StopTask(
+        key=attempt.key, worker_id=attempt.worker_id, reason=reason
+    )
+
+
 def _name_rack(worker: state.WorkerRecord) -> str:
     return f"{worker.worker.failure_domain}/{worker.worker.rack}"
 
