Number attempts by the owner's term alone

Cause: two mechanisms kept attempts of different owners apart, one by a floor in the restored job and one by the term in the shard's state. A worker's list now says what each start named, and the HTTP interface lists the jobs of a shard whoever owns it.

--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -21,8 +21,7 @@
     index, _ = record.waiting.popitem()
     ledger.add_waiting(shard, record, -1)
     floor = shard.term * ATTEMPTS_PER_TERM
-    used = record.attempts.get(index, 0)
-    number = max(used, floor, record.attempt_floor) + 1
+    number = max(record.attempts.get(index, 0), floor) + 1
     key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=number)
     bind(shard, record, worker, key, need)
     if record.claims:
--- a/packages/core/hickoryreach/decisions/events.py
+++ b/packages/core/hickoryreach/decisions/events.py
@@ -86,7 +86,6 @@
         failed: Indexes of tasks that failed for good.
         unclear: Attempts whose intent is journaled without an outcome.
         attempts: Highest attempt number used by each index.
-        attempt_floor: No earlier owner used a higher attempt number.
         hold_until_ms: Start nothing of it before this time, unless every
             worker has listed its tasks; an earlier owner may have.
     """
@@ -96,7 +95,6 @@
     failed: tuple[int, ...] = ()
     unclear: tuple[jobs.TaskKey, ...] = ()
     attempts: tuple[tuple[int, int], ...] = ()
-    attempt_floor: int = 0
     hold_until_ms: int = 0
 
 
--- a/packages/core/hickoryreach/decisions/intake.py
+++ b/packages/core/hickoryreach/decisions/intake.py
@@ -99,7 +99,6 @@
     record.done = set(event.done)
     record.failed = set(event.failed) - record.done
     record.attempts = dict(event.attempts)
-    record.attempt_floor = event.attempt_floor
     for key in event.unclear:
         known = record.attempts.get(key.index, 0)
         record.attempts[key.index] = max(known, key.attempt)
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -73,7 +73,6 @@
         failed: Indexes that failed for good or have no known outcome.
         unknown: Indexes in `failed` whose outcome nobody can tell.
         attempts: Highest attempt number used, by index.
-        attempt_floor: Highest number an earlier owner may have used.
         repeats: Repeats so far, by index.
         queued_ms: When it began to wait.
         hold_until_ms: Start nothing of it earlier.
@@ -101,7 +100,6 @@
     failed: set[int] = dataclasses.field(default_factory=set)
     unknown: set[int] = dataclasses.field(default_factory=set)
     attempts: dict[int, int] = dataclasses.field(default_factory=dict)
-    attempt_floor: int = 0
     repeats: dict[int, int] = dataclasses.field(default_factory=dict)
     queued_ms: int = 0
     hold_until_ms: int = 0
--- a/packages/core/hickoryreach/platform/workers.py
+++ b/packages/core/hickoryreach/platform/workers.py
@@ -101,10 +101,12 @@
     Attributes:
         key: The attempt.
         used: What it uses, with a lag.
+        need: What its start named.
     """
 
     key: jobs.TaskKey
     used: resources.Resources = resources.NOTHING
+    need: resources.Resources = resources.NOTHING
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/entry/hickoryreach_entry/owner/image.py
+++ b/packages/entry/hickoryreach_entry/owner/image.py
@@ -25,7 +25,6 @@
         failed: Indexes that ended otherwise.
         intents: Attempts about to be sent, by index.
         finished: Its final record, if any.
-        generation: Owner count when it was accepted.
         base: Number of the oldest segment that tells of it.
     """
 
@@ -36,7 +35,6 @@
         default_factory=dict
     )
     finished: records.JobFinished | None = None
-    generation: int = 0
     base: int = 0
 
     def estimate_bytes(self) -> int:
@@ -62,7 +60,6 @@
         workers_base: Segment that tells the worker set.
         owner: Last owner, or empty once it released the shard.
         term: Highest term.
-        generation: Number of owners the shard has had.
         remembered: Finished jobs by id, the oldest first.
     """
 
@@ -77,7 +74,6 @@
         self.workers_base = 0
         self.owner = ""
         self.term = 0
-        self.generation = 0
         self.remembered: dict[str, None] = {}
 
     def take_segment(
@@ -87,7 +83,6 @@
         self.segments[sequence] = size
         self.total_bytes += size
         self.term = max(self.term, segment.term)
-        self.generation = max(self.generation, segment.generation)
         for record in segment.records:
             replay.find(type(record))(self, record, sequence)
 
@@ -95,7 +90,7 @@
         """Returns the progress of a job, begun here if it is new."""
         progress = self.jobs.get(job_id)
         if progress is None:
-            progress = Progress(generation=self.generation, base=sequence)
+            progress = Progress(base=sequence)
             self.jobs[job_id] = progress
             self.by_base.setdefault(sequence, {})[job_id] = None
         return progress
@@ -310,7 +305,6 @@
     progress.failed = set(spread(record.failed))
     progress.intents = {intent.key.index: intent for intent in record.intents}
     progress.finished = record.finished
-    progress.generation = record.generation
     image.live_bytes += progress.estimate_bytes()
     if record.finished is not None:
         image.remembered[job_id] = None
@@ -325,7 +319,6 @@
         failed=tuple(group(progress.failed)),
         intents=tuple(progress.intents.values()),
         finished=progress.finished,
-        generation=progress.generation,
     )
 
 
--- a/packages/entry/hickoryreach_entry/owner/journal.py
+++ b/packages/entry/hickoryreach_entry/owner/journal.py
@@ -97,7 +97,6 @@
         self.on_kept = on_kept
         self.term = 0
         self.sequence = 0
-        self.generation = 0
         self.image = journal_image.Image()
         self.lost = False
         self.closed = False
@@ -117,7 +116,6 @@
                 return read
             self.read_image(read.unwrap())
             self.term = max(self.sequence, self.image.term + 1)
-            self.generation = self.image.generation + 1
             first = records.OwnerTook(owner=self.owner, term=self.term)
             if self.write_segment([records.encode(first)], (first,)):
                 return result.Success(None)
@@ -250,7 +248,6 @@
             token=str(uuid.uuid4()),
             owner=self.owner,
             term=self.term,
-            generation=self.generation,
             records=members,
         )
         data = records.encode_segment(segment, rows)
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -356,7 +356,7 @@
     ) -> tuple[workers.RunningTask, ...]:
         """Returns the tasks and requests that a worker lists."""
         tasks = tuple(
-            workers.RunningTask(key=row.key, used=row.used)
+            workers.RunningTask(key=row.key, used=row.used, given=row.need)
             for row in reply.running
         )
         requests = tuple(
--- a/packages/entry/hickoryreach_entry/owner/records.py
+++ b/packages/entry/hickoryreach_entry/owner/records.py
@@ -130,7 +130,6 @@
         failed: Indexes that ended otherwise, as such ranges.
         intents: Last attempt about to be sent, by index.
         finished: Its final record, if any.
-        generation: Owner count when it was accepted.
     """
 
     job: jobs.Job | None = None
@@ -138,7 +137,6 @@
     failed: tuple[tuple[int, int], ...] = ()
     intents: tuple[IntentRecorded, ...] = ()
     finished: JobFinished | None = None
-    generation: int = 0
     type: Literal["job_kept"] = "job_kept"
 
 
@@ -165,14 +163,12 @@
         token: Unique to the writer and the write; settles a lost answer.
         owner: Name of the writer.
         term: Term of the writer.
-        generation: Number of owners the shard has had.
         records: The records, in order.
     """
 
     token: str
     owner: str = ""
     term: int = 0
-    generation: int = 0
     records: tuple[Record, ...] = ()
 
 
@@ -191,7 +187,6 @@
             "token": header.token,
             "owner": header.owner,
             "term": header.term,
-            "generation": header.generation,
             "records": [orjson.Fragment(row) for row in rows],
         }
     )
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -183,6 +183,7 @@
 
     def restore(self) -> None:
         """Takes over what the journal tells."""
+        self.state.term = self.journal.term
         self.roster.begin(self.journal.image.worker_ids, time.monotonic())
         self.apply(
             events.EntitlementsChanged(entitlements=self.get_entitlements())
@@ -197,11 +198,7 @@
                     progress=progress, intent=intent
                 )
                 continue
-            self.apply(
-                recovery.restore_job(
-                    progress, self.journal.generation, FAR_AHEAD_MS
-                )
-            )
+            self.apply(recovery.restore_job(progress, FAR_AHEAD_MS))
 
     def restore_request(self, job_id: str) -> None:
         """Takes over a non-idempotent request whose attempt is accounted for.
@@ -212,11 +209,7 @@
         inherited = self.requests.inherited.pop(job_id, None)
         if inherited is None:
             return
-        self.apply(
-            recovery.restore_job(
-                inherited.progress, self.journal.generation, FAR_AHEAD_MS
-            )
-        )
+        self.apply(recovery.restore_job(inherited.progress, FAR_AHEAD_MS))
 
     def disown_attempt(self, sender: str, submission) -> None:
         """Takes an inherited attempt as not run, on its entry's word.
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -107,6 +107,7 @@
                 in_force=self.lists,
                 settings=settings,
                 is_ready=self.is_ready,
+                list_jobs=self.router.find_jobs,
             ),
             log=None,
         )
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -144,7 +144,7 @@
             "boot_id": self.boot_id,
             "clock_ms": int(time.monotonic() * 1000),
             "running": [
-                {"key": task.key, "used": task.need}
+                {"key": task.key, "used": task.need, "need": task.need}
                 for task in self.tasks.values()
             ],
             "ended": list(self.ended.values()),
