--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -94,7 +94,7 @@
         may_lose: Callable[[str], bool],
         name_request: Callable[[str], jobs.TaskKey],
         leases_until: float,
-        client: platform_workers.WorkerClient | None = None,
+        client: platform_workers.WorkerClient,
     ) -> None:
         """Creates a link that is not started yet."""
         self.worker = worker
@@ -107,9 +107,7 @@
         self.on_reply = on_reply
         self.may_lose = may_lose
         self.name_request = name_request
-        self.client = client or platform_workers.WorkerClient(
-            address=worker.address
-        )
+        self.client = client
         self.operations: list[platform_workers.Operation] = []
         self.sent_starts: set[jobs.TaskKey] = set()
         self.acknowledged: dict[jobs.TaskKey, None] = {}
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -7,6 +7,7 @@
 import time
 
 from hickoryreach.decisions import events
+from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import workers
 from hickoryreach_entry import metrics
@@ -30,6 +31,7 @@
         authority: The owner's right to act.
         unlisted_since: When a linked worker left the instance list, in s.
         members: The journaled worker set.
+        make_client: Opens a client of a worker.
         changing: Whether a change of the set is under way.
         cleared: Whether nothing of an earlier owner can run unseen.
         taken_at: When the journal was taken, in s.
@@ -61,6 +63,7 @@
         self.unlisted_since: dict[str, float] = {}
         self.members: frozenset[str] = frozenset()
         self.stale_terms: dict[str, int] = {}
+        self.make_client = connect
         self.changing = False
         self.checking = False
         self.cleared = False
@@ -117,6 +120,7 @@
             may_lose=self.may_lose,
             name_request=self.name_request,
             leases_until=0.0,
+            client=self.make_client(worker),
         )
         self.links[worker.worker_id] = opened
         opened.start()
@@ -284,6 +288,11 @@
             worker_link.term = self.journal.term
 
 
+def connect(worker: workers.Worker) -> platform_workers.WorkerClient:
+    """Returns a client of a worker."""
+    return platform_workers.WorkerClient(address=worker.address)
+
+
 def is_doubtful(unlisted: int, known: int) -> bool:
     """Returns whether a list leaves out too many to be believed."""
     return unlisted > 1 and 2 * unlisted >= known
