Add the command line for callers and operators

Work, runbook steps and the lists could be reached only by writing HTTP calls by hand. Each command is one function that returns a report; the exit code tells ran (0, 1), wrong usage (2), not run (3) and unknown (4) apart.

--- /dev/null
+++ b/packages/cli/hickoryreach_cli/client.py
@@ -0,0 +1,132 @@
+"""Calls to an entry."""
+
+import dataclasses
+import http.client
+import urllib.parse
+
+import gevent
+import geventhttpclient
+import orjson
+from returns import result
+
+from hickoryreach.structure import jobs
+from hickoryreach_cli.config import settings as cli_settings
+
+CONNECT_TIMEOUT_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reply:
+    """A whole answer.
+
+    Attributes:
+        status: HTTP status.
+        media: The JSON value, or None.
+    """
+
+    status: int
+    media: object
+
+    @property
+    def is_problem(self) -> bool:
+        """Whether the call was not carried out as asked."""
+        return self.status >= 400
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoReply:
+    """A call without a whole answer.
+
+    Attributes:
+        reason: What went wrong.
+        ran: Whether the work, or the change, may have been carried out.
+    """
+
+    reason: str
+    ran: jobs.Ran
+
+
+Outcome = result.Result[Reply, NoReply]
+
+
+class Client:
+    """Calls to one entry.
+
+    Attributes:
+        settings: Address, key and timeout.
+    """
+
+    def __init__(self, *, settings: cli_settings.Settings) -> None:
+        """Creates a client; opens no connection yet."""
+        self.settings = settings
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        query: dict[str, object] | None = None,
+    ) -> Outcome:
+        """Makes one call, and reads its answer whole.
+
+        Args:
+            method: HTTP method.
+            path: Path below the base URL.
+            body: JSON value, or None for no body.
+            query: Parameters; one that is None or empty is left out.
+        """
+        given = {
+            name: value
+            for name, value in (query or {}).items()
+            if value not in (None, "")
+        }
+        if given:
+            path = f"{path}?{urllib.parse.urlencode(given)}"
+        data = b"" if body is None else orjson.dumps(body)
+        try:
+            with gevent.Timeout(self.settings.timeout_s, OSError("timeout")):
+                return self.send(method, path, data)
+        except ConnectionRefusedError:
+            return self.fail("connection refused", jobs.Ran.NOT_RUN)
+        except (OSError, ValueError, http.client.HTTPException) as error:
+            reason = str(error) or type(error).__name__
+            return self.fail(reason, jobs.Ran.UNKNOWN)
+
+    def fail(self, reason: str, ran: jobs.Ran) -> Outcome:
+        """Returns the failure of a call."""
+        return result.Failure(
+            NoReply(reason=f"{self.settings.url}: {reason}", ran=ran)
+        )
+
+    def send(self, method: str, path: str, data: bytes) -> Outcome:
+        """Sends one call over a connection of its own."""
+        parts = urllib.parse.urlsplit(self.settings.url)
+        http_client = geventhttpclient.HTTPClient(
+            parts.hostname,
+            port=parts.port,
+            ssl=parts.scheme == "https",
+            connection_timeout=CONNECT_TIMEOUT_S,
+            network_timeout=self.settings.timeout_s,
+        )
+        headers = {"Content-Type": "application/json"}
+        key = self.settings.key.get_secret_value()
+        if key:
+            headers["Authorization"] = f"Bearer {key}"
+        try:
+            response = http_client.request(
+                method, path, body=data, headers=headers
+            )
+            raw = bytes(response.read())
+        finally:
+            http_client.close()
+        return result.Success(
+            Reply(
+                status=response.status_code,
+                media=orjson.loads(raw) if raw else None,
+            )
+        )
+
+
+def quote(part: str) -> str:
+    """Returns one part of a path, safe to stand in a URL."""
+    return urllib.parse.quote(part, safe="")
--- /dev/null
+++ b/packages/cli/hickoryreach_cli/commands/audit.py
@@ -0,0 +1,44 @@
+"""Shows the audit trail of a list."""
+
+import datetime
+
+from hickoryreach_cli import client
+from hickoryreach_cli import reports
+
+
+def audit(
+    caller: client.Client, name: str, before: int | None, limit: int
+) -> reports.Report:
+    """Shows who changed what and when, the newest change first."""
+    return reports.report(
+        caller.call(
+            "GET",
+            f"/v1/audit/{client.quote(name)}",
+            query={"before": before, "limit": limit},
+        ),
+        show_changes,
+    )
+
+
+def show_changes(media: dict) -> reports.Report:
+    """Returns the report of some changes."""
+    return reports.Report(
+        lines=tuple(
+            line for change in media["changes"] for line in describe(change)
+        )
+    )
+
+
+def describe(change: dict) -> list[str]:
+    """Returns the lines of one change."""
+    moment = datetime.datetime.fromtimestamp(
+        change["at_ms"] / 1000, tz=datetime.UTC
+    )
+    head = (
+        f"{moment.isoformat(timespec='milliseconds')} {change['actor']} "
+        f"{change['action']} {change['from_revision']} -> "
+        f"{change['to_revision']} token={change['token']}"
+    )
+    removed = [f"  - {path}" for path in change["removed"]]
+    put = [f"  + {path}: {value}" for path, value in change["set"].items()]
+    return [head, *removed, *put]
--- /dev/null
+++ b/packages/cli/hickoryreach_cli/config/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of the command line."""
--- /dev/null
+++ b/packages/cli/hickoryreach_cli/reports.py
@@ -0,0 +1,91 @@
+"""What a command prints, and the exit code it ends with."""
+
+from collections.abc import Callable
+import dataclasses
+
+import orjson
+from returns import result
+
+from hickoryreach.runbooks import steps
+from hickoryreach.structure import jobs
+from hickoryreach_cli import client
+
+USAGE_ERROR = 2
+RAN_CODES = {
+    jobs.Ran.NOT_RUN: steps.EXIT_NOT_RUN,
+    jobs.Ran.RAN: steps.EXIT_RAN_BADLY,
+    jobs.Ran.UNKNOWN: steps.EXIT_UNKNOWN,
+}
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Report:
+    """The end of a command.
+
+    Attributes:
+        exit_code: 0 for done, 1 for ran badly, 2 for wrong usage, 3 for not
+            run, 4 for unknown.
+        lines: Lines for standard output.
+        errors: Lines for standard error.
+    """
+
+    exit_code: int = steps.EXIT_OK
+    lines: tuple[str, ...] = ()
+    errors: tuple[str, ...] = ()
+
+
+def report(outcome: client.Outcome, show: Callable[[object], Report]) -> Report:
+    """Returns the report of a call, shown by `show` if it was carried out."""
+    if isinstance(outcome, result.Failure):
+        return report_silence(outcome.failure())
+    reply = outcome.unwrap()
+    return report_problem(reply) if reply.is_problem else show(reply.media)
+
+
+def report_silence(failure: client.NoReply) -> Report:
+    """Returns the report of a call without a whole answer."""
+    return Report(
+        exit_code=RAN_CODES[failure.ran],
+        errors=(f"{failure.reason} (ran: {failure.ran})",),
+    )
+
+
+def report_problem(reply: client.Reply) -> Report:
+    """Returns the report of a problem, with every fault it lists."""
+    problem = reply.media if isinstance(reply.media, dict) else {}
+    ran = jobs.Ran(problem.get("ran", jobs.Ran.UNKNOWN))
+    title = problem.get("title", f"status {reply.status}")
+    lines = [f"{title}: {problem.get('detail', '')} (ran: {ran})"]
+    lines += problem.get("faults", ())
+    lines += [
+        f"{name}: {problem[name]}"
+        for name in ("job_id", "token")
+        if name in problem
+    ]
+    if "current" in problem:
+        lines.append(to_json(problem["current"]))
+    return Report(
+        exit_code=problem.get("exit_code", RAN_CODES[ran]),
+        errors=tuple(lines),
+    )
+
+
+def report_job(job: dict) -> Report:
+    """Returns the report of one job's state."""
+    state = jobs.JobState(job["state"])
+    return Report(exit_code=steps.EXIT_CODES[state], lines=(to_json(job),))
+
+
+def report_media(media: object) -> Report:
+    """Returns the report of any answer."""
+    return Report(lines=(to_json(media),))
+
+
+def report_usage(fault: str) -> Report:
+    """Returns the report of a call that was never made."""
+    return Report(exit_code=USAGE_ERROR, errors=(fault,))
+
+
+def to_json(value: object) -> str:
+    """Returns a value as indented JSON."""
+    return orjson.dumps(value, option=orjson.OPT_INDENT_2).decode()
