--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 import time
 
 import gevent
@@ -28,6 +29,7 @@
 WATCH_WAIT_S = 2.0
 RETRY_S = 0.5
 RELAY_S = 1.5
+TOLD_S = 0.05
 
 refused_heads = prometheus_client.Counter(
     "hickoryreach_list_heads_refused",
@@ -57,6 +59,7 @@
         unsettled: Head index under which a change of unknown outcome was
             sent, by list.
         editing: Number of changes under way.
+        told: What peers are told, reused for TOLD_S.
         listeners: Called without arguments after a change.
     """
 
@@ -81,6 +84,7 @@
         self.relay_until_s = 0.0
         self.lowest_seen = dict.fromkeys(NAMES, 0)
         self.refused: set[tuple] = set()
+        self.told: tuple[float, list[messages.ListHead]] = (-math.inf, [])
         self.listeners: list = []
         age_s.set_function(self.fresh_s)
 
@@ -202,6 +206,7 @@
         self.heads[name] = head
         self.flats[name] = flat
         self.revisions[name] = head.revision
+        self.told = (-math.inf, [])
         revision_in_force.labels(name).set(head.revision)
         log.info(
             "list_applied", extra={"list": name, "revision": head.revision}
@@ -265,9 +270,18 @@
     def get_heads(self) -> list[messages.ListHead]:
         """Returns what to tell peers of the lists in force.
 
-        Documents go along only while some peer is known to lack them.
+        Documents go along only while some peer is known to lack them. A
+        statement a few ms old is still true, as of the stamp it bears.
         """
         now_s = self.clock()
+        told_s, rows = self.told
+        if now_s >= told_s + TOLD_S:
+            rows = self.build_heads(now_s)
+            self.told = (now_s, rows)
+        return rows
+
+    def build_heads(self, now_s: float) -> list[messages.ListHead]:
+        """Returns what to tell peers from now on."""
         relaying = now_s < self.relay_until_s
         rows = [
             messages.ListHead(
@@ -321,6 +335,7 @@
         if now_s >= self.relay_until_s:
             self.lowest_seen = dict(self.revisions)
         self.relay_until_s = now_s + RELAY_S
+        self.told = (-math.inf, [])
         self.lowest_seen[name] = min(self.lowest_seen[name], revision)
 
     def take_relayed(self, name: str, data: bytes | str) -> None:
