--- a/standins/demo.py
+++ b/standins/demo.py
@@ -1,9 +1,11 @@
 """Runs one runbook step of each kind through a whole cell of processes."""
 
+import argparse
 import collections
 from collections.abc import Iterator
 import dataclasses
 import os
+import signal
 import subprocess
 import sys
 import tempfile
@@ -18,6 +20,7 @@
 POLL_TIMEOUT_S = 12.0
 CALL_TIMEOUT_S = 20.0
 SHARDS = 1
+ENV_PATH = "build/demo.env"
 BEGINNINGS = ("start", "request")
 ENDINGS = ("end", "answer")
 
@@ -224,6 +227,48 @@
 
 
 def main() -> int:
+    """Runs the demo, or serves a cell to try commands on."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument(
+        "--serve",
+        action="store_true",
+        help="serve a cell until Ctrl-C, with its settings in " + ENV_PATH,
+    )
+    if parser.parse_args().serve:
+        serve(CEDARLINE.deployment)
+        return 0
+    return run_all()
+
+
+def serve(deployment: cell.Deployment) -> None:
+    """Serves a cell until interrupted."""
+    with tempfile.TemporaryDirectory() as folder:
+        whole = cell.Cell(deployment=deployment, log_folder=folder)
+        try:
+            whole.start()
+            samples.write_lists(whole.store.url)
+            whole.wait_until_ready()
+            write_environment(whole, ENV_PATH)
+            print(f"Ready. Run: . {ENV_PATH}", flush=True)
+            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+        finally:
+            whole.stop()
+
+
+def write_environment(whole: cell.Cell, path: str) -> None:
+    """Writes the settings of the command line as shell commands."""
+    variables = {
+        "HICKORYREACH_URL": whole.entries[0].url,
+        "HICKORYREACH_KEY": samples.caller_key("north"),
+        "OPERATOR_KEY": samples.OPERATOR_KEY,
+    }
+    os.makedirs(os.path.dirname(path), exist_ok=True)
+    with open(path, "w") as file:
+        for name, value in variables.items():
+            file.write(f"export {name}={value}\n")
+
+
+def run_all() -> int:
     """Returns 0 if every answer is right."""
     started = time.monotonic()
     faults = [fault for play in (CEDARLINE, ASSOCIATION) for fault in run(play)]
