Start a gang only while its room is whole and within the limit

Cause: room kept for a gang was counted when it became complete, not when its tasks started: a departing worker left a part of the gang to start, and a lowered limit did not stop it. The fuzz's owner names its term to the shard, as the attempt floor it passed is no longer part of the events.

--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -191,6 +191,9 @@
     while shard.launching and budget > 0:
         record = next(iter(shard.launching.values()))
         gang = record.gang
+        if not _may_start(shard, record, gang):
+            yield from regroup(shard, record)
+            continue
         while budget > 0 and gang.claims and record.waiting:
             budget -= 1
             yield _start(shard, record, gang)
@@ -198,6 +201,16 @@
             yield from regroup(shard, record)
 
 
+def _may_start(
+    shard: state.ShardState, record: state.JobRecord, gang: state.Gang
+) -> bool:
+    """Returns whether its room is still complete and within the limit."""
+    workspace = ledger.get_workspace(shard, record.job.workspace)
+    return gang.gathered >= len(record.waiting) and limits.has_room(
+        workspace, resources.NOTHING
+    )
+
+
 def _start(
     shard: state.ShardState, record: state.JobRecord, gang: state.Gang
 ) -> effects.Effect:
--- a/tests/core/fuzz/owner.py
+++ b/tests/core/fuzz/owner.py
@@ -94,7 +94,7 @@
         self.journal = journal
         self.broken = broken
         self.now_ms = now_ms
-        self.shard = state.ShardState()
+        self.shard = state.ShardState(term=term)
         self.links = {worker_id: Link() for worker_id in worker_ids}
         self.dispatches: list[effects.DispatchRequest] = []
         self.heard: list[events.Event] = []
@@ -121,7 +121,6 @@
                 continue
             self.begun.add(kept.job.job_id)
             settled = kept.done | kept.failed
-            floor = (self.term - 1) * ATTEMPTS_PER_TERM
             self.take(
                 events.JobRestored(
                     job=self._seen_by_reducer(kept.job),
@@ -136,7 +135,6 @@
                         (index, key.attempt)
                         for index, key in sorted(kept.intents.items())
                     ),
-                    attempt_floor=floor,
                     hold_until_ms=HOLD_FOREVER_MS,
                 )
             )
