--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -90,6 +90,7 @@
 ) -> Iterator[effects.Effect]:
     if not attempt.used.fits_in(attempt.held):
         estimates.note_overrun(shard, job, attempt.used)
+        probes.note_overrun(shard, attempt, job)
     probes.note_use(shard, attempt, job)
     yield from overruns.check(shard, worker, attempt)
     yield from probes.check(shard, worker, attempt, job)
@@ -297,6 +298,8 @@
     shard: state.ShardState, worker: state.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Ends everything on a worker whose leases have lapsed."""
+    for attempt in worker.attempts.values():
+        attempt.stopping = True
     for attempt in list(worker.attempts.values()):
         event = events.TaskEnded(
             key=attempt.key,
--- a/packages/core/hickoryreach/decisions/outcomes.py
+++ b/packages/core/hickoryreach/decisions/outcomes.py
@@ -38,7 +38,8 @@
     note_ran(record, event.result, started)
     if record.state.is_final:
         return
-    blameless = lost or attempt.preempted
+    checkpointed = event.result is jobs.TaskResult.CHECKPOINTED
+    blameless = lost or attempt.preempted or checkpointed
     yield from settle(shard, record, event, blameless=blameless)
 
 
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -41,6 +41,7 @@
     budget = shard.settings.placements_per_event
     yield from gangs.launch(shard, budget)
     yield from _place_waiting(shard, budget)
+    yield from gangs.launch(shard, budget)
     yield from preemption.make_room(shard)
 
 
--- a/packages/core/hickoryreach/decisions/probes.py
+++ b/packages/core/hickoryreach/decisions/probes.py
@@ -59,6 +59,14 @@
     return held > 0 and attempt.used.cpu_millis * 100 >= held * AT_CAP_PERCENT
 
 
+def note_overrun(
+    shard: state.ShardState, attempt: state.Attempt, job: jobs.Job
+) -> None:
+    """Notes that a command is not held back where it uses more than given."""
+    if attempt.used.cpu_millis > attempt.held.cpu_millis:
+        estimates.get_profile(shard, job).cap_known = True
+
+
 def note_use(
     shard: state.ShardState, attempt: state.Attempt, job: jobs.Job
 ) -> None:
