Acknowledge ends while syncs are busy, and follow inherited requests

Cause, found by tests that drive two owners step by step in virtual time:

* an end was acknowledged only when no command had been sent for 1.5 s, since answered syncs counted as uncertain too; under load workers kept every end;
* a request that a worker listed after a takeover lost its attempt's name and was called unknown after 5 s, or sent again under another number;
* a request restored after the holds were cleared stayed on hold for good.

Unanswered syncs alone are uncertain now, an inherited request is followed like one's own but never handed out again, and its hold ends by itself.

--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -66,9 +66,9 @@
     ended_at: float = 0.0
 
     @property
-    def order(self) -> tuple[int, int]:
-        """Term and attempt."""
-        return self.dispatch.term, self.dispatch.attempt
+    def attempt(self) -> int:
+        """Number of the attempt, which rises from owner to owner too."""
+        return self.dispatch.attempt
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -336,7 +336,7 @@
 
     def take_notice(self, notice: messages.Notice) -> None:
         """Hands a notice to the callers who wait for it."""
-        if notice.taken_term:
+        if notice.taken_attempt:
             self.take_receipt(notice)
         if not notice.state:
             return
@@ -349,7 +349,7 @@
     def take_receipt(self, notice: messages.Notice) -> None:
         """Notes that an outcome need not be repeated."""
         for carried in self.carried.get(notice.job_id, ()):
-            if carried.order == (notice.taken_term, notice.taken_attempt):
+            if carried.attempt == notice.taken_attempt:
                 carried.taken = True
 
     def is_carried(self, job_id: str) -> bool:
@@ -367,11 +367,11 @@
         carried = Carried(dispatch=dispatch)
         group = self.carried.setdefault(dispatch.job_id, [])
         for known in group:
-            if known.order == carried.order:
+            if known.attempt == carried.attempt:
                 known.taken = False
                 self.report(known)
                 return
-            if known.order > carried.order:
+            if known.attempt > carried.attempt:
                 return
         busy = self.is_carried(dispatch.job_id)
         group.append(carried)
--- a/packages/entry/hickoryreach_entry/owner/carriers.py
+++ b/packages/entry/hickoryreach_entry/owner/carriers.py
@@ -163,9 +163,9 @@
         begin_dispatch(owner, effect)
         return
     live = owner.requests.live.get(job.job_id)
-    if live is None or live.entry != sender or live.unclear is not None:
+    if live is None or live.adopted or live.entry != sender:
         return
-    if is_current(owner, live.key):
+    if live.unclear is None and is_current(owner, live.key):
         hand_out(owner, job)
 
 
--- a/packages/entry/hickoryreach_entry/owner/intake.py
+++ b/packages/entry/hickoryreach_entry/owner/intake.py
@@ -15,6 +15,7 @@
 from hickoryreach_entry.owner import journal
 from hickoryreach_entry.owner import notices
 from hickoryreach_entry.owner import records
+from hickoryreach_entry.owner import requests
 
 log = logging.getLogger(__name__)
 
@@ -288,7 +289,7 @@
         sender, message = argument
         job_id = message.job_id
         if job_id in self.owner.requests.inherited:
-            self.owner.restore_request(job_id)
+            self.owner.restore_request(job_id, requests.END_FOLLOWS_MS)
         event = self.build_end(message)
         live = self.owner.requests.live.get(job_id)
         if live is not None and live.key == event.key:
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -75,6 +75,7 @@
         reachable: Whether it answered within its grant.
         leases_until: Time, in s, by which its tasks' leases have lapsed.
         uncertain_until: Time, in s, by which unanswered syncs have lapsed.
+        sent_until: Time, in s, until which the last command may arrive.
         replied_sent: When the last answered sync was sent, in s.
         requests: Job ids its minion serves, as of the last reply.
         pause_s: Time to the next sync without commands, in s.
@@ -119,6 +120,7 @@
         self.boot: Boot | None = None
         self.leases_until = leases_until
         self.uncertain_until = 0.0
+        self.sent_until = 0.0
         self.replied_sent = 0.0
         self.joined = False
         self.reachable = False
@@ -174,6 +176,8 @@
         answer = self.client.sync(request)
         received = time.monotonic()
         if isinstance(answer, result.Failure):
+            if request.deadline_ms:
+                self.uncertain_until = self.sent_until
             self.take_failure(answer.failure(), received)
             return False
         self.take_reply(answer.unwrap(), request, sent, received)
@@ -203,7 +207,7 @@
             for operation in operations
             if operation.verb == "start"
         )
-        self.uncertain_until = max(self.uncertain_until, until)
+        self.sent_until = until
         self.leases_until = max(
             self.leases_until, until + grants.lengthen(lengths.task_lease_s)
         )
--- a/packages/entry/hickoryreach_entry/owner/requests.py
+++ b/packages/entry/hickoryreach_entry/owner/requests.py
@@ -17,6 +17,7 @@
 
 OUTCOME_GRACE_S = 5.0
 HOLDER_GRACE_S = 5.0
+END_FOLLOWS_MS = 100
 DEFAULT_TIMEOUT_S = 30.0
 
 
@@ -30,6 +31,7 @@
         entry: Entry that carries it.
         valid_until: Time, in s, after which it is not sent any more.
         limit: Time, in s, by which its entry has given up.
+        adopted: Whether an earlier owner handed it out.
         unclear: Outcome that does not tell whether it still runs.
         unclear_at: When that outcome came, in s.
     """
@@ -39,6 +41,7 @@
     entry: str
     valid_until: float
     limit: float
+    adopted: bool = False
     unclear: events.TaskEnded | None = None
     unclear_at: float = 0.0
 
@@ -95,6 +98,18 @@
             return self.inherited[job_id].intent.key
         return jobs.TaskKey(job_id=job_id, index=0, attempt=0)
 
+    def adopt(self, inherited: Inherited, now: float) -> None:
+        """Follows an attempt of an earlier owner like one's own."""
+        intent = inherited.intent
+        self.live[intent.key.job_id] = Dispatched(
+            key=intent.key,
+            worker_id=intent.worker_id,
+            entry=intent.entry,
+            valid_until=now,
+            limit=now + get_timeout_s(inherited.progress.job),
+            adopted=True,
+        )
+
     def settle(self, key: jobs.TaskKey) -> None:
         """Forgets an attempt that has ended."""
         live = self.live.get(key.job_id)
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -200,16 +200,17 @@
                 continue
             self.apply(recovery.restore_job(progress, FAR_AHEAD_MS))
 
-    def restore_request(self, job_id: str) -> None:
+    def restore_request(self, job_id: str, hold_ms: int = 0) -> None:
         """Takes over a non-idempotent request whose attempt is accounted for.
 
         The reducer adopts it when its worker lists it, settles it with the
-        end that follows, or calls its outcome unknown.
+        end that follows within `hold_ms`, or calls its outcome unknown.
         """
         inherited = self.requests.inherited.pop(job_id, None)
         if inherited is None:
             return
-        self.apply(recovery.restore_job(inherited.progress, FAR_AHEAD_MS))
+        self.requests.adopt(inherited, time.monotonic())
+        self.apply(recovery.restore_job(inherited.progress, now_ms() + hold_ms))
 
     def disown_attempt(self, sender: str, submission) -> None:
         """Takes an inherited attempt as not run, on its entry's word.
@@ -222,7 +223,7 @@
             return
         if submission.sent or submission.barrier < self.journal.term:
             return
-        self.restore_request(submission.job.job_id)
+        self.restore_request(submission.job.job_id, requests.END_FOLLOWS_MS)
         self.apply(
             events.TaskEnded(
                 key=inherited.intent.key,
