Repeat a caller's message by the clock, not by each piece of news

Cause: every notice woke the waiting call, which sent its submission again, which brought about the next notice: 28,758 submissions for about 1,000 requests in a profile of the owner.

--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -81,6 +81,7 @@
         notice: Newest notice.
         held: The request, where this entry submits it.
         handed_over: Whether an owner may have been given the message.
+        repeat_at: When its message is sent again, in s.
         changed: Set on each notice.
     """
 
@@ -89,6 +90,7 @@
     notice: messages.Notice | None = None
     held: Held | None = None
     handed_over: bool = False
+    repeat_at: float = 0.0
     changed: gevent_event.Event = dataclasses.field(
         default_factory=gevent_event.Event
     )
@@ -214,25 +216,32 @@
     ) -> None:
         """Repeats a message until its job has ended or time is over."""
         started = time.monotonic()
-        shard = assignment.shard_of_job(waiter.job_id)
         while not waiter.is_final():
-            if field == "submissions":
-                self.describe_attempts(waiter.held, message)
-            if self.send_to_owner(shard, field, message):
-                waiter.handed_over = True
-                if field == "submissions":
-                    message.repeated = True
+            now = time.monotonic()
+            if now >= waiter.repeat_at:
+                waiter.repeat_at = now + REPEAT_S
+                self.send_message(waiter, field, message)
             length_s = wait_s
             if waiter.notice is None:
                 length_s = max(wait_s, FIRST_NOTICE_S)
             elif self.may_leave(waiter):
                 return
-            left = started + length_s - time.monotonic()
+            left = started + length_s - now
             if left <= 0:
                 return
-            waiter.changed.wait(min(REPEAT_S, left))
+            waiter.changed.wait(min(waiter.repeat_at - now, left))
             waiter.changed.clear()
 
+    def send_message(self, waiter: Waiter, field: str, message: object) -> None:
+        """Sends a waiter's message to the owner of its shard."""
+        if field == "submissions":
+            self.describe_attempts(waiter.held, message)
+        shard = assignment.shard_of_job(waiter.job_id)
+        if self.send_to_owner(shard, field, message):
+            waiter.handed_over = True
+            if field == "submissions":
+                message.repeated = True
+
     def describe_attempts(
         self, held: Held | None, submission: messages.Submission
     ) -> None:
@@ -292,6 +301,7 @@
         for job_id, group in self.waiters.items():
             if assignment.shard_of_job(job_id) == shard:
                 for waiter in group:
+                    waiter.repeat_at = 0.0
                     waiter.changed.set()
         self.repeat_outcomes(shard)
 
--- a/tests/entry/test_front.py
+++ b/tests/entry/test_front.py
@@ -142,6 +142,14 @@
         self.assertEqual((again.sent, again.barrier), (False, 5))
         caller.kill()
 
+    def test_news_does_not_bring_about_a_repeat(self):
+        caller = self.submit()
+        for _ in range(20):
+            self.front.take_notice(make_notice("running"))
+            gevent.sleep(0)
+        self.assertEqual(len(self.sent), 1)
+        caller.kill()
+
     def test_an_outcome_is_repeated_until_it_is_taken_in(self):
         caller = self.submit()
         self.front.take_dispatch(make_dispatch())
