--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -66,9 +66,9 @@
     ended_at: float = 0.0
 
     @property
-    def order(self) -> tuple[int, int]:
-        """Term and attempt."""
-        return self.dispatch.term, self.dispatch.attempt
+    def attempt(self) -> int:
+        """Number of the attempt, which rises from owner to owner too."""
+        return self.dispatch.attempt
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -81,6 +81,7 @@
         notice: Newest notice.
         held: The request, where this entry submits it.
         handed_over: Whether an owner may have been given the message.
+        repeat_at: When its message is sent again, in s.
         changed: Set on each notice.
     """
 
@@ -89,6 +90,7 @@
     notice: messages.Notice | None = None
     held: Held | None = None
     handed_over: bool = False
+    repeat_at: float = 0.0
     changed: gevent_event.Event = dataclasses.field(
         default_factory=gevent_event.Event
     )
@@ -214,25 +216,32 @@
     ) -> None:
         """Repeats a message until its job has ended or time is over."""
         started = time.monotonic()
-        shard = assignment.shard_of_job(waiter.job_id)
         while not waiter.is_final():
-            if field == "submissions":
-                self.describe_attempts(waiter.held, message)
-            if self.send_to_owner(shard, field, message):
-                waiter.handed_over = True
-                if field == "submissions":
-                    message.repeated = True
+            now = time.monotonic()
+            if now >= waiter.repeat_at:
+                waiter.repeat_at = now + REPEAT_S
+                self.send_message(waiter, field, message)
             length_s = wait_s
             if waiter.notice is None:
                 length_s = max(wait_s, FIRST_NOTICE_S)
             elif self.may_leave(waiter):
                 return
-            left = started + length_s - time.monotonic()
+            left = started + length_s - now
             if left <= 0:
                 return
-            waiter.changed.wait(min(REPEAT_S, left))
+            waiter.changed.wait(min(waiter.repeat_at - now, left))
             waiter.changed.clear()
 
+    def send_message(self, waiter: Waiter, field: str, message: object) -> None:
+        """Sends a waiter's message to the owner of its shard."""
+        if field == "submissions":
+            self.describe_attempts(waiter.held, message)
+        shard = assignment.shard_of_job(waiter.job_id)
+        if self.send_to_owner(shard, field, message):
+            waiter.handed_over = True
+            if field == "submissions":
+                message.repeated = True
+
     def describe_attempts(
         self, held: Held | None, submission: messages.Submission
     ) -> None:
@@ -292,6 +301,7 @@
         for job_id, group in self.waiters.items():
             if assignment.shard_of_job(job_id) == shard:
                 for waiter in group:
+                    waiter.repeat_at = 0.0
                     waiter.changed.set()
         self.repeat_outcomes(shard)
 
@@ -336,7 +346,7 @@
 
     def take_notice(self, notice: messages.Notice) -> None:
         """Hands a notice to the callers who wait for it."""
-        if notice.taken_term:
+        if notice.taken_attempt:
             self.take_receipt(notice)
         if not notice.state:
             return
@@ -349,7 +359,7 @@
     def take_receipt(self, notice: messages.Notice) -> None:
         """Notes that an outcome need not be repeated."""
         for carried in self.carried.get(notice.job_id, ()):
-            if carried.order == (notice.taken_term, notice.taken_attempt):
+            if carried.attempt == notice.taken_attempt:
                 carried.taken = True
 
     def is_carried(self, job_id: str) -> bool:
@@ -367,11 +377,11 @@
         carried = Carried(dispatch=dispatch)
         group = self.carried.setdefault(dispatch.job_id, [])
         for known in group:
-            if known.order == carried.order:
+            if known.attempt == carried.attempt:
                 known.taken = False
                 self.report(known)
                 return
-            if known.order > carried.order:
+            if known.attempt > carried.attempt:
                 return
         busy = self.is_carried(dispatch.job_id)
         group.append(carried)
