--- a/packages/core/hickoryreach/lists/editor.py
+++ b/packages/core/hickoryreach/lists/editor.py
@@ -198,7 +198,7 @@
         removed=delta.removed,
     )
     head = heads.append(kept.head, made)
-    rolled = _needs_roll(kept.head, head)
+    rolled = _is_long(head) and bool(kept.head.changes)
     if rolled:
         written = storage.write_roll(client, edit.name, kept.head, kept.flat)
         if isinstance(written, result.Failure):
@@ -211,14 +211,36 @@
     outcome = _swap(client, edit.name, kept, head).map(
         lambda _: Accepted(head=head, flat=flat, lines=lines)
     )
-    if rolled and isinstance(outcome, result.Success):
-        drop_snapshot(client, edit.name, kept.head.base_revision)
+    if isinstance(outcome, result.Success):
+        if rolled:
+            drop_snapshot(client, edit.name, kept.head.base_revision)
+        if _is_long(head):
+            compact(client, edit.name, head, flat)
     return outcome
 
 
-def _needs_roll(before: heads.Head, after: heads.Head) -> bool:
-    too_long = len(heads.pack(after)) > heads.HEAD_LIMIT_BYTES
-    return too_long and bool(before.changes)
+def _is_long(head: heads.Head) -> bool:
+    return len(heads.pack(head)) > heads.HEAD_LIMIT_BYTES
+
+
+def compact(
+    client: store.Store, name: str, head: heads.Head, flat: documents.Flat
+) -> None:
+    """Rolls an accepted head that every follower would read again and again.
+
+    Where it fails, the next change does the same.
+    """
+    written = storage.write_roll(client, name, head, flat)
+    read = storage.read_head(client, name)
+    if isinstance(written, result.Failure) or isinstance(read, result.Failure):
+        return
+    newest, index = read.unwrap()
+    if newest != head:
+        return
+    rolled = heads.pack(heads.roll(head))
+    swapped = client.put_if(heads.get_head_key(name), rolled, index=index)
+    if isinstance(swapped, result.Success):
+        drop_snapshot(client, name, head.base_revision)
 
 
 def drop_snapshot(client: store.Store, name: str, revision: int) -> None:
--- a/packages/entry/hickoryreach_entry/config/settings.py
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -1,7 +1,5 @@
 """Settings of the entry server, declared once."""
 
-from typing import Self
-
 import pydantic
 import pydantic_settings
 from returns import result
@@ -102,15 +100,14 @@
         description="Least severe level that is logged.",
     )
 
-    @pydantic.model_validator(mode="after")
-    def check_lengths(self) -> Self:
-        """Checks settings that depend on one another."""
-        if self.grant_ms <= 2 * self.sync_ms:
-            raise ValueError(
-                "grant_ms must be more than twice sync_ms; raise grant_ms or "
-                "lower sync_ms"
-            )
-        return self
+    @pydantic.field_validator("sync_ms")
+    @classmethod
+    def check_sync(cls, value: int, info: pydantic.ValidationInfo) -> int:
+        """Checks that a grant outlasts two syncs."""
+        grant_ms = info.data.get("grant_ms")
+        if grant_ms is not None and grant_ms <= 2 * value:
+            raise ValueError("must be less than half of --grant-ms")
+        return value
 
 
 def load(flags: dict[str, str]) -> result.Result[Settings, list[str]]:
--- a/tests/core/lists/test_editor.py
+++ b/tests/core/lists/test_editor.py
@@ -133,6 +133,20 @@
         snapshots = [k for k in self.store.values if heads.SNAPSHOTS in k]
         self.assertEqual(len(snapshots), 1)
 
+    def test_large_change_leaves_a_small_head(self):
+        names = [f"w{number}" for number in range(100)]
+        edit = replace(fakes.build_plans(*names), revision=1)
+        accepted = editor.change(self.store, edit).unwrap()
+        kept = self.read()
+        self.assertEqual((kept.head.revision, kept.head.changes), (2, ()))
+        self.assertEqual(kept.flat, accepted.flat)
+        found = editor.find_change(self.store, "plans", kept.head, 2).unwrap()
+        self.assertEqual(found, accepted.head.changes[-1])
+        editor.change(self.store, grant("w7", 2)).unwrap()
+        self.assertEqual(self.read().head.revision, 3)
+        snapshots = [k for k in self.store.values if heads.SNAPSHOTS in k]
+        self.assertEqual(snapshots, ["hickoryreach/list-snapshots/plans/2"])
+
     def test_operators_cannot_lock_themselves_out(self):
         document = fakes.build_plans("north").model_copy(
             update={"operators": ()}
