--- a/packages/entry/hickoryreach_entry/api/answers.py
+++ b/packages/entry/hickoryreach_entry/api/answers.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 import logging
+import re
 
 import falcon
 import orjson
@@ -73,17 +74,22 @@
     params: dict,
 ) -> None:
     """Answers what the framework refused before any work was taken."""
-    title = error.title or "error"
     write_problem(
         resp,
         problems.Problem(
             status=error.status_code,
-            reason=title.lower().replace(" ", "_"),
+            reason=name_reason(error),
             detail=error.description or "See the HTTP reference.",
         ),
     )
 
 
+def name_reason(error: falcon.HTTPError) -> str:
+    """Returns the machine-readable cause of a framework's error."""
+    words = re.findall(r"[a-z]+", (error.title or "error").lower())
+    return "_".join(words)
+
+
 def handle_fault(
     req: falcon.Request,
     resp: falcon.Response,
--- a/packages/entry/hickoryreach_entry/api/app.py
+++ b/packages/entry/hickoryreach_entry/api/app.py
@@ -40,7 +40,12 @@
     add_work(app, door, gate, settings.shards, list_jobs)
     add_lists(app, gate)
     app.add_route("/health", health.Health())
-    app.add_route("/ready", health.Ready(is_ready=is_ready))
+    app.add_route(
+        "/ready",
+        health.Ready(
+            is_ready=lambda: is_ready() and gate.find_staleness() is None
+        ),
+    )
     app.add_route("/metrics", health.Metrics())
     return app
 
--- a/packages/entry/hickoryreach_entry/api/submissions.py
+++ b/packages/entry/hickoryreach_entry/api/submissions.py
@@ -14,6 +14,7 @@
 REQUEST_SLOTS = 1
 TASKS_MAX = 100_000
 TIME_MAX_MS = 2**40
+WAVE_PATTERN = r"^[^/\s]*$"
 
 
 class Submission(pydantic.BaseModel):
@@ -33,7 +34,7 @@
     urgent: bool = False
     preemptible: bool = False
     timeout_ms: int = pydantic.Field(default=0, ge=0, le=TIME_MAX_MS)
-    wave: str = pydantic.Field(default="", max_length=200)
+    wave: str = pydantic.Field(default="", max_length=200, pattern=WAVE_PATTERN)
     service: str = pydantic.Field(default="", max_length=63)
 
     @pydantic.model_validator(mode="after")
