--- a/packages/core/hickoryreach/lists/keys.py
+++ b/packages/core/hickoryreach/lists/keys.py
@@ -18,10 +18,12 @@
     Attributes:
         callers: Plans by hash of a caller's key.
         operators: Operators by hash of their key.
+        workspaces: Plans by workspace.
     """
 
     callers: dict[str, plans.Plan]
     operators: dict[str, plans.Operator]
+    workspaces: dict[str, plans.Plan]
 
     def find_caller(self, key: str) -> plans.Plan | None:
         """Returns the plan whose key this is, or None."""
@@ -39,6 +41,7 @@
             key.hash: plan for plan in document.plans for key in plan.keys
         },
         operators={operator.hash: operator for operator in document.operators},
+        workspaces={plan.workspace: plan for plan in document.plans},
     )
 
 
--- a/packages/entry/hickoryreach_entry/api/access.py
+++ b/packages/entry/hickoryreach_entry/api/access.py
@@ -95,12 +95,12 @@
         stale = self.find_staleness()
         if stale is not None:
             return result.Failure(stale)
-        for plan in self.lists.plans.plans:
-            if plan.workspace == workspace:
-                return result.Success(
-                    Caller(workspace=workspace, plan=plan.plan, keyed=False)
-                )
-        return result.Failure(refuse_key())
+        plan = self.lists.keys.workspaces.get(workspace)
+        if plan is None:
+            return result.Failure(refuse_key())
+        return result.Success(
+            Caller(workspace=workspace, plan=plan.plan, keyed=False)
+        )
 
     def check_queue(
         self, caller: Caller, name: str, queue: allowances.Queue | None
--- a/packages/entry/hickoryreach_entry/api/bodies.py
+++ b/packages/entry/hickoryreach_entry/api/bodies.py
@@ -16,40 +16,37 @@
 
 
 def read(req: falcon.Request) -> result.Result[bytes, problems.Problem]:
-    """Returns the body, or the refusal of a huge or slow one."""
-    if (req.content_length or 0) > LIMIT_BYTES:
-        return _refuse_size()
+    """Returns the body, or the refusal of a huge, slow or cut one."""
+    if req.get_header("Transfer-Encoding"):
+        return _refuse(411, "length_required", "Send a Content-Length.")
+    length = req.content_length or 0
+    if length > LIMIT_BYTES:
+        return _refuse(
+            413, "body_too_large", f"Send at most {LIMIT_BYTES} bytes."
+        )
     try:
         with gevent.Timeout(READ_TIMEOUT_S, TimeoutError()):
-            body = req.bounded_stream.read(LIMIT_BYTES + 1)
-    except (TimeoutError, OSError):
-        return result.Failure(
-            problems.Problem(
-                status=408,
-                reason="body_too_slow",
-                detail=f"Send the whole body within {READ_TIMEOUT_S:.0f} s.",
-            )
+            body = req.bounded_stream.read(length)
+    except TimeoutError:
+        return _refuse(
+            408,
+            "body_too_slow",
+            f"Send the whole body within {READ_TIMEOUT_S:.0f} s.",
         )
-    if len(body) > LIMIT_BYTES:
-        return _refuse_size()
-    if req.content_length and len(body) < req.content_length:
-        return result.Failure(
-            problems.Problem(
-                status=400,
-                reason="body_cut",
-                detail="The body ended early; send the call again.",
-            )
+    except OSError:
+        body = b""
+    if len(body) < length:
+        return _refuse(
+            400, "body_cut", "The body ended early; send the call again."
         )
     return result.Success(body)
 
 
-def _refuse_size() -> result.Result[bytes, problems.Problem]:
+def _refuse(
+    status: int, reason: str, detail: str
+) -> result.Result[bytes, problems.Problem]:
     return result.Failure(
-        problems.Problem(
-            status=413,
-            reason="body_too_large",
-            detail=f"Send at most {LIMIT_BYTES} bytes.",
-        )
+        problems.Problem(status=status, reason=reason, detail=detail)
     )
 
 
--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -1,7 +1,11 @@
 """Submissions, queries and cancellations over HTTP."""
 
+import io
 import json
 import unittest
+from unittest import mock
+
+import gevent
 
 from hickoryreach.wire import messages
 from hickoryreach_entry.api import bodies
@@ -80,6 +84,24 @@
                 self.assertEqual(len(answer.json["faults"]), 1)
         self.assertEqual(self.door.submitted, [])
 
+    def post_stream(self, stream, **headers):
+        return self.entry.client.simulate_post(
+            "/v1/jobs", headers=headers, extras={"wsgi.input": stream}
+        )
+
+    def test_cut_slow_and_unbounded_bodies_are_refused(self):
+        cut = self.post_stream(io.BytesIO(b"{"), **{"Content-Length": "9"})
+        self.assert_refused(cut, 400, "body_cut")
+        with mock.patch.object(bodies, "READ_TIMEOUT_S", 0.01):
+            slow = mock.Mock(read=lambda *_: gevent.sleep(10))
+            answer = self.post_stream(slow, **{"Content-Length": "9"})
+        self.assert_refused(answer, 408, "body_too_slow")
+        chunked = {"Transfer-Encoding": "chunked"}
+        answer = self.post_stream(io.BytesIO(), **chunked)
+        self.assert_refused(answer, 411, "length_required")
+        answer = self.post_stream(io.BytesIO(), **{"Content-Length": "many"})
+        self.assert_refused(answer, 400, "invalid_header_value")
+
     def test_huge_body_is_refused(self):
         answer = self.entry.call(
             "POST",
