--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -1,7 +1,11 @@
 """Submissions, queries and cancellations over HTTP."""
 
+import io
 import json
 import unittest
+from unittest import mock
+
+import gevent
 
 from hickoryreach.wire import messages
 from hickoryreach_entry.api import bodies
@@ -67,6 +71,9 @@
             (json.dumps(SUBMISSION | {"color": 1}), "malformed"),
             (json.dumps(REQUEST | {"service": ""}), "malformed"),
             (json.dumps(SUBMISSION | {"service": "x"}), "malformed"),
+            (json.dumps(SUBMISSION | {"wave": "a/b"}), "malformed"),
+            (json.dumps(SUBMISSION | {"request_id": "\ud800"}), "malformed"),
+            (json.dumps(SUBMISSION | {"tasks": 10**30}), "malformed"),
         ]
         for body, reason in cases:
             with self.subTest(body):
@@ -77,6 +84,24 @@
                 self.assertEqual(len(answer.json["faults"]), 1)
         self.assertEqual(self.door.submitted, [])
 
+    def post_stream(self, stream, **headers):
+        return self.entry.client.simulate_post(
+            "/v1/jobs", headers=headers, extras={"wsgi.input": stream}
+        )
+
+    def test_cut_slow_and_unbounded_bodies_are_refused(self):
+        cut = self.post_stream(io.BytesIO(b"{"), **{"Content-Length": "9"})
+        self.assert_refused(cut, 400, "body_cut")
+        with mock.patch.object(bodies, "READ_TIMEOUT_S", 0.01):
+            slow = mock.Mock(read=lambda *_: gevent.sleep(10))
+            answer = self.post_stream(slow, **{"Content-Length": "9"})
+        self.assert_refused(answer, 408, "body_too_slow")
+        chunked = {"Transfer-Encoding": "chunked"}
+        answer = self.post_stream(io.BytesIO(), **chunked)
+        self.assert_refused(answer, 411, "length_required")
+        answer = self.post_stream(io.BytesIO(), **{"Content-Length": "many"})
+        self.assert_refused(answer, 400, "invalid_header_value")
+
     def test_huge_body_is_refused(self):
         answer = self.entry.call(
             "POST",
@@ -190,11 +215,23 @@
         self.assertEqual(second.after, "0.a")
 
     def test_unknown_paths_and_methods_are_problems(self):
-        self.assert_refused(self.entry.call("GET", "/v2"), 404, "404_not_found")
+        self.assert_refused(self.entry.call("GET", "/v2"), 404, "not_found")
         self.assert_refused(
-            self.entry.call("PATCH", "/v1/jobs"), 405, "405_method_not_allowed"
+            self.entry.call("PATCH", "/v1/jobs"), 405, "method_not_allowed"
         )
 
+    def test_malformed_parameters_are_problems(self):
+        answer = self.entry.call("GET", "/v1/jobs?limit=x", fakes.NORTH_KEY)
+        self.assert_refused(answer, 400, "invalid_parameter")
+        answer = self.entry.call("GET", "/v1/jobs?after=x", fakes.NORTH_KEY)
+        self.assert_refused(answer, 400, "malformed")
+
+    def test_entry_with_stale_lists_is_not_ready(self):
+        self.assertEqual(self.entry.call("GET", "/ready").status_code, 200)
+        self.entry.now_s += fakes.SETTINGS.lists_max_age_s + 0.1
+        self.assertEqual(self.entry.call("GET", "/ready").status_code, 503)
+        self.assertEqual(self.entry.call("GET", "/health").status_code, 200)
+
     def test_callers_above_the_bound_are_refused(self):
         inner = []
 
