Displace a workspace's own tasks for its urgent work at its limit

Cause: overdeclared preemptible work filled its workspace's limit, and the workspace's urgent tasks waited for it to end.

--- a/packages/core/hickoryreach/decisions/ledger.py
+++ b/packages/core/hickoryreach/decisions/ledger.py
@@ -30,6 +30,8 @@
     worker.free = worker.free - attempt.held
     if attempt.preemptible:
         worker.reclaimable = worker.reclaimable + attempt.held
+        workspace = get_workspace(shard, attempt.workspace)
+        workspace.preemptible[attempt.key] = attempt
     if attempt.workspace:
         _change_used(shard, attempt.workspace, attempt.held, add=True)
     refresh(shard, worker)
@@ -44,6 +46,9 @@
     if attempt.preemptible:
         worker.reclaimable = worker.reclaimable - attempt.held
     if attempt.workspace:
+        workspace = get_workspace(shard, attempt.workspace)
+        workspace.preemptible.pop(attempt.key, None)
+        workspace.yielding.pop(attempt.key, None)
         _change_used(shard, attempt.workspace, attempt.held, add=False)
     refresh(shard, worker)
     for kept in worker.claims:
@@ -76,6 +81,8 @@
     """Marks an attempt as one that urgent work can no longer displace."""
     if attempt.preemptible:
         attempt.preemptible = False
+        workspace = get_workspace(shard, attempt.workspace)
+        workspace.preemptible.pop(attempt.key, None)
         worker.reclaimable = worker.reclaimable - attempt.held
         refresh(shard, worker)
 
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -43,6 +43,7 @@
     yield from _place_waiting(shard, budget)
     yield from gangs.launch(shard, budget)
     yield from preemption.make_room(shard)
+    yield from preemption.make_way(shard)
 
 
 def _place_waiting(
@@ -65,6 +66,9 @@
             continue
         if not _is_allowed(shard, lane, queue.workspace):
             ordering.park(queue)
+            if lane.priority == ordering.URGENT:
+                name = queue.workspace.entitlement.workspace
+                shard.limited[(name, queue.key)] = queue
             continue
         worker = _choose(shard, lane, record)
         if worker is None:
--- a/packages/core/hickoryreach/decisions/preemption.py
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -8,6 +8,7 @@
 from hickoryreach.decisions import gangs
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import limits
+from hickoryreach.decisions import ordering
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -17,6 +18,7 @@
 WORKERS_COMPARED = 8
 TASKS_PER_EVENT = 16
 JOBS_PER_EVENT = 64
+OWN_COMPARED = 64
 
 
 def make_room(shard: state.ShardState) -> Iterator[effects.Effect]:
@@ -152,6 +154,42 @@
     yield from _stop(shard, worker, attempt)
 
 
+def make_way(shard: state.ShardState) -> Iterator[effects.Effect]:
+    """Displaces a workspace's own tasks for urgent ones its limit holds back.
+
+    One task's worth at a time for each workspace.
+    """
+    if not shard.settings.preempting:
+        return
+    for key, queue in list(shard.limited.items()):
+        if not queue.parked:
+            del shard.limited[key]
+        elif not queue.workspace.yielding:
+            yield from _yield_limit(shard, queue)
+
+
+def _yield_limit(
+    shard: state.ShardState, queue: state.JobQueue
+) -> Iterator[effects.Effect]:
+    workspace = queue.workspace
+    if ordering.get_job(queue) is None:
+        return
+    own = itertools.islice(workspace.preemptible.values(), OWN_COMPARED)
+    freed = resources.NOTHING
+    chosen = []
+    for attempt in sorted(own, key=lambda each: get_cost(shard, each)):
+        chosen.append(attempt)
+        freed = freed + attempt.held
+        if limits.has_room(workspace, queue.lane.need - freed):
+            break
+    else:
+        return
+    for attempt in chosen:
+        worker = shard.workers[attempt.worker_id]
+        workspace.yielding[attempt.key] = attempt
+        yield from _stop(shard, worker, attempt)
+
+
 @timers.handlers.register("checkpoint")
 def stop_unfinished(
     shard: state.ShardState, attempt: state.Attempt
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -336,6 +336,8 @@
         claimed: Sum reserved for its gangs.
         doubt: Sum that attempts under an earlier owner may use.
         part: Largest part of the cell that any resource of `used` takes.
+        preemptible: Attempts that urgent work may displace.
+        yielding: Attempts being displaced for its own urgent work.
         queues: Queues with its jobs.
         parked: Queues that its limit keeps from starting.
         waiting: Tasks waiting, requests left out.
@@ -348,6 +350,12 @@
     claimed: resources.Resources = resources.NOTHING
     doubt: resources.Resources = resources.NOTHING
     part: float = 0.0
+    preemptible: dict[jobs.TaskKey, Attempt] = dataclasses.field(
+        default_factory=dict
+    )
+    yielding: dict[jobs.TaskKey, Attempt] = dataclasses.field(
+        default_factory=dict
+    )
     queues: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
         default_factory=dict
     )
@@ -389,6 +397,7 @@
         served_key: Key of the queue that an ordinary task was placed from.
         served_sequence: Sequence of that task's job.
         pressing: Urgent lanes without room.
+        limited: Urgent queues that their workspace's limit holds back.
         profiles: What is known about commands, by workspace and command.
         resized: Profiles whose learned size may have changed.
         gangs: Waiting gangs by workspace, in order.
@@ -456,6 +465,9 @@
     pressing: dict[tuple[Any, ...], Lane] = dataclasses.field(
         default_factory=dict
     )
+    limited: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
+        default_factory=dict
+    )
     profiles: dict[tuple[str, str], Profile] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/core/decisions/test_preemption.py
+++ b/tests/core/decisions/test_preemption.py
@@ -77,6 +77,16 @@
         self.cell.tick(1_000)
         self.assertEqual(self.checkpoints(), [])
 
+    def test_workspace_at_its_limit_displaces_its_own_work(self):
+        self.cell.join("w2")
+        self.cell.entitle(north={"limit": cells.size(4, 8_000)}, south={})
+        self.fill(preemptible=True)
+        self.cell.submit("0.u", urgent=True)
+        (key,) = self.checkpoints()
+        self.cell.end(key.job_id, jobs.TaskResult.CHECKPOINTED)
+        self.assertEqual(self.cell.count_live("0.u"), 1)
+        self.assertEqual(len(self.cell.started), 4)
+
 
 if __name__ == "__main__":
     unittest.main()
