--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -41,7 +41,9 @@
     budget = shard.settings.placements_per_event
     yield from gangs.launch(shard, budget)
     yield from _place_waiting(shard, budget)
+    yield from gangs.launch(shard, budget)
     yield from preemption.make_room(shard)
+    yield from preemption.make_way(shard)
 
 
 def _place_waiting(
@@ -62,8 +64,11 @@
         if cancellation.is_marked(shard, record):
             yield from cancellation.cancel(shard, record)
             continue
-        if not limits.has_room(queue.workspace, lane.need):
+        if not _is_allowed(shard, lane, queue.workspace):
             ordering.park(queue)
+            if lane.priority == ordering.URGENT:
+                name = queue.workspace.entitlement.workspace
+                shard.limited[(name, queue.key)] = queue
             continue
         worker = _choose(shard, lane, record)
         if worker is None:
@@ -77,6 +82,18 @@
         yield attempts.place(shard, record, worker, lane.need)
 
 
+def _is_allowed(
+    shard: state.ShardState,
+    lane: state.Lane,
+    workspace: state.WorkspaceRecord,
+) -> bool:
+    if limits.has_room(workspace, lane.need):
+        return True
+    if lane.priority != ordering.URGENT:
+        return False
+    return gangs.make_way(shard, workspace, lane.need)
+
+
 def _choose(
     shard: state.ShardState, lane: state.Lane, record: state.JobRecord
 ) -> state.WorkerRecord | None:
--- a/packages/entry/hickoryreach_entry/owner/intake.py
+++ b/packages/entry/hickoryreach_entry/owner/intake.py
@@ -15,6 +15,7 @@
 from hickoryreach_entry.owner import journal
 from hickoryreach_entry.owner import notices
 from hickoryreach_entry.owner import records
+from hickoryreach_entry.owner import requests
 
 log = logging.getLogger(__name__)
 
@@ -179,6 +180,7 @@
             return
         if job.job_id in self.accepting:
             return
+        self.owner.disown_attempt(sender, submission)
         notice = self.owner.describe(job.job_id)
         if job.kind is jobs.Kind.REQUEST and not (
             jobs.JobState(notice.state).is_final
@@ -287,7 +289,7 @@
         sender, message = argument
         job_id = message.job_id
         if job_id in self.owner.requests.inherited:
-            self.owner.restore_request(job_id)
+            self.owner.restore_request(job_id, requests.END_FOLLOWS_MS)
         event = self.build_end(message)
         live = self.owner.requests.live.get(job_id)
         if live is not None and live.key == event.key:
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -22,6 +22,8 @@
 OPERATIONS_PER_SYNC = 500
 RETRY_S = 0.2
 COMMAND_LIFE_S = 1.5
+CLOSE_S = 1.0
+SOON_S = 0.1
 MILLISECONDS = 1000
 ONE_REQUEST = resources.Resources(slots=1)
 
@@ -73,8 +75,10 @@
         reachable: Whether it answered within its grant.
         leases_until: Time, in s, by which its tasks' leases have lapsed.
         uncertain_until: Time, in s, by which unanswered syncs have lapsed.
+        sent_until: Time, in s, until which the last command may arrive.
         replied_sent: When the last answered sync was sent, in s.
         requests: Job ids its minion serves, as of the last reply.
+        pause_s: Time to the next sync without commands, in s.
     """
 
     def __init__(
@@ -91,7 +95,7 @@
         may_lose: Callable[[str], bool],
         name_request: Callable[[str], jobs.TaskKey],
         leases_until: float,
-        client: platform_workers.WorkerClient | None = None,
+        client: platform_workers.WorkerClient,
     ) -> None:
         """Creates a link that is not started yet."""
         self.worker = worker
@@ -104,9 +108,7 @@
         self.on_reply = on_reply
         self.may_lose = may_lose
         self.name_request = name_request
-        self.client = client or platform_workers.WorkerClient(
-            address=worker.address
-        )
+        self.client = client
         self.operations: list[platform_workers.Operation] = []
         self.sent_starts: set[jobs.TaskKey] = set()
         self.acknowledged: dict[jobs.TaskKey, None] = {}
@@ -118,11 +120,13 @@
         self.boot: Boot | None = None
         self.leases_until = leases_until
         self.uncertain_until = 0.0
+        self.sent_until = 0.0
         self.replied_sent = 0.0
         self.joined = False
         self.reachable = False
         self.lost = False
         self.described = False
+        self.pause_s = lengths.sync_s
         self.greenlet = None
 
     def start(self) -> None:
@@ -133,7 +137,7 @@
         """Ends syncing; the grant lapses by itself."""
         if self.greenlet is not None:
             self.greenlet.kill(block=False)
-        self.client.close()
+        gevent.spawn_later(CLOSE_S, self.client.close)
 
     def send(self, operation: platform_workers.Operation) -> None:
         """Adds a command to the next sync, which goes at once."""
@@ -161,7 +165,8 @@
                 gevent.sleep(RETRY_S)
                 continue
             if not self.operations:
-                self.wake.wait(self.lengths.sync_s)
+                self.pause_s = min(2 * self.pause_s, self.lengths.sync_s)
+                self.wake.wait(self.pause_s)
             self.wake.clear()
 
     def sync_once(self) -> bool:
@@ -171,6 +176,8 @@
         answer = self.client.sync(request)
         received = time.monotonic()
         if isinstance(answer, result.Failure):
+            if request.deadline_ms:
+                self.uncertain_until = self.sent_until
             self.take_failure(answer.failure(), received)
             return False
         self.take_reply(answer.unwrap(), request, sent, received)
@@ -200,7 +207,7 @@
             for operation in operations
             if operation.verb == "start"
         )
-        self.uncertain_until = max(self.uncertain_until, until)
+        self.sent_until = until
         self.leases_until = max(
             self.leases_until, until + grants.lengthen(lengths.task_lease_s)
         )
@@ -290,6 +297,8 @@
         self.replied_sent = sent
         self.requests = frozenset(reply.requests)
         self.authority.take_grant(self.worker.worker_id, sent, received)
+        if request.operations or self.has_changed(reply):
+            self.pause_s = SOON_S / 2
         if request.deadline_ms and not reply.late and not self.lost:
             self.settle_request(request)
         self.report_running(reply, received)
@@ -297,6 +306,18 @@
             self.report_end(end)
         self.on_reply(self)
 
+    def has_changed(self, reply: platform_workers.SyncReply) -> bool:
+        """Returns whether tasks began or ended since the last reply.
+
+        More may follow soon, so the next sync comes sooner, and each one
+        after it later until the full interval is reached.
+        """
+        listed = len(reply.running) + len(reply.requests)
+        changed = listed != len(self.running) or any(
+            end.key not in self.reported_ends for end in reply.ended
+        )
+        return changed and self.joined
+
     def settle_request(self, request: platform_workers.SyncRequest) -> None:
         """Drops what the worker has carried out."""
         del self.operations[: len(request.operations)]
@@ -337,7 +358,7 @@
     ) -> tuple[workers.RunningTask, ...]:
         """Returns the tasks and requests that a worker lists."""
         tasks = tuple(
-            workers.RunningTask(key=row.key, used=row.used)
+            workers.RunningTask(key=row.key, used=row.used, given=row.need)
             for row in reply.running
         )
         requests = tuple(
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -55,7 +55,9 @@
         watchers: Entries to tell about a job, by job id.
         unkept: Final notices whose record is not kept yet, by job id.
         ending: The end being reduced, if any.
-        ready: Whether the journal is taken.
+        ready: Whether the journal is taken and messages are.
+        owning: Whether others are told that this entry owns the shard.
+        deciding: Whether events are reduced.
         stopped: Whether the shard was given up.
     """
 
@@ -89,6 +91,8 @@
         self.watchers: dict[str, set[str]] = {}
         self.inbox: queue.Queue = queue.Queue()
         self.ready = False
+        self.owning = False
+        self.deciding = True
         self.stopped = False
         self.ending: events.TaskEnded | None = None
         self.unkept: dict[str, messages.Notice] = {}
@@ -129,6 +133,7 @@
         """Gives the shard up at once."""
         self.stopped = True
         self.ready = False
+        self.owning = False
         self.journal.close()
         self.roster.stop()
         self.inbox.put((lambda argument: None, None))
@@ -136,6 +141,7 @@
     def release(self) -> None:
         """Hands the shard over: keeps what waits, then gives it up."""
         self.ready = False
+        self.deciding = False
         flushed = self.journal.flush(FLUSH_S)
         log.info(
             "shard_released", extra={"shard": self.shard, "flushed": flushed}
@@ -171,11 +177,13 @@
         gevent.spawn(self.follow_instances)
         gevent.spawn(self.tick_forever)
         self.ready = True
+        self.owning = True
         self.on_ready()
         self.decide_forever()
 
     def restore(self) -> None:
         """Takes over what the journal tells."""
+        self.state.term = self.journal.term
         self.roster.begin(self.journal.image.worker_ids, time.monotonic())
         self.apply(
             events.EntitlementsChanged(entitlements=self.get_entitlements())
@@ -190,24 +198,38 @@
                     progress=progress, intent=intent
                 )
                 continue
-            self.apply(
-                recovery.restore_job(
-                    progress, self.journal.generation, FAR_AHEAD_MS
-                )
-            )
+            self.apply(recovery.restore_job(progress, FAR_AHEAD_MS))
 
-    def restore_request(self, job_id: str) -> None:
+    def restore_request(self, job_id: str, hold_ms: int = 0) -> None:
         """Takes over a non-idempotent request whose attempt is accounted for.
 
         The reducer adopts it when its worker lists it, settles it with the
-        end that follows, or calls its outcome unknown.
+        end that follows within `hold_ms`, or calls its outcome unknown.
         """
         inherited = self.requests.inherited.pop(job_id, None)
         if inherited is None:
             return
+        self.requests.adopt(inherited, time.monotonic())
+        self.apply(recovery.restore_job(inherited.progress, now_ms() + hold_ms))
+
+    def disown_attempt(self, sender: str, submission) -> None:
+        """Takes an inherited attempt as not run, on its entry's word.
+
+        The entry that was to send it has not, and takes no dispatch of an
+        earlier term any more.
+        """
+        inherited = self.requests.inherited.get(submission.job.job_id)
+        if inherited is None or inherited.intent.entry != sender:
+            return
+        if submission.sent or submission.barrier < self.journal.term:
+            return
+        self.restore_request(submission.job.job_id, requests.END_FOLLOWS_MS)
         self.apply(
-            recovery.restore_job(
-                inherited.progress, self.journal.generation, FAR_AHEAD_MS
+            events.TaskEnded(
+                key=inherited.intent.key,
+                worker_id=inherited.intent.worker_id,
+                result=jobs.TaskResult.NOT_RUN,
+                reason="never sent",
             )
         )
 
@@ -233,7 +255,7 @@
 
     def apply(self, event: events.Event) -> None:
         """Reduces one event and carries out its effects."""
-        if self.stopped:
+        if self.stopped or not self.deciding:
             return
         if isinstance(event, events.TaskEnded):
             self.requests.settle(event.key)
