--- a/tests/core/fuzz/fakes.py
+++ b/tests/core/fuzz/fakes.py
@@ -34,11 +34,11 @@
 
     Attributes:
         running: Attempts it executes.
-        ended: Ends nobody acknowledged yet.
+        ended: Ends nobody acknowledged yet, with what was used.
     """
 
     running: tuple[workers.RunningTask, ...]
-    ended: tuple[tuple[jobs.TaskKey, jobs.TaskResult], ...]
+    ended: tuple[tuple[jobs.TaskKey, jobs.TaskResult, resources.Resources], ...]
 
 
 class FakeWorker:
@@ -47,6 +47,7 @@
     Attributes:
         worker: Its description.
         oracle: Record of the truth.
+        usage: Part of its declared need that a job uses, in percent.
         fenced: False takes the protection by term and grant away.
         term: Highest term it was asked under.
         grant: Number of its grant; a lapse raises it.
@@ -59,11 +60,13 @@
         *,
         worker: workers.Worker,
         oracle: oracles.Oracle,
+        usage: dict[str, int],
         fenced: bool = True,
     ) -> None:
         """Creates an idle worker."""
         self.worker = worker
         self.oracle = oracle
+        self.usage = usage
         self.fenced = fenced
         self.term = 0
         self.grant = 0
@@ -98,6 +101,15 @@
             and running.job.kind is not jobs.Kind.REQUEST
         ]
 
+    def get_used(self, key: jobs.TaskKey) -> resources.Resources:
+        """Returns what an attempt uses, which may be above its need."""
+        need = self.oracle.accepted[key.job_id].need
+        part = self.usage.get(key.job_id, 100)
+        return resources.Resources(
+            cpu_millis=need.cpu_millis * part // 100,
+            memory_mb=need.memory_mb * part // 100,
+        )
+
     def finish(self, key: jobs.TaskKey, outcome: jobs.TaskResult) -> None:
         """Ends an attempt and keeps the end until it is acknowledged."""
         self.oracle.end(key, outcome)
@@ -162,5 +174,8 @@
                 workers.RunningTask(key=key, used=self.oracle.running[key].need)
                 for key in self.list_running()
             ),
-            ended=tuple(self.ended.items()),
+            ended=tuple(
+                (key, outcome, self.get_used(key))
+                for key, outcome in self.ended.items()
+            ),
         )
--- a/tests/core/fuzz/machine.py
+++ b/tests/core/fuzz/machine.py
@@ -63,6 +63,7 @@
         self.stray: list[tuple[str, fakes.Sync]] = []
         self.outcomes: list[events.TaskEnded] = []
         self.made = 0
+        self.usage: dict[str, int] = {}
         self.now_ms = 1_000
         self.fakes = {
             name: fakes.FakeWorker(
@@ -74,6 +75,7 @@
                     service="desk",
                 ),
                 oracle=self.oracle,
+                usage=self.usage,
                 fenced="fence" not in self.broken,
             )
             for number, name in enumerate(WORKERS)
@@ -93,6 +95,7 @@
         idempotent=strategies.booleans(),
         urgent=strategies.booleans(),
         preemptible=strategies.booleans(),
+        usage=strategies.sampled_from((100, 30, 150)),
     )
     def submit(
         self,
@@ -103,11 +106,13 @@
         idempotent: bool,
         urgent: bool,
         preemptible: bool,
+        usage: int = 100,
     ) -> None:
         """A caller's job is accepted, or refused for good."""
         self.made += 1
         if kind in self.left_out:
             kind = jobs.Kind.BATCH
+        self.usage[f"0.{self.made}"] = usage
         request = kind is jobs.Kind.REQUEST
         service = kind is jobs.Kind.SERVICE
         self.owner.submit(
--- a/tests/core/fuzz/owner.py
+++ b/tests/core/fuzz/owner.py
@@ -197,10 +197,14 @@
             if task.key not in link.known:
                 link.known.add(task.key)
                 self.take(events.TaskStarted(key=task.key, worker_id=worker_id))
-        for key, outcome in reply.ended:
+        for key, outcome, used in reply.ended:
             self.take(
                 events.TaskEnded(
-                    key=key, worker_id=worker_id, result=outcome, run_ms=100
+                    key=key,
+                    worker_id=worker_id,
+                    result=outcome,
+                    used=used,
+                    run_ms=100,
                 )
             )
             link.acknowledged.append(key)
