--- a/tests/core/fuzz/test_found.py
+++ b/tests/core/fuzz/test_found.py
@@ -35,6 +35,15 @@
         self.state.depart(worker_id="w1", departing=True)
         self.state.teardown()
 
+    def test_new_owner_counts_a_raised_cap_it_has_not_seen_yet(self):
+        self.submit(jobs.Kind.BATCH)
+        self.state.sync_all()
+        self.state.sync_all()
+        self.state.set_limit(workspace="north", size=2_000)
+        self.state.replace_owner(carried=0, joined={"w2"})
+        self.submit(jobs.Kind.BATCH)
+        self.state.teardown()
+
 
 if __name__ == "__main__":
     unittest.main()
