Keep workers for the tasks a reserving gang still lacks

Cause: room was freed a core at a time and went to small tasks before a worker had enough for one task of a gang, so a gang's workspace got nothing for many seconds. Met on the way: room made for a gang could be counted against a negative rest and put a whole gang on one worker (9 and 5 refused starts in two runs); a placement without room now stops the process. Ruled out: counting kept room as use of the workspace (no gain in any of 18 runs beyond the spread).

--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -1,5 +1,6 @@
 """Placing an attempt on a worker."""
 
+from hickoryreach import exceptions
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import reservations
@@ -17,6 +18,10 @@
     need: resources.Resources,
 ) -> effects.Effect:
     """Places the next waiting task on a worker."""
+    if not need.fits_in(worker.free):
+        raise exceptions.InvariantError(
+            f"{worker.worker.worker_id} has no room for {record.job.job_id}"
+        )
     job = record.job
     index, _ = record.waiting.popitem()
     ledger.add_waiting(shard, record, -1)
--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -146,21 +146,39 @@
     record = lane.gang
     gang = record.gang
     missing = len(record.waiting) - gang.gathered
-    if worker is not None and missing > 0:
-        count = min(missing, _count_fitting(worker.available, gang.need))
-        reservations.keep_for_gang(shard, record, worker, count)
-        missing -= count
-    elif missing > 0:
+    if missing > 0 and worker is None:
         ordering.block(shard, lane)
         if not gang.reserving:
             disband(shard, record)
             _postpone(shard, record)
         return
-    if missing <= 0:
-        _close_lane(shard, gang)
-        gang.launching = True
-        shard.gathering = None
-        shard.launching[record.job.job_id] = record
+    if missing > 0:
+        count = min(missing, _count_fitting(worker.available, gang.need))
+        reservations.keep_for_gang(shard, record, worker, count)
+    _complete(shard, record)
+
+
+def gather_one(
+    shard: state.ShardState,
+    record: state.JobRecord,
+    worker: state.WorkerRecord,
+) -> None:
+    """Keeps room for one task where other tasks have made room."""
+    if len(record.waiting) > record.gang.gathered:
+        reservations.keep_for_gang(shard, record, worker, 1)
+    _complete(shard, record)
+
+
+def _complete(shard: state.ShardState, record: state.JobRecord) -> None:
+    gang = record.gang
+    if gang.gathered < len(record.waiting):
+        return
+    for kept in list(record.claims):
+        reservations.drop(shard, kept)
+    _close_lane(shard, gang)
+    gang.launching = True
+    shard.gathering = None
+    shard.launching[record.job.job_id] = record
 
 
 def _count_fitting(room: resources.Resources, need: resources.Resources) -> int:
--- a/packages/core/hickoryreach/decisions/preemption.py
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -224,7 +224,7 @@
         reservations.drop(shard, kept)
         if record.job.kind is jobs.Kind.GANG:
             if record.gang is not None and record.gang.lane is not None:
-                gangs.gather(shard, record.gang.lane, worker)
+                gangs.gather_one(shard, record, worker)
             continue
         workspace = ledger.get_workspace(shard, record.job.workspace)
         if record.waiting and limits.has_room(workspace, kept.need):
--- a/packages/core/hickoryreach/decisions/starvation.py
+++ b/packages/core/hickoryreach/decisions/starvation.py
@@ -12,6 +12,7 @@
 from hickoryreach.structure import resources
 
 WORKERS_COMPARED = 16
+GANG_TASKS_PER_EVENT = 16
 
 
 def keep_room(shard: state.ShardState) -> None:
@@ -23,6 +24,7 @@
     settings = shard.settings
     if not settings.starvation_ms:
         return
+    _help_gang(shard)
     shard.kept = [kept for kept in shard.kept if kept in kept.record.claims]
     most = -(-len(shard.workers) // settings.workers_per_reservation)
     left = most - len(shard.kept)
@@ -35,6 +37,32 @@
         _help(shard, lane)
 
 
+def _help_gang(shard: state.ShardState) -> None:
+    """Keeps workers for the tasks that a reserving gang still lacks."""
+    record = shard.gathering
+    if record is None or not record.gang.reserving:
+        return
+    gang = record.gang
+    lacking = len(record.waiting) - gang.gathered - len(record.claims)
+    for _ in range(min(lacking, GANG_TASKS_PER_EVENT)):
+        worker = _choose(shard, gang.lane)
+        if worker is None:
+            return
+        _keep(shard, record, worker, gang.need)
+
+
+def _keep(
+    shard: state.ShardState,
+    record: state.JobRecord,
+    worker: state.WorkerRecord,
+    need: resources.Resources,
+) -> state.Claim:
+    kept = reservations.keep_for_task(shard, record, worker, need)
+    due_ms = shard.now_ms + shard.settings.reservation_ms
+    timers.schedule(shard, due_ms, "claim", kept)
+    return kept
+
+
 def _list_starved(shard: state.ShardState) -> Iterator[state.Lane]:
     horizon_ms = shard.now_ms - shard.settings.starvation_ms
     for lane in shard.lanes.values():
@@ -67,10 +95,7 @@
     worker = _choose(shard, lane)
     if worker is None:
         return
-    kept = reservations.keep_for_task(shard, record, worker, lane.need)
-    shard.kept.append(kept)
-    due_ms = shard.now_ms + shard.settings.reservation_ms
-    timers.schedule(shard, due_ms, "claim", kept)
+    shard.kept.append(_keep(shard, record, worker, lane.need))
 
 
 def _choose(
