--- a/bench/driver.py
+++ b/bench/driver.py
@@ -302,7 +302,9 @@
             events.WorkerReported(
                 worker_id=worker_id,
                 running=tuple(
-                    workers.RunningTask(key=row.key, used=row.used)
+                    workers.RunningTask(
+                        key=row.key, used=row.used, given=row.need
+                    )
                     for row in reply.running
                 ),
             )
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -194,6 +194,7 @@
         return tuple(
             platform_workers.TaskRow(
                 key=key,
+                need=task.given,
                 used=task.used
                 if now_ms - task.started_ms > USAGE_LAG_MS
                 else resources.NOTHING,
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -204,6 +204,7 @@
                 key=jobs.TaskKey(
                     job_id=f"0.{row:016x}", index=row, attempt=100_001
                 ),
+                need=NEED,
                 used=NEED,
             )
             for row in range(rows)
