--- a/Makefile
+++ b/Makefile
@@ -32,3 +32,12 @@
 bench: setup
 	$(BIN)/python -m bench
 
+
+fuzz: setup
+	$(BIN)/python -m tests.core.fuzz
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
+plots: bench
+	$(BIN)/python -m bench.plots
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import gc
+import itertools
 import time
 import tracemalloc
 
@@ -17,6 +18,7 @@
 from hickoryreach.decisions import registry
 from hickoryreach.decisions import state
 from hickoryreach.lists import documents
+from hickoryreach.lists import freshness
 from hickoryreach.lists import heads
 from hickoryreach.lists import keys
 from hickoryreach.lists import plans
@@ -32,8 +34,10 @@
 TASKS = 5_000
 ROWS = 50
 REPEATS = 200
+ROUNDS = 5
 WORKSPACES = 640
 KEYS_PER_WORKSPACE = 3
+PEERS = 50
 NEED = resources.Resources(cpu_millis=1_000, memory_mb=2_000)
 BOOT_ID = "4b7f0c1d2e3a4f50"
 
@@ -101,10 +105,14 @@
 
 
 def _time_us(call: Callable[[], object], repeats: int = REPEATS) -> float:
-    before_s = time.process_time()
-    for _ in range(repeats):
-        call()
-    return (time.process_time() - before_s) / repeats * 1e6
+    """Returns the least processor time of a call in a few rounds of calls."""
+    rounds = []
+    for _ in range(ROUNDS):
+        before_s = time.process_time()
+        for _ in range(repeats):
+            call()
+        rounds.append(time.process_time() - before_s)
+    return min(rounds) / repeats * 1e6
 
 
 @measures.register("memory")
@@ -141,55 +149,57 @@
     ]
 
 
-@measures.register("events")
-def measure_events() -> list[Slope]:
-    """Measures the time of a task's events and of a worker's report."""
-    shard = make_shard(2 * WORKERS)
-    before_s = time.process_time()
-    for number in range(JOBS):
-        out = submit(shard, make_job(number))
-        starts = [e for e in out if isinstance(e, effects.StartTask)]
-        for start in starts:
-            at = {"key": start.key, "worker_id": start.worker_id}
-            reducer.reduce(shard, events.TaskStarted(**at), 0)
-            reducer.reduce(
-                shard,
-                events.TaskEnded(
-                    **at, result=jobs.TaskResult.SUCCEEDED, run_ms=100
-                ),
-                0,
-            )
-    task_us = (time.process_time() - before_s) / JOBS * 1e6
-    held = [submit(shard, make_job(JOBS + n)) for n in range(7 * 2 * WORKERS)]
+def _run_job(shard: state.ShardState, number: int) -> None:
+    for start in submit(shard, make_job(number)):
+        if not isinstance(start, effects.StartTask):
+            continue
+        at = {"key": start.key, "worker_id": start.worker_id}
+        reducer.reduce(shard, events.TaskStarted(**at), 0)
+        outcome = jobs.TaskResult.SUCCEEDED
+        reducer.reduce(
+            shard, events.TaskEnded(**at, result=outcome, run_ms=100), 0
+        )
+
+
+def _fill(shard: state.ShardState, count: int) -> list[events.WorkerReported]:
+    """Starts `count` tasks and returns a report of each worker."""
     listed: dict[str, list[workers.RunningTask]] = {}
-    for out in held:
-        for effect in out:
+    for number in range(count):
+        for effect in submit(shard, make_job(2 * JOBS + number)):
             if isinstance(effect, effects.StartTask):
-                listed.setdefault(effect.worker_id, []).append(
-                    workers.RunningTask(
-                        key=effect.key, used=effect.need, given=effect.need
-                    )
+                row = workers.RunningTask(
+                    key=effect.key, used=effect.need, given=effect.need
                 )
-    reports = [
+                listed.setdefault(effect.worker_id, []).append(row)
+    return [
         events.WorkerReported(worker_id=name, running=tuple(rows))
         for name, rows in listed.items()
     ]
+
+
+@measures.register("events")
+def measure_events() -> list[Slope]:
+    """Measures the time of a task's events and of a worker's report."""
+    shard = make_shard(2 * WORKERS)
+    numbers = itertools.count()
+    task_us = _time_us(lambda: _run_job(shard, next(numbers)), JOBS // ROUNDS)
+    reports = _fill(shard, 7 * 2 * WORKERS)
     rows = sum(len(report.running) for report in reports)
-    for report in reports:
-        reducer.reduce(shard, report, 0)
-    before_s = time.process_time()
-    for report in reports:
-        reducer.reduce(shard, report, 1_000)
-    report_us = (time.process_time() - before_s) / len(reports) * 1e6
+    times = itertools.count(1_000, 1_000)
+
+    def report_all() -> None:
+        now_ms = next(times)
+        for report in reports:
+            reducer.reduce(shard, report, now_ms)
+
+    report_all()
+    row_us = _time_us(report_all, 1) / rows
     tick_us = _time_us(lambda: reducer.reduce(shard, events.Ticked(), 1_000))
     return [
         Slope(
             name="reducer, us a one-task job from submit to end", value=task_us
         ),
-        Slope(
-            name=f"reducer, us a report of {rows / len(reports):.1f} tasks",
-            value=report_us,
-        ),
+        Slope(name="reducer, us a task in a report", value=row_us),
         Slope(name="reducer, us a tick with nothing to do", value=tick_us),
     ]
 
@@ -330,7 +340,50 @@
             Slope(name=f"thrift, us to encode a {name}", value=pack_us),
             Slope(name=f"thrift, us to decode a {name}", value=unpack_us),
         ]
-    return slopes
+    return [*slopes, *_measure_heartbeat()]
+
+
+def _make_statement(peers: int) -> bytes:
+    names = [f"{number:08x}" for number in range(peers)]
+    return freshness.pack(
+        freshness.Statement(
+            instance="01234567",
+            stamp_ms=123_456_789,
+            age_ms=1_500,
+            unsettled=False,
+            revisions={"plans": 27_000, "allowances": 270},
+            echoes=dict.fromkeys(names, 123_456_789),
+            heard_ms=dict.fromkeys(names, 250),
+        )
+    )
+
+
+def _measure_heartbeat() -> list[Slope]:
+    """Measures heads sent to one peer; a statement names every entry."""
+    sizes = []
+    for peers in (0, PEERS):
+        told = [
+            messages.ListHead(name="plans", revision=27_000),
+            messages.ListHead(name="allowances", revision=270),
+            messages.ListHead(
+                name="freshness", revision=0, document=_make_statement(peers)
+            ),
+        ]
+        sent = _pack(messages.Envelope(sender="entry-17", heads=told))
+        answer = _pack(messages.Receipt(receiver="entry-18", heads=told))
+        sizes.append(len(sent) + len(answer))
+    statement = _make_statement(PEERS)
+    return [
+        Slope(name="heartbeat, bytes both ways", value=sizes[0]),
+        Slope(
+            name="heartbeat, bytes both ways an entry named",
+            value=(sizes[1] - sizes[0]) / PEERS,
+        ),
+        Slope(
+            name="heartbeat, us to parse an entry named",
+            value=_time_us(lambda: freshness.parse(statement)) / PEERS,
+        ),
+    ]
 
 
 def make_plans(count: int) -> plans.Plans:
