Let a gang gather room in the order of shares

Cause: a reserving gang went before all ordinary work, so workspaces with many gangs got more than their share.

--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -62,7 +62,7 @@
     """Ranks workspaces by urgency, then by how little of the cell they use."""
     (late, sequence), _ = shard.gangs[name].peekitem(0)
     workspace = shard.workspaces[name]
-    return late, workspace.part / workspace.entitlement.share, sequence
+    return late, ordering.get_part(workspace), sequence
 
 
 def _begin(shard: state.ShardState, record: state.JobRecord) -> None:
@@ -94,7 +94,7 @@
         need=need,
         pool=job.service,
         kind=jobs.Kind.GANG,
-        priority=ordering.URGENT if job.urgent else ordering.RESERVED,
+        priority=ordering.URGENT if job.urgent else ordering.ORDINARY,
         gang=record,
         careful=ordering.is_careful(job),
     )
--- a/packages/core/hickoryreach/decisions/ledger.py
+++ b/packages/core/hickoryreach/decisions/ledger.py
@@ -136,6 +136,9 @@
     for queue in workspace.queues.values():
         if not queue.parked:
             ordering.push(shard, queue)
+    gathering = shard.gathering
+    if gathering is not None and gathering.gang.lane is not None:
+        ordering.activate(shard, gathering.gang.lane)
 
 
 def refresh(shard: state.ShardState, worker: state.WorkerRecord) -> None:
--- a/packages/core/hickoryreach/decisions/ordering.py
+++ b/packages/core/hickoryreach/decisions/ordering.py
@@ -17,9 +17,8 @@
 from hickoryreach.structure import jobs
 
 URGENT = 0
-RESERVED = 1
-REQUEST = 2
-ORDINARY = 3
+REQUEST = 1
+ORDINARY = 2
 TRIM_LIMIT = 256
 CANDIDATE_LIMIT = 32
 
@@ -47,7 +46,11 @@
 
 
 def _get_weighted_part(queue: state.JobQueue) -> float:
-    workspace = queue.workspace
+    return get_part(queue.workspace)
+
+
+def get_part(workspace: state.WorkspaceRecord) -> float:
+    """Returns the part of the cell in use, divided by the share."""
     return workspace.part / workspace.entitlement.share
 
 
@@ -98,7 +101,7 @@
     if lane.blocked and not lane.candidates:
         return
     if lane.gang is not None:
-        key = 0.0
+        key = _get_gang_key(shard, lane)
     elif lane.queues:
         key = lane.queues[0][0]
     else:
@@ -107,6 +110,11 @@
         _push_lane(shard, lane, key)
 
 
+def _get_gang_key(shard: state.ShardState, lane: state.Lane) -> float:
+    workspace = shard.workspaces[lane.gang.job.workspace]
+    return get_part(workspace)
+
+
 def _push_lane(shard: state.ShardState, lane: state.Lane, key: float) -> None:
     lane.pushed = key
     shard.sequence += 1
@@ -129,7 +137,12 @@
             _retract(shard, lane)
             continue
         if lane.gang is not None:
-            return lane, None
+            current = _get_gang_key(shard, lane)
+            if current <= key:
+                return lane, None
+            heapq.heappop(shard.order)
+            _push_lane(shard, lane, current)
+            continue
         queue = get_head(shard, lane)
         if queue is None:
             _retract(shard, lane)
--- a/packages/core/hickoryreach/decisions/starvation.py
+++ b/packages/core/hickoryreach/decisions/starvation.py
@@ -42,6 +42,9 @@
     record = shard.gathering
     if record is None or not record.gang.reserving:
         return
+    workspace = shard.workspaces[record.job.workspace]
+    if ordering.get_part(workspace) > shard.served_key:
+        return
     gang = record.gang
     lacking = len(record.waiting) - gang.gathered - len(record.claims)
     for _ in range(min(lacking, GANG_TASKS_PER_EVENT)):
