--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,6 +20,7 @@
 HEARTBEATS_PER_S = (ENTRIES_MEASURED - 1) / 0.5
 SYNC_PER_S = 1.0
 JOB_TASKS = 20
+BYTES_PER_MB = 1 << 20
 
 
 def read_processes() -> dict[str, float]:
@@ -31,6 +32,8 @@
     calls = idle["store_calls_per_s"]
     syncs = WORKERS_MEASURED * SYNC_PER_S
     tasks_per_s = batch["per_s"] * JOB_TASKS
+    memory = data["memory_mb"].values()
+    done = sum(phase["done"] for phase in data["phases"])
     return {
         "front, us a request": one["busiest_core"] / one["per_s"] * 1e6,
         "owner, us a request": one["owner_core"] / one["per_s"] * 1e6,
@@ -40,7 +43,10 @@
         * 1e6,
         "entry, us a heartbeat": idle["busiest_core"] / HEARTBEATS_PER_S * 1e6,
         "worker, us a sync": idle["workers_core"] / syncs * 1e6,
-        "entry, MB when idle": min(data["memory_mb"].values()),
+        "entry, MB when idle": min(memory),
+        "owner, bytes an ended job kept": (max(memory) - min(memory))
+        * BYTES_PER_MB
+        / done,
         "store, watch calls a second an entry": calls["watch"]
         / ENTRIES_MEASURED,
         "store, lease calls a second an entry": calls["session"]
--- a/bench/roles.py
+++ b/bench/roles.py
@@ -135,7 +135,7 @@
         RETAINED_S
         * get_jobs_per_s()
         / SHARDS
-        * costs["reducer memory, bytes a waiting job of one task"]
+        * costs["owner, bytes an ended job kept"]
     )
     state_mb = (
         count * costs["reducer memory, bytes a worker"] + running + finished
