Let a gang of a workspace with less go first while another must wait

Cause: the one gang that gathers held up gangs of workspaces below their share while its own was above.

--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -49,6 +49,20 @@
         _begin(shard, record)
 
 
+def reconsider(shard: state.ShardState) -> None:
+    """Lets a gang of a workspace with less go before one that must wait."""
+    record = shard.gathering
+    if record is None or record.job.urgent or not shard.gangs:
+        return
+    part = ordering.get_part(shard.workspaces[record.job.workspace])
+    if part <= shard.served_key:
+        return
+    best = min(_rank(shard, name) for name in shard.gangs)
+    if best[0] is False or best[1] < part:
+        disband(shard, record)
+        queue(shard, record)
+
+
 def _take_next(shard: state.ShardState) -> state.JobRecord:
     name = min(shard.gangs, key=lambda name: _rank(shard, name))
     group = shard.gangs[name]
--- a/packages/core/hickoryreach/decisions/reducer.py
+++ b/packages/core/hickoryreach/decisions/reducer.py
@@ -9,6 +9,7 @@
 from hickoryreach.decisions import estimates
 from hickoryreach.decisions import events
 from hickoryreach.decisions import fleet
+from hickoryreach.decisions import gangs
 from hickoryreach.decisions import intake
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import outcomes
@@ -200,4 +201,5 @@
     """Handles what has become due."""
     yield from timers.run_due(shard)
     yield from upkeep.run(shard)
+    gangs.reconsider(shard)
     starvation.keep_room(shard)
