--- a/standins/cell.py
+++ b/standins/cell.py
@@ -3,6 +3,8 @@
 import dataclasses
 import json
 import os
+import pathlib
+import random
 import signal
 import socket
 import subprocess
@@ -11,10 +13,18 @@
 import urllib.error
 import urllib.request
 
+from hickoryreach_entry.config import settings as entry_settings
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
 WORKERS_PER_RACK = 6
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+ENTRY_MODULE = "hickoryreach_entry"
+
+ports = random.SystemRandom()
+taken_ports: set[int] = set()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -37,10 +47,18 @@
 
 
 def find_port() -> int:
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port outside the range of outgoing connections."""
+    while True:
+        port = ports.randrange(FIRST_PORT, LAST_PORT)
+        if port in taken_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        taken_ports.add(port)
+        return port
 
 
 def call(
@@ -76,12 +94,22 @@
     Attributes:
         name: Name for messages.
         url: Base URL it serves.
+        public_url: URL through the proxy, or `url` without one.
     """
 
-    def __init__(self, *, name: str, url: str, arguments: list[str], log: str):
+    def __init__(
+        self,
+        *,
+        name: str,
+        url: str,
+        arguments: list[str],
+        log: str,
+        public_url: str = "",
+    ) -> None:
         """Starts the process."""
         self.name = name
         self.url = url
+        self.public_url = public_url or url
         self.arguments = arguments
         self.log_path = log
         with open(log, "ab") as output:
@@ -96,16 +124,32 @@
         """Sends a signal."""
         os.kill(self.popen.pid, number)
 
+    def freeze(self) -> None:
+        """Stops the process until it is thawed."""
+        self.signal(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Lets a frozen process go on."""
+        self.signal(signal.SIGCONT)
+
+    def is_running(self) -> bool:
+        """Returns whether the process has not ended."""
+        return self.popen.poll() is None
+
     def kill(self) -> None:
         """Kills the process, stopped or not."""
-        if self.popen.poll() is None:
+        if self.is_running():
             self.popen.kill()
         self.popen.wait(STOP_TIMEOUT_S)
 
-    def terminate(self) -> int:
+    def terminate(self, timeout_s: float = STOP_TIMEOUT_S * 3) -> int:
         """Asks the process to end and returns its exit code."""
         self.signal(signal.SIGTERM)
-        return self.popen.wait(STOP_TIMEOUT_S * 3)
+        return self.popen.wait(timeout_s)
+
+    def control(self, **fields: object) -> None:
+        """Brings a fault about in a stand-in."""
+        put(f"{self.url}/control", fields)
 
 
 class Cell:
@@ -113,8 +157,10 @@
 
     Attributes:
         store: The store stand-in.
+        proxy: The proxy, where the cell has one.
         workers: The worker stand-ins.
         entries: The entries.
+        entry_module: Module that is run as an entry.
     """
 
     def __init__(
@@ -123,30 +169,69 @@
         deployment: Deployment,
         log_folder: str,
         environment: dict[str, str] | None = None,
+        proxied: bool = False,
+        entry_module: str = ENTRY_MODULE,
+        worker_flags: dict[str, str] | None = None,
     ) -> None:
-        """Creates a cell that is not started yet."""
+        """Creates a cell that is not started yet.
+
+        Args:
+            deployment: Its size.
+            log_folder: Folder of the processes' logs and records.
+            environment: Further flags of each entry.
+            proxied: Whether connections go through the proxy.
+            entry_module: Module that is run as an entry.
+            worker_flags: Further flags of each worker.
+        """
         self.deployment = deployment
         self.log_folder = log_folder
         self.environment = environment or {}
+        self.proxied = proxied
+        self.entry_module = entry_module
+        self.worker_flags = worker_flags or {}
         self.store: Process | None = None
+        self.proxy: Process | None = None
         self.workers: list[Process] = []
         self.entries: list[Process] = []
 
     def start(self) -> None:
-        """Starts everything and waits until it is ready."""
+        """Starts everything; the entries need not be ready yet."""
         os.makedirs(self.log_folder, exist_ok=True)
+        if self.proxied:
+            self.start_proxy()
         self.start_store()
         for number in range(self.deployment.workers):
             self.workers.append(self.start_worker(number))
         for number in range(self.deployment.entries):
             self.entries.append(self.start_entry(number))
 
+    def start_proxy(self) -> None:
+        """Starts the proxy."""
+        port = find_port()
+        self.proxy = Process(
+            name="proxy",
+            url=f"http://127.0.0.1:{port}",
+            arguments=["standins.proxy", "--port", str(port)],
+            log=f"{self.log_folder}/proxy.log",
+        )
+        wait_for(f"{self.proxy.url}/links")
+
+    def expose(self, target: str, port: int) -> int:
+        """Returns the port under which others reach a target."""
+        if self.proxy is None:
+            return port
+        answer = put(
+            f"{self.proxy.url}/target", {"target": target, "port": port}
+        )
+        return answer["port"]
+
     def start_store(self) -> None:
         """Starts the store stand-in."""
         port = find_port()
         self.store = Process(
             name="store",
             url=f"http://127.0.0.1:{port}",
+            public_url=f"http://127.0.0.1:{self.expose('store', port)}",
             arguments=["standins.store", "--port", str(port)],
             log=f"{self.log_folder}/store.log",
         )
@@ -157,43 +242,86 @@
         domains = self.deployment.failure_domains
         rack = number // WORKERS_PER_RACK
         port = find_port()
+        minion_port = find_port()
+        name = f"worker-{number}"
+        flags = {
+            "worker-id": name,
+            "port": port,
+            "minion-port": minion_port,
+            "listed-port": self.expose(name, port),
+            "listed-minion-port": self.expose(f"minion-{number}", minion_port),
+            "store-url": self.store.url,
+            "record": f"{self.log_folder}/{name}.record",
+            "failure-domain": domains[rack % len(domains)],
+            "rack": f"rack-{rack}",
+            "service": self.deployment.service,
+            **self.worker_flags,
+        }
         return Process(
-            name=f"worker-{number}",
+            name=name,
             url=f"http://127.0.0.1:{port}",
-            arguments=[
-                "standins.worker",
-                *("--worker-id", f"worker-{number}"),
-                *("--port", str(port)),
-                *("--store-url", self.store.url),
-                *("--failure-domain", domains[rack % len(domains)]),
-                *("--rack", f"rack-{rack}"),
-                *("--service", self.deployment.service),
-            ],
-            log=f"{self.log_folder}/worker-{number}.log",
+            arguments=["standins.worker", *render_flags(flags)],
+            log=f"{self.log_folder}/{name}.log",
         )
 
-    def start_entry(self, number: int, store_url: str = "") -> Process:
+    def start_entry(self, number: int, module: str = "") -> Process:
         """Starts one entry."""
         domains = self.deployment.failure_domains
         port = find_port()
+        peer_port = find_port()
+        name = f"entry-{number}"
+        listed = self.expose(f"peer-{number}", peer_port)
         flags = {
-            "name": f"entry-{number}",
+            "name": name,
             "failure-domain": domains[number % len(domains)],
-            "http-port": str(port),
-            "peer-port": str(find_port()),
-            "store-url": store_url or self.store.url,
+            "http-port": port,
+            "peer-port": peer_port,
+            "store-url": self.store.public_url,
             **self.environment,
         }
-        return Process(
-            name=f"entry-{number}",
+        if "peer_advertise" in entry_settings.Settings.model_fields:
+            flags["peer-advertise"] = f"127.0.0.1:{listed}"
+        entry = Process(
+            name=name,
             url=f"http://127.0.0.1:{port}",
+            public_url=f"http://127.0.0.1:{self.expose(name, port)}",
             arguments=[
-                "hickoryreach_entry",
+                *(module or self.entry_module).split(),
                 "serve",
-                *(f"--{name}={value}" for name, value in flags.items()),
+                *render_flags(flags),
             ],
-            log=f"{self.log_folder}/entry-{number}.log",
+            log=f"{self.log_folder}/{name}.log",
         )
+        self.name_sources([*self.entries, entry])
+        return entry
+
+    def name_sources(self, entries: list[Process]) -> None:
+        """Tells the proxy which process is which entry."""
+        if self.proxy is not None:
+            names = {entry.popen.pid: entry.name for entry in entries}
+            put(f"{self.proxy.url}/sources", names)
+
+    def replace_entry(self, number: int) -> None:
+        """Starts a new entry in the place of one that has ended."""
+        self.entries[number] = self.start_entry(number)
+        self.name_sources(self.entries)
+
+    def set_rules(self, *rules: dict) -> None:
+        """Replaces every rule of the proxy; none heals everything."""
+        put(f"{self.proxy.url}/rules", list(rules))
+
+    def kill_worker(self, number: int) -> None:
+        """Kills a worker and what runs on it."""
+        worker = self.workers[number]
+        worker.kill()
+        line = {
+            "at": time.monotonic(),
+            "worker": worker.name,
+            "what": "died",
+        }
+        path = pathlib.Path(f"{self.log_folder}/{worker.name}.record")
+        with path.open("a") as record:
+            record.write(json.dumps(line) + "\n")
 
     def wait_until_ready(self) -> None:
         """Waits until each entry is ready."""
@@ -202,11 +330,28 @@
 
     def stop(self) -> None:
         """Ends every process by its own id."""
-        for process in (*self.entries, *self.workers, self.store):
+        for process in (*self.entries, *self.workers, self.store, self.proxy):
             if process is not None:
                 process.kill()
 
 
+def render_flags(flags: dict[str, object]) -> list[str]:
+    """Returns command-line flags."""
+    return [f"--{name}={value}" for name, value in flags.items()]
+
+
+def put(url: str, body: object) -> dict:
+    """Puts JSON to a stand-in's control.
+
+    Raises:
+        RuntimeError: The stand-in refused it.
+    """
+    status, answer = call("PUT", url, body)
+    if status != 200:
+        raise RuntimeError(f"{url} answered {status}: {answer}")
+    return answer
+
+
 def wait_for(url: str, timeout_s: float = READY_TIMEOUT_S) -> None:
     """Waits until a URL answers 200.
 
--- a/standins/http.py
+++ b/standins/http.py
@@ -3,6 +3,7 @@
 import socket
 
 import falcon
+import gevent.pool
 import gevent.pywsgi
 
 
@@ -15,6 +16,16 @@
         return super().do_handle(*args)
 
 
-def build_server(app: falcon.App, *, host: str, port: int) -> Server:
-    """Returns a server for `app` that is not started yet."""
-    return Server((host, port), app, log=None)
+def build_server(
+    app: falcon.App, *, host: str, port: int, connections: int = 0
+) -> Server:
+    """Returns a server for `app` that is not started yet.
+
+    Args:
+        app: The application.
+        host: Address to listen on.
+        port: Port to listen on.
+        connections: Most connections served at a time; 0 for no limit.
+    """
+    spawn = gevent.pool.Pool(connections) if connections else "default"
+    return Server((host, port), app, log=None, spawn=spawn)
--- a/standins/store.py
+++ b/standins/store.py
@@ -40,6 +40,36 @@
     deadline: float
 
 
+@dataclasses.dataclass(kw_only=True)
+class Copy:
+    """What a restored store comes back with."""
+
+    index: int
+    records: dict[str, Record]
+    sessions: dict[str, Session]
+
+
+@dataclasses.dataclass(kw_only=True)
+class Faults:
+    """What is wrong with the store now.
+
+    Attributes:
+        down: Whether every call is answered 500 without effect.
+        delay_ms: Time each call takes before its effect.
+        lose_answers: Whether writes take effect and are then answered 500.
+        watch_lag_ms: Time by which watches learn late.
+        instances: true, stale, empty or wrong.
+        stale_instances: The list as of when it became stale.
+    """
+
+    down: bool = False
+    delay_ms: int = 0
+    lose_answers: bool = False
+    watch_lag_ms: int = 0
+    instances: str = "true"
+    stale_instances: dict = dataclasses.field(default_factory=dict)
+
+
 class Memory:
     """All values, sessions and instances, with one rising index."""
 
@@ -52,6 +82,9 @@
         self.instances: dict[str, dict] = {}
         self.changed = gevent_event.Event()
         self.calls: dict[str, int] = {}
+        self.calls_by_second: dict[int, dict[str, int]] = {}
+        self.faults = Faults()
+        self.copies: dict[str, Copy] = {}
 
     def bump(self) -> int:
         """Raises the index and wakes waiting watches."""
@@ -63,6 +96,40 @@
     def count(self, kind: str) -> None:
         """Counts one call."""
         self.calls[kind] = self.calls.get(kind, 0) + 1
+        second = self.calls_by_second.setdefault(int(time.monotonic()), {})
+        second[kind] = second.get(kind, 0) + 1
+
+    def save(self, name: str) -> None:
+        """Keeps a copy of all values under a name."""
+        self.copies[name] = Copy(
+            index=self.index,
+            records=dict(self.records),
+            sessions=dict(self.sessions),
+        )
+
+    def restore(self, name: str) -> None:
+        """Goes back to a copy; its index falls, its leases begin anew."""
+        copy = self.copies[name]
+        self.index = copy.index
+        self.records = dict(copy.records)
+        self.sessions = dict(copy.sessions)
+        for session in self.sessions.values():
+            session.deadline = time.monotonic() + session.ttl_s
+        self.tombstones.clear()
+        waiters, self.changed = self.changed, gevent_event.Event()
+        waiters.set()
+
+    def list_instances(self, name: str) -> list[dict]:
+        """Returns the rows of one service, true or not."""
+        listed = {
+            "true": self.instances,
+            "stale": self.faults.stale_instances,
+            "empty": {},
+            "wrong": {
+                key: row | {"Port": 1} for key, row in self.instances.items()
+            },
+        }[self.faults.instances]
+        return [row for row in listed.values() if row["Name"] == name]
 
     def find(self, key: str, recurse: bool) -> list[tuple[str, Record]]:
         """Returns the records under a key or prefix, ordered."""
@@ -187,6 +254,8 @@
         wait = (req.get_param("wait") or "0ms").removesuffix("ms")
         self.memory.count("watch" if after else "get")
         self.wait_for_change(key, recurse, after, int(wait) / 1000)
+        if after:
+            gevent.sleep(self.memory.faults.watch_lag_ms / 1000)
         rows = self.memory.find(key, recurse)
         resp.set_header("X-Consul-Index", str(self.memory.newest(key, recurse)))
         resp.status = falcon.HTTP_200 if rows else falcon.HTTP_404
@@ -197,7 +266,7 @@
     ) -> None:
         """Returns when a change passed `after`, or after `wait_s`."""
         deadline = time.monotonic() + wait_s
-        while self.memory.newest(key, recurse) <= after:
+        while self.memory.newest(key, recurse) == after:
             left = deadline - time.monotonic()
             if left <= 0 or not self.memory.changed.wait(left):
                 return
@@ -267,9 +336,7 @@
         """Lists the instances of one service."""
         self.memory.count("instances")
         resp.media = [
-            {"Service": row}
-            for row in self.memory.instances.values()
-            if row["Name"] == name
+            {"Service": row} for row in self.memory.list_instances(name)
         ]
 
     def on_put_register(self, req: falcon.Request, resp: falcon.Response):
@@ -295,14 +362,62 @@
         """Answers the calls counted so far."""
         resp.media = {
             "calls": self.memory.calls,
+            "calls_by_second": self.memory.calls_by_second,
             "values": sum(len(r.data) for r in self.memory.records.values()),
             "keys": len(self.memory.records),
         }
 
 
+class Control:
+    """Brings faults about."""
+
+    def __init__(self, *, memory: Memory) -> None:
+        """Keeps the memory."""
+        self.memory = memory
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response):
+        """Saves or restores a copy, or changes the faults."""
+        body = req.get_media()
+        if "save" in body:
+            self.memory.save(body.pop("save"))
+        if "restore" in body:
+            self.memory.restore(body.pop("restore"))
+        if body.get("instances") == "stale":
+            body["stale_instances"] = dict(self.memory.instances)
+        self.memory.faults = dataclasses.replace(self.memory.faults, **body)
+        resp.media = {}
+
+
+class FaultMiddleware:
+    """Applies the faults to every call of the platform's interface."""
+
+    def __init__(self, *, memory: Memory) -> None:
+        """Keeps the memory."""
+        self.memory = memory
+
+    def process_request(self, req: falcon.Request, resp: falcon.Response):
+        """Delays or fails a call before its effect."""
+        if not req.path.startswith("/v1/"):
+            return
+        gevent.sleep(self.memory.faults.delay_ms / 1000)
+        if self.memory.faults.down:
+            self.memory.count("refused")
+            resp.complete = True
+            resp.status = falcon.HTTP_500
+
+    def process_response(
+        self, req: falcon.Request, resp: falcon.Response, resource, succeeded
+    ):
+        """Loses the answer of a write after its effect."""
+        write = req.method == "PUT" and req.path.startswith("/v1/")
+        if write and self.memory.faults.lose_answers:
+            resp.status = falcon.HTTP_500
+            resp.media = None
+
+
 def build_app(memory: Memory) -> falcon.App:
     """Returns the interface over `memory`."""
-    app = falcon.App()
+    app = falcon.App(middleware=[FaultMiddleware(memory=memory)])
     sessions = Sessions(memory=memory)
     instances = Instances(memory=memory)
     app.add_route("/v1/kv/{key:path}", Values(memory=memory))
@@ -320,6 +435,7 @@
         suffix="deregister",
     )
     app.add_route("/counts", Counts(memory=memory))
+    app.add_route("/control", Control(memory=memory))
     return app
 
 
--- a/standins/worker.py
+++ b/standins/worker.py
@@ -1,15 +1,7 @@
-"""Stand-in for a worker and the minion on it.
-
-It keeps to the least that the product assumes of a worker: the highest term
-it was asked under, refusal of starts under a lower term or a lapsed grant,
-a stop of each task whose lease lapses, and the end of each task until it is
-acknowledged. What it did is kept in a record for the checks.
-"""
+"""Stand-in for a worker and the minion on it, as one process."""
 
 import argparse
-import dataclasses
 import json
-import time
 import urllib.request
 import uuid
 
@@ -18,233 +10,128 @@
 from gevent import monkey
 
 from standins import http
+from standins import machine
 
 monkey.patch_all()
 
 LEASE_SWEEP_S = 0.05
-FAIL_ARGUMENT = "fail"
-
-
-@dataclasses.dataclass(kw_only=True)
-class Task:
-    """One running attempt."""
-
-    key: dict
-    need: dict
-    started: float
-    lease_until: float
-    run_s: float
-    workspace: str
-
-
-class Machine:
-    """Tasks, grant and minion slots of one worker."""
-
-    def __init__(self, *, worker_id: str, slots: int) -> None:
-        """Creates an idle machine."""
-        self.worker_id = worker_id
-        self.boot_id = str(uuid.uuid4())
-        self.term = 0
-        self.grant_until = 0.0
-        self.lease_s = 0.0
-        self.tasks: dict[tuple, Task] = {}
-        self.ended: dict[tuple, dict] = {}
-        self.history: list[dict] = []
-        self.slots = slots
-        self.requests: dict[str, float] = {}
-
-    def note(self, what: str, key: dict, **fields) -> None:
-        """Adds a line to the record that the checks read."""
-        self.history.append(
-            {"at": time.monotonic(), "what": what, "key": key, **fields}
-        )
-
-    def sync(self, body: dict) -> dict | None:
-        """Carries out one sync; None when its term is too low."""
-        if body["term"] < self.term:
-            return None
-        now = time.monotonic()
-        self.term = body["term"]
-        self.grant_until = now + body["grant_ms"] / 1000
-        self.lease_s = body["task_lease_ms"] / 1000
-        for task in self.tasks.values():
-            task.lease_until = now + self.lease_s
-        for key in body["acknowledged"]:
-            self.ended.pop(identify(key), None)
-        for operation in body["operations"]:
-            self.operate(operation, now)
-        return self.describe()
-
-    def operate(self, operation: dict, now: float) -> None:
-        """Carries out one command."""
-        key = operation["key"]
-        identity = identify(key)
-        if operation["verb"] == "start":
-            if identity not in self.tasks and identity not in self.ended:
-                self.start(operation, now)
-        elif operation["verb"] == "stop":
-            self.end(identity, "stopped", operation["reason"])
-        elif operation["verb"] == "checkpoint":
-            self.end(identity, "checkpointed", "")
-
-    def start(self, operation: dict, now: float) -> None:
-        """Runs one attempt until its time is over."""
-        key = operation["key"]
-        run_s = run_time_s(operation["arguments"])
-        if operation["service"]:
-            run_s = float("inf")
-        self.tasks[identify(key)] = Task(
-            key=key,
-            need=operation["need"],
-            started=now,
-            lease_until=now + self.lease_s,
-            run_s=run_s,
-            workspace=operation["workspace"],
-        )
-        self.note(
-            "start",
-            key,
-            need=operation["need"],
-            workspace=operation["workspace"],
-            term=self.term,
-        )
-        failing = FAIL_ARGUMENT in operation["arguments"]
-        if run_s != float("inf"):
-            result = "failed" if failing else "succeeded"
-            gevent.spawn_later(run_s, self.end, identify(key), result, "")
-
-    def end(self, identity: tuple, result: str, reason: str) -> None:
-        """Ends one attempt and keeps its end until acknowledged."""
-        task = self.tasks.pop(identity, None)
-        if task is None:
-            return
-        run_ms = int((time.monotonic() - task.started) * 1000)
-        self.ended[identity] = {
-            "key": task.key,
-            "result": result,
-            "used": task.need,
-            "run_ms": run_ms,
-            "reason": reason,
-        }
-        self.note("end", task.key, result=result)
-
-    def describe(self) -> dict:
-        """Returns the reply to a sync."""
-        return {
-            "term": self.term,
-            "boot_id": self.boot_id,
-            "running": [
-                {"key": task.key, "used": task.need}
-                for task in self.tasks.values()
-            ],
-            "ended": list(self.ended.values()),
-            "requests": list(self.requests),
-        }
-
-    def sweep(self) -> None:
-        """Stops the tasks whose lease has lapsed."""
-        now = time.monotonic()
-        lapsed = [
-            identity
-            for identity, task in self.tasks.items()
-            if task.lease_until < now
-        ]
-        for identity in lapsed:
-            self.end(identity, "stopped", "lease lapsed")
-
-
-def identify(key: dict) -> tuple:
-    """Returns the hashable identity of an attempt."""
-    return key["job_id"], key["index"], key["attempt"]
-
-
-def run_time_s(arguments: list[str]) -> float:
-    """Returns the run time in a `run_ms=N` argument, or a short default."""
-    for argument in arguments:
-        name, _, value = argument.partition("=")
-        if name == "run_ms":
-            return int(value) / 1000
-    return 0.05
+SILENCE_S = 60.0
+MINION_CONNECTIONS = 64
+BYTES_PER_KB = 1_000
 
 
 class Sync:
     """The task interface."""
 
-    def __init__(self, *, machine: Machine) -> None:
+    def __init__(self, *, worker: machine.Machine) -> None:
         """Keeps the machine."""
-        self.machine = machine
+        self.machine = worker
 
     def on_post(self, req: falcon.Request, resp: falcon.Response):
-        """Carries out a sync, or refuses a lower term."""
-        reply = self.machine.sync(req.get_media())
+        """Carries out a sync, or refuses a stale one."""
+        body = req.get_media()
+        if self.machine.mode == "silent":
+            gevent.sleep(SILENCE_S)
+        reply = self.machine.sync(body)
         if reply is None:
             resp.status = falcon.HTTP_409
             reply = {"term": self.machine.term}
+        if self.machine.mode == "garble":
+            resp.data = b'{"term": "no'
+            return
         resp.media = reply
 
 
 class History:
     """What the checks read."""
 
-    def __init__(self, *, machine: Machine) -> None:
-        """Keeps the machine."""
-        self.machine = machine
+    def __init__(self, *, recorder: machine.Recorder) -> None:
+        """Keeps the recorder."""
+        self.recorder = recorder
 
     def on_get(self, req: falcon.Request, resp: falcon.Response):
         """Answers everything started and ended, with times."""
         resp.media = {
-            "worker_id": self.machine.worker_id,
-            "history": self.machine.history,
+            "worker_id": self.recorder.worker_id,
+            "history": self.recorder.history,
         }
 
 
+class Control:
+    """Changes how the worker behaves."""
+
+    def __init__(self, *, worker: machine.Machine) -> None:
+        """Keeps the machine."""
+        self.machine = worker
+
+    def on_put(self, req: falcon.Request, resp: falcon.Response):
+        """Sets the mode."""
+        self.machine.mode = req.get_media()["mode"]
+        resp.media = {"mode": self.machine.mode}
+
+
 class Minion:
     """The back end: answers one request per slot."""
 
-    def __init__(self, *, machine: Machine) -> None:
+    def __init__(self, *, worker: machine.Machine) -> None:
         """Keeps the machine."""
-        self.machine = machine
+        self.machine = worker
+        self.recorder = worker.recorder
 
     def on_post(self, req: falcon.Request, resp: falcon.Response, path: str):
         """Refuses a stale term or a full minion, else serves the request."""
         job_id = req.get_header("X-Request-Id") or str(uuid.uuid4())
         term = int(req.get_header("X-Grant-Term") or 0)
-        body = req.bounded_stream.read()
-        key = {"job_id": job_id, "index": 0, "attempt": 0}
-        if term < self.machine.term:
-            resp.status = falcon.HTTP_409
-            return
-        if len(self.machine.requests) >= self.machine.slots:
-            resp.status = falcon.HTTP_503
+        body = json.loads(req.bounded_stream.read() or b"{}")
+        arguments = machine.parse_arguments(body.get("arguments", []))
+        piece = arguments.get("piece", job_id)
+        refused = self.machine.admit_request(term)
+        if refused:
+            self.recorder.note("refuse_request", piece=piece, status=refused)
+            resp.status = refused
             return
-        arguments = json.loads(body or b"{}").get("arguments", [])
-        self.machine.requests[job_id] = time.monotonic()
-        self.machine.note("request", key, term=term)
-        gevent.sleep(run_time_s(arguments))
-        del self.machine.requests[job_id]
-        self.machine.note("answer", key)
+        self.serve(job_id, piece, term, arguments)
+        failing = (
+            machine.FAIL_ARGUMENT in arguments or self.machine.mode == "fail"
+        )
+        resp.status = 500 if failing else 200
         resp.media = {
             "path": path,
-            "worker": self.machine.worker_id,
+            "worker": self.recorder.worker_id,
             "request": job_id,
+            "piece": piece,
+            "filler": "x" * (BYTES_PER_KB * int(arguments.get("answer_kb", 0))),
             "done": True,
         }
 
+    def serve(
+        self, job_id: str, piece: str, term: int, arguments: dict[str, str]
+    ) -> None:
+        """Takes a slot for as long as the request runs."""
+        number = str(uuid.uuid4())
+        self.machine.requests[number] = job_id
+        self.recorder.note(
+            "request", number=number, piece=piece, job_id=job_id, term=term
+        )
+        gevent.sleep(machine.run_time_s(arguments))
+        del self.machine.requests[number]
+        self.recorder.note("answer", number=number, piece=piece)
+
 
-def sweep_forever(machine: Machine) -> None:
+def sweep_forever(worker: machine.Machine) -> None:
     """Stops lapsed tasks from time to time."""
     while True:
         gevent.sleep(LEASE_SWEEP_S)
-        machine.sweep()
+        worker.sweep()
 
 
-def register(options: argparse.Namespace) -> None:
-    """Enters the worker in the platform's instance list."""
-    row = {
+def describe(options: argparse.Namespace) -> dict:
+    """Returns the worker's row in the platform's instance list."""
+    return {
         "ID": options.worker_id,
         "Name": "worker",
         "Address": options.host,
-        "Port": options.port,
+        "Port": options.listed_port or options.port,
         "Meta": {
             "failure_domain": options.failure_domain,
             "rack": options.rack,
@@ -252,25 +139,36 @@
             "memory_mb": str(options.memory_mb),
             "accelerators": str(options.accelerators),
             "slots": str(options.slots),
-            "minion_address": f"{options.host}:{options.port}",
+            "minion_address": (
+                f"{options.host}:"
+                f"{options.listed_minion_port or options.minion_port}"
+            ),
             "service": options.service,
         },
     }
+
+
+def register(options: argparse.Namespace) -> None:
+    """Enters the worker in the platform's instance list."""
     request = urllib.request.Request(
         f"{options.store_url}/v1/agent/service/register",
-        data=json.dumps(row).encode(),
+        data=json.dumps(describe(options)).encode(),
         headers={"Content-Type": "application/json"},
         method="PUT",
     )
     urllib.request.urlopen(request, timeout=5).close()
 
 
-def main() -> None:
-    """Serves until killed."""
+def parse_options() -> argparse.Namespace:
+    """Returns the command line's options."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--worker-id", required=True)
     parser.add_argument("--host", default="127.0.0.1")
     parser.add_argument("--port", type=int, required=True)
+    parser.add_argument("--minion-port", type=int, required=True)
+    parser.add_argument("--listed-port", type=int, default=0)
+    parser.add_argument("--listed-minion-port", type=int, default=0)
+    parser.add_argument("--record", default="")
     parser.add_argument("--store-url", required=True)
     parser.add_argument("--failure-domain", required=True)
     parser.add_argument("--rack", required=True)
@@ -279,16 +177,47 @@
     parser.add_argument("--accelerators", type=int, default=0)
     parser.add_argument("--slots", type=int, default=8)
     parser.add_argument("--service", default="registry")
-    options = parser.parse_args()
-    machine = Machine(worker_id=options.worker_id, slots=options.slots)
+    return parser.parse_args()
+
+
+def build_worker(options: argparse.Namespace) -> machine.Machine:
+    """Returns an idle machine whose size is in its record."""
+    recorder = machine.Recorder(
+        worker_id=options.worker_id, path=options.record
+    )
+    recorder.note(
+        "up",
+        capacity={
+            "cpu_millis": options.cpu_millis,
+            "memory_mb": options.memory_mb,
+            "accelerators": options.accelerators,
+        },
+        slots=options.slots,
+    )
+    return machine.Machine(recorder=recorder, slots=options.slots)
+
+
+def main() -> None:
+    """Serves until killed."""
+    options = parse_options()
+    worker = build_worker(options)
     app = falcon.App()
-    app.add_route("/v1/sync", Sync(machine=machine))
-    app.add_route("/history", History(machine=machine))
-    app.add_route("/minion/{path:path}", Minion(machine=machine))
+    app.add_route("/v1/sync", Sync(worker=worker))
+    app.add_route("/history", History(recorder=worker.recorder))
+    app.add_route("/control", Control(worker=worker))
+    back_end = falcon.App()
+    back_end.add_route("/minion/{path:path}", Minion(worker=worker))
+    minion_server = http.build_server(
+        back_end,
+        host=options.host,
+        port=options.minion_port,
+        connections=MINION_CONNECTIONS,
+    )
+    minion_server.start()
     server = http.build_server(app, host=options.host, port=options.port)
     server.start()
     register(options)
-    gevent.spawn(sweep_forever, machine)
+    gevent.spawn(sweep_forever, worker)
     server.serve_forever()
 
 
