--- a/standins/load.py
+++ b/standins/load.py
@@ -187,7 +187,7 @@
     )
     try:
         status, data = read_whole(request)
-        content = json.loads(data) if data else {}
+        content = json.loads(data)
     except (OSError, ValueError, http.client.HTTPException):
         return 0, {}
     return status, content if isinstance(content, dict) else {}
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -7,6 +7,7 @@
 """
 
 import argparse
+import contextlib
 import dataclasses
 import fnmatch
 import pathlib
@@ -242,11 +243,8 @@
 
 def reset_socket(end) -> None:
     """Closes a socket so that its peer sees a reset."""
-    try:
+    with contextlib.suppress(OSError):
         end.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
-        end.shutdown(socket.SHUT_RDWR)
-    except OSError:
-        pass
     end.close()
 
 
