--- /dev/null
+++ b/tests/integration/cases.py
@@ -0,0 +1,193 @@
+"""A cell of processes with callers, a proxy and the checks over it all."""
+
+import dataclasses
+import os
+import pathlib
+import re
+import tempfile
+import time
+import unittest
+
+from standins import cell
+from standins import checker
+from standins import load
+from standins import samples
+from tests.integration import bounds
+
+LONG = os.environ.get("FAULTS") == "long"
+POLL_S = 0.05
+SHORT_LEASES = {
+    "member-lease-s": "2.0",
+    "grant-ms": "1500",
+    "task-lease-ms": "3000",
+    "sync-ms": "300",
+}
+LEASES_S = 2.0 + 1.5 + 3.0
+TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
+
+
+@dataclasses.dataclass(kw_only=True)
+class Trial:
+    """One cell under faults, and what its callers were told.
+
+    Attributes:
+        cell: The cell.
+        ledger: What was submitted and answered.
+        limits: Limits that were accepted.
+    """
+
+    cell: cell.Cell
+    ledger: load.Ledger = dataclasses.field(default_factory=load.Ledger)
+    limits: list[checker.Limit] = dataclasses.field(default_factory=list)
+
+    @property
+    def urls(self) -> list[str]:
+        """URLs of the entries that run, through the proxy."""
+        return [
+            entry.public_url
+            for entry in self.cell.entries
+            if entry.is_running()
+        ]
+
+    def find_owner(self, shard: int = 0) -> int:
+        """Returns the number of the entry that last took a shard."""
+        takes = []
+        for number, entry in enumerate(self.cell.entries):
+            text = pathlib.Path(entry.log_path).read_text()
+            takes += [
+                (int(term), number)
+                for taken, term in TAKEN.findall(text)
+                if int(taken) == shard
+            ]
+        return max(takes)[1]
+
+    def wait_for_new_owner(self, old: int, shard: int = 0) -> int:
+        """Waits until another entry than the old owner took a shard."""
+        wait_until(lambda: self.find_owner(shard) != old)
+        return self.find_owner(shard)
+
+    def history(self) -> list[dict]:
+        """Returns what the workers recorded so far."""
+        return checker.read_history(self.cell.log_folder)
+
+    def count(self, what: str, piece: str) -> int:
+        """Returns how often a piece did something on the workers."""
+        return sum(
+            line["what"] == what and line.get("piece") == piece
+            for line in self.history()
+        )
+
+    def wait_for_begin(self, piece: str, tasks: int = 1) -> None:
+        """Waits until tasks of a piece have begun on workers."""
+        wait_until(
+            lambda: (
+                self.count("start", piece) + self.count("request", piece)
+                >= tasks
+            )
+        )
+
+    def find_runners(self, piece: str) -> set[int]:
+        """Returns the numbers of the workers where a piece runs now."""
+        return {
+            int(run.worker.rsplit("-", 1)[1])
+            for run in checker.build_runs(self.history())
+            if run.piece == piece and run.end == checker.FOREVER
+        }
+
+    def find_violations(self, url: str = "") -> list[str]:
+        """Heals the network, settles all work and returns what broke."""
+        if self.cell.proxy is not None:
+            self.cell.set_rules()
+        final = self.ledger.settle(
+            url or self.urls[0], timeout_s=bounds.GENEROUS_S
+        )
+        return checker.find_violations(
+            checker.Evidence(
+                history=self.history(),
+                pieces=self.ledger.pieces,
+                answers=self.ledger.answers,
+                limits=self.limits,
+                final=final,
+                limit_bound_s=bounds.CONFIGURATION_S,
+            )
+        )
+
+
+class CellCase(unittest.TestCase):
+    """Tests that share one cell, each with callers of its own.
+
+    Attributes:
+        workers: Number of workers.
+        entries: Number of entries.
+        settings: Further settings of the entries.
+        worker_flags: Further flags of the workers.
+        entry_module: Module that is run as an entry.
+    """
+
+    workers = 4
+    entries = 3
+    settings: dict[str, str] = {}
+    worker_flags: dict[str, str] = {}
+    entry_module = cell.ENTRY_MODULE
+
+    @classmethod
+    def setUpClass(cls):
+        folder = tempfile.TemporaryDirectory()
+        cls.addClassCleanup(folder.cleanup)
+        cls.cell = cell.Cell(
+            deployment=cell.Deployment(
+                name="small",
+                service="registry",
+                workers=cls.workers,
+                entries=cls.entries,
+            ),
+            log_folder=folder.name,
+            environment=SHORT_LEASES | cls.settings,
+            proxied=True,
+            worker_flags=cls.worker_flags,
+            entry_module=cls.entry_module,
+        )
+        cls.addClassCleanup(cls.cell.stop)
+        cls.cell.start()
+        samples.write_lists(cls.cell.store.url)
+        cls.cell.wait_until_ready()
+        cls.trial = Trial(cell=cls.cell)
+        wait_for_work(cls.trial)
+
+    def setUp(self):
+        self.ledger = self.trial.ledger
+
+    def assert_promises_hold(self):
+        """Fails with each promise that the records show broken."""
+        self.assertEqual(self.trial.find_violations(), [])
+
+    def revive(self, number: int) -> None:
+        """Replaces an entry that has ended, and waits until it is ready."""
+        self.cell.entries[number].kill()
+        self.cell.replace_entry(number)
+        self.cell.wait_until_ready()
+
+
+def wait_for_work(trial: Trial) -> None:
+    """Waits until a first piece was carried out."""
+    work = load.Work(name="warm-up")
+    wait_until(
+        lambda: (
+            trial.ledger.submit(trial.urls[0], work).body.get("state")
+            == "succeeded"
+        )
+    )
+
+
+def wait_until(condition, timeout_s: float = bounds.GENEROUS_S) -> None:
+    """Waits until a condition holds.
+
+    Raises:
+        TimeoutError: It did not within the time.
+    """
+    deadline = time.monotonic() + timeout_s
+    while time.monotonic() < deadline:
+        if condition():
+            return
+        time.sleep(POLL_S)
+    raise TimeoutError(f"not within {timeout_s} s")
