--- a/standins/cell.py
+++ b/standins/cell.py
@@ -37,6 +37,8 @@
         failure_domains: Names of its failure domains.
         workers: Number of workers.
         entries: Number of entries.
+        workers_per_rack: Workers in each rack; each rack stands in the next
+            failure domain.
     """
 
     name: str
@@ -44,6 +46,7 @@
     failure_domains: tuple[str, ...] = ("a", "b", "c", "d")
     workers: int = 24
     entries: int = 6
+    workers_per_rack: int = WORKERS_PER_RACK
 
 
 def find_port() -> int:
@@ -240,7 +243,7 @@
     def start_worker(self, number: int) -> Process:
         """Starts one worker stand-in."""
         domains = self.deployment.failure_domains
-        rack = number // WORKERS_PER_RACK
+        rack = number // self.deployment.workers_per_rack
         port = find_port()
         minion_port = find_port()
         name = f"worker-{number}"
--- a/tests/integration/cases.py
+++ b/tests/integration/cases.py
@@ -1,6 +1,8 @@
 """A cell of processes with callers, a proxy and the checks over it all."""
 
+import base64
 import dataclasses
+import json
 import os
 import pathlib
 import re
@@ -17,12 +19,18 @@
 LONG = os.environ.get("FAULTS") == "long"
 POLL_S = 0.05
 SHORT_LEASES = {
-    "member-lease-s": "2.0",
-    "grant-ms": "1500",
-    "task-lease-ms": "3000",
+    "member-lease-s": "1.5",
+    "grant-ms": "1200",
+    "task-lease-ms": "2000",
     "sync-ms": "300",
 }
-LEASES_S = 2.0 + 1.5 + 3.0
+NO_LIMIT = {
+    "cpu_millis": 10**9,
+    "memory_mb": 10**9,
+    "accelerators": 10**6,
+    "slots": 10**6,
+}
+LEASES_S = 1.5 + 1.2 + 2.0
 TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
 
 
@@ -70,6 +78,49 @@
         """Returns what the workers recorded so far."""
         return checker.read_history(self.cell.log_folder)
 
+    def get_list(self, name: str) -> dict:
+        """Returns a list with its revision, as the store holds it."""
+        url = f"{self.cell.store.url}/v1/kv/hickoryreach/lists/{name}"
+        row = cell.call("GET", url)[1][0]
+        return json.loads(base64.b64decode(row["Value"]))
+
+    def put_list(self, name: str, document: dict) -> None:
+        """Accepts a list under the next revision, past every entry."""
+        head = self.get_list(name)
+        head |= {"revision": head["revision"] + 1, "document": document}
+        operation = {
+            "Verb": "set",
+            "Key": f"hickoryreach/lists/{name}",
+            "Value": base64.b64encode(json.dumps(head).encode()).decode(),
+        }
+        cell.put(f"{self.cell.store.url}/v1/txn", [{"KV": operation}])
+
+    def set_limit(self, plan: str, **amount: int) -> None:
+        """Sets the upper limit of a plan, and notes it for the checks."""
+        document = self.get_list("allowances")["document"]
+        rows = document["allowances"]
+        for row in rows:
+            if row["plan"] == plan:
+                row["limit"] = NO_LIMIT | amount
+        self.put_list("allowances", document)
+        self.limits += [
+            checker.Limit(
+                workspace=row["workspace"],
+                at=time.monotonic(),
+                amount=NO_LIMIT | amount,
+            )
+            for row in self.get_list("plans")["document"]["plans"]
+            if row["plan"] == plan
+        ]
+
+    def withdraw_keys(self, workspace: str) -> None:
+        """Withdraws every key of a workspace."""
+        document = self.get_list("plans")["document"]
+        for row in document["plans"]:
+            if row["workspace"] == workspace:
+                row["keys"] = []
+        self.put_list("plans", document)
+
     def count(self, what: str, piece: str) -> int:
         """Returns how often a piece did something on the workers."""
         return sum(
@@ -101,16 +152,20 @@
         final = self.ledger.settle(
             url or self.urls[0], timeout_s=bounds.GENEROUS_S
         )
-        return checker.find_violations(
-            checker.Evidence(
-                history=self.history(),
-                pieces=self.ledger.pieces,
-                answers=self.ledger.answers,
-                limits=self.limits,
-                final=final,
-                limit_bound_s=bounds.CONFIGURATION_S,
-            )
+        evidence = checker.Evidence(
+            history=self.history(),
+            pieces=self.ledger.pieces,
+            answers=self.ledger.answers,
+            limits=self.limits,
+            final=final,
+            limit_bound_s=bounds.CONFIGURATION_S,
         )
+        unsettled = [
+            f"settled: {name} is still {answer.body.get('state')}"
+            for name, answer in final.items()
+            if not load.is_final(answer)
+        ]
+        return checker.find_violations(evidence) + unsettled
 
 
 class CellCase(unittest.TestCase):
@@ -140,6 +195,7 @@
                 service="registry",
                 workers=cls.workers,
                 entries=cls.entries,
+                workers_per_rack=2,
             ),
             log_folder=folder.name,
             environment=SHORT_LEASES | cls.settings,
