--- a/standins/store.py
+++ b/standins/store.py
@@ -158,7 +158,9 @@
         return max(changes, default=1)
 
     def sweep(self) -> None:
-        """Drops sessions that have lapsed."""
+        """Drops sessions that have lapsed; not while the store is down."""
+        if self.faults.down:
+            return
         now = time.monotonic()
         lapsed = [
             session_id
@@ -408,9 +410,11 @@
     def process_response(
         self, req: falcon.Request, resp: falcon.Response, resource, succeeded
     ):
-        """Loses the answer of a write after its effect."""
-        write = req.method == "PUT" and req.path.startswith("/v1/")
-        if write and self.memory.faults.lose_answers:
+        """Loses answers: all while down, of writes after their effect."""
+        if not req.path.startswith("/v1/"):
+            return
+        lost = req.method == "PUT" and self.memory.faults.lose_answers
+        if lost or self.memory.faults.down:
             resp.status = falcon.HTTP_500
             resp.media = None
 
