--- a/standins/machine.py
+++ b/standins/machine.py
@@ -209,7 +209,11 @@
             "clock_ms": self.read_clock_ms(),
             "late": late,
             "running": [
-                {"key": task.key, "used": report_use(task, now)}
+                {
+                    "key": task.key,
+                    "need": task.need,
+                    "used": report_use(task, now),
+                }
                 for task in self.tasks.values()
             ],
             "ended": list(self.ended.values()),
@@ -224,7 +228,13 @@
             "boot_id": self.boot_id,
             "clock_ms": self.read_clock_ms(),
             "late": False,
-            "running": [{"key": made_up, "used": {"cpu_millis": 10**9}}],
+            "running": [
+                {
+                    "key": made_up,
+                    "need": {"cpu_millis": 1},
+                    "used": {"cpu_millis": 10**9},
+                }
+            ],
             "ended": [
                 {
                     "key": made_up | {"index": 8},
