--- a/standins/checker.py
+++ b/standins/checker.py
@@ -12,6 +12,7 @@
 import pathlib
 
 FOREVER = float("inf")
+NOT_KEPT = "answer_not_kept"
 RESOURCES = ("cpu_millis", "memory_mb", "accelerators")
 
 
@@ -351,13 +352,18 @@
 
 @check
 def answers_are_whole(evidence: Evidence) -> Iterator[str]:
-    """A success carries the whole answer to the caller's own request."""
+    """A success carries the whole answer to the caller's own request.
+
+    A later question about it may say that so large an answer is not kept.
+    """
     for answer in evidence.answers:
         piece = evidence.pieces.get(answer.piece)
         succeeded = answer.body.get("state") == "succeeded"
         if piece is None or piece.kind != "request" or not succeeded:
             continue
         content = answer.body.get("answer")
+        if content is None and answer.body.get("reason") == NOT_KEPT:
+            continue
         if not isinstance(content, dict) or not content.get("done"):
             yield f"{answer.piece} was answered in part"
         elif content.get("piece") != answer.piece:
