--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -11,10 +11,12 @@
 
 from hickoryreach.decisions import attempts
 from hickoryreach.decisions import effects
+from hickoryreach.decisions import estimates
 from hickoryreach.decisions import events
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import overruns
+from hickoryreach.decisions import probes
 from hickoryreach.decisions import retries
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -77,7 +79,20 @@
         attempt.used = task.used
         record = shard.jobs.get(task.key.job_id)
         if record is not None and record.job.kind is not jobs.Kind.REQUEST:
-            yield from overruns.check(shard, worker, attempt)
+            yield from _weigh_use(shard, worker, attempt, record.job)
+
+
+def _weigh_use(
+    shard: state.ShardState,
+    worker: state.WorkerRecord,
+    attempt: state.Attempt,
+    job: jobs.Job,
+) -> Iterator[effects.Effect]:
+    if not attempt.used.fits_in(attempt.held):
+        estimates.note_overrun(shard, job, attempt.used)
+    probes.note_use(shard, attempt, job)
+    yield from overruns.check(shard, worker, attempt)
+    yield from probes.check(shard, worker, attempt, job)
 
 
 def confirm_start(
--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -191,6 +191,9 @@
     while shard.launching and budget > 0:
         record = next(iter(shard.launching.values()))
         gang = record.gang
+        if not _may_start(shard, record, gang):
+            yield from regroup(shard, record)
+            continue
         while budget > 0 and gang.claims and record.waiting:
             budget -= 1
             yield _start(shard, record, gang)
@@ -198,6 +201,16 @@
             yield from regroup(shard, record)
 
 
+def _may_start(
+    shard: state.ShardState, record: state.JobRecord, gang: state.Gang
+) -> bool:
+    """Returns whether its room is still complete and within the limit."""
+    workspace = ledger.get_workspace(shard, record.job.workspace)
+    return gang.gathered >= len(record.waiting) and limits.has_room(
+        workspace, resources.NOTHING
+    )
+
+
 def _start(
     shard: state.ShardState, record: state.JobRecord, gang: state.Gang
 ) -> effects.Effect:
@@ -250,6 +263,26 @@
     ledger.promote(shard, workspace)
 
 
+def make_way(
+    shard: state.ShardState,
+    workspace: state.WorkspaceRecord,
+    need: resources.Resources,
+) -> bool:
+    """Gives up a gang's reservation when urgent work needs its limit.
+
+    Returns:
+        Whether the workspace's limit has room for `need` now.
+    """
+    record = shard.gathering
+    if record is None or record.job.urgent:
+        return False
+    if record.job.workspace != workspace.entitlement.workspace:
+        return False
+    disband(shard, record)
+    _postpone(shard, record)
+    return limits.has_room(workspace, need)
+
+
 def count_room(
     shard: state.ShardState, need: resources.Resources, service: str
 ) -> int:
