--- a/standins/cell.py
+++ b/standins/cell.py
@@ -19,6 +19,7 @@
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
 WORKERS_PER_RACK = 6
+LOG_TAIL_LINES = 12
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
 ENTRY_MODULE = "hickoryreach_entry"
@@ -327,9 +328,18 @@
             record.write(json.dumps(line) + "\n")
 
     def wait_until_ready(self) -> None:
-        """Waits until each entry is ready."""
+        """Waits until each entry is ready.
+
+        Raises:
+            TimeoutError: One was not; the end of its log is in the message.
+        """
         for entry in self.entries:
-            wait_for(f"{entry.url}/ready")
+            try:
+                wait_for(f"{entry.url}/ready")
+            except TimeoutError as error:
+                lines = pathlib.Path(entry.log_path).read_text().splitlines()
+                tail = "\n".join(lines[-LOG_TAIL_LINES:])
+                raise TimeoutError(f"{error}: {tail}") from None
 
     def stop(self) -> None:
         """Ends every process by its own id."""
--- a/tests/integration/cases.py
+++ b/tests/integration/cases.py
@@ -1,8 +1,6 @@
 """A cell of processes with callers, a proxy and the checks over it all."""
 
-import base64
 import dataclasses
-import json
 import os
 import pathlib
 import re
