Divide upper limits among shards by budgets in the store

Each shard holds parts of a workspace's limit; parts move by compare-and-swap and are given up before they are written, so that a lost answer or a dead owner can strand budget but never create it. Parts are of the limit in force, so a lowered limit binds every shard at once without a write. A new owner writes its term into its holdings before it spends from them. With one shard the store is left alone.

--- a/packages/core/hickoryreach/decisions/limits.py
+++ b/packages/core/hickoryreach/decisions/limits.py
@@ -43,6 +43,7 @@
 def can_ever_hold(
     workspace: state.WorkspaceRecord, need: resources.Resources
 ) -> bool:
-    """Returns whether `need` alone keeps within the limit."""
-    limit = workspace.entitlement.limit
+    """Returns whether `need` alone keeps within the limit of the fleet."""
+    entitlement = workspace.entitlement
+    limit = entitlement.fleet_limit or entitlement.limit
     return limit is None or need.fits_in(limit)
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/owner/budgets.py
@@ -0,0 +1,414 @@
+"""Budgets: the part of each workspace's upper limit that a shard may use.
+
+With one shard a limit is the shard's own. With several, each limit is divided
+into parts that shards hold. The parts stand in a few documents of the store,
+and the sum of a workspace's parts never exceeds the whole, since they move by
+compare-and-swap only: a shard gives parts back before another can take them.
+Parts are of the limit in force, so a lowered limit lowers every shard's amount
+at once without a write.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+from collections.abc import Mapping
+import dataclasses
+import logging
+import math
+import time
+
+import orjson
+import pydantic
+from returns import result
+import xxhash
+
+from hickoryreach import exceptions
+from hickoryreach.platform import store
+from hickoryreach.structure import resources
+from hickoryreach.structure import workspaces
+
+log = logging.getLogger(__name__)
+
+PARTS = 10_000
+BUCKETS = 16
+IDLE_S = 3.0
+COMPONENTS = ("cpu_millis", "memory_mb", "accelerators", "slots")
+
+Parts = tuple[int, int, int, int]
+
+NO_PARTS: Parts = (0, 0, 0, 0)
+ALL_PARTS: Parts = (PARTS, PARTS, PARTS, PARTS)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Holding:
+    """Parts of one workspace's limit that one shard holds.
+
+    Attributes:
+        workspace: The workspace.
+        shard: The shard.
+        term: Term of the owner that wrote this.
+        parts: Parts of each component, of PARTS.
+    """
+
+    workspace: str
+    shard: int
+    term: int
+    parts: Parts
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Document:
+    """Every holding of the workspaces of one bucket."""
+
+    holdings: tuple[Holding, ...] = ()
+
+
+document_type = pydantic.TypeAdapter(Document)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Demand:
+    """What a shard uses of a workspace's limit, and would use.
+
+    Attributes:
+        used: What runs, or may run, or is reserved.
+        needed: What the next work that waits needs at least; NOTHING when
+            none waits.
+    """
+
+    used: resources.Resources
+    needed: resources.Resources = resources.NOTHING
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Bucket:
+    """One document as this owner knows it.
+
+    Attributes:
+        index: Index of the document in the store, for compare-and-swap.
+        document: The document.
+        unsettled: Whether the answer of a write was lost.
+    """
+
+    index: int = 0
+    document: Document = dataclasses.field(default_factory=Document)
+    unsettled: bool = False
+
+
+class Budgets:
+    """Holdings of one shard, as its owner may spend them.
+
+    Attributes:
+        held: Parts that may be spent, by workspace.
+        buckets: Documents by number.
+        lost: Whether a later owner of the shard has written.
+    """
+
+    def __init__(self, *, client: store.Store, shard: int, shards: int) -> None:
+        """Creates budgets that hold nothing yet."""
+        self.client = client
+        self.shard = shard
+        self.shards = shards
+        self.term = 0
+        self.held: dict[str, Parts] = {}
+        self.buckets: dict[int, Bucket] = {}
+        self.idle_since: dict[str, float] = {}
+        self.lost = False
+
+    def limit(
+        self, entitlements: Iterable[workspaces.Entitlement]
+    ) -> tuple[workspaces.Entitlement, ...]:
+        """Returns entitlements whose limits this shard may use."""
+        if self.shards == 1:
+            return tuple(entitlements)
+        return tuple(
+            each
+            if each.limit is None
+            else dataclasses.replace(
+                each,
+                limit=take_part(
+                    each.limit, self.held.get(each.workspace, NO_PARTS)
+                ),
+                fleet_limit=each.limit,
+            )
+            for each in entitlements
+        )
+
+    def balance(
+        self,
+        entitlements: Iterable[workspaces.Entitlement],
+        get_demands: Callable[[], Mapping[str, Demand]],
+        on_lowered: Callable[[], None],
+        writes: int,
+    ) -> bool:
+        """Takes parts that are needed and gives back idle ones.
+
+        Args:
+            entitlements: Every workspace, with limits of the whole fleet.
+            get_demands: Returns what each workspace uses and needs here now.
+            on_lowered: Puts lowered amounts in force before it returns.
+            writes: Most documents to write.
+
+        Returns:
+            Whether some amount was raised.
+        """
+        before = dict(self.held)
+        limited: dict[int, dict[str, resources.Resources]] = {}
+        for each in entitlements:
+            if each.limit is not None:
+                number = find_bucket(each.workspace)
+                limited.setdefault(number, {})[each.workspace] = each.limit
+        for number, limits in limited.items():
+            if writes <= 0 or self.lost:
+                break
+            writes -= self.balance_bucket(
+                number, limits, get_demands, on_lowered
+            )
+        return before != self.held
+
+    def balance_bucket(
+        self,
+        number: int,
+        limits: Mapping[str, resources.Resources],
+        get_demands: Callable[[], Mapping[str, Demand]],
+        on_lowered: Callable[[], None],
+    ) -> bool:
+        """Balances one bucket; returns whether it had to be written."""
+        known = self.buckets.get(number)
+        if known is not None and not known.unsettled:
+            demands = get_demands()
+            wanted = self.plan(known, limits, demands)
+            short = self.list_short(limits, demands, wanted)
+            if not short and self.is_held(wanted):
+                return False
+            if short:
+                del self.buckets[number]
+        bucket = self.read_bucket(number)
+        if bucket is None or self.lost:
+            return False
+        wanted = self.plan(bucket, limits, get_demands())
+        if self.is_held(wanted) and not bucket.unsettled:
+            return False
+        self.write_bucket(number, bucket, wanted, on_lowered)
+        return True
+
+    def is_held(self, wanted: Mapping[str, Parts]) -> bool:
+        """Returns whether nothing needs to be written."""
+        return all(
+            self.held.get(workspace) == parts
+            for workspace, parts in wanted.items()
+        )
+
+    def list_short(
+        self,
+        limits: Mapping[str, resources.Resources],
+        demands: Mapping[str, Demand],
+        wanted: Mapping[str, Parts],
+    ) -> list[str]:
+        """Returns the workspaces whose next work does not fit what is free."""
+        return [
+            workspace
+            for workspace, parts in wanted.items()
+            if workspace in demands
+            and demands[workspace].needed != resources.NOTHING
+            and not covers(parts, demands[workspace], limits[workspace])
+        ]
+
+    def write_bucket(
+        self,
+        number: int,
+        bucket: Bucket,
+        wanted: Mapping[str, Parts],
+        on_lowered: Callable[[], None],
+    ) -> None:
+        """Writes this shard's holdings of one bucket.
+
+        What is given back is not spent from before the write on, whatever
+        becomes of it.
+        """
+        before = dict(self.held)
+        for workspace, parts in wanted.items():
+            held = self.held.get(workspace, NO_PARTS)
+            self.held[workspace] = lower(held, parts)
+        if before != self.held:
+            on_lowered()
+        document = replace_holdings(
+            bucket.document, self.shard, self.term, wanted
+        )
+        written = self.client.put_if(
+            get_key(number), orjson.dumps(document), index=bucket.index
+        )
+        if isinstance(written, result.Success):
+            bucket.index = written.unwrap()
+            bucket.document = document
+            bucket.unsettled = False
+            self.held.update(wanted)
+        elif isinstance(written.failure(), exceptions.Conflict):
+            self.buckets.pop(number, None)
+        else:
+            bucket.unsettled = True
+
+    def read_bucket(self, number: int) -> Bucket | None:
+        """Returns a bucket as it stands; None when the store is down.
+
+        A bucket that is known and settled is not read again: a write by
+        another shard shows as a conflict.
+        """
+        known = self.buckets.get(number)
+        if known is not None and not known.unsettled:
+            return known
+        read = self.client.get(get_key(number))
+        if isinstance(read, result.Failure):
+            return None
+        values = read.unwrap().values
+        bucket = Bucket()
+        if values:
+            bucket.index = values[0].index
+            bucket.document = document_type.validate_json(values[0].data)
+        self.take_document(bucket.document)
+        self.buckets[number] = bucket
+        return bucket
+
+    def take_document(self, document: Document) -> None:
+        """Takes in what was read: a lost answer, or a later owner."""
+        for holding in document.holdings:
+            if holding.shard != self.shard:
+                continue
+            if holding.term > self.term:
+                self.lost = True
+                return
+            if holding.term == self.term:
+                self.held[holding.workspace] = lower(
+                    self.held.get(holding.workspace, holding.parts),
+                    holding.parts,
+                )
+
+    def plan(
+        self,
+        bucket: Bucket,
+        limits: Mapping[str, resources.Resources],
+        demands: Mapping[str, Demand],
+    ) -> dict[str, Parts]:
+        """Returns the parts this shard should hold of each workspace."""
+        taken: dict[str, Parts] = {}
+        mine: dict[str, Holding] = {}
+        for holding in bucket.document.holdings:
+            if holding.shard == self.shard:
+                mine[holding.workspace] = holding
+            else:
+                others = taken.get(holding.workspace, NO_PARTS)
+                taken[holding.workspace] = add(others, holding.parts)
+        wanted = {}
+        for workspace, limit in limits.items():
+            known = mine.get(workspace)
+            parts = known.parts if known else NO_PARTS
+            demand = demands.get(workspace, Demand(used=resources.NOTHING))
+            free = subtract(
+                ALL_PARTS, add(taken.get(workspace, NO_PARTS), parts)
+            )
+            wanted[workspace] = self.choose(
+                workspace, limit, demand, parts, free
+            )
+        return wanted
+
+    def choose(
+        self,
+        workspace: str,
+        limit: resources.Resources,
+        demand: Demand,
+        parts: Parts,
+        free: Parts,
+    ) -> Parts:
+        """Returns the parts to hold of one workspace.
+
+        While work waits, half of what is free is taken, or as much as the
+        next work needs. Without, all but a quarter above what is used goes
+        back after IDLE_S.
+        """
+        used = count_parts(demand.used, limit)
+        if demand.needed != resources.NOTHING:
+            self.idle_since.pop(workspace, None)
+            needed = count_parts(demand.used + demand.needed, limit)
+            return tuple(
+                have + min(left, max(left // 2, need - have, 0))
+                if need > have
+                else have
+                for have, left, need in zip(parts, free, needed, strict=True)
+            )
+        now = time.monotonic()
+        since = self.idle_since.setdefault(workspace, now)
+        if now - since < IDLE_S:
+            return parts
+        return tuple(
+            min(have, use + use // 4)
+            for have, use in zip(parts, used, strict=True)
+        )
+
+
+def find_bucket(workspace: str) -> int:
+    """Returns the number of the document that tells of a workspace."""
+    return xxhash.xxh64_intdigest(workspace.encode()) % BUCKETS
+
+
+def get_key(number: int) -> str:
+    """Returns the key of a document."""
+    return f"hickoryreach/budgets/{number}"
+
+
+def take_part(limit: resources.Resources, parts: Parts) -> resources.Resources:
+    """Returns the amount that parts of a limit stand for, rounded down."""
+    return resources.Resources(
+        **{
+            name: getattr(limit, name) * part // PARTS
+            for name, part in zip(COMPONENTS, parts, strict=True)
+        }
+    )
+
+
+def count_parts(
+    amount: resources.Resources, limit: resources.Resources
+) -> Parts:
+    """Returns the parts of a limit that cover an amount, at most all."""
+    return tuple(
+        min(PARTS, math.ceil(getattr(amount, name) * PARTS / whole))
+        if (whole := getattr(limit, name))
+        else 0
+        for name in COMPONENTS
+    )
+
+
+def covers(parts: Parts, demand: Demand, limit: resources.Resources) -> bool:
+    """Returns whether parts are enough for what a shard needs next."""
+    needed = count_parts(demand.used + demand.needed, limit)
+    return lower(parts, needed) == needed
+
+
+def add(first: Parts, second: Parts) -> Parts:
+    """Returns the sum by component."""
+    return tuple(a + b for a, b in zip(first, second, strict=True))
+
+
+def subtract(first: Parts, second: Parts) -> Parts:
+    """Returns the difference by component, never below 0."""
+    return tuple(max(0, a - b) for a, b in zip(first, second, strict=True))
+
+
+def lower(first: Parts, second: Parts) -> Parts:
+    """Returns the lesser of each component."""
+    return tuple(min(a, b) for a, b in zip(first, second, strict=True))
+
+
+def replace_holdings(
+    document: Document, shard: int, term: int, wanted: Mapping[str, Parts]
+) -> Document:
+    """Returns a document with one shard's holdings replaced."""
+    others = tuple(
+        holding
+        for holding in document.holdings
+        if holding.shard != shard or holding.workspace not in wanted
+    )
+    mine = tuple(
+        Holding(workspace=workspace, shard=shard, term=term, parts=parts)
+        for workspace, parts in sorted(wanted.items())
+    )
+    return Document(holdings=others + mine)
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -20,7 +20,9 @@
 from hickoryreach_entry import assignment
 from hickoryreach_entry import metrics
 from hickoryreach_entry.config import settings as entry_settings
+from hickoryreach_entry.owner import budgets
 from hickoryreach_entry.owner import carriers
+from hickoryreach_entry.owner import demands
 from hickoryreach_entry.owner import image as journal_image
 from hickoryreach_entry.owner import intake
 from hickoryreach_entry.owner import journal
@@ -35,6 +37,7 @@
 
 TICK_S = 0.05
 INSTANCES_S = 1.0
+BALANCE_S = 0.5
 ITEMS_PER_TURN = 16
 FLUSH_S = 2.0
 FAR_AHEAD_MS = 10**12
@@ -52,6 +55,7 @@
         roster: Links to the workers.
         requests: Requests in flight.
         intake: Messages of entries.
+        budgets: This shard's parts of the upper limits.
         watchers: Entries to tell about a job, by job id.
         unkept: Final notices whose record is not kept yet, by job id.
         ending: The end being reduced, if any.
@@ -124,6 +128,9 @@
             name_request=self.requests.name,
         )
         self.intake = intake.Intake(owner=self)
+        self.budgets = budgets.Budgets(
+            client=client, shard=shard, shards=settings.shards
+        )
 
     def start(self) -> None:
         """Takes the shard in the background."""
@@ -176,6 +183,8 @@
         self.journal.start()
         gevent.spawn(self.follow_instances)
         gevent.spawn(self.tick_forever)
+        if self.settings.shards > 1:
+            gevent.spawn(self.balance_forever)
         self.ready = True
         self.owning = True
         self.on_ready()
@@ -184,10 +193,9 @@
     def restore(self) -> None:
         """Takes over what the journal tells."""
         self.state.term = self.journal.term
+        self.budgets.term = self.journal.term
         self.roster.begin(self.journal.image.worker_ids, time.monotonic())
-        self.apply(
-            events.EntitlementsChanged(entitlements=self.get_entitlements())
-        )
+        self.apply_entitlements()
         self.forget_finished()
         for progress in tuple(self.journal.image.jobs.values()):
             if progress.job is None or progress.finished is not None:
@@ -336,9 +344,34 @@
 
     def change_entitlements(self) -> None:
         """Puts newly accepted lists in force."""
-        self.emit(
-            events.EntitlementsChanged(entitlements=self.get_entitlements())
+        self.call(lambda argument: self.apply_entitlements(), None)
+
+    def apply_entitlements(self) -> None:
+        """Puts the lists and this shard's budgets in force at once."""
+        entitlements = self.budgets.limit(self.get_entitlements())
+        self.apply(events.EntitlementsChanged(entitlements=entitlements))
+
+    def balance_forever(self) -> None:
+        """Moves budget between this shard and the others."""
+        writes = max(
+            1,
+            int(
+                self.settings.store_writes_per_s
+                * (1 - JOURNAL_PART)
+                * BALANCE_S
+                / self.settings.shards
+            ),
         )
+        while not self.stopped:
+            raised = self.budgets.balance(
+                self.get_entitlements(),
+                lambda: demands.list_demands(self.state),
+                self.apply_entitlements,
+                writes,
+            )
+            if raised:
+                self.change_entitlements()
+            gevent.sleep(BALANCE_S)
 
     def follow_instances(self) -> None:
         """Follows the platform's list of this shard's workers."""
