--- a/packages/core/hickoryreach/platform/instances.py
+++ b/packages/core/hickoryreach/platform/instances.py
@@ -17,11 +17,23 @@
 ) -> result.Result[tuple[workers.Worker, ...], exceptions.StoreFailure]:
     """Reads the listed workers; the list lags and may be wrong."""
     answer = client.call("instances", "GET", "/v1/health/service/worker", None)
-    return answer.map(
-        lambda reply: tuple(
-            _parse_worker(row) for row in orjson.loads(reply.body)
+    return answer.bind(_parse_workers)
+
+
+def _parse_workers(
+    reply: store.Reply,
+) -> result.Result[tuple[workers.Worker, ...], exceptions.StoreFailure]:
+    if reply.status != store.OK:
+        return result.Failure(
+            exceptions.StoreFailure(reason=f"status {reply.status}")
+        )
+    try:
+        rows = orjson.loads(reply.body)
+        return result.Success(tuple(_parse_worker(row) for row in rows))
+    except (ValueError, KeyError, TypeError) as error:
+        return result.Failure(
+            exceptions.StoreFailure(reason=f"malformed list: {error}")
         )
-    )
 
 
 def _parse_worker(row: dict) -> workers.Worker:
--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -25,6 +25,9 @@
 WATCH_MARGIN_S = 2.0
 VALUE_LIMIT_BYTES = 1_000_000
 TRANSACTION_LIMIT = 64
+OK = 200
+NOT_FOUND = 404
+CONFLICT = 409
 
 calls = prometheus_client.Counter(
     "hickoryreach_store_calls",
@@ -142,14 +145,14 @@
         """Creates a lease whose keys vanish when it lapses."""
         body = {"TTL": f"{ttl_s}s", "Behavior": "delete", "Name": name}
         answer = self.call("lease", "PUT", "/v1/session/create", body)
-        return answer.map(lambda reply: orjson.loads(reply.body)["ID"])
+        return answer.bind(_parse_lease)
 
     def renew_lease(
         self, lease: str
     ) -> result.Result[bool, exceptions.StoreFailure]:
         """Renews a lease; False when it has lapsed."""
         answer = self.call("lease", "PUT", f"/v1/session/renew/{lease}", None)
-        return answer.map(lambda reply: reply.status == 200)
+        return answer.bind(_parse_renewal)
 
     def drop_lease(
         self, lease: str
@@ -160,7 +163,7 @@
 
     def _read(self, kind: str, path: str, timeout_s: float) -> Read:
         answer = self.call(kind, "GET", path, None, timeout_s)
-        return answer.map(_parse_values)
+        return answer.bind(_parse_values)
 
     def _transact(self, kind: str, key: str, operations: list) -> Write:
         answer = self.call(kind, "PUT", "/v1/txn", operations)
@@ -224,27 +227,68 @@
     index: int
 
 
-def _parse_values(reply: Reply) -> Snapshot:
-    rows = orjson.loads(reply.body) if reply.status == 200 else []
-    values = tuple(
-        Value(
-            key=row["Key"],
-            data=base64.b64decode(row["Value"] or ""),
-            index=row["ModifyIndex"],
-            lease=row.get("Session", ""),
+def _fail_reply(reply: Reply) -> result.Failure[exceptions.StoreFailure]:
+    return result.Failure(
+        exceptions.StoreFailure(reason=f"status {reply.status}")
+    )
+
+
+def _parse_values(reply: Reply) -> Read:
+    if reply.status == NOT_FOUND:
+        return result.Success(Snapshot(values=(), index=reply.index))
+    if reply.status != OK:
+        return _fail_reply(reply)
+    try:
+        values = tuple(
+            Value(
+                key=row["Key"],
+                data=base64.b64decode(row["Value"] or ""),
+                index=row["ModifyIndex"],
+                lease=row.get("Session", ""),
+            )
+            for row in orjson.loads(reply.body)
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        return _fail_malformed(error)
+    return result.Success(Snapshot(values=values, index=reply.index))
+
+
+def _fail_malformed(
+    error: Exception,
+) -> result.Failure[exceptions.StoreFailure]:
+    return result.Failure(
+        exceptions.StoreFailure(
+            reason=f"malformed answer: {error}", effect_unknown=True
         )
-        for row in rows
     )
-    return Snapshot(values=values, index=reply.index)
+
+
+def _parse_lease(
+    reply: Reply,
+) -> result.Result[str, exceptions.StoreFailure]:
+    if reply.status != OK:
+        return _fail_reply(reply)
+    try:
+        return result.Success(str(orjson.loads(reply.body)["ID"]))
+    except (ValueError, KeyError, TypeError) as error:
+        return _fail_malformed(error)
+
+
+def _parse_renewal(
+    reply: Reply,
+) -> result.Result[bool, exceptions.StoreFailure]:
+    if reply.status not in (OK, NOT_FOUND):
+        return _fail_reply(reply)
+    return result.Success(reply.status == OK)
 
 
 def _parse_write(key: str, reply: Reply) -> Write:
-    if reply.status == 409:
+    if reply.status == CONFLICT:
         return result.Failure(exceptions.Conflict(key=key))
-    if reply.status != 200:
-        return result.Failure(
-            exceptions.StoreFailure(reason=f"status {reply.status}")
-        )
-    rows = orjson.loads(reply.body)["Results"] or []
-    index = rows[0]["KV"]["ModifyIndex"] if rows else 0
-    return result.Success(index)
+    if reply.status != OK:
+        return _fail_reply(reply)
+    try:
+        rows = orjson.loads(reply.body)["Results"] or []
+        return result.Success(rows[0]["KV"]["ModifyIndex"] if rows else 0)
+    except (ValueError, KeyError, TypeError) as error:
+        return _fail_malformed(error)
--- a/packages/core/hickoryreach/wire/peer.thrift
+++ b/packages/core/hickoryreach/wire/peer.thrift
@@ -144,8 +144,6 @@
   1: string receiver,
   2: list<ListHead> heads = [],
   3: Status status,
-  // Shards of the envelope's messages that the receiver does not own.
-  4: list<i32> not_owned = [],
 }
 
 struct ListRequest {
--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -266,7 +266,7 @@
             if held is not None and waiter.job_id not in self.waiters:
                 never_sent = not held.sent
             if never_sent:
-                waiter.notice = describe_unowned(waiter.job_id)
+                waiter.notice = describe_unsent(waiter)
         if waiter.is_final():
             self.finish(waiter, held)
 
@@ -454,12 +454,17 @@
         self.send_to_owner(shard, "outcomes", carried.outcome)
 
 
-def describe_unowned(job_id: str) -> messages.Notice:
-    """Returns the notice for a submission that no owner can have taken."""
+def describe_unsent(waiter: Waiter) -> messages.Notice:
+    """Returns the notice for a submission that certainly was not run."""
+    reason = "no_owner"
+    detail = "No owner of the shard answers; send the work again later."
+    if waiter.handed_over:
+        reason = "not_started"
+        detail = "It was not started in time; send the work again later."
     return messages.Notice(
-        job_id=job_id,
+        job_id=waiter.job_id,
         state=str(jobs.JobState.REFUSED),
         ran=str(jobs.Ran.NOT_RUN),
-        reason="no_owner",
-        detail="No owner of the shard answers; send the work again later.",
+        reason=reason,
+        detail=detail,
     )
--- a/packages/entry/hickoryreach_entry/membership.py
+++ b/packages/entry/hickoryreach_entry/membership.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from hickoryreach.platform import store
+from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 
 log = logging.getLogger(__name__)
@@ -68,8 +69,8 @@
     def start(self) -> None:
         """Begins to renew and to watch."""
         self.announce()
-        gevent.spawn(self.renew_forever)
-        gevent.spawn(self.watch_forever)
+        greenlets.spawn_vital(self.renew_forever)
+        greenlets.spawn_vital(self.watch_forever)
 
     def announce(self) -> None:
         """Writes this instance's record under a lease."""
--- a/packages/entry/hickoryreach_entry/owner/intake.py
+++ b/packages/entry/hickoryreach_entry/owner/intake.py
@@ -22,6 +22,7 @@
 REFUSALS_S = 120.0
 ANSWERS_LIMIT_BYTES = 16_000_000
 WAITING_LIMIT = 50_000
+RESULTS = frozenset(map(str, jobs.TaskResult))
 
 
 class Answers:
@@ -288,6 +289,9 @@
         """
         sender, message = argument
         job_id = message.job_id
+        if message.result not in RESULTS:
+            log.warning("outcome_malformed", extra={"sender": sender})
+            return
         if job_id in self.owner.requests.inherited:
             self.owner.restore_request(job_id, requests.END_FOLLOWS_MS)
         event = self.build_end(message)
--- a/packages/entry/hickoryreach_entry/owner/journal.py
+++ b/packages/entry/hickoryreach_entry/owner/journal.py
@@ -18,6 +18,7 @@
 
 from hickoryreach import exceptions
 from hickoryreach.platform import store
+from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 from hickoryreach_entry.owner import image as journal_image
 from hickoryreach_entry.owner import records
@@ -143,7 +144,7 @@
 
     def start(self) -> None:
         """Begins to write what is appended."""
-        gevent.spawn(self.write_forever)
+        greenlets.spawn_vital(self.write_forever)
 
     def append(self, record: records.Record, done: Done | None = None) -> None:
         """Adds a record to the next segment.
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -15,6 +15,7 @@
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach_entry import greenlets
 from hickoryreach_entry.owner import grants
 
 log = logging.getLogger(__name__)
@@ -131,7 +132,7 @@
 
     def start(self) -> None:
         """Begins to sync."""
-        self.greenlet = gevent.spawn(self.sync_forever)
+        self.greenlet = greenlets.spawn_vital(self.sync_forever)
 
     def stop(self) -> None:
         """Ends syncing; the grant lapses by itself."""
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -18,6 +18,7 @@
 from hickoryreach.structure import workspaces
 from hickoryreach.wire import messages
 from hickoryreach_entry import assignment
+from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 from hickoryreach_entry.config import settings as entry_settings
 from hickoryreach_entry.owner import budgets
@@ -134,7 +135,7 @@
 
     def start(self) -> None:
         """Takes the shard in the background."""
-        gevent.spawn(self.run)
+        greenlets.spawn_vital(self.run)
 
     def stop(self) -> None:
         """Gives the shard up at once."""
@@ -181,10 +182,10 @@
         )
         self.restore()
         self.journal.start()
-        gevent.spawn(self.follow_instances)
-        gevent.spawn(self.tick_forever)
+        greenlets.spawn_vital(self.follow_instances)
+        greenlets.spawn_vital(self.tick_forever)
         if self.settings.shards > 1:
-            gevent.spawn(self.balance_forever)
+            greenlets.spawn_vital(self.balance_forever)
         self.ready = True
         self.owning = True
         self.on_ready()
--- a/packages/entry/hickoryreach_entry/peers.py
+++ b/packages/entry/hickoryreach_entry/peers.py
@@ -16,6 +16,7 @@
 from thriftpy2.transport import socket as thrift_socket
 
 from hickoryreach.wire import messages
+from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 
 log = logging.getLogger(__name__)
@@ -137,7 +138,7 @@
         self.outbox = Outbox()
         self.client = None
         self.failing = False
-        self.greenlet = gevent.spawn(self.send_forever)
+        self.greenlet = greenlets.spawn_vital(self.send_forever)
 
     def send(self, field: str, message: object) -> None:
         """Adds one message to the next envelope."""
@@ -218,7 +219,7 @@
         self.build_envelope = build_envelope
         self.deliver = deliver
         self.outbox = Outbox()
-        self.greenlet = gevent.spawn(self.deliver_forever)
+        self.greenlet = greenlets.spawn_vital(self.deliver_forever)
 
     def send(self, field: str, message: object) -> None:
         """Adds one message to the next envelope."""
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -11,6 +11,7 @@
 from hickoryreach_entry import assignment
 from hickoryreach_entry import detector
 from hickoryreach_entry import front
+from hickoryreach_entry import greenlets
 from hickoryreach_entry import lists
 from hickoryreach_entry import membership
 from hickoryreach_entry import metrics
@@ -61,6 +62,9 @@
         self.local = peers.LocalPeer(
             build_envelope=self.build_envelope, deliver=self.deliver
         )
+        self.instances_client = client
+        if settings.instances_url:
+            self.instances_client = store.Store(url=settings.instances_url)
         self.front = front.Front(
             name=settings.name, send_to_owner=self.send_to_owner
         )
@@ -72,8 +76,8 @@
 
     def start(self) -> None:
         """Begins to look after shards and callers."""
-        gevent.spawn(self.front.repeat_forever)
-        gevent.spawn(self.review_forever)
+        greenlets.spawn_vital(self.front.repeat_forever)
+        greenlets.spawn_vital(self.review_forever)
 
     def review_forever(self) -> None:
         """Looks at members and shards from time to time."""
@@ -207,7 +211,7 @@
             ready, len(self.list_candidates(now)), self.settings.shards
         )
         if surplus is not None:
-            gevent.spawn(self.release_owner, surplus)
+            greenlets.spawn_vital(self.release_owner, surplus)
 
     def start_owner(self, shard: int) -> None:
         """Begins to own a shard."""
@@ -221,6 +225,7 @@
             on_ready=self.announce,
             count_entries=lambda: len(self.membership.members),
             is_member=lambda name: name in self.membership.members,
+            instances_client=self.instances_client,
         )
         self.owners[shard] = owner
         owner.start()
@@ -342,23 +347,23 @@
             self.front.take_notice(notice)
         for dispatch in envelope.dispatches or ():
             self.front.take_dispatch(dispatch)
+        self.deliver_to_owners(envelope)
         return messages.Receipt(
             receiver=self.settings.name,
             heads=self.get_heads(),
             status=self.build_status(),
-            not_owned=self.deliver_to_owners(envelope),
         )
 
-    def deliver_to_owners(self, envelope: messages.Envelope) -> list[int]:
-        """Hands each part to its owner; returns the shards not owned."""
-        missed = []
+    def deliver_to_owners(self, envelope: messages.Envelope) -> None:
+        """Hands each part to its owner.
+
+        A part for a shard that is not owned here is dropped: the receipt
+        tells what is, and the sender repeats.
+        """
         for shard, part in split_envelope(envelope).items():
             owner = self.owners.get(shard)
-            if owner is None or not owner.ready:
-                missed.append(shard)
-            else:
+            if owner is not None and owner.ready:
                 owner.take_envelope(part)
-        return missed
 
     def list_jobs(self, request: messages.ListRequest) -> messages.ListReply:
         """Lists a workspace's jobs in one shard this entry owns."""
