--- a/tests/core/fuzz/machine.py
+++ b/tests/core/fuzz/machine.py
@@ -209,6 +209,8 @@
         if worker_id not in self.cut:
             self.cut.add(worker_id)
             self.owner.take(events.WorkerUnreachable(worker_id=worker_id))
+            if "early_loss" in self.broken:
+                self.owner.forget(worker_id)
 
     @stateful.rule(worker_id=worker_ids)
     def heal(self, worker_id: str) -> None:
@@ -229,8 +231,6 @@
         """The owner learns that the leases must have lapsed."""
         if worker_id in self.lapsed:
             self._lose(worker_id)
-        elif "early_loss" in self.broken and worker_id in self.cut:
-            self.owner.forget(worker_id)
 
     @stateful.rule(worker_id=worker_ids)
     def reboot(self, worker_id: str) -> None:
@@ -290,9 +290,9 @@
             return
         for name in WORKSPACES:
             self.set_limit(name, None)
-        for name, fake in self.fakes.items():
+        for name in WORKERS:
             self.cut.discard(name)
-            fake.worker = dataclasses.replace(fake.worker, departing=False)
+            self.depart(name, False)
         for job_id, job in self.oracle.accepted.items():
             if job.kind is jobs.Kind.SERVICE:
                 self.owner.take(events.JobCancelled(job_id=job_id))
@@ -377,7 +377,7 @@
             self.owner.take(events.HoldsCleared())
 
     def _old_requests(self) -> bool:
-        floor = self.owner.term * owners.ATTEMPTS_PER_TERM
+        floor = (self.owner.term - 1) * owners.ATTEMPTS_PER_TERM
         return self.owner.term > 1 and any(
             running.job.kind is jobs.Kind.REQUEST and key.attempt <= floor
             for key, running in self.oracle.running.items()
