Keep a job from callers of other workspaces

A query was answered for any workspace that knew a job's id, and a caller waiting for a foreign job at the same entry was handed its notices. A job id now ends with a tag of its workspace, so each entry refuses a foreign job before anything is sent to its owner, as one that does not exist.

Ruled out: the workspace in each notice, compared after the owner's answer. It tells a foreign caller how long the owner took, and leaves watchers behind.

--- a/packages/entry/hickoryreach_entry/api/steps.py
+++ b/packages/entry/hickoryreach_entry/api/steps.py
@@ -12,11 +12,11 @@
 from hickoryreach.runbooks import fields
 from hickoryreach.runbooks import steps
 from hickoryreach.structure import jobs
-from hickoryreach_entry import assignment
 from hickoryreach_entry import front
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
+from hickoryreach_entry.api import job_ids
 from hickoryreach_entry.api import notices
 from hickoryreach_entry.api import problems
 from hickoryreach_entry.api import submissions
@@ -113,7 +113,7 @@
             return self.access.find_submitter(req, found.step.queue).bind(
                 lambda caller: self.submit(found, wait_s)
             )
-        job_id = assignment.make_job_id(
+        job_id = job_ids.make(
             found.caller.workspace, make_request_id(found), self.shards
         )
         ask = {"status": self.front.query, "cancel": self.front.cancel}
--- a/packages/entry/hickoryreach_entry/api/submissions.py
+++ b/packages/entry/hickoryreach_entry/api/submissions.py
@@ -9,7 +9,7 @@
 
 from hickoryreach.lists import allowances
 from hickoryreach.structure import jobs
-from hickoryreach_entry import assignment
+from hickoryreach_entry.api import job_ids
 
 REQUEST_SLOTS = 1
 TASKS_MAX = 100_000
@@ -58,7 +58,7 @@
         need = need.model_copy(update={"slots": REQUEST_SLOTS})
     return jobs.Job(
         **fields,
-        job_id=assignment.make_job_id(workspace, submission.request_id, shards),
+        job_id=job_ids.make(workspace, submission.request_id, shards),
         workspace=workspace,
         need=need.to_resources(),
         submitted_ms=int(time.time() * 1000),
--- a/packages/entry/hickoryreach_entry/api/work.py
+++ b/packages/entry/hickoryreach_entry/api/work.py
@@ -13,6 +13,7 @@
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
+from hickoryreach_entry.api import job_ids
 from hickoryreach_entry.api import notices
 from hickoryreach_entry.api import problems
 from hickoryreach_entry.api import submissions
@@ -169,7 +170,9 @@
         """Asks the owner of a job on behalf of the caller."""
         return get_wait_s(req).bind(
             lambda wait_s: self.access.find_reader(req).bind(
-                lambda caller: check_job_id(job_id, self.shards).bind(
+                lambda caller: check_job_id(
+                    job_id, caller.workspace, self.shards
+                ).bind(
                     lambda known: notices.answer_waiter(
                         ask(known, caller.workspace, wait_s=wait_s)
                     )
@@ -227,17 +230,17 @@
 
 
 def check_job_id(
-    job_id: str, shards: int
+    job_id: str, workspace: str, shards: int
 ) -> result.Result[str, problems.Problem]:
-    """Returns a job id that names a shard of this cell."""
-    shard = job_id.split(".", 1)[0]
-    if shard.isdecimal() and int(shard) < shards:
+    """Returns a job id that can be the workspace's own."""
+    if job_ids.may_be_of(job_id, workspace, shards):
         return result.Success(job_id)
     return result.Failure(
         problems.Problem(
             status=404,
             reason="not_found",
-            detail="No job has this id; use the id of the submission's answer.",
+            detail="This workspace has no such job; use the id of the "
+            "submission's answer.",
             ran=jobs.Ran.UNKNOWN,
         )
     )
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -12,7 +12,7 @@
 import time
 
 from hickoryreach.runbooks import steps
-from hickoryreach_entry import assignment
+from hickoryreach_entry.api import job_ids
 from standins import cell
 from standins import samples
 
@@ -373,7 +373,7 @@
 
 def get_job_id(work: Work) -> str:
     """Returns the job id of a reference."""
-    return assignment.make_job_id(
+    return job_ids.make(
         work.workspace,
         steps.make_request_id(work.system, work.reference),
         SHARDS,
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -11,6 +11,7 @@
 
 from hickoryreach_cli import application
 from hickoryreach_cli import client
+from hickoryreach_entry.api import job_ids
 from tests.entry.api import fakes
 
 ENVIRONMENT = {"HICKORYREACH_URL": "http://entry.test"}
@@ -153,9 +154,10 @@
 
     def test_cancelled_job_is_a_success_of_cancel_only(self):
         self.entry.door.notice = {"state": "cancelled", "ran": "ran"}
-        self.assertEqual(self.run_line("cancel 0.ab"), 0)
-        self.assertEqual(self.run_line("status 0.ab"), 1)
-        self.assertEqual(self.run_line("wait 0.ab --for-s 1"), 1)
+        job_id = job_ids.make("north", "r1", 1)
+        self.assertEqual(self.run_line(f"cancel {job_id}"), 0)
+        self.assertEqual(self.run_line(f"status {job_id}"), 1)
+        self.assertEqual(self.run_line(f"wait {job_id} --for-s 1"), 1)
 
     def test_list_round_trip_with_check_diff_set_and_audit(self):
         self.key = fakes.OPERATOR_KEY
--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -168,15 +168,23 @@
         self.entry.read_store()
         self.assertEqual(self.submit().status_code, 200)
 
-    def test_reads_and_cancellations_are_for_the_key_s_workspace(self):
+    def test_reads_and_cancellations_reach_the_own_workspace_only(self):
+        job_id = self.submit().json["job_id"]
         for method in ("GET", "DELETE"):
-            self.entry.call(method, "/v1/jobs/0.ab", fakes.SOUTH_KEY)
-        self.assertEqual(self.door.asked, [("0.ab", "south")] * 2)
+            path = f"/v1/jobs/{job_id}"
+            other = self.entry.call(method, path, fakes.SOUTH_KEY)
+            self.assert_refused(other, 404, "not_found", ran="unknown")
+            public = self.entry.call(method, f"{path}?queue=public")
+            self.assert_refused(public, 404, "not_found", ran="unknown")
+            own = self.entry.call(method, path, fakes.NORTH_KEY)
+            self.assertEqual(own.status_code, 200)
+        self.assertEqual(self.door.asked, [(job_id, "north")] * 2)
 
     def test_job_ids_of_no_shard_are_unknown(self):
-        for job_id in ("x", "7.ab", "-1.ab"):
+        job_id = self.submit().json["job_id"]
+        for wrong in ("x", "7" + job_id[1:], "-1.ab", job_id[:-1], "\u0663.a"):
             answer = self.entry.call(
-                "GET", f"/v1/jobs/{job_id}", fakes.NORTH_KEY
+                "GET", f"/v1/jobs/{wrong}", fakes.NORTH_KEY
             )
             self.assert_refused(answer, 404, "not_found", ran="unknown")
 
