--- a/standins/demo.py
+++ b/standins/demo.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 
 from hickoryreach.runbooks import steps
@@ -250,11 +251,19 @@
             whole.wait_until_ready()
             write_environment(whole, ENV_PATH)
             print(f"Ready. Run: . {ENV_PATH}", flush=True)
-            signal.sigwait({signal.SIGINT, signal.SIGTERM})
+            wait_for_signal()
         finally:
             whole.stop()
 
 
+def wait_for_signal() -> None:
+    """Waits for SIGINT or SIGTERM."""
+    stopped = threading.Event()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        signal.signal(number, lambda *_: stopped.set())
+    stopped.wait()
+
+
 def write_environment(whole: cell.Cell, path: str) -> None:
     """Writes the settings of the command line as shell commands."""
     variables = {
