Split the lists' modules by concern and page the audit trail

The exchange is a module of its own, the resources are split into documents, keys, audit and changes, and a cursor names the segment to read on from.

--- a/packages/cli/hickoryreach_cli/application.py
+++ b/packages/cli/hickoryreach_cli/application.py
@@ -438,7 +438,7 @@
     description = "Show who changed a list, when, what and the revisions."
     arguments = [LIST]
     parameters = [
-        take_value("before", "Only changes that led below this revision."),
+        take_value("after", "Cursor that the last page ended with."),
         take_value("limit", "Number of changes; 20 if left out."),
     ]
 
@@ -447,7 +447,7 @@
         return audit.audit(
             caller,
             self.argument("list"),
-            self.number("before"),
+            self.option("after") or "",
             self.number("limit") or 20,
         )
 
--- a/packages/core/hickoryreach/lists/documents.py
+++ b/packages/core/hickoryreach/lists/documents.py
@@ -28,6 +28,7 @@
     "plans": plans.Plans,
     "allowances": allowances.Allowances,
 }
+NAMES = tuple(MODELS)
 
 Flat = dict[str, object]
 
--- a/packages/entry/hickoryreach_entry/api/app.py
+++ b/packages/entry/hickoryreach_entry/api/app.py
@@ -8,9 +8,11 @@
 from hickoryreach_entry import lists
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
+from hickoryreach_entry.api import audit
+from hickoryreach_entry.api import documents
 from hickoryreach_entry.api import health
+from hickoryreach_entry.api import keys
 from hickoryreach_entry.api import limits
-from hickoryreach_entry.api import operators
 from hickoryreach_entry.api import steps
 from hickoryreach_entry.api import work
 from hickoryreach_entry.config import settings as entry_settings
@@ -67,8 +69,8 @@
 
 def add_lists(app: falcon.App, gate: access.Access) -> None:
     """Adds what operators use."""
-    app.add_route("/v1/lists/{name}", operators.Document(gate=gate))
-    app.add_route("/v1/lists/{name}/check", operators.Check(gate=gate))
-    app.add_route("/v1/keys", operators.Keys(gate=gate))
-    app.add_route("/v1/keys/{workspace}/{key_id}", operators.Key(gate=gate))
-    app.add_route("/v1/audit/{name}", operators.Audit(gate=gate))
+    app.add_route("/v1/lists/{name}", documents.Document(gate=gate))
+    app.add_route("/v1/lists/{name}/check", documents.Check(gate=gate))
+    app.add_route("/v1/keys", keys.Keys(gate=gate))
+    app.add_route("/v1/keys/{workspace}/{key_id}", keys.Key(gate=gate))
+    app.add_route("/v1/audit/{name}", audit.Audit(gate=gate))
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/changes.py
@@ -0,0 +1,116 @@
+"""Changes of the lists, and how they ended, as operators are told."""
+
+from collections.abc import Callable
+
+from returns import result
+
+from hickoryreach.lists import documents
+from hickoryreach.lists import editor
+from hickoryreach.structure import jobs
+from hickoryreach_entry import lists
+from hickoryreach_entry.api import answers
+from hickoryreach_entry.api import problems
+
+RETRY_S = 1
+
+
+def make_change(in_force: lists.Lists, edit: editor.Edit) -> answers.Outcome:
+    """Makes a change, and answers how it ended."""
+    return (
+        in_force.edit(edit)
+        .map(
+            lambda accepted: answers.Answer(
+                media={
+                    "list": edit.name,
+                    "revision": accepted.head.revision,
+                    "diff": list(accepted.lines),
+                }
+            )
+        )
+        .alt(lambda failure: PROBLEMS[type(failure)](edit.name, failure))
+    )
+
+
+def find_name(name: str) -> result.Result[str, problems.Problem]:
+    """Returns the name of a list, if there is such a list."""
+    if name in documents.NAMES:
+        return result.Success(name)
+    return result.Failure(
+        problems.Problem(
+            status=404,
+            reason="unknown_list",
+            detail=f"Use one of: {', '.join(documents.NAMES)}.",
+        )
+    )
+
+
+def describe_list(
+    name: str, revision: int, flat: documents.Flat
+) -> dict[str, object]:
+    """Returns the JSON form of a list."""
+    document = documents.unflatten(name, flat)
+    return {
+        "list": name,
+        "revision": revision,
+        "document": document.model_dump(mode="json"),
+    }
+
+
+def refuse_faults(refused: editor.Refused, status: int) -> problems.Problem:
+    """Returns the problem for a document with faults."""
+    return problems.Problem(
+        status=status,
+        reason="malformed" if status == 400 else "list_refused",
+        detail="Correct what `faults` lists.",
+        extra={"faults": list(refused.faults)},
+    )
+
+
+def describe_refused(name: str, failure: editor.Refused) -> problems.Problem:
+    """Returns the problem of a change that would break the lists."""
+    return refuse_faults(failure, 422)
+
+
+def describe_outdated(name: str, failure: editor.Outdated) -> problems.Problem:
+    """Returns the problem of a lost race, with the newer list."""
+    kept = failure.kept
+    return problems.Problem(
+        status=409,
+        reason="revision_outdated",
+        detail="Another change was accepted first; make yours on the newer "
+        "revision in `current`.",
+        extra={"current": describe_list(name, kept.head.revision, kept.flat)},
+    )
+
+
+def describe_unavailable(
+    name: str, failure: editor.Unavailable
+) -> problems.Problem:
+    """Returns the problem of a store that gave no usable answer."""
+    if not failure.token:
+        return store_problem(failure.reason)
+    return problems.Problem(
+        status=504,
+        reason="change_unclear",
+        detail="The store did not tell whether the change was accepted; look "
+        "for its token in the audit trail.",
+        ran=jobs.Ran.UNKNOWN,
+        extra={"token": failure.token},
+    )
+
+
+def store_problem(reason: str) -> problems.Problem:
+    """Returns the problem of a call that the store did not serve."""
+    return problems.Problem(
+        status=503,
+        reason="store_unavailable",
+        detail=f"Nothing was changed; send the call again later ({reason}).",
+        retry_after_s=RETRY_S,
+    )
+
+
+PROBLEMS: dict[type, Callable[[str, object], problems.Problem]] = {
+    editor.Refused: describe_refused,
+    editor.Outdated: describe_outdated,
+    editor.Unavailable: describe_unavailable,
+}
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/documents.py
@@ -0,0 +1,142 @@
+"""Resources through which operators read, check and replace a list."""
+
+import falcon
+from returns import result
+
+from hickoryreach.lists import documents
+from hickoryreach.lists import editor
+from hickoryreach.lists import plans
+from hickoryreach_entry.api import access
+from hickoryreach_entry.api import answers
+from hickoryreach_entry.api import bodies
+from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import problems
+
+
+class Document:
+    """Reads or replaces one list."""
+
+    def __init__(self, *, gate: access.Access) -> None:
+        """Keeps what it needs."""
+        self.access = gate
+        self.lists = gate.lists
+
+    @answers.answered
+    def on_get(self, req: falcon.Request, name: str) -> answers.Outcome:
+        """Answers the list in force with its revision."""
+        return changes.find_name(name).bind(
+            lambda known: self.access.find_operator(req).map(
+                lambda _: answers.Answer(
+                    media=changes.describe_list(
+                        known,
+                        self.lists.revisions[known],
+                        self.lists.flats[known],
+                    )
+                )
+            )
+        )
+
+    @answers.answered
+    def on_put(self, req: falcon.Request, name: str) -> answers.Outcome:
+        """Replaces the list, if `revision` still is the newest."""
+        return changes.find_name(name).bind(
+            lambda known: self.access.find_operator(req).bind(
+                lambda operator: get_revision(req).bind(
+                    lambda revision: read_document(req, known).bind(
+                        lambda document: self.set(
+                            known, operator, revision, document
+                        )
+                    )
+                )
+            )
+        )
+
+    def set(
+        self, name: str, operator: str, revision: int, document: plans.Model
+    ) -> answers.Outcome:
+        """Makes the change."""
+        return changes.make_change(
+            self.lists,
+            editor.Edit(
+                name=name,
+                actor=operator,
+                action="set",
+                revision=revision,
+                build=lambda _: result.Success(document),
+                floor=self.lists.revisions[name],
+            ),
+        )
+
+
+class Check:
+    """Checks a document, and shows what it would change."""
+
+    def __init__(self, *, gate: access.Access) -> None:
+        """Keeps what it needs."""
+        self.access = gate
+        self.lists = gate.lists
+
+    @answers.answered
+    def on_post(self, req: falcon.Request, name: str) -> answers.Outcome:
+        """Answers the faults and the difference; changes nothing."""
+        return changes.find_name(name).bind(
+            lambda known: self.access.find_operator(req).bind(
+                lambda _: bodies.read(req).map(
+                    lambda body: self.check(known, body)
+                )
+            )
+        )
+
+    def check(self, name: str, body: bytes) -> answers.Answer:
+        """Checks a document against the lists in force."""
+        faults: list[str] = []
+        lines: list[str] = []
+        parsed = editor.parse(name, body)
+        if isinstance(parsed, result.Failure):
+            faults += parsed.failure().faults
+        else:
+            document = parsed.unwrap()
+            other = getattr(self.lists, editor.OTHERS[name])
+            faults += editor.find_faults(name, document, other)
+            lines += self.compare(name, document)
+        return answers.Answer(
+            media={
+                "list": name,
+                "revision": self.lists.revisions[name],
+                "faults": faults,
+                "diff": lines,
+            }
+        )
+
+    def compare(self, name: str, document: plans.Model) -> list[str]:
+        """Returns the difference from the list in force."""
+        before = self.lists.flats[name]
+        delta = documents.compare(before, documents.flatten(document))
+        return documents.describe(before, delta)
+
+
+def get_revision(
+    req: falcon.Request,
+) -> result.Result[int, problems.Problem]:
+    """Returns the revision that a change was made on."""
+    text = req.get_param("revision") or ""
+    if text.isdecimal():
+        return result.Success(int(text))
+    return result.Failure(
+        problems.Problem(
+            status=400,
+            reason="revision_missing",
+            detail="Give `revision`, as the list was when you read it.",
+        )
+    )
+
+
+def read_document(
+    req: falcon.Request, name: str
+) -> result.Result[plans.Model, problems.Problem]:
+    """Returns the checked document in the body."""
+    return bodies.read(req).bind(
+        lambda body: editor.parse(name, body).alt(
+            lambda refused: changes.refuse_faults(refused, 400)
+        )
+    )
--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -2,11 +2,9 @@
 
 from collections.abc import Callable
 import logging
-import math
 import time
 
 import gevent
-import orjson
 import prometheus_client
 from returns import result
 
@@ -21,15 +19,12 @@
 from hickoryreach.platform import store
 from hickoryreach.structure import workspaces
 from hickoryreach.wire import messages
+from hickoryreach_entry import list_relay
 
 log = logging.getLogger(__name__)
 
-NAMES = ("plans", "allowances")
-STATEMENT_NAME = "freshness"
 WATCH_WAIT_S = 2.0
 RETRY_S = 0.5
-RELAY_S = 1.5
-TOLD_S = 0.05
 
 refused_heads = prometheus_client.Counter(
     "hickoryreach_list_heads_refused",
@@ -59,7 +54,7 @@
         unsettled: Head index under which a change of unknown outcome was
             sent, by list.
         editing: Number of changes under way.
-        told: What peers are told, reused for TOLD_S.
+        relay: Exchanges the lists with peers.
         listeners: Called without arguments after a change.
     """
 
@@ -75,16 +70,16 @@
         self.plans = plans.Plans()
         self.allowances = allowances.Allowances()
         self.keys = keys.build_index(self.plans)
-        self.revisions = dict.fromkeys(NAMES, 0)
-        self.heads = {name: heads.Head() for name in NAMES}
-        self.flats: dict[str, documents.Flat] = {name: {} for name in NAMES}
+        self.revisions = dict.fromkeys(documents.NAMES, 0)
+        self.heads = {name: heads.Head() for name in documents.NAMES}
+        self.flats: dict[str, documents.Flat] = {
+            name: {} for name in documents.NAMES
+        }
         self.freshness = freshness.Freshness()
         self.unsettled: dict[str, int] = {}
         self.editing = 0
-        self.relay_until_s = 0.0
-        self.lowest_seen = dict.fromkeys(NAMES, 0)
         self.refused: set[tuple] = set()
-        self.told: tuple[float, list[messages.ListHead]] = (-math.inf, [])
+        self.relay = list_relay.ListRelay(in_force=self)
         self.listeners: list = []
         age_s.set_function(self.fresh_s)
 
@@ -131,7 +126,9 @@
             value.key.removeprefix(heads.PREFIX): value
             for value in snapshot.values
         }
-        return all([self.take_value(name, found.get(name)) for name in NAMES])
+        return all(
+            [self.take_value(name, found.get(name)) for name in documents.NAMES]
+        )
 
     def take_value(self, name: str, value: store.Value | None) -> bool:
         """Takes in one head as read from the store."""
@@ -206,7 +203,7 @@
         self.heads[name] = head
         self.flats[name] = flat
         self.revisions[name] = head.revision
-        self.told = (-math.inf, [])
+        self.relay.forget_told()
         revision_in_force.labels(name).set(head.revision)
         log.info(
             "list_applied", extra={"list": name, "revision": head.revision}
@@ -268,97 +265,12 @@
                 self.unsettled[name] = failure.index
 
     def get_heads(self) -> list[messages.ListHead]:
-        """Returns what to tell peers of the lists in force.
-
-        Documents go along only while some peer is known to lack them. A
-        statement a few ms old is still true, as of the stamp it bears.
-        """
-        now_s = self.clock()
-        told_s, rows = self.told
-        if now_s >= told_s + TOLD_S:
-            rows = self.build_heads(now_s)
-            self.told = (now_s, rows)
-        return rows
-
-    def build_heads(self, now_s: float) -> list[messages.ListHead]:
-        """Returns what to tell peers from now on."""
-        relaying = now_s < self.relay_until_s
-        rows = [
-            messages.ListHead(
-                name=name,
-                revision=self.revisions[name],
-                document=self.pack_list(name) if relaying else b"",
-            )
-            for name in NAMES
-        ]
-        statement = self.freshness.make(
-            now_s, unsettled=self.is_unsettled(), revisions=self.revisions
-        )
-        return [
-            *rows,
-            messages.ListHead(
-                name=STATEMENT_NAME,
-                revision=0,
-                document=freshness.pack(statement),
-            ),
-        ]
-
-    def pack_list(self, name: str) -> bytes:
-        """Returns the list in force for a peer that lacks it."""
-        head = self.heads[name]
-        if head.revision <= self.lowest_seen[name]:
-            return b""
-        whole = self.lowest_seen[name] < head.base_revision
-        flat = self.flats[name] if whole else None
-        return orjson.dumps({"head": head, "flat": flat})
+        """Returns what to tell peers of the lists in force."""
+        return self.relay.get_heads()
 
     def take_heads(self, rows: list[messages.ListHead]) -> None:
         """Takes in what a peer tells of the lists it has in force."""
-        statements = [row for row in rows if row.name == STATEMENT_NAME]
-        for row in rows:
-            if row.name in NAMES:
-                self.take_row(row)
-        for row in statements:
-            self.take_statement(row)
-
-    def take_row(self, row: messages.ListHead) -> None:
-        """Takes in a peer's revision, and its document where needed."""
-        name = row.name
-        if row.revision < self.revisions[name]:
-            self.relay(name, row.revision)
-        elif row.revision > self.revisions[name] and row.document:
-            self.take_relayed(name, row.document)
-
-    def relay(self, name: str, revision: int) -> None:
-        """Sends documents along for a while, to a peer that lacks some."""
-        now_s = self.clock()
-        if now_s >= self.relay_until_s:
-            self.lowest_seen = dict(self.revisions)
-        self.relay_until_s = now_s + RELAY_S
-        self.told = (-math.inf, [])
-        self.lowest_seen[name] = min(self.lowest_seen[name], revision)
-
-    def take_relayed(self, name: str, data: bytes | str) -> None:
-        """Puts a relayed list in force."""
-        try:
-            fields = orjson.loads(data)
-            head = heads.parse_head(orjson.dumps(fields["head"]))
-            flat = fields["flat"]
-        except (ValueError, KeyError, TypeError):
-            self.refuse(name, 0, "malformed")
-            return
-        if flat is None and self.revisions[name] < head.base_revision:
-            return
-        self.take_head(name, head, flat)
-
-    def take_statement(self, row: messages.ListHead) -> None:
-        """Takes in how fresh a peer's lists are."""
-        try:
-            statement = freshness.parse(row.document)
-        except ValueError:
-            log.warning("statement_malformed", extra={})
-            return
-        self.freshness.take(statement, self.clock(), self.revisions)
+        self.relay.take_heads(rows)
 
     def get_entitlements(self) -> tuple[workspaces.Entitlement, ...]:
         """Returns the entitlement of every workspace."""
--- a/standins/list_costs.py
+++ b/standins/list_costs.py
@@ -14,6 +14,7 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
 from hickoryreach.lists import heads
+from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
 from hickoryreach.lists import storage
 from hickoryreach.platform import store
@@ -104,7 +105,9 @@
         actor="operator-1",
         action="grant",
         revision=None,
-        build=editor.grant_key(workspace, build_key(workspace, 100 + number)),
+        build=key_edits.grant_key(
+            workspace, build_key(workspace, 100 + number)
+        ),
     )
     editor.change(client, edit).unwrap()
 
