--- /dev/null
+++ b/packages/cli/hickoryreach_cli/console/__init__.py
@@ -0,0 +1,1 @@
+"""The commands, each over one function of hickoryreach_cli.commands."""
--- /dev/null
+++ b/packages/cli/hickoryreach_cli/console/base.py
@@ -0,0 +1,87 @@
+"""What every command shares: settings, printing and exit codes."""
+
+from typing import ClassVar
+
+import cleo.commands.command
+from cleo.helpers import option
+from cleo.io.outputs import output
+from returns import result
+
+from hickoryreach_cli import client
+from hickoryreach_cli import reports
+from hickoryreach_cli.config import settings as cli_settings
+
+
+class EntryCommand(cleo.commands.command.Command):
+    """Base of commands that call an entry."""
+
+    parameters: ClassVar[list] = []
+
+    def __init__(self) -> None:
+        """Adds the settings to the command's own options."""
+        self.options = [*self.parameters, *build_setting_options()]
+        super().__init__()
+
+    def handle(self) -> int:
+        """Loads the settings, runs the command and prints its report."""
+        flags = {
+            name: self.option(name.replace("_", "-"))
+            for name in cli_settings.Settings.model_fields
+            if self.option(name.replace("_", "-")) is not None
+        }
+        loaded = cli_settings.load(flags)
+        if isinstance(loaded, result.Failure):
+            return self.show(
+                reports.Report(
+                    exit_code=reports.USAGE_ERROR,
+                    errors=tuple(loaded.failure()),
+                )
+            )
+        return self.show(self.run_checked(loaded.unwrap()))
+
+    def run_checked(self, settings: cli_settings.Settings) -> reports.Report:
+        """Runs the command once its numbers are found to be numbers."""
+        try:
+            return self.answer(client.Client(settings=settings))
+        except ValueError as error:
+            return reports.report_usage(str(error))
+
+    def answer(self, caller: client.Client) -> reports.Report:
+        """Returns the report of the command."""
+        raise NotImplementedError
+
+    def number(self, name: str) -> int | None:
+        """Returns an option as a whole number, or None.
+
+        Raises:
+            ValueError: It is no whole number.
+        """
+        text = self.option(name)
+        if text is None:
+            return None
+        if not text.isdecimal():
+            raise ValueError(f"--{name}: give a whole number, 0 or more")
+        return int(text)
+
+    def show(self, report: reports.Report) -> int:
+        """Prints a report as it is, and returns its exit code."""
+        for line in report.lines:
+            self.io.write_line(line, type=output.Type.RAW)
+        for line in report.errors:
+            self.io.write_error_line(line, type=output.Type.RAW)
+        return report.exit_code
+
+
+def build_setting_options() -> list:
+    """Returns an option for each setting."""
+    return [
+        option(
+            name.replace("_", "-"), description=field.description, flag=False
+        )
+        for name, field in cli_settings.Settings.model_fields.items()
+    ]
+
+
+def take_value(name: str, description: str):
+    """Returns an option that takes a value."""
+    return option(name, description=description, flag=False)
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -3,7 +3,6 @@
 import argparse
 import collections
 from collections.abc import Iterator
-import dataclasses
 import os
 import signal
 import subprocess
@@ -15,6 +14,7 @@
 from hickoryreach.runbooks import steps
 from hickoryreach_entry.api import job_ids
 from standins import cell
+from standins import plays
 from standins import samples
 
 POLL_S = 0.1
@@ -26,207 +26,6 @@
 ENDINGS = ("end", "answer")
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Step:
-    """One step of a runbook, and the whole answer it must get.
-
-    Attributes:
-        system: The old system.
-        line: Its command.
-        output: Expected standard output.
-        code: Expected exit code.
-        workspace: Workspace whose key goes with it.
-        error: Expected part of standard error.
-        repeated: Whether it is asked again until the output is right.
-    """
-
-    system: str
-    line: str
-    output: str = ""
-    code: int = steps.EXIT_OK
-    workspace: str = "north"
-    error: str = ""
-    repeated: bool = False
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Work:
-    """Work that the steps stand for, and how often a worker must run it.
-
-    Attributes:
-        system: The old system.
-        reference: Its reference there.
-        kind: Kind of work.
-        starts: Tasks or requests that the workers must have begun and ended.
-        workspace: Workspace it is counted for.
-    """
-
-    system: str
-    reference: str
-    kind: str
-    starts: int
-    workspace: str = "north"
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True)
-class Play:
-    """What is run on one deployment.
-
-    Attributes:
-        deployment: The deployment.
-        steps: The steps, in order.
-        work: What must have run at the end.
-    """
-
-    deployment: cell.Deployment
-    steps: tuple[Step, ...]
-    work: tuple[Work, ...]
-
-
-GANG_STEPS = (
-    Step(
-        system="lodestar",
-        line="LSUB JOB=TRF-0091,COUNT=6 PARM=wind",
-        output="LDS0100I JOB TRF-0091 ACCEPTED",
-    ),
-    Step(
-        system="lodestar",
-        line="LQRY JOB=TRF-0091",
-        output="LDS0200I JOB TRF-0091 STATUS SUCCEEDED",
-        repeated=True,
-    ),
-)
-SERVICE_STEPS = (
-    Step(
-        system="lodestar",
-        line="LSTART JOB=FED-0001,COUNT=2",
-        output="LDS0101I STARTED FED-0001",
-    ),
-    Step(
-        system="lodestar",
-        line="LQRY JOB=FED-0001",
-        output="LDS0200I JOB FED-0001 STATUS RUNNING",
-        repeated=True,
-    ),
-    Step(
-        system="lodestar",
-        line="LPURGE JOB=FED-0001",
-        output="LDS0300I JOB FED-0001 PURGED",
-    ),
-    Step(
-        system="lodestar",
-        line="LQRY JOB=FED-0001",
-        output="LDS0200I JOB FED-0001 STATUS CANCELLED",
-        code=steps.EXIT_RAN_BADLY,
-        repeated=True,
-    ),
-)
-REFUSED_STEPS = (
-    Step(
-        system="fernpost",
-        line="retire RET-0002 certificate-8",
-        code=steps.EXIT_NOT_RUN,
-        workspace="east",
-        error="Plan small may not use fernpost.retire. Use one of: ",
-    ),
-    Step(
-        system="quill",
-        line="qmove -N july",
-        code=steps.EXIT_NOT_RUN,
-        error="quill.qmove is not mapped. Use one of: ",
-    ),
-)
-GANG = Work(system="lodestar", reference="TRF-0091", kind="gang", starts=6)
-SERVICE = Work(
-    system="lodestar", reference="FED-0001", kind="service", starts=2
-)
-REFUSED = Work(
-    system="fernpost",
-    reference="RET-0002",
-    kind="refused",
-    starts=0,
-    workspace="east",
-)
-
-CEDARLINE = Play(
-    deployment=cell.Deployment(name="cedarline", service="registry"),
-    steps=(
-        Step(
-            system="quill",
-            line="qsend -N ISS-2026-07 -t 1-12 -c 0.5 run.sh hydro-7",
-            output='Your job "ISS-2026-07" has been submitted',
-        ),
-        Step(
-            system="quill",
-            line="qshow -N ISS-2026-07",
-            output="ISS-2026-07 z 12/12",
-            repeated=True,
-        ),
-        Step(
-            system="quill",
-            line="qsend -N ISS-2026-07 -t 1-12 -c 0.5 run.sh hydro-7",
-            output='Your job "ISS-2026-07" has been submitted',
-        ),
-        *GANG_STEPS,
-        *SERVICE_STEPS,
-        Step(
-            system="fernpost",
-            line="check CHK-0001 certificate-9",
-            output="CHK-0001 checked: succeeded",
-        ),
-        Step(
-            system="fernpost",
-            line="retire RET-0001 certificate-9",
-            output="RET-0001 retired: succeeded",
-        ),
-        *REFUSED_STEPS,
-    ),
-    work=(
-        Work(system="quill", reference="ISS-2026-07", kind="batch", starts=12),
-        GANG,
-        SERVICE,
-        Work(system="fernpost", reference="CHK-0001", kind="request", starts=1),
-        Work(system="fernpost", reference="RET-0001", kind="request", starts=1),
-        REFUSED,
-    ),
-)
-ASSOCIATION = Play(
-    deployment=cell.Deployment(name="association", service="vouchers"),
-    steps=(
-        Step(
-            system="fernpost",
-            line="vouchers VCH-2031 12 member-17",
-            output="VCH-2031: 12 of 12 vouchers succeeded",
-        ),
-        Step(
-            system="fernpost",
-            line="show VCH-2031",
-            output="VCH-2031 is succeeded",
-        ),
-        Step(
-            system="fernpost",
-            line="voucher VCH-2032 member-18",
-            output="VCH-2032 sent: succeeded",
-        ),
-        Step(
-            system="fernpost",
-            line="voucher VCH-2032 member-18",
-            output="VCH-2032 sent: succeeded",
-        ),
-        *GANG_STEPS,
-        *SERVICE_STEPS,
-        *REFUSED_STEPS,
-    ),
-    work=(
-        Work(system="fernpost", reference="VCH-2031", kind="batch", starts=12),
-        Work(system="fernpost", reference="VCH-2032", kind="request", starts=1),
-        GANG,
-        SERVICE,
-        REFUSED,
-    ),
-)
-
-
 def main() -> int:
     """Runs the demo, or serves a cell to try commands on."""
     parser = argparse.ArgumentParser()
@@ -236,7 +35,7 @@
         help="serve a cell until Ctrl-C, with its settings in " + ENV_PATH,
     )
     if parser.parse_args().serve:
-        serve(CEDARLINE.deployment)
+        serve(plays.CEDARLINE.deployment)
         return 0
     return run_all()
 
@@ -280,7 +79,11 @@
 def run_all() -> int:
     """Returns 0 if every answer is right."""
     started = time.monotonic()
-    faults = [fault for play in (CEDARLINE, ASSOCIATION) for fault in run(play)]
+    faults = [
+        fault
+        for play in (plays.CEDARLINE, plays.ASSOCIATION)
+        for fault in run(play)
+    ]
     for fault in faults:
         print(f"WRONG: {fault}")
     took_s = time.monotonic() - started
@@ -288,7 +91,7 @@
     return 1 if faults else 0
 
 
-def run(play: Play) -> list[str]:
+def run(play: plays.Play) -> list[str]:
     """Returns a line for each wrong answer on one deployment."""
     with tempfile.TemporaryDirectory() as folder:
         whole = cell.Cell(deployment=play.deployment, log_folder=folder)
@@ -310,7 +113,7 @@
             whole.stop()
 
 
-def run_step(whole: cell.Cell, number: int, step: Step) -> list[str]:
+def run_step(whole: cell.Cell, number: int, step: plays.Step) -> list[str]:
     """Runs one step through the command line, and returns its faults."""
     entry = whole.entries[number % len(whole.entries)]
     deadline = time.monotonic() + POLL_TIMEOUT_S
@@ -328,7 +131,9 @@
     return faults
 
 
-def call_command_line(url: str, step: Step) -> subprocess.CompletedProcess:
+def call_command_line(
+    url: str, step: plays.Step
+) -> subprocess.CompletedProcess:
     """Runs the command line once, with one quoted command."""
     return subprocess.run(
         [sys.executable, "-m", "hickoryreach_cli", "step"]
@@ -345,7 +150,9 @@
     )
 
 
-def find_faults(step: Step, done: subprocess.CompletedProcess) -> list[str]:
+def find_faults(
+    step: plays.Step, done: subprocess.CompletedProcess
+) -> list[str]:
     """Returns a line for each part of an answer that is wrong."""
     faults = []
     if done.stdout.rstrip("\n") != step.output:
@@ -357,7 +164,7 @@
     return faults
 
 
-def check_work(whole: cell.Cell, work: tuple[Work, ...]) -> Iterator[str]:
+def check_work(whole: cell.Cell, work: tuple[plays.Work, ...]) -> Iterator[str]:
     """Prints what ran where by the workers' records; yields the faults."""
     wait_for_ends(whole, work)
     places = read_places(whole, BEGINNINGS)
@@ -380,7 +187,7 @@
         yield f"nobody asked for {job_id}, which ran"
 
 
-def get_job_id(work: Work) -> str:
+def get_job_id(work: plays.Work) -> str:
     """Returns the job id of a reference."""
     return job_ids.make(
         work.workspace,
@@ -389,7 +196,7 @@
     )
 
 
-def wait_for_ends(whole: cell.Cell, work: tuple[Work, ...]) -> None:
+def wait_for_ends(whole: cell.Cell, work: tuple[plays.Work, ...]) -> None:
     """Waits until the workers have ended as much as they had to begin."""
     wanted = sum(row.starts for row in work)
     deadline = time.monotonic() + POLL_TIMEOUT_S
