--- a/packages/entry/hickoryreach_entry/list_relay.py
+++ b/packages/entry/hickoryreach_entry/list_relay.py
@@ -1,5 +1,6 @@
 """Exchanges the operators' lists with the other entries."""
 
+import collections
 import logging
 import math
 
@@ -15,6 +16,7 @@
 STATEMENT_NAME = "freshness"
 RELAY_S = 1.5
 TOLD_S = 0.05
+HEARD_LIMIT = 16
 
 
 class ListRelay:
@@ -25,6 +27,7 @@
         until_s: Time until which documents go along.
         lowest_seen: Lowest revision that a peer was seen to have, by list.
         told: What peers are told, with its time; reused for TOLD_S.
+        heard: Last statements taken in, as received; peers reuse theirs.
     """
 
     def __init__(self, *, in_force) -> None:
@@ -33,6 +36,7 @@
         self.until_s = 0.0
         self.lowest_seen = dict.fromkeys(documents.NAMES, 0)
         self.told: tuple[float, list[messages.ListHead]] = (-math.inf, [])
+        self.heard: collections.deque = collections.deque(maxlen=HEARD_LIMIT)
 
     def forget_told(self) -> None:
         """Makes the next words to peers new ones."""
@@ -126,11 +130,14 @@
 
     def take_statement(self, row: messages.ListHead) -> None:
         """Takes in how fresh a peer's lists are."""
+        if row.document in self.heard:
+            return
         try:
             statement = freshness.parse(row.document)
         except ValueError:
             log.warning("statement_malformed", extra={})
             return
+        self.heard.append(row.document)
         self.lists.freshness.take(
             statement, self.lists.clock(), self.lists.revisions
         )
