--- a/tests/entry/test_lists.py
+++ b/tests/entry/test_lists.py
@@ -56,8 +56,8 @@
         self.exchange()
         self.assertIsNone(self.second.keys.find_caller("north-key-1"))
 
-    def test_peer_that_missed_a_roll_gets_the_whole_list(self):
-        for number in range(2, 40):
+    def grant(self, numbers: range) -> None:
+        for number in numbers:
             self.first.edit(
                 editor.Edit(
                     name="plans",
@@ -69,11 +69,30 @@
                     ),
                 )
             ).unwrap()
+
+    def test_peer_that_missed_a_roll_gets_the_whole_list(self):
+        self.grant(range(2, 40))
         self.assertGreater(self.first.heads["plans"].base_revision, 1)
         self.exchange()
         self.assertEqual(self.second.revisions, self.first.revisions)
         self.assertEqual(self.second.flats, self.first.flats)
 
+    def test_newer_list_that_overtakes_a_snapshot_stays(self):
+        self.grant(range(2, 40))
+        read = self.store.get
+
+        def read_late(key):
+            self.store.get = read
+            found = read(key)
+            self.grant(range(40, 41))
+            self.exchange()
+            return found
+
+        self.store.get = read_late
+        self.read(self.second)
+        self.assertEqual(self.second.revisions["plans"], 40)
+        self.assertIsNotNone(self.second.keys.find_caller("north-key-40"))
+
     def test_peers_in_step_send_no_documents(self):
         self.exchange()
         rows = self.first.get_heads()
