--- a/packages/entry/hickoryreach_entry/logs.py
+++ b/packages/entry/hickoryreach_entry/logs.py
@@ -5,11 +5,10 @@
 
 import logfmter
 
-FORMAT_KEYS = ["at", "level", "event", "logger"]
+FORMAT_KEYS = ["at", "level", "logger"]
 FORMAT_MAPPING = {
     "at": "asctime",
     "level": "levelname",
-    "event": "msg",
     "logger": "name",
 }
 
