--- a/tests/entry/test_lists.py
+++ b/tests/entry/test_lists.py
@@ -2,8 +2,10 @@
 
 import unittest
 
+from hickoryreach.lists import documents
 from hickoryreach.lists import editor
 from hickoryreach.lists import heads
+from hickoryreach.lists import key_edits
 from hickoryreach.lists import storage
 from hickoryreach_entry import lists
 from tests.core.lists import fakes
@@ -42,7 +44,7 @@
                 actor="ops",
                 action="withdraw",
                 revision=None,
-                build=editor.withdraw_key(workspace, f"{workspace}-1"),
+                build=key_edits.withdraw_key(workspace, f"{workspace}-1"),
                 floor=entry.revisions["plans"],
             )
         )
@@ -54,29 +56,48 @@
         self.exchange()
         self.assertIsNone(self.second.keys.find_caller("north-key-1"))
 
-    def test_peer_that_missed_a_roll_gets_the_whole_list(self):
-        for number in range(2, 40):
+    def grant(self, numbers: range) -> None:
+        for number in numbers:
             self.first.edit(
                 editor.Edit(
                     name="plans",
                     actor="ops",
                     action="grant",
                     revision=None,
-                    build=editor.grant_key(
+                    build=key_edits.grant_key(
                         "north", fakes.build_key("north", number)
                     ),
                 )
             ).unwrap()
+
+    def test_peer_that_missed_a_roll_gets_the_whole_list(self):
+        self.grant(range(2, 40))
         self.assertGreater(self.first.heads["plans"].base_revision, 1)
         self.exchange()
         self.assertEqual(self.second.revisions, self.first.revisions)
         self.assertEqual(self.second.flats, self.first.flats)
 
+    def test_newer_list_that_overtakes_a_snapshot_stays(self):
+        self.grant(range(2, 40))
+        read = self.store.get
+
+        def read_late(key):
+            self.store.get = read
+            found = read(key)
+            self.grant(range(40, 41))
+            self.exchange()
+            return found
+
+        self.store.get = read_late
+        self.read(self.second)
+        self.assertEqual(self.second.revisions["plans"], 40)
+        self.assertIsNotNone(self.second.keys.find_caller("north-key-40"))
+
     def test_peers_in_step_send_no_documents(self):
         self.exchange()
         rows = self.first.get_heads()
-        documents = [r.document for r in rows if r.name in lists.NAMES]
-        self.assertEqual(documents, [b"", b""])
+        sent = [r.document for r in rows if r.name in documents.NAMES]
+        self.assertEqual(sent, [b"", b""])
 
     def test_restored_store_is_refused_and_repaired(self):
         old = dict(self.store.values)
