--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -59,8 +59,7 @@
     record.running[key.index] = attempt
     record.attempts[key.index] = key.attempt
     if job.kind is jobs.Kind.SERVICE:
-        record.spread[worker.worker.failure_domain] += 1
-        record.spread[_name_rack(worker)] += 1
+        _count_nearby(record, worker, 1)
     elif job.kind is jobs.Kind.REQUEST:
         shard.sequence += 1
         worker.turn = shard.sequence
@@ -76,8 +75,7 @@
         del record.running[attempt.key.index]
         worker = shard.workers.get(attempt.worker_id)
         if worker is not None and record.job.kind is jobs.Kind.SERVICE:
-            record.spread[worker.worker.failure_domain] -= 1
-            record.spread[_name_rack(worker)] -= 1
+            _count_nearby(record, worker, -1)
     ledger.release(shard, attempt)
 
 
@@ -93,8 +91,12 @@
     )
 
 
-def _name_rack(worker: state.WorkerRecord) -> str:
-    return f"{worker.worker.failure_domain}/{worker.worker.rack}"
+def _count_nearby(
+    record: state.JobRecord, worker: state.WorkerRecord, change: int
+) -> None:
+    domain = worker.worker.failure_domain
+    record.spread[domain, ""] += change
+    record.spread[domain, worker.worker.rack] += change
 
 
 def _is_preemptible(job: jobs.Job) -> bool:
--- a/packages/core/hickoryreach/decisions/fleet.py
+++ b/packages/core/hickoryreach/decisions/fleet.py
@@ -53,16 +53,18 @@
     shard.capacities[key] += count
     if shard.capacities[key] <= 0:
         del shard.capacities[key]
-    rack = (described.failure_domain, described.rack)
+    domain = shard.racks.setdefault(described.failure_domain, {})
+    members = domain.setdefault(described.rack, {})
     if count > 0:
         shard.total = shard.total + described.capacity
-        members = shard.racks.setdefault(rack, {})
         members[described.worker_id] = shard.workers[described.worker_id]
     else:
         shard.total = shard.total - described.capacity
-        shard.racks[rack].pop(described.worker_id)
-        if not shard.racks[rack]:
-            del shard.racks[rack]
+        members.pop(described.worker_id)
+    if not members:
+        del domain[described.rack]
+    if not domain:
+        del shard.racks[described.failure_domain]
     shard.totals_changed = True
 
 
--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -113,6 +113,8 @@
         careful=ordering.is_careful(job),
     )
     shard.gathering = record
+    if job.urgent:
+        shard.lacking[job.job_id] = record
     if gang.reserving:
         record.reserve_turns += 1
         bound_ms = shard.settings.gang_reserve_ms << record.reserve_turns
--- a/packages/core/hickoryreach/decisions/ordering.py
+++ b/packages/core/hickoryreach/decisions/ordering.py
@@ -82,6 +82,8 @@
         queue = _find_queue(shard, record.job)
         record.queue = queue
         heapq.heappush(queue.jobs, (record.sequence, record))
+    if record.job.urgent:
+        shard.lacking[record.job.job_id] = record
     if not record.queue.parked:
         push(shard, record.queue)
 
@@ -308,8 +310,6 @@
     lane.blocked = True
     lane.blocked_ms = shard.now_ms
     shard.blocked[lane.pool].add(lane)
-    if lane.priority == URGENT:
-        shard.pressing[lane.key] = lane
 
 
 def unblock(shard: state.ShardState, lane: state.Lane) -> None:
@@ -318,7 +318,6 @@
     if lane.blocked:
         lane.blocked = False
         shard.blocked[lane.pool].remove(lane)
-        shard.pressing.pop(lane.key, None)
 
 
 def offer(shard: state.ShardState, lane: state.Lane, worker_id: str) -> None:
--- a/packages/core/hickoryreach/decisions/preemption.py
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -19,38 +19,45 @@
 TASKS_PER_EVENT = 16
 JOBS_PER_EVENT = 64
 OWN_COMPARED = 64
+FAILURES_PER_EVENT = 4
 
 
 def make_room(shard: state.ShardState) -> Iterator[effects.Effect]:
     """Displaces preemptible tasks for urgent ones that found no worker."""
-    if not shard.settings.preempting or not shard.pressing:
+    if not shard.settings.preempting or not shard.lacking:
         return
     budget = TASKS_PER_EVENT
-    for lane in list(shard.pressing.values()):
-        for record in _list_jobs(lane):
-            while budget > 0 and _lacks_room(lane, record):
-                displaced = list(_displace(shard, lane, record))
-                yield from displaced
-                if not displaced:
-                    return
-                budget -= 1
-
-
-def _list_jobs(lane: state.Lane) -> Iterator[state.JobRecord]:
-    if lane.gang is not None:
-        yield lane.gang
-        return
-    seen: set[int] = set()
-    for _, _, queue in lane.queues[:JOBS_PER_EVENT]:
-        if queue.lane is not lane or queue.parked or id(queue) in seen:
+    failures = 0
+    for job_id in list(itertools.islice(shard.lacking, JOBS_PER_EVENT)):
+        record = shard.lacking.pop(job_id)
+        lane = _get_lane(record)
+        if lane is None or not _lacks_room(record):
+            continue
+        if not lane.blocked or lane.candidates:
+            shard.lacking[job_id] = record
             continue
-        seen.add(id(queue))
-        for _, record in itertools.islice(queue.jobs, JOBS_PER_EVENT):
-            if record.waiting and not record.state.is_final:
-                yield record
+        while budget > 0 and _lacks_room(record):
+            displaced = list(_displace(shard, lane, record))
+            yield from displaced
+            if not displaced:
+                failures += 1
+                break
+            budget -= 1
+        if _lacks_room(record):
+            shard.lacking[job_id] = record
+        if budget <= 0 or failures >= FAILURES_PER_EVENT:
+            return
+
+
+def _get_lane(record: state.JobRecord) -> state.Lane | None:
+    if record.state.is_final:
+        return None
+    if record.gang is not None:
+        return record.gang.lane
+    return record.queue.lane if record.queue is not None else None
 
 
-def _lacks_room(lane: state.Lane, record: state.JobRecord) -> bool:
+def _lacks_room(record: state.JobRecord) -> bool:
     gathered = record.gang.gathered if record.gang is not None else 0
     return len(record.waiting) > len(record.claims) + gathered
 
@@ -207,7 +214,10 @@
     shard: state.ShardState, kept: state.Claim
 ) -> Iterator[effects.Effect]:
     """Gives up room that was not made in time."""
+    record = kept.record
     reservations.drop(shard, kept)
+    if record.job.urgent and not record.state.is_final:
+        shard.lacking[record.job.job_id] = record
     yield from ()
 
 
--- a/packages/core/hickoryreach/decisions/reservations.py
+++ b/packages/core/hickoryreach/decisions/reservations.py
@@ -81,6 +81,9 @@
         gang = kept.record.gang
         if gang is not None and gang.lane is not None:
             ordering.activate(shard, gang.lane)
+        record = kept.record
+        if record.job.urgent and not record.state.is_final:
+            shard.lacking[record.job.job_id] = record
 
 
 def trim(shard: state.ShardState, record: state.JobRecord) -> None:
--- a/packages/core/hickoryreach/decisions/services.py
+++ b/packages/core/hickoryreach/decisions/services.py
@@ -1,10 +1,12 @@
 """Spread of services over failure domains and racks."""
 
-import itertools
+from collections.abc import Iterable
+import heapq
 
 from hickoryreach.decisions import state
 
-RACKS_PER_SEARCH = 24
+DOMAINS_PER_SEARCH = 6
+RACKS_PER_DOMAIN = 6
 
 
 def choose(
@@ -15,13 +17,19 @@
     Failure domains come first, then racks. After a bounded number of racks
     without room, any worker with room will do.
     """
-    racks = sorted(
-        shard.racks, key=lambda rack: _count(record, rack[0], rack[1])
-    )
-    for rack in itertools.islice(racks, RACKS_PER_SEARCH):
-        worker = _find_in_rack(shard, lane, rack)
-        if worker is not None:
-            return worker
+    spread = record.spread
+    domains = sorted(shard.racks, key=lambda domain: spread[domain, ""])
+    for domain in domains[:DOMAINS_PER_SEARCH]:
+        racks = heapq.nsmallest(
+            RACKS_PER_DOMAIN,
+            shard.racks[domain],
+            key=lambda rack, domain=domain: spread[domain, rack],
+        )
+        for rack in racks:
+            members = shard.racks[domain][rack]
+            worker = _find_in_rack(lane, members.values())
+            if worker is not None:
+                return worker
     found = [
         worker
         for worker in shard.free.search(lane.need, _get_available)
@@ -34,24 +42,16 @@
     record: state.JobRecord, worker: state.WorkerRecord
 ) -> tuple[int, int]:
     """Returns how many of the job's tasks run near a worker."""
-    return _count(record, worker.worker.failure_domain, worker.worker.rack)
-
-
-def _count(
-    record: state.JobRecord, failure_domain: str, rack: str
-) -> tuple[int, int]:
-    return (
-        record.spread[failure_domain],
-        record.spread[f"{failure_domain}/{rack}"],
-    )
+    domain = worker.worker.failure_domain
+    return record.spread[domain, ""], record.spread[domain, worker.worker.rack]
 
 
 def _find_in_rack(
-    shard: state.ShardState, lane: state.Lane, rack: tuple[str, str]
+    lane: state.Lane, members: Iterable[state.WorkerRecord]
 ) -> state.WorkerRecord | None:
     fitting = (
         worker
-        for worker in shard.racks[rack].values()
+        for worker in members
         if worker.open
         and lane.need.fits_in(worker.available)
         and (not lane.pool or worker.worker.service == lane.pool)
--- a/packages/core/hickoryreach/decisions/settings.py
+++ b/packages/core/hickoryreach/decisions/settings.py
@@ -57,7 +57,7 @@
     steps_per_event: int = 256
     cancellations_per_event: int = 200
     timers_per_event: int = 500
-    restores_per_event: int = 500
+    restores_per_event: int = 200
     forget_ms: int = 600_000
     final_jobs_limit: int = 200_000
     omission_ms: int = 5_000
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -81,7 +81,8 @@
         confirmed: Whether some of it has run.
         doubtful: Whether some of it may have run.
         queue: The queue it stands in, or None.
-        spread: Attempts by failure domain and by rack, of a service.
+        spread: Attempts of a service by failure domain and rack; an empty
+            rack stands for the whole domain.
         gang: Progress of a gang's reservation, or None.
         reserve_turns: Times that it reserved room as a gang.
         claims: Room being made for tasks of it.
@@ -108,7 +109,7 @@
     confirmed: bool = False
     doubtful: bool = False
     queue: JobQueue | None = None
-    spread: collections.Counter[str] = dataclasses.field(
+    spread: collections.Counter[tuple[str, str]] = dataclasses.field(
         default_factory=collections.Counter
     )
     gang: Gang | None = None
@@ -389,14 +390,14 @@
         free: Index of the room for new tasks.
         reclaim: Index of the room that displacing would give.
         pools: Workers of each minion service, the freest first.
-        racks: Workers by rack.
+        racks: Workers by failure domain and rack.
         lanes: Lanes by key.
         order: Heap of lanes that may have room.
         blocked: Lanes without room, by pool.
         kept: Room kept for large tasks.
         served_key: Key of the queue that an ordinary task was placed from.
         served_sequence: Sequence of that task's job.
-        pressing: Urgent lanes without room.
+        lacking: Urgent jobs for whose tasks no room is made yet.
         limited: Urgent queues that their workspace's limit holds back.
         profiles: What is known about commands, by workspace and command.
         resized: Profiles whose learned size may have changed.
@@ -449,7 +450,7 @@
     pools: dict[str, capacity.SlotIndex] = dataclasses.field(
         default_factory=dict
     )
-    racks: dict[tuple[str, str], dict[str, WorkerRecord]] = dataclasses.field(
+    racks: dict[str, dict[str, dict[str, WorkerRecord]]] = dataclasses.field(
         default_factory=dict
     )
     lanes: dict[tuple[Any, ...], Lane] = dataclasses.field(default_factory=dict)
@@ -462,9 +463,7 @@
     kept: list[Claim] = dataclasses.field(default_factory=list)
     served_key: float = 0.0
     served_sequence: int = 0
-    pressing: dict[tuple[Any, ...], Lane] = dataclasses.field(
-        default_factory=dict
-    )
+    lacking: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     limited: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
         default_factory=dict
     )
