Offer freed workers to few lanes where hundreds are blocked

Cause: each worker that gained room was offered to every blocked lane it would fit, about 1,000 of 2,560 in a cell with that many sizes, and each of them was then tried. Above 256 blocked lanes only those that go first and those nearest in size are tried, a bounded number.

--- a/packages/core/hickoryreach/decisions/ledger.py
+++ b/packages/core/hickoryreach/decisions/ledger.py
@@ -8,6 +8,8 @@
 from hickoryreach.structure import resources
 from hickoryreach.structure import workspaces
 
+OFFER_ALL_LIMIT = 256
+
 
 def get_workspace(shard: state.ShardState, name: str) -> state.WorkspaceRecord:
     """Returns a workspace; one that has no plan may start nothing."""
@@ -208,6 +210,9 @@
         lanes = shard.blocked.get(pool)
         if not lanes:
             continue
+        if len(lanes) > OFFER_ALL_LIMIT:
+            shard.grown[(pool, worker_id)] = worker
+            continue
         fitting = [
             lane
             for lane in lanes.irange_key(None, room.cpu_millis)
--- a/packages/core/hickoryreach/decisions/ordering.py
+++ b/packages/core/hickoryreach/decisions/ordering.py
@@ -100,18 +100,54 @@
 
 def activate(shard: state.ShardState, lane: state.Lane) -> None:
     """Puts a lane that may have room into the order."""
-    if lane.blocked and not lane.candidates:
+    key = _get_lane_key(shard, lane)
+    if key is None:
         return
-    if lane.gang is not None:
-        key = _get_gang_key(shard, lane)
-    elif lane.queues:
-        key = lane.queues[0][0]
-    else:
+    if lane.blocked and not lane.candidates:
+        push_blocked(shard, lane)
         return
     if lane.pushed is None or key < lane.pushed:
         _push_lane(shard, lane, key)
 
 
+def _get_lane_key(shard: state.ShardState, lane: state.Lane) -> float | None:
+    """Returns a lower bound of the key of a lane's first queue, if any."""
+    if lane.gang is not None:
+        return _get_gang_key(shard, lane)
+    return lane.queues[0][0] if lane.queues else None
+
+
+def push_blocked(shard: state.ShardState, lane: state.Lane) -> None:
+    """Puts a blocked lane into the order of its pool's blocked lanes."""
+    key = _get_lane_key(shard, lane)
+    if not lane.blocked or key is None:
+        return
+    if lane.pushed_blocked is None or key < lane.pushed_blocked:
+        lane.pushed_blocked = key
+        shard.sequence += 1
+        heapq.heappush(
+            shard.blocked_order.setdefault(lane.pool, []),
+            (lane.priority, key, shard.sequence, lane),
+        )
+
+
+def pop_blocked(shard: state.ShardState, pool: str) -> state.Lane | None:
+    """Takes the blocked lane of a pool that goes first out of the order."""
+    heap = shard.blocked_order.get(pool)
+    while heap:
+        _, key, _, lane = heapq.heappop(heap)
+        if lane.pushed_blocked != key or not lane.blocked:
+            continue
+        lane.pushed_blocked = None
+        if lane.gang is None and get_head(shard, lane) is None:
+            continue
+        if _get_lane_key(shard, lane) > key:
+            push_blocked(shard, lane)
+            continue
+        return lane
+    return None
+
+
 def _get_gang_key(shard: state.ShardState, lane: state.Lane) -> float:
     workspace = shard.workspaces[lane.gang.job.workspace]
     return get_part(workspace)
@@ -309,7 +345,9 @@
         return
     lane.blocked = True
     lane.blocked_ms = shard.now_ms
+    lane.pushed_blocked = None
     shard.blocked[lane.pool].add(lane)
+    push_blocked(shard, lane)
 
 
 def unblock(shard: state.ShardState, lane: state.Lane) -> None:
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -9,6 +9,7 @@
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import gangs
 from hickoryreach.decisions import limits
+from hickoryreach.decisions import matching
 from hickoryreach.decisions import ordering
 from hickoryreach.decisions import preemption
 from hickoryreach.decisions import quarantine
@@ -50,6 +51,8 @@
     shard: state.ShardState, budget: int
 ) -> Iterator[effects.Effect]:
     for _ in range(shard.settings.steps_per_event):
+        if shard.grown:
+            matching.offer_next(shard)
         found = ordering.next_lane(shard)
         if found is None or budget <= 0:
             return
@@ -58,30 +61,41 @@
             worker = _choose(shard, lane, lane.gang)
             gangs.gather(shard, lane, worker)
             continue
-        record = ordering.get_job(queue)
-        if record is None:
-            continue
-        if cancellation.is_marked(shard, record):
-            yield from cancellation.cancel(shard, record)
-            continue
-        if not _is_allowed(shard, lane, queue.workspace):
-            ordering.park(queue)
-            if lane.priority == ordering.URGENT:
-                name = queue.workspace.entitlement.workspace
-                shard.limited[(name, queue.key)] = queue
-            continue
+        for effect in _place_next(shard, lane, queue):
+            budget -= 1
+            yield effect
+
+
+def _place_next(
+    shard: state.ShardState, lane: state.Lane, queue: state.JobQueue
+) -> Iterator[effects.Effect]:
+    record = ordering.get_job(queue)
+    if record is None:
+        return
+    if cancellation.is_marked(shard, record):
+        yield from cancellation.cancel(shard, record)
+    elif not _is_allowed(shard, lane, queue.workspace):
+        _park(shard, lane, queue)
+    else:
         worker = _choose(shard, lane, record)
         if worker is None:
             ordering.block(shard, lane)
-            continue
-        budget -= 1
-        lane.placed_ms = shard.now_ms
+            return
         if lane.priority == ordering.ORDINARY:
             shard.served_key = queue.pushed
             shard.served_sequence = record.sequence
         yield attempts.place(shard, record, worker, lane.need)
 
 
+def _park(
+    shard: state.ShardState, lane: state.Lane, queue: state.JobQueue
+) -> None:
+    ordering.park(queue)
+    if lane.priority == ordering.URGENT:
+        name = queue.workspace.entitlement.workspace
+        shard.limited[(name, queue.key)] = queue
+
+
 def _is_allowed(
     shard: state.ShardState,
     lane: state.Lane,
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -210,9 +210,9 @@
         priority: Lower goes first.
         queues: Heap of order key, sequence and queue.
         pushed: Key of its valid entry in the shard's heap, or None.
+        pushed_blocked: Key of its valid entry among blocked lanes, or None.
         blocked: Whether no worker had room at the last search.
         blocked_ms: When it became blocked.
-        placed_ms: When a task of it was last placed.
         misfit_ms: Since when no worker is large enough, or -1.
         candidates: Workers that gained room since it was blocked.
         gang: Gang that gathers here, or None.
@@ -229,9 +229,9 @@
         default_factory=list
     )
     pushed: float | None = None
+    pushed_blocked: float | None = None
     blocked: bool = False
     blocked_ms: int = 0
-    placed_ms: int = 0
     misfit_ms: int = -1
     candidates: dict[str, None] = dataclasses.field(default_factory=dict)
     gang: JobRecord | None = None
@@ -394,6 +394,8 @@
         lanes: Lanes by key.
         order: Heap of lanes that may have room.
         blocked: Lanes without room, by pool.
+        blocked_order: Heaps of blocked lanes by pool, by order key.
+        grown: Workers that gained room and are not offered yet, by pool.
         kept: Room kept for large tasks.
         served_key: Key of the queue that an ordinary task was placed from.
         served_sequence: Sequence of that task's job.
@@ -460,6 +462,12 @@
     blocked: dict[str, sortedcontainers.SortedKeyList] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(_make_blocked)
     )
+    blocked_order: dict[str, list[tuple[int, float, int, Lane]]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    grown: dict[tuple[str, str], WorkerRecord] = dataclasses.field(
+        default_factory=dict
+    )
     kept: list[Claim] = dataclasses.field(default_factory=list)
     served_key: float = 0.0
     served_sequence: int = 0
@@ -522,4 +530,5 @@
             or self.clearing
             or self.launching
             or self.ready
+            or self.grown
         )
--- a/packages/core/hickoryreach/decisions/upkeep.py
+++ b/packages/core/hickoryreach/decisions/upkeep.py
@@ -4,6 +4,7 @@
 
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import estimates
+from hickoryreach.decisions import matching
 from hickoryreach.decisions import ordering
 from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import state
@@ -21,6 +22,7 @@
     shard.rescan_ms = shard.now_ms + RESCAN_MS
     if shard.totals_changed:
         _renew_parts(shard)
+    matching.compact(shard)
     yield from _end_misfits(shard)
 
 
