Go by other workspaces' use where a workspace has no record yet

Cause: each workspace learned each command anew, so its first gangs of an overdeclared command held whole workers for a minute. Ruled out: learning low use from reports of running tasks (no clear gain).

--- a/packages/core/hickoryreach/decisions/estimates.py
+++ b/packages/core/hickoryreach/decisions/estimates.py
@@ -10,6 +10,7 @@
 MARGIN_CAP_PERCENT = 150
 CPU_STEP_MILLIS = 50
 MEMORY_STEP_MB = 50
+POOL_FACTOR = 2
 
 
 def get_profile(shard: state.ShardState, job: jobs.Job) -> state.Profile:
@@ -18,9 +19,21 @@
     profile = shard.profiles.get(key)
     if profile is None:
         profile = shard.profiles[key] = state.Profile()
+        if job.command:
+            _join_pool(shard, profile, job.command)
     return profile
 
 
+def _join_pool(
+    shard: state.ShardState, profile: state.Profile, command: str
+) -> None:
+    pool = shard.profiles.get(("", command))
+    if pool is None:
+        pool = shard.profiles[("", command)] = state.Profile()
+    pool.members.append(profile)
+    profile.pool = pool
+
+
 def observe(
     profile: state.Profile, used: resources.Resources, run_ms: int
 ) -> None:
@@ -40,10 +53,23 @@
 ) -> None:
     """Takes in one attempt that ended and resizes what waits alike."""
     profile = get_profile(shard, job)
+    if _take(profile, used, run_ms):
+        shard.resized.append(profile)
+    pool = profile.pool
+    if pool is not None and _take(pool, used, run_ms):
+        shard.resized.extend(
+            member
+            for member in pool.members
+            if len(member.memory_mb) < shard.settings.learn_after
+        )
+
+
+def _take(
+    profile: state.Profile, used: resources.Resources, run_ms: int
+) -> bool:
     before = _get_peaks(profile)
     observe(profile, used, run_ms)
-    if _get_peaks(profile) != before:
-        shard.resized.append(profile)
+    return _get_peaks(profile) != before
 
 
 def note_overrun(
@@ -102,10 +128,11 @@
     """
     if job.kind is jobs.Kind.REQUEST or not shard.settings.learning:
         return job.need
-    if len(profile.memory_mb) >= shard.settings.learn_after:
+    source = _find_source(shard, profile)
+    if source is not None:
         learned = resources.Resources(
-            cpu_millis=_estimate(profile.cpu_millis, CPU_STEP_MILLIS),
-            memory_mb=_estimate(profile.memory_mb, MEMORY_STEP_MB),
+            cpu_millis=_estimate(source.cpu_millis, CPU_STEP_MILLIS),
+            memory_mb=_estimate(source.memory_mb, MEMORY_STEP_MB),
             accelerators=job.need.accelerators,
             slots=job.need.slots,
         )
@@ -121,6 +148,19 @@
     return learned
 
 
+def _find_source(
+    shard: state.ShardState, profile: state.Profile
+) -> state.Profile | None:
+    """Returns the profile to learn from: its own, else all workspaces'."""
+    enough = shard.settings.learn_after
+    if len(profile.memory_mb) >= enough:
+        return profile
+    pool = profile.pool
+    if pool is not None and len(pool.memory_mb) >= POOL_FACTOR * enough:
+        return pool
+    return None
+
+
 def _get_width(job: jobs.Job) -> int:
     return job.tasks if job.kind is jobs.Kind.GANG else 1
 
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -256,6 +256,8 @@
         succeeded_on: Workers it succeeded on lately.
         failed_on: Workers it failed on lately.
         tokens: Repeats it may make now.
+        pool: What is known about the command in all workspaces, or None.
+        members: Profiles of the workspaces, where this is the pool.
     """
 
     cpu_millis: collections.deque[int] = dataclasses.field(
@@ -277,6 +279,8 @@
     succeeded_on: dict[str, None] = dataclasses.field(default_factory=dict)
     failed_on: dict[str, None] = dataclasses.field(default_factory=dict)
     tokens: float = 10.0
+    pool: Profile | None = None
+    members: list[Profile] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
--- a/tests/core/decisions/test_estimates.py
+++ b/tests/core/decisions/test_estimates.py
@@ -30,6 +30,15 @@
         self.cell.submit("0.a", tasks=4)
         self.assertEqual(self.cell.count_live("0.a"), 2)
 
+    def test_workspace_without_a_record_goes_by_that_of_others(self):
+        for _ in range(2):
+            self.teach(cells.size(2, 4_000), workspace="south", command="run")
+            self.cell.shard.jobs.clear()
+        self.cell.submit("0.a", tasks=4, command="run")
+        self.assertEqual(self.cell.count_live("0.a"), 2)
+        self.cell.submit("0.b", command="other", need=cells.size(0.1, 100))
+        self.assertEqual(self.cell.count_live("0.b"), 0)
+
     def test_learning_moves_jobs_that_wait(self):
         self.cell.submit("0.wide", tasks=2, need=cells.size(3, 4_000))
         self.assertEqual(self.cell.count_live("0.wide"), 1)
