Let the first operator in only once the lists were read

Cause: find_operator looked at the operators listed before it looked at the lists' age. Ruled out: the change itself, which is made on what the store holds. The new test got 200, now 503 with not_run. Bootstrap is unchanged once the empty store was read.

--- a/packages/entry/hickoryreach_entry/api/access.py
+++ b/packages/entry/hickoryreach_entry/api/access.py
@@ -13,6 +13,7 @@
 
 BEARER = "Bearer "
 STALE_RETRY_S = 1
+FIRST_OPERATOR = "first-operator"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -135,20 +136,29 @@
         self, req: falcon.Request
     ) -> result.Result[str, problems.Problem]:
         """Returns the name of the operator whose key came with a call."""
-        key = get_key(req)
-        first = self.settings.first_operator_hash
-        if not self.lists.plans.operators:
-            if first and key and plans.hash_key(key) == first:
-                return result.Success("first-operator")
-            return result.Failure(refuse_operator())
         stale = self.find_staleness()
         if stale is not None:
             return result.Failure(stale)
+        key = get_key(req)
+        if not self.lists.plans.operators:
+            return self.check_first_operator(key)
         operator = self.lists.keys.find_operator(key) if key else None
         if operator is None:
             return result.Failure(refuse_operator())
         return result.Success(operator.name)
 
+    def check_first_operator(
+        self, key: str
+    ) -> result.Result[str, problems.Problem]:
+        """Returns the first operator's name if this is the key of the setting.
+
+        Only fresh lists can show that no operator is listed.
+        """
+        first = self.settings.first_operator_hash
+        if first and key and plans.hash_key(key) == first:
+            return result.Success(FIRST_OPERATOR)
+        return result.Failure(refuse_operator())
+
     def find_staleness(self) -> problems.Problem | None:
         """Returns the refusal while newer lists might be in force."""
         if self.lists.fresh_s() <= self.settings.lists_max_age_s:
--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -168,6 +168,16 @@
         answer = entry.call("GET", "/v1/lists/plans", "first")
         self.assertEqual(answer.status_code, 401)
 
+    def test_first_operator_waits_until_the_lists_were_read(self):
+        entry = fakes.Entry(
+            store=list_fakes.FakeStore(),
+            first_operator_hash=plans.hash_key("first"),
+        )
+        entry.now_s += fakes.SETTINGS.lists_max_age_s + 1
+        answer = entry.call("GET", "/v1/lists/plans", "first")
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.json["ran"], "not_run")
+
 
 if __name__ == "__main__":
     unittest.main()
