Keep a workspace's keyed jobs from calls without a key

Cause: a call without a key that named an open queue was taken for the whole workspace that the queue is counted for. It could list every job of it, with the answers of requests, and follow or cancel any by id; ids can be worked out from a request id. A submission without a key could also take a request id that a holder of the workspace's key was about to use.

The id of a job submitted without a key now ends with a tag of its queue, such a call reaches only ids with that tag, and listing needs a key. Keys of the workspace still reach all its jobs. Ruled out: a check by the owner, since a refusal at the entry needs no further message.

--- a/packages/cli/hickoryreach_cli/console/jobs.py
+++ b/packages/cli/hickoryreach_cli/console/jobs.py
@@ -57,7 +57,6 @@
     name = "list"
     description = "List the jobs of the key's workspace."
     parameters = [
-        QUEUE,
         base.take_value("state", "Only jobs in this state."),
         base.take_value("wave", "Only jobs of this wave."),
         base.take_value("limit", "Jobs on one page; 100 if left out."),
@@ -66,7 +65,7 @@
 
     def answer(self, caller: client.Client) -> reports.Report:
         """Lists one page."""
-        names = ("queue", "state", "wave", "limit", "after")
+        names = ("state", "wave", "limit", "after")
         return follow.list_jobs(
             caller, {name: self.option(name) for name in names}
         )
--- a/packages/entry/hickoryreach_entry/api/access.py
+++ b/packages/entry/hickoryreach_entry/api/access.py
@@ -23,12 +23,12 @@
     Attributes:
         workspace: The workspace.
         plan: Its plan.
-        keyed: Whether a key of the workspace came with the call.
+        open_queue: Queue that lets a call in without a key, else empty.
     """
 
     workspace: str
     plan: str
-    keyed: bool = True
+    open_queue: str = ""
 
 
 class Access:
@@ -68,7 +68,7 @@
         """
         queue = self.find_queue(queue_name)
         if queue is not None and queue.open and not has_key(req):
-            return self.find_workspace(queue.workspace)
+            return self.find_keyless(queue)
         return self.find_caller(req).bind(
             lambda caller: self.check_queue(caller, queue_name, queue)
         )
@@ -76,10 +76,13 @@
     def find_reader(
         self, req: falcon.Request
     ) -> result.Result[Caller, problems.Problem]:
-        """Returns whose jobs a call may see: by its key or an open queue."""
+        """Returns who asks for a job: by key, or by the open queue named.
+
+        A call without a key reaches only jobs that were submitted without one.
+        """
         queue = self.find_queue(req.get_param("queue") or "")
         if queue is not None and queue.open and not has_key(req):
-            return self.find_workspace(queue.workspace)
+            return self.find_keyless(queue)
         return self.find_caller(req)
 
     def find_queue(self, name: str) -> allowances.Queue | None:
@@ -89,18 +92,22 @@
                 return queue
         return None
 
-    def find_workspace(
-        self, workspace: str
+    def find_keyless(
+        self, queue: allowances.Queue
     ) -> result.Result[Caller, problems.Problem]:
-        """Returns the workspace that keyless work is counted for."""
+        """Returns whom work without a key in an open queue is counted for."""
         stale = self.find_staleness()
         if stale is not None:
             return result.Failure(stale)
-        plan = self.lists.keys.workspaces.get(workspace)
+        plan = self.lists.keys.workspaces.get(queue.workspace)
         if plan is None:
             return result.Failure(refuse_key())
         return result.Success(
-            Caller(workspace=workspace, plan=plan.plan, keyed=False)
+            Caller(
+                workspace=plan.workspace,
+                plan=plan.plan,
+                open_queue=queue.name,
+            )
         )
 
     def check_queue(
--- a/packages/entry/hickoryreach_entry/api/job_ids.py
+++ b/packages/entry/hickoryreach_entry/api/job_ids.py
@@ -1,7 +1,9 @@
-"""Job ids that tell any entry which workspace a job belongs to.
+"""Job ids that tell any entry which callers may reach a job.
 
 An entry that has never heard of a job can still refuse it to a caller of
-another workspace, before anything is sent to the job's owner.
+another workspace, before anything is sent to the job's owner. An id ends with
+a tag of its workspace and, where the job was submitted without a key, a tag
+of the open queue that took it.
 """
 
 import hashlib
@@ -11,20 +13,42 @@
 TAG_LENGTH = 16
 
 
-def make(workspace: str, request_id: str, shards: int) -> str:
-    """Returns the id of the job that a request id stands for."""
+def make(
+    workspace: str, request_id: str, shards: int, open_queue: str = ""
+) -> str:
+    """Returns the id of the job that a request id stands for.
+
+    Args:
+        workspace: Workspace that the job is counted for.
+        request_id: Idempotency key of the submission.
+        shards: Number of shards of the cell.
+        open_queue: Queue of a job submitted without a key, else empty.
+    """
     base = assignment.make_job_id(workspace, request_id, shards)
-    return f"{base}.{make_tag(workspace)}"
+    tags = [make_tag(name) for name in (workspace, open_queue) if name]
+    return ".".join((base, *tags))
+
 
+def make_tag(name: str) -> str:
+    """Returns the part of a job id that stands for a name."""
+    return hashlib.sha256(name.encode()).hexdigest()[:TAG_LENGTH]
 
-def make_tag(workspace: str) -> str:
-    """Returns the part of a job id that names its workspace."""
-    return hashlib.sha256(workspace.encode()).hexdigest()[:TAG_LENGTH]
 
+def may_be_of(
+    job_id: str, workspace: str, shards: int, open_queue: str = ""
+) -> bool:
+    """Returns whether a caller may reach the job with an id.
 
-def may_be_of(job_id: str, workspace: str, shards: int) -> bool:
-    """Returns whether a job id can belong to a workspace of this cell."""
-    shard, _, rest = job_id.partition(".")
-    if not (shard.isascii() and shard.isdecimal() and int(shard) < shards):
+    Args:
+        job_id: The id.
+        workspace: Workspace of the caller.
+        shards: Number of shards of the cell.
+        open_queue: Queue that a caller without a key names, else empty.
+    """
+    shard, *parts = job_id.split(".")
+    if shard not in map(str, range(shards)) or len(parts) not in (2, 3):
+        return False
+    _, workspace_tag, *queue_tags = parts
+    if workspace_tag != make_tag(workspace):
         return False
-    return rest.endswith(f".{make_tag(workspace)}")
+    return not open_queue or queue_tags == [make_tag(open_queue)]
--- a/packages/entry/hickoryreach_entry/api/steps.py
+++ b/packages/entry/hickoryreach_entry/api/steps.py
@@ -135,9 +135,7 @@
                     extra={"faults": bodies.describe_faults(error)},
                 )
             )
-        job = submissions.build_job(
-            submission, found.caller.workspace, self.shards
-        )
+        job = submissions.build_job(submission, found.caller, self.shards)
         waiter = self.front.submit(
             job, body=submissions.build_body(job), wait_s=wait_s
         )
--- a/packages/entry/hickoryreach_entry/api/submissions.py
+++ b/packages/entry/hickoryreach_entry/api/submissions.py
@@ -9,6 +9,7 @@
 
 from hickoryreach.lists import allowances
 from hickoryreach.structure import jobs
+from hickoryreach_entry.api import access
 from hickoryreach_entry.api import job_ids
 
 REQUEST_SLOTS = 1
@@ -50,16 +51,20 @@
         return self
 
 
-def build_job(submission: Submission, workspace: str, shards: int) -> jobs.Job:
-    """Returns the job for a checked submission."""
+def build_job(
+    submission: Submission, caller: access.Caller, shards: int
+) -> jobs.Job:
+    """Returns the job for a checked submission of a caller."""
     fields = submission.model_dump(exclude={"need"})
     need = submission.need
     if submission.kind is jobs.Kind.REQUEST and not need.slots:
         need = need.model_copy(update={"slots": REQUEST_SLOTS})
     return jobs.Job(
         **fields,
-        job_id=job_ids.make(workspace, submission.request_id, shards),
-        workspace=workspace,
+        job_id=job_ids.make(
+            caller.workspace, submission.request_id, shards, caller.open_queue
+        ),
+        workspace=caller.workspace,
         need=need.to_resources(),
         submitted_ms=int(time.time() * 1000),
         digest=make_digest(submission),
--- a/packages/entry/hickoryreach_entry/api/work.py
+++ b/packages/entry/hickoryreach_entry/api/work.py
@@ -61,19 +61,17 @@
         return get_wait_s(req, submission.kind).bind(
             lambda wait_s: self.access.find_submitter(
                 req, submission.queue
-            ).bind(
-                lambda caller: self.send(submission, caller.workspace, wait_s)
-            )
+            ).bind(lambda caller: self.send(submission, caller, wait_s))
         )
 
     def send(
         self,
         submission: submissions.Submission,
-        workspace: str,
+        caller: access.Caller,
         wait_s: float,
     ) -> answers.Outcome:
         """Sends a submission to its owner, and waits."""
-        job = submissions.build_job(submission, workspace, self.shards)
+        job = submissions.build_job(submission, caller, self.shards)
         waiter = self.front.submit(
             job, body=submissions.build_body(job), wait_s=wait_s
         )
@@ -83,7 +81,7 @@
     def on_get(self, req: falcon.Request) -> answers.Outcome:
         """Lists jobs by id: `state`, `wave`, `limit`, and `after` a page."""
         limit = req.get_param_as_int("limit", min_value=1) or PAGE_DEFAULT
-        return self.access.find_reader(req).bind(
+        return self.access.find_caller(req).bind(
             lambda caller: self.list_page(
                 messages.ListRequest(
                     workspace=caller.workspace,
@@ -170,9 +168,7 @@
         """Asks the owner of a job on behalf of the caller."""
         return get_wait_s(req).bind(
             lambda wait_s: self.access.find_reader(req).bind(
-                lambda caller: check_job_id(
-                    job_id, caller.workspace, self.shards
-                ).bind(
+                lambda caller: check_job_id(job_id, caller, self.shards).bind(
                     lambda known: notices.answer_waiter(
                         ask(known, caller.workspace, wait_s=wait_s)
                     )
@@ -230,10 +226,10 @@
 
 
 def check_job_id(
-    job_id: str, workspace: str, shards: int
+    job_id: str, caller: access.Caller, shards: int
 ) -> result.Result[str, problems.Problem]:
-    """Returns a job id that can be the workspace's own."""
-    if job_ids.may_be_of(job_id, workspace, shards):
+    """Returns the id of a job that the caller may reach."""
+    if job_ids.may_be_of(job_id, caller.workspace, shards, caller.open_queue):
         return result.Success(job_id)
     return result.Failure(
         problems.Problem(
--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -180,6 +180,25 @@
             self.assertEqual(own.status_code, 200)
         self.assertEqual(self.door.asked, [(job_id, "north")] * 2)
 
+    def test_calls_without_a_key_reach_jobs_submitted_without_one_only(self):
+        public = SUBMISSION | {"queue": "public"}
+        keyed = self.submit(public, fakes.SOUTH_KEY).json["job_id"]
+        keyless = self.submit(public, "").json["job_id"]
+        for method in ("GET", "DELETE"):
+            path = f"/v1/jobs/{keyed}?queue=public"
+            refused = self.entry.call(method, path)
+            self.assert_refused(refused, 404, "not_found", ran="unknown")
+            for key in ("", fakes.SOUTH_KEY):
+                path = f"/v1/jobs/{keyless}?queue=public"
+                answer = self.entry.call(method, path, key)
+                self.assertEqual(answer.status_code, 200)
+        self.assertEqual(self.door.asked, [(keyless, "south")] * 4)
+
+    def test_listing_needs_a_key(self):
+        answer = self.entry.call("GET", "/v1/jobs?queue=public")
+        self.assert_refused(answer, 401, "key_refused")
+        self.assertEqual(self.entry.list_requests, [])
+
     def test_job_ids_of_no_shard_are_unknown(self):
         job_id = self.submit().json["job_id"]
         for wrong in ("x", "7" + job_id[1:], "-1.ab", job_id[:-1], "\u0663.a"):
