Refuse numbers too long to be one, and split the work resources

Cause: cursors and revisions of more than 4,300 digits made int() raise, so that a malformed call was answered 500 with ran=unknown; a cursor of a shard that does not exist was answered with an empty page, as if there were no jobs. Numbers are read in one place, api/parameters.

The refusal without an owner and that of a malformed call stood twice and stand once.

--- a/packages/entry/hickoryreach_entry/api/app.py
+++ b/packages/entry/hickoryreach_entry/api/app.py
@@ -13,7 +13,9 @@
 from hickoryreach_entry.api import health
 from hickoryreach_entry.api import keys
 from hickoryreach_entry.api import limits
+from hickoryreach_entry.api import listing
 from hickoryreach_entry.api import steps
+from hickoryreach_entry.api import waves
 from hickoryreach_entry.api import work
 from hickoryreach_entry.config import settings as entry_settings
 
@@ -24,7 +26,7 @@
     in_force: lists.Lists,
     settings: entry_settings.Settings,
     is_ready: Callable[[], bool],
-    list_jobs: work.ListJobs | None = None,
+    list_jobs: listing.ListShard,
 ) -> falcon.App:
     """Returns the HTTP interface of one entry.
 
@@ -57,13 +59,13 @@
     door: front.Front,
     gate: access.Access,
     shards: int,
-    list_jobs: work.ListJobs | None,
+    list_jobs: listing.ListShard,
 ) -> None:
     """Adds what callers use."""
     common = {"door": door, "gate": gate, "shards": shards}
-    app.add_route("/v1/jobs", work.Jobs(**common, list_jobs=list_jobs))
+    app.add_route("/v1/jobs", work.Jobs(**common, list_shard=list_jobs))
     app.add_route("/v1/jobs/{job_id}", work.Job(**common))
-    app.add_route("/v1/waves/{wave}", work.Wave(**common))
+    app.add_route("/v1/waves/{wave}", waves.Wave(**common))
     app.add_route("/v1/steps", steps.Steps(**common))
 
 
--- a/packages/entry/hickoryreach_entry/api/audit.py
+++ b/packages/entry/hickoryreach_entry/api/audit.py
@@ -12,10 +12,11 @@
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
 
 PAGE_DEFAULT = 100
-PAGE_MAX = 1_000
+PAGE_LIMIT = 1_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,13 +43,11 @@
     @answers.answered
     def on_get(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers up to `limit` changes, `after` those of the last page."""
-        limit = req.get_param_as_int("limit", min_value=1) or PAGE_DEFAULT
+        limit = parameters.get_limit(req, PAGE_DEFAULT, PAGE_LIMIT)
         return changes.find_name(name).bind(
             lambda known: self.access.find_operator(req).bind(
                 lambda _: parse_cursor(req.get_param("after") or "").bind(
-                    lambda cursor: self.list_changes(
-                        known, cursor, min(limit, PAGE_MAX)
-                    )
+                    lambda cursor: self.list_changes(known, cursor, limit)
                 )
             )
         )
@@ -122,15 +121,11 @@
 ) -> result.Result[Cursor, problems.Problem]:
     """Returns the cursor that a page ended with."""
     segment, _, below = (text or "0.0").partition(".")
-    if segment.isdecimal() and below.isdecimal():
-        return result.Success(Cursor(segment=int(segment), below=int(below)))
-    return result.Failure(
-        problems.Problem(
-            status=400,
-            reason="malformed",
-            detail="Pass `after` as the last page gave it.",
-        )
-    )
+    ends = parameters.parse_number(segment)
+    bound = parameters.parse_number(below)
+    if ends is None or bound is None:
+        return result.Failure(parameters.refuse_cursor())
+    return result.Success(Cursor(segment=ends, below=bound))
 
 
 def pack_cursor(cursor: Cursor) -> str:
--- a/packages/entry/hickoryreach_entry/api/bodies.py
+++ b/packages/entry/hickoryreach_entry/api/bodies.py
@@ -56,11 +56,8 @@
         return result.Success(model.model_validate_json(body))
     except pydantic.ValidationError as error:
         return result.Failure(
-            problems.Problem(
-                status=400,
-                reason="malformed",
-                detail="Correct what `faults` lists.",
-                extra={"faults": describe_faults(error)},
+            problems.refuse_malformed(
+                "Correct what `faults` lists.", describe_faults(error)
             )
         )
 
--- a/packages/entry/hickoryreach_entry/api/documents.py
+++ b/packages/entry/hickoryreach_entry/api/documents.py
@@ -10,6 +10,7 @@
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
 from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
 
 
@@ -119,9 +120,9 @@
     req: falcon.Request,
 ) -> result.Result[int, problems.Problem]:
     """Returns the revision that a change was made on."""
-    text = req.get_param("revision") or ""
-    if text.isdecimal():
-        return result.Success(int(text))
+    revision = parameters.parse_number(req.get_param("revision") or "")
+    if revision is not None:
+        return result.Success(revision)
     return result.Failure(
         problems.Problem(
             status=400,
--- a/packages/entry/hickoryreach_entry/api/notices.py
+++ b/packages/entry/hickoryreach_entry/api/notices.py
@@ -26,17 +26,7 @@
     """Returns what a waiter learned as the answer."""
     notice = waiter.notice
     if notice is None:
-        return result.Failure(
-            problems.Problem(
-                status=503,
-                reason="no_owner",
-                detail="No answer from the shard's owner; ask by job id, or "
-                "send the same request id again.",
-                ran=jobs.Ran.UNKNOWN,
-                retry_after_s=RETRY_S,
-                extra={"job_id": waiter.job_id},
-            )
-        )
+        return result.Failure(refuse_ownerless(waiter.job_id))
     state = jobs.JobState(notice.state)
     if state is jobs.JobState.REFUSED or notice.reason == "not_found":
         return result.Failure(build_problem(notice))
@@ -48,6 +38,24 @@
     )
 
 
+def refuse_ownerless(job_id: str = "") -> problems.Problem:
+    """Returns the problem of a call that a shard's owner did not answer."""
+    detail = "No answer from a shard's owner; send the call again."
+    if job_id:
+        detail = (
+            "No answer from the shard's owner; ask by job id, or send the "
+            "same request id again."
+        )
+    return problems.Problem(
+        status=503,
+        reason="no_owner",
+        detail=detail,
+        ran=jobs.Ran.UNKNOWN,
+        retry_after_s=RETRY_S,
+        extra={"job_id": job_id} if job_id else {},
+    )
+
+
 def build_problem(notice: messages.Notice) -> problems.Problem:
     """Returns the problem that a refusal stands for."""
     status = STATUSES.get(notice.reason, DEFAULT_STATUS)
--- a/packages/entry/hickoryreach_entry/api/problems.py
+++ b/packages/entry/hickoryreach_entry/api/problems.py
@@ -1,5 +1,6 @@
 """Problem details (RFC 9457) that say whether the work ran."""
 
+from collections.abc import Sequence
 import dataclasses
 
 from hickoryreach.structure import jobs
@@ -38,3 +39,18 @@
             "ran": str(self.ran),
             **self.extra,
         }
+
+
+def refuse_malformed(detail: str, faults: Sequence[str] = ()) -> Problem:
+    """Returns the refusal of a call that does not say what it means.
+
+    Args:
+        detail: One sentence that tells the caller what to do.
+        faults: What to correct, one line each.
+    """
+    return Problem(
+        status=400,
+        reason="malformed",
+        detail=detail,
+        extra={"faults": list(faults)} if faults else {},
+    )
--- a/packages/entry/hickoryreach_entry/api/work.py
+++ b/packages/entry/hickoryreach_entry/api/work.py
@@ -3,29 +3,22 @@
 from collections.abc import Callable
 
 import falcon
-import gevent
-import pydantic
 from returns import result
 
 from hickoryreach.structure import jobs
-from hickoryreach.wire import messages
 from hickoryreach_entry import front
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
 from hickoryreach_entry.api import job_ids
+from hickoryreach_entry.api import listing
 from hickoryreach_entry.api import notices
+from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
 from hickoryreach_entry.api import submissions
 
-WAIT_LIMIT_MS = 60_000
-REQUEST_WAIT_MS = 30_000
 PAGE_LIMIT = 500
 PAGE_DEFAULT = 100
-WAVE_SENDS = 3
-WAVE_REPEAT_S = 0.2
-
-ListJobs = Callable[[messages.ListRequest], messages.ListReply]
 
 
 class Jobs:
@@ -37,13 +30,13 @@
         door: front.Front,
         gate: access.Access,
         shards: int,
-        list_jobs: ListJobs | None,
+        list_shard: listing.ListShard,
     ) -> None:
         """Keeps what it needs."""
         self.front = door
         self.access = gate
         self.shards = shards
-        self.list_jobs = list_jobs
+        self.listing = listing.Listing(list_shard=list_shard, shards=shards)
 
     @answers.answered
     def on_post(self, req: falcon.Request) -> answers.Outcome:
@@ -58,7 +51,7 @@
         self, req: falcon.Request, submission: submissions.Submission
     ) -> answers.Outcome:
         """Submits a checked submission for the caller."""
-        return get_wait_s(req, submission.kind).bind(
+        return parameters.get_wait_s(req, submission.kind).bind(
             lambda wait_s: self.access.find_submitter(
                 req, submission.queue
             ).bind(lambda caller: self.send(submission, caller, wait_s))
@@ -80,63 +73,23 @@
     @answers.answered
     def on_get(self, req: falcon.Request) -> answers.Outcome:
         """Lists jobs by id: `state`, `wave`, `limit`, and `after` a page."""
-        limit = req.get_param_as_int("limit", min_value=1) or PAGE_DEFAULT
+        limit = parameters.get_limit(req, PAGE_DEFAULT, PAGE_LIMIT)
         return self.access.find_caller(req).bind(
-            lambda caller: self.list_page(
-                messages.ListRequest(
-                    workspace=caller.workspace,
-                    state=req.get_param("state") or "",
-                    wave=req.get_param("wave") or "",
-                    after=req.get_param("after") or "",
-                    limit=min(limit, PAGE_LIMIT),
+            lambda caller: self.listing.parse_cursor(
+                req.get_param("after") or ""
+            ).bind(
+                lambda cursor: self.listing.list_page(
+                    listing.Query(
+                        workspace=caller.workspace,
+                        state=req.get_param("state") or "",
+                        wave=req.get_param("wave") or "",
+                        limit=limit,
+                    ),
+                    cursor,
                 )
             )
         )
 
-    def list_page(self, request: messages.ListRequest) -> answers.Outcome:
-        """Fills one page from the shards in order, from the cursor on."""
-        first, _, after = request.after.partition("/")
-        if first and not first.isdecimal():
-            return result.Failure(
-                problems.Problem(
-                    status=400,
-                    reason="malformed",
-                    detail="Pass `after` as the last page gave it.",
-                )
-            )
-        rows: list[dict] = []
-        cursor = ""
-        for shard in range(int(first or 0), self.shards):
-            reply = self.list_shard(
-                messages.ListRequest(
-                    shard=shard,
-                    workspace=request.workspace,
-                    state=request.state,
-                    wave=request.wave,
-                    after=after,
-                    limit=request.limit - len(rows),
-                )
-            )
-            if reply is None or not reply.owner:
-                return result.Failure(no_owner())
-            after = ""
-            rows += [notices.describe(row) for row in reply.jobs or ()]
-            if reply.after:
-                cursor = f"{shard}/{reply.after}"
-                break
-            if len(rows) >= request.limit and shard + 1 < self.shards:
-                cursor = f"{shard + 1}/"
-                break
-        return result.Success(
-            answers.Answer(media={"jobs": rows, "after": cursor})
-        )
-
-    def list_shard(
-        self, request: messages.ListRequest
-    ) -> messages.ListReply | None:
-        """Returns one shard's part of a page."""
-        return self.list_jobs(request) if self.list_jobs else None
-
 
 class Job:
     """Follows or cancels one job."""
@@ -166,7 +119,7 @@
         ask: Callable[..., front.Waiter],
     ) -> answers.Outcome:
         """Asks the owner of a job on behalf of the caller."""
-        return get_wait_s(req).bind(
+        return parameters.get_wait_s(req).bind(
             lambda wait_s: self.access.find_reader(req).bind(
                 lambda caller: check_job_id(job_id, caller, self.shards).bind(
                     lambda known: notices.answer_waiter(
@@ -177,54 +130,6 @@
         )
 
 
-class Wave:
-    """Cancels every job of one wave."""
-
-    def __init__(
-        self, *, door: front.Front, gate: access.Access, shards: int
-    ) -> None:
-        """Keeps what it needs."""
-        self.front = door
-        self.access = gate
-        self.shards = shards
-
-    @answers.answered
-    def on_delete(self, req: falcon.Request, wave: str) -> answers.Outcome:
-        """Asks every owner to cancel the caller's jobs of a wave."""
-        return self.access.find_caller(req).bind(
-            lambda caller: self.cancel(caller.workspace, wave)
-        )
-
-    def cancel(self, workspace: str, wave: str) -> answers.Outcome:
-        """Sends the cancellation to each shard, against loss more than once."""
-        message = messages.Cancellation(workspace=workspace, wave=wave)
-        known = True
-        for _ in range(WAVE_SENDS):
-            known = all(
-                [
-                    self.front.send_to_owner(shard, "cancellations", message)
-                    for shard in range(self.shards)
-                ]
-            )
-            gevent.sleep(WAVE_REPEAT_S)
-        if not known:
-            return result.Failure(no_owner())
-        return result.Success(
-            answers.Answer(media={"wave": wave, "cancelling": True}, status=202)
-        )
-
-
-def no_owner() -> problems.Problem:
-    """Returns the problem of a shard whose owner does not answer."""
-    return problems.Problem(
-        status=503,
-        reason="no_owner",
-        detail="No answer from a shard's owner; send the call again.",
-        ran=jobs.Ran.UNKNOWN,
-        retry_after_s=notices.RETRY_S,
-    )
-
-
 def check_job_id(
     job_id: str, caller: access.Caller, shards: int
 ) -> result.Result[str, problems.Problem]:
@@ -240,25 +145,3 @@
             ran=jobs.Ran.UNKNOWN,
         )
     )
-
-
-def get_wait_s(
-    req: falcon.Request, kind: jobs.Kind | None = None
-) -> result.Result[float, problems.Problem]:
-    """Returns how long the caller wants to wait, in s."""
-    default = REQUEST_WAIT_MS if kind is jobs.Kind.REQUEST else 0
-    text = req.get_param("wait_ms")
-    try:
-        wanted = default if text is None else _wait_type.validate_python(text)
-    except pydantic.ValidationError:
-        return result.Failure(
-            problems.Problem(
-                status=400,
-                reason="malformed",
-                detail="Give `wait_ms` as a whole number of ms, 0 or more.",
-            )
-        )
-    return result.Success(min(wanted, WAIT_LIMIT_MS) / 1000)
-
-
-_wait_type = pydantic.TypeAdapter(pydantic.NonNegativeInt)
--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -50,8 +50,9 @@
         self.assertEqual(late.json["current"]["document"], document)
 
     def test_revision_is_asked_for(self):
-        answer = self.call("PUT", "/v1/lists/plans", json={})
-        self.assertEqual(answer.status_code, 400)
+        for query in ("", "?revision=x", f"?revision={'9' * 5_000}"):
+            answer = self.call("PUT", f"/v1/lists/plans{query}", json={})
+            self.assertEqual(answer.status_code, 400)
 
     def test_check_shows_faults_and_difference_and_changes_nothing(self):
         document = self.get_plans()["document"]
@@ -130,8 +131,9 @@
             if not after:
                 break
         self.assertEqual(seen, list(range(59, 0, -1)))
-        wrong = self.call("GET", "/v1/audit/plans?after=x")
-        self.assertEqual(wrong.status_code, 400)
+        for after in ("x", f"{'9' * 5_000}.0", f"0.{'9' * 5_000}"):
+            wrong = self.call("GET", f"/v1/audit/plans?after={after}")
+            self.assertEqual(wrong.status_code, 400)
 
     def test_store_outage_refuses_changes_truthfully(self):
         self.entry.store.down = True
--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -248,8 +248,12 @@
     def test_malformed_parameters_are_problems(self):
         answer = self.entry.call("GET", "/v1/jobs?limit=x", fakes.NORTH_KEY)
         self.assert_refused(answer, 400, "invalid_parameter")
-        answer = self.entry.call("GET", "/v1/jobs?after=x", fakes.NORTH_KEY)
-        self.assert_refused(answer, 400, "malformed")
+        for after in ("x", "/", "9" * 5_000, "\u0663/", "1/"):
+            with self.subTest(after[:5]):
+                answer = self.entry.call(
+                    "GET", "/v1/jobs", fakes.NORTH_KEY, params={"after": after}
+                )
+                self.assert_refused(answer, 400, "malformed")
 
     def test_entry_with_stale_lists_is_not_ready(self):
         self.assertEqual(self.entry.call("GET", "/ready").status_code, 200)
