Give resources of one kind one base, and plain names

Cause: nine resources carried two constructors between them, and sending a submission stood in work and in steps. Both are in api/resources now. The parameters door and gate were metaphors; they are front_end and callers. Behaviour is unchanged; tests keep their assertions.

--- a/packages/entry/hickoryreach_entry/api/app.py
+++ b/packages/entry/hickoryreach_entry/api/app.py
@@ -22,7 +22,7 @@
 
 def build_app(
     *,
-    door: front.Front,
+    front_end: front.Front,
     in_force: lists.Lists,
     settings: entry_settings.Settings,
     is_ready: Callable[[], bool],
@@ -31,7 +31,7 @@
     """Returns the HTTP interface of one entry.
 
     Args:
-        door: Submits work and waits for it.
+        front_end: Submits work and waits for it.
         in_force: The operators' lists.
         settings: Settings of the entry.
         is_ready: Tells whether the balancer should send callers here.
@@ -40,14 +40,14 @@
     app = falcon.App(middleware=[limits.CallerLimit(most=settings.max_callers)])
     app.add_error_handler(Exception, answers.handle_fault)
     app.add_error_handler(falcon.HTTPError, answers.handle_http_error)
-    gate = access.Access(in_force=in_force, settings=settings)
-    add_work(app, door, gate, settings.shards, list_jobs)
-    add_lists(app, gate)
+    callers = access.Access(in_force=in_force, settings=settings)
+    add_work(app, front_end, callers, settings.shards, list_jobs)
+    add_lists(app, callers)
     app.add_route("/health", health.Health())
     app.add_route(
         "/ready",
         health.Ready(
-            is_ready=lambda: is_ready() and gate.find_staleness() is None
+            is_ready=lambda: is_ready() and callers.find_staleness() is None
         ),
     )
     app.add_route("/metrics", health.Metrics())
@@ -56,23 +56,23 @@
 
 def add_work(
     app: falcon.App,
-    door: front.Front,
-    gate: access.Access,
+    front_end: front.Front,
+    callers: access.Access,
     shards: int,
     list_jobs: listing.ListShard,
 ) -> None:
     """Adds what callers use."""
-    common = {"door": door, "gate": gate, "shards": shards}
+    common = {"front_end": front_end, "callers": callers, "shards": shards}
     app.add_route("/v1/jobs", work.Jobs(**common, list_shard=list_jobs))
     app.add_route("/v1/jobs/{job_id}", work.Job(**common))
     app.add_route("/v1/waves/{wave}", waves.Wave(**common))
     app.add_route("/v1/steps", steps.Steps(**common))
 
 
-def add_lists(app: falcon.App, gate: access.Access) -> None:
+def add_lists(app: falcon.App, callers: access.Access) -> None:
     """Adds what operators use."""
-    app.add_route("/v1/lists/{name}", documents.Document(gate=gate))
-    app.add_route("/v1/lists/{name}/check", documents.Check(gate=gate))
-    app.add_route("/v1/keys", keys.Keys(gate=gate))
-    app.add_route("/v1/keys/{workspace}/{key_id}", keys.Key(gate=gate))
-    app.add_route("/v1/audit/{name}", audit.Audit(gate=gate))
+    app.add_route("/v1/lists/{name}", documents.Document(callers=callers))
+    app.add_route("/v1/lists/{name}/check", documents.Check(callers=callers))
+    app.add_route("/v1/keys", keys.Keys(callers=callers))
+    app.add_route("/v1/keys/{workspace}/{key_id}", keys.Key(callers=callers))
+    app.add_route("/v1/audit/{name}", audit.Audit(callers=callers))
--- a/packages/entry/hickoryreach_entry/api/audit.py
+++ b/packages/entry/hickoryreach_entry/api/audit.py
@@ -9,11 +9,11 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import heads
 from hickoryreach.lists import storage
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import changes
 from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 
 PAGE_DEFAULT = 100
 PAGE_LIMIT = 1_000
@@ -32,14 +32,9 @@
     below: int = 0
 
 
-class Audit:
+class Audit(resources.ListResource):
     """Lists who changed what, the newest change first."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_get(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers up to `limit` changes, `after` those of the last page."""
--- a/packages/entry/hickoryreach_entry/api/documents.py
+++ b/packages/entry/hickoryreach_entry/api/documents.py
@@ -6,22 +6,17 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
 from hickoryreach.lists import plans
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
 from hickoryreach_entry.api import changes
 from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 
 
-class Document:
+class Document(resources.ListResource):
     """Reads or replaces one list."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_get(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers the list in force with its revision."""
@@ -69,14 +64,9 @@
         )
 
 
-class Check:
+class Check(resources.ListResource):
     """Checks a document, and shows what it would change."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_post(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers the faults and the difference; changes nothing."""
--- a/packages/entry/hickoryreach_entry/api/keys.py
+++ b/packages/entry/hickoryreach_entry/api/keys.py
@@ -6,10 +6,10 @@
 from hickoryreach.lists import editor
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
 from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import resources
 
 
 class Grant(pydantic.BaseModel):
@@ -22,14 +22,9 @@
     hash: plans.Hash
 
 
-class Keys:
+class Keys(resources.ListResource):
     """Grants keys."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_post(self, req: falcon.Request) -> answers.Outcome:
         """Grants the key whose hash is in the body."""
@@ -57,14 +52,9 @@
         )
 
 
-class Key:
+class Key(resources.ListResource):
     """Withdraws a key."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_delete(
         self, req: falcon.Request, workspace: str, key_id: str
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/api/resources.py
@@ -0,0 +1,49 @@
+"""Bases of the resources of callers and of operators."""
+
+from hickoryreach_entry import front
+from hickoryreach_entry.api import access
+from hickoryreach_entry.api import submissions
+
+
+class WorkResource:
+    """Base of resources through which callers reach their work.
+
+    Attributes:
+        front: Sends work, queries and cancellations to owners.
+        access: Tells who makes a call.
+        shards: Number of shards of the cell.
+    """
+
+    def __init__(
+        self, *, front_end: front.Front, callers: access.Access, shards: int
+    ) -> None:
+        """Keeps what it needs."""
+        self.front = front_end
+        self.access = callers
+        self.shards = shards
+
+    def submit_job(
+        self,
+        submission: submissions.Submission,
+        caller: access.Caller,
+        wait_s: float,
+    ) -> front.Waiter:
+        """Sends a submission to its owner, and waits up to `wait_s`."""
+        job = submissions.build_job(submission, caller, self.shards)
+        return self.front.submit(
+            job, body=submissions.build_body(job), wait_s=wait_s
+        )
+
+
+class ListResource:
+    """Base of resources through which operators reach the lists.
+
+    Attributes:
+        access: Tells who makes a call.
+        lists: The lists in force.
+    """
+
+    def __init__(self, *, callers: access.Access) -> None:
+        """Keeps what it needs."""
+        self.access = callers
+        self.lists = callers.lists
--- a/packages/entry/hickoryreach_entry/api/steps.py
+++ b/packages/entry/hickoryreach_entry/api/steps.py
@@ -19,6 +19,7 @@
 from hickoryreach_entry.api import job_ids
 from hickoryreach_entry.api import notices
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 from hickoryreach_entry.api import submissions
 
 STATUSES = {"step_not_allowed": 403, "unknown_step": 404}
@@ -64,17 +65,9 @@
     work: fields.Work
 
 
-class Steps:
+class Steps(resources.WorkResource):
     """Runs a step of a runbook."""
 
-    def __init__(
-        self, *, door: front.Front, gate: access.Access, shards: int
-    ) -> None:
-        """Keeps what it needs."""
-        self.front = door
-        self.access = gate
-        self.shards = shards
-
     @answers.answered
     def on_post(self, req: falcon.Request) -> answers.Outcome:
         """Runs the command in the body."""
@@ -135,11 +128,7 @@
                     extra={"faults": bodies.describe_faults(error)},
                 )
             )
-        job = submissions.build_job(submission, found.caller, self.shards)
-        waiter = self.front.submit(
-            job, body=submissions.build_body(job), wait_s=wait_s
-        )
-        return answer(found, waiter)
+        return answer(found, self.submit_job(submission, found.caller, wait_s))
 
 
 def make_request_id(found: Found) -> str:
--- a/packages/entry/hickoryreach_entry/api/waves.py
+++ b/packages/entry/hickoryreach_entry/api/waves.py
@@ -5,26 +5,17 @@
 from returns import result
 
 from hickoryreach.wire import messages
-from hickoryreach_entry import front
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import notices
+from hickoryreach_entry.api import resources
 
 SENDS = 3
 SEND_INTERVAL_S = 0.2
 
 
-class Wave:
+class Wave(resources.WorkResource):
     """Cancels every job of one wave."""
 
-    def __init__(
-        self, *, door: front.Front, gate: access.Access, shards: int
-    ) -> None:
-        """Keeps what it needs."""
-        self.front = door
-        self.access = gate
-        self.shards = shards
-
     @answers.answered
     def on_delete(self, req: falcon.Request, wave: str) -> answers.Outcome:
         """Asks every owner to cancel the caller's jobs of a wave."""
--- a/packages/entry/hickoryreach_entry/api/work.py
+++ b/packages/entry/hickoryreach_entry/api/work.py
@@ -15,28 +15,22 @@
 from hickoryreach_entry.api import notices
 from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 from hickoryreach_entry.api import submissions
 
 PAGE_LIMIT = 500
 PAGE_DEFAULT = 100
 
 
-class Jobs:
+class Jobs(resources.WorkResource):
     """Submits a job, and lists a workspace's jobs."""
 
-    def __init__(
-        self,
-        *,
-        door: front.Front,
-        gate: access.Access,
-        shards: int,
-        list_shard: listing.ListShard,
-    ) -> None:
-        """Keeps what it needs."""
-        self.front = door
-        self.access = gate
-        self.shards = shards
-        self.listing = listing.Listing(list_shard=list_shard, shards=shards)
+    def __init__(self, *, list_shard: listing.ListShard, **common) -> None:
+        """Keeps what it needs; `common` goes to the base."""
+        super().__init__(**common)
+        self.listing = listing.Listing(
+            list_shard=list_shard, shards=self.shards
+        )
 
     @answers.answered
     def on_post(self, req: falcon.Request) -> answers.Outcome:
@@ -54,21 +48,12 @@
         return parameters.get_wait_s(req, submission.kind).bind(
             lambda wait_s: self.access.find_submitter(
                 req, submission.queue
-            ).bind(lambda caller: self.send(submission, caller, wait_s))
-        )
-
-    def send(
-        self,
-        submission: submissions.Submission,
-        caller: access.Caller,
-        wait_s: float,
-    ) -> answers.Outcome:
-        """Sends a submission to its owner, and waits."""
-        job = submissions.build_job(submission, caller, self.shards)
-        waiter = self.front.submit(
-            job, body=submissions.build_body(job), wait_s=wait_s
+            ).bind(
+                lambda caller: notices.answer_waiter(
+                    self.submit_job(submission, caller, wait_s)
+                )
+            )
         )
-        return notices.answer_waiter(waiter)
 
     @answers.answered
     def on_get(self, req: falcon.Request) -> answers.Outcome:
@@ -91,17 +76,9 @@
         )
 
 
-class Job:
+class Job(resources.WorkResource):
     """Follows or cancels one job."""
 
-    def __init__(
-        self, *, door: front.Front, gate: access.Access, shards: int
-    ) -> None:
-        """Keeps what it needs."""
-        self.front = door
-        self.access = gate
-        self.shards = shards
-
     @answers.answered
     def on_get(self, req: falcon.Request, job_id: str) -> answers.Outcome:
         """Answers the job's state, and waits up to `wait_ms` for its end."""
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -103,7 +103,7 @@
         self.http_server = HttpServer(
             (settings.http_host, settings.http_port),
             app.build_app(
-                door=self.router.front,
+                front_end=self.router.front,
                 in_force=self.lists,
                 settings=settings,
                 is_ready=self.is_ready,
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -79,7 +79,7 @@
             "--wave w --non-idempotent issue -- -x 7"
         )
         self.assertEqual(code, 0, self.errors)
-        job = self.entry.door.submitted[0]
+        job = self.entry.front.submitted[0]
         self.assertEqual(job.request_id, "r1")
         self.assertEqual((job.kind, job.tasks, job.wave), ("gang", 3, "w"))
         self.assertEqual(job.need.cpu_millis, 500)
@@ -88,7 +88,7 @@
 
     def test_request_goes_to_its_service(self):
         self.assertEqual(self.run_line("request registry check A-1"), 0)
-        job = self.entry.door.submitted[0]
+        job = self.entry.front.submitted[0]
         self.assertEqual((job.kind, job.service), ("request", "registry"))
 
     def test_exit_codes_tell_whether_the_work_ran(self):
@@ -104,7 +104,7 @@
         ]
         for notice, code in cases:
             with self.subTest(notice):
-                self.entry.door.notice = notice
+                self.entry.front.notice = notice
                 self.assertEqual(self.run_line("submit issue"), code)
         self.assertEqual(self.run_line("submit issue", key="bad"), 3)
 
@@ -153,7 +153,7 @@
         self.assertIn("quill.qsend", self.errors)
 
     def test_cancelled_job_is_a_success_of_cancel_only(self):
-        self.entry.door.notice = {"state": "cancelled", "ran": "ran"}
+        self.entry.front.notice = {"state": "cancelled", "ran": "ran"}
         job_id = job_ids.make("north", "r1", 1)
         self.assertEqual(self.run_line(f"cancel {job_id}"), 0)
         self.assertEqual(self.run_line(f"status {job_id}"), 1)
--- a/tests/entry/api/fakes.py
+++ b/tests/entry/api/fakes.py
@@ -1,4 +1,4 @@
-"""One entry's HTTP interface over fakes of the store and the front door."""
+"""One entry's HTTP interface over fakes of the store and of the owners."""
 
 import falcon.testing
 
@@ -19,7 +19,7 @@
 )
 
 
-class FakeDoor:
+class FakeFront:
     """Records what is submitted and answers with set notices.
 
     Attributes:
@@ -31,7 +31,7 @@
     """
 
     def __init__(self) -> None:
-        """Creates a door that reports success."""
+        """Creates a front that reports success."""
         self.submitted: list[jobs.Job] = []
         self.asked: list[tuple[str, str]] = []
         self.sent: list[tuple[int, str, object]] = []
@@ -76,7 +76,7 @@
     ) -> None:
         """Creates an entry whose lists are in force and fresh."""
         self.store = store or build_store()
-        self.door = FakeDoor()
+        self.front = FakeFront()
         self.now_s = 100.0
         self.lists = lists.Lists(client=self.store, clock=lambda: self.now_s)
         self.read_store()
@@ -84,7 +84,7 @@
         self.list_requests: list[messages.ListRequest] = []
         self.client = falcon.testing.TestClient(
             app.build_app(
-                door=self.door,
+                front_end=self.front,
                 in_force=self.lists,
                 settings=SETTINGS.model_copy(
                     update={"first_operator_hash": first_operator_hash}
--- a/tests/entry/api/test_malformed.py
+++ b/tests/entry/api/test_malformed.py
@@ -70,7 +70,7 @@
         self.assertLess(answer.status_code, 500, answer.text)
         if answer.status_code >= 400:
             self.assertEqual(answer.json["ran"], "not_run")
-            self.assertEqual(entry.door.submitted, [])
+            self.assertEqual(entry.front.submitted, [])
             self.assertEqual(entry.lists.revisions["plans"], 1)
 
     @hypothesis.settings(derandomize=True, max_examples=100, deadline=None)
--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -25,7 +25,7 @@
 
     def setUp(self):
         self.entry = fakes.Entry()
-        self.door = self.entry.door
+        self.front = self.entry.front
 
     def submit(self, body=None, key=fakes.NORTH_KEY, **fields):
         return self.entry.call(
@@ -47,17 +47,17 @@
         answer = self.submit()
         self.assertEqual(answer.status_code, 200)
         self.assertEqual(answer.json["ran"], "ran")
-        self.assertEqual(self.door.submitted[0].workspace, "north")
+        self.assertEqual(self.front.submitted[0].workspace, "north")
 
     def test_request_holds_a_slot(self):
         self.submit(REQUEST)
-        self.assertEqual(self.door.submitted[0].need.slots, 1)
+        self.assertEqual(self.front.submitted[0].need.slots, 1)
 
     def test_bodies_that_mean_the_same_have_one_digest(self):
         self.submit()
         self.submit(dict(reversed(SUBMISSION.items())) | {"queue": "default"})
         self.submit(SUBMISSION | {"tasks": 3})
-        digests = [job.digest for job in self.door.submitted]
+        digests = [job.digest for job in self.front.submitted]
         self.assertEqual(digests[0], digests[1])
         self.assertNotEqual(digests[0], digests[2])
 
@@ -82,7 +82,7 @@
                 )
                 self.assert_refused(answer, 400, reason)
                 self.assertEqual(len(answer.json["faults"]), 1)
-        self.assertEqual(self.door.submitted, [])
+        self.assertEqual(self.front.submitted, [])
 
     def post_stream(self, stream, **headers):
         return self.entry.client.simulate_post(
@@ -113,7 +113,7 @@
         for key in ("", "nobody", fakes.OPERATOR_KEY):
             with self.subTest(key):
                 self.assert_refused(self.submit(key=key), 401, "key_refused")
-        self.assertEqual(self.door.submitted, [])
+        self.assertEqual(self.front.submitted, [])
 
     def test_queues(self):
         unknown = self.submit(SUBMISSION | {"queue": "none"})
@@ -124,7 +124,7 @@
         self.assertEqual(self.submit(public, key="").status_code, 200)
         self.assertEqual(self.submit(public).status_code, 200)
         self.assert_refused(self.submit(public, "bad"), 401, "key_refused")
-        counted = [job.workspace for job in self.door.submitted]
+        counted = [job.workspace for job in self.front.submitted]
         self.assertEqual(counted, ["south", "north"])
 
     def test_refusals_of_the_owner_keep_their_truth(self):
@@ -137,7 +137,7 @@
         }
         for reason, status in cases.items():
             with self.subTest(reason):
-                self.door.notice = {
+                self.front.notice = {
                     "state": "refused",
                     "ran": "not_run",
                     "reason": reason,
@@ -146,13 +146,13 @@
                 self.assert_refused(self.submit(), status, reason)
 
     def test_silence_of_the_owner_is_unknown(self):
-        self.door.notice = None
+        self.front.notice = None
         answer = self.submit()
         self.assert_refused(answer, 503, "no_owner", ran="unknown")
         self.assertTrue(answer.json["job_id"])
 
     def test_fault_of_ours_is_unknown_and_tells_nothing(self):
-        self.door.crash = RuntimeError(f"secret {fakes.NORTH_KEY}")
+        self.front.crash = RuntimeError(f"secret {fakes.NORTH_KEY}")
         with self.assertLogs("hickoryreach_entry", "ERROR") as logs:
             answer = self.submit()
         self.assert_refused(answer, 500, "internal_fault", ran="unknown")
@@ -164,7 +164,7 @@
         self.assert_refused(self.submit(), 503, "lists_stale")
         public = SUBMISSION | {"queue": "public"}
         self.assert_refused(self.submit(public, ""), 503, "lists_stale")
-        self.assertEqual(self.door.submitted, [])
+        self.assertEqual(self.front.submitted, [])
         self.entry.read_store()
         self.assertEqual(self.submit().status_code, 200)
 
@@ -178,7 +178,7 @@
             self.assert_refused(public, 404, "not_found", ran="unknown")
             own = self.entry.call(method, path, fakes.NORTH_KEY)
             self.assertEqual(own.status_code, 200)
-        self.assertEqual(self.door.asked, [(job_id, "north")] * 2)
+        self.assertEqual(self.front.asked, [(job_id, "north")] * 2)
 
     def test_calls_without_a_key_reach_jobs_submitted_without_one_only(self):
         public = SUBMISSION | {"queue": "public"}
@@ -192,7 +192,7 @@
                 path = f"/v1/jobs/{keyless}?queue=public"
                 answer = self.entry.call(method, path, key)
                 self.assertEqual(answer.status_code, 200)
-        self.assertEqual(self.door.asked, [(keyless, "south")] * 4)
+        self.assertEqual(self.front.asked, [(keyless, "south")] * 4)
 
     def test_listing_needs_a_key(self):
         answer = self.entry.call("GET", "/v1/jobs?queue=public")
@@ -215,7 +215,7 @@
     def test_wave_is_cancelled_in_the_workspace_of_the_key(self):
         answer = self.entry.call("DELETE", "/v1/waves/w1", fakes.NORTH_KEY)
         self.assertEqual(answer.status_code, 202)
-        message = self.door.sent[0][2]
+        message = self.front.sent[0][2]
         self.assertEqual((message.workspace, message.wave), ("north", "w1"))
 
     def test_listing_pages_with_a_cursor(self):
@@ -267,9 +267,9 @@
         def fill(job, **_):
             if len(inner) < fakes.SETTINGS.max_callers:
                 inner.append(self.submit())
-            return self.door.answer(job.job_id)
+            return self.front.answer(job.job_id)
 
-        self.door.submit = fill
+        self.front.submit = fill
         self.assertEqual(self.submit().status_code, 200)
         self.assert_refused(inner[0], 503, "too_many_callers")
         self.assertEqual(self.submit().status_code, 200)
@@ -295,7 +295,7 @@
         self.assertEqual(
             again.json["job"]["job_id"], first.json["job"]["job_id"]
         )
-        one, two = self.entry.door.submitted
+        one, two = self.entry.front.submitted
         self.assertEqual(one.digest, two.digest)
 
     def test_refused_commands_end_with_the_code_of_not_run(self):
@@ -313,10 +313,10 @@
                 self.assertIn(reason, answer.json["type"])
                 self.assertEqual(answer.json["ran"], "not_run")
                 self.assertEqual(answer.json["exit_code"], 3)
-        self.assertEqual(self.entry.door.submitted, [])
+        self.assertEqual(self.entry.front.submitted, [])
 
     def test_unclear_end_has_a_code_of_its_own(self):
-        self.entry.door.notice = None
+        self.entry.front.notice = None
         answer = self.run_step(system="quill", line="qsend -N july")
         self.assertEqual(answer.json["exit_code"], 4)
 
