Load, name and show settings in one place

Cause: both programs carried the same loading, fault lines and listing of settings, with small differences: one passed input values to its fault lines, though none was shown. hickoryreach.config.settings, in a package that held nothing yet, serves both now.

--- a/packages/cli/hickoryreach_cli/config/settings.py
+++ b/packages/cli/hickoryreach_cli/config/settings.py
@@ -1,19 +1,15 @@
 """Settings of the command line, declared once."""
 
 import pydantic
-import pydantic_settings
 from returns import result
 
-ENVIRONMENT_PREFIX = "HICKORYREACH_"
-HIDDEN = "(set)"
+from hickoryreach.config import settings
 
+HIDDEN_NAMES = ("key",)
 
-class Settings(pydantic_settings.BaseSettings):
-    """Every setting with its type, default and check."""
 
-    model_config = pydantic_settings.SettingsConfigDict(
-        env_prefix=ENVIRONMENT_PREFIX, extra="forbid"
-    )
+class Settings(settings.Settings):
+    """Every setting with its type, default and check."""
 
     url: str = pydantic.Field(
         default="http://127.0.0.1:8080",
@@ -43,29 +39,5 @@
 
 
 def load(flags: dict[str, str]) -> result.Result[Settings, list[str]]:
-    """Returns the settings from flags and environment, or every fault.
-
-    Flags go before environment variables.
-    """
-    try:
-        return result.Success(Settings(**flags))
-    except pydantic.ValidationError as error:
-        return result.Failure(
-            [describe_fault(row) for row in error.errors(include_input=False)]
-        )
-
-
-def describe_fault(row: dict) -> str:
-    """Returns one line that names the flag, the variable and the fault."""
-    name = str(row["loc"][0]) if row["loc"] else ""
-    return f"{name_flag(name)} ({name_variable(name)}): {row['msg']}"
-
-
-def name_flag(name: str) -> str:
-    """Returns the flag of a setting."""
-    return f"--{name.replace('_', '-')}"
-
-
-def name_variable(name: str) -> str:
-    """Returns the environment variable of a setting."""
-    return f"{ENVIRONMENT_PREFIX}{name.upper()}"
+    """Returns the settings from flags and environment, or every fault."""
+    return settings.load(Settings, flags)
--- a/packages/cli/hickoryreach_cli/console/base.py
+++ b/packages/cli/hickoryreach_cli/console/base.py
@@ -1,5 +1,6 @@
 """What every command shares: settings, printing and exit codes."""
 
+import re
 from typing import ClassVar
 
 import cleo.commands.command
@@ -7,10 +8,17 @@
 from cleo.io.outputs import output
 from returns import result
 
+from hickoryreach.config import settings
 from hickoryreach_cli import client
 from hickoryreach_cli import reports
 from hickoryreach_cli.config import settings as cli_settings
 
+NUMBER_PATTERN = re.compile(r"[0-9]{1,15}")
+
+
+class UsageError(Exception):
+    """An option that the command cannot take."""
+
 
 class EntryCommand(cleo.commands.command.Command):
     """Base of commands that call an entry."""
@@ -24,11 +32,7 @@
 
     def handle(self) -> int:
         """Loads the settings, runs the command and prints its report."""
-        flags = {
-            name: self.option(name.replace("_", "-"))
-            for name in cli_settings.Settings.model_fields
-            if self.option(name.replace("_", "-")) is not None
-        }
+        flags = settings.select_flags(cli_settings.Settings, self.option)
         loaded = cli_settings.load(flags)
         if isinstance(loaded, result.Failure):
             return self.show(
@@ -39,11 +43,11 @@
             )
         return self.show(self.run_checked(loaded.unwrap()))
 
-    def run_checked(self, settings: cli_settings.Settings) -> reports.Report:
-        """Runs the command once its numbers are found to be numbers."""
+    def run_checked(self, effective: cli_settings.Settings) -> reports.Report:
+        """Runs the command, or shows why its arguments cannot be sent."""
         try:
-            return self.answer(client.Client(settings=settings))
-        except ValueError as error:
+            return self.answer(client.Client(settings=effective))
+        except (UsageError, UnicodeEncodeError) as error:
             return reports.report_usage(str(error))
 
     def answer(self, caller: client.Client) -> reports.Report:
@@ -54,13 +58,13 @@
         """Returns an option as a whole number, or None.
 
         Raises:
-            ValueError: It is no whole number.
+            UsageError: It is no whole number.
         """
         text = self.option(name)
         if text is None:
             return None
-        if not text.isdecimal():
-            raise ValueError(f"--{name}: give a whole number, 0 or more")
+        if not NUMBER_PATTERN.fullmatch(text):
+            raise UsageError(f"--{name}: give a whole number, 0 or more")
         return int(text)
 
     def show(self, report: reports.Report) -> int:
@@ -76,7 +80,9 @@
     """Returns an option for each setting."""
     return [
         option(
-            name.replace("_", "-"), description=field.description, flag=False
+            settings.name_option(name),
+            description=field.description,
+            flag=False,
         )
         for name, field in cli_settings.Settings.model_fields.items()
     ]
--- /dev/null
+++ b/packages/core/hickoryreach/config/settings.py
@@ -0,0 +1,89 @@
+"""Settings from flags and environment variables, checked and shown."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from typing import TypeVar
+
+import pydantic
+import pydantic_settings
+from returns import result
+
+ENVIRONMENT_PREFIX = "HICKORYREACH_"
+HIDDEN = "(set)"
+
+
+class Settings(pydantic_settings.BaseSettings):
+    """Base of the settings of one program; unknown names are faults."""
+
+    model_config = pydantic_settings.SettingsConfigDict(
+        env_prefix=ENVIRONMENT_PREFIX, extra="forbid"
+    )
+
+
+S = TypeVar("S", bound=Settings)
+
+
+def load(model: type[S], flags: dict[str, str]) -> result.Result[S, list[str]]:
+    """Returns the settings from flags and environment, or every fault.
+
+    Args:
+        model: The settings to load.
+        flags: Value of each flag given, by name of the setting. Flags go
+            before environment variables.
+    """
+    try:
+        return result.Success(model(**flags))
+    except pydantic.ValidationError as error:
+        return result.Failure(
+            [describe_fault(row) for row in error.errors(include_input=False)]
+        )
+
+
+def describe_fault(row: dict) -> str:
+    """Returns one line that names the flag, the variable and the fault."""
+    if not row["loc"]:
+        return row["msg"]
+    name = str(row["loc"][0])
+    return f"{name_flag(name)} ({name_variable(name)}): {row['msg']}"
+
+
+def select_flags(
+    model: type[Settings], get_option: Callable[[str], str | None]
+) -> dict[str, str]:
+    """Returns the flags that were given, by name of the setting.
+
+    Args:
+        model: The settings.
+        get_option: Returns the value of an option, or None if not given.
+    """
+    found = {name: get_option(name_option(name)) for name in model.model_fields}
+    return {name: value for name, value in found.items() if value is not None}
+
+
+def describe(settings: Settings, hidden: Collection[str]) -> list[str]:
+    """Returns a line for each setting, with its flag, value and variable.
+
+    Args:
+        settings: The settings.
+        hidden: Names of settings of which only is shown that they are set.
+    """
+    return [
+        f"{name_flag(name)}={HIDDEN if name in hidden and value else value}"
+        f"  {name_variable(name)}"
+        for name, value in settings.model_dump().items()
+    ]
+
+
+def name_option(name: str) -> str:
+    """Returns the option of a setting, without its dashes."""
+    return name.replace("_", "-")
+
+
+def name_flag(name: str) -> str:
+    """Returns the flag of a setting."""
+    return f"--{name_option(name)}"
+
+
+def name_variable(name: str) -> str:
+    """Returns the environment variable of a setting."""
+    return f"{ENVIRONMENT_PREFIX}{name.upper()}"
--- a/packages/entry/hickoryreach_entry/__main__.py
+++ b/packages/entry/hickoryreach_entry/__main__.py
@@ -11,6 +11,7 @@
 import cleo.helpers  # noqa: E402
 from returns import result  # noqa: E402
 
+from hickoryreach.config import settings  # noqa: E402
 from hickoryreach_entry import logs  # noqa: E402
 from hickoryreach_entry.commands import serve  # noqa: E402
 from hickoryreach_entry.commands import show_settings  # noqa: E402
@@ -23,7 +24,7 @@
     """Returns an option for each setting."""
     return [
         cleo.helpers.option(
-            name.replace("_", "-"),
+            settings.name_option(name),
             description=field.description,
             flag=False,
         )
@@ -38,11 +39,7 @@
 
     def load_settings(self) -> entry_settings.Settings | None:
         """Returns the settings, or None after showing every fault."""
-        flags = {
-            name: self.option(name.replace("_", "-"))
-            for name in entry_settings.Settings.model_fields
-            if self.option(name.replace("_", "-")) is not None
-        }
+        flags = settings.select_flags(entry_settings.Settings, self.option)
         loaded = entry_settings.load(flags)
         if isinstance(loaded, result.Success):
             return loaded.unwrap()
@@ -59,11 +56,11 @@
 
     def handle(self) -> int:
         """Runs the command."""
-        settings = self.load_settings()
-        if settings is None:
+        loaded = self.load_settings()
+        if loaded is None:
             return USAGE_ERROR
-        logs.set_up(settings.log_level)
-        serve.serve(settings)
+        logs.set_up(loaded.log_level)
+        serve.serve(loaded)
         return 0
 
 
@@ -75,10 +72,10 @@
 
     def handle(self) -> int:
         """Runs the command."""
-        settings = self.load_settings()
-        if settings is None:
+        loaded = self.load_settings()
+        if loaded is None:
             return USAGE_ERROR
-        for line in show_settings.describe(settings):
+        for line in show_settings.describe(loaded):
             self.line(line)
         return 0
 
--- a/packages/entry/hickoryreach_entry/config/settings.py
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -1,18 +1,15 @@
 """Settings of the entry server, declared once."""
 
 import pydantic
-import pydantic_settings
 from returns import result
 
-ENVIRONMENT_PREFIX = "HICKORYREACH_"
+from hickoryreach.config import settings
 
+HIDDEN_NAMES = ("first_operator_hash",)
 
-class Settings(pydantic_settings.BaseSettings):
-    """Every setting with its type, default and check."""
 
-    model_config = pydantic_settings.SettingsConfigDict(
-        env_prefix=ENVIRONMENT_PREFIX, extra="forbid"
-    )
+class Settings(settings.Settings):
+    """Every setting with its type, default and check."""
 
     name: str = pydantic.Field(
         min_length=1, description="Name of this instance, unique among all."
@@ -111,21 +108,5 @@
 
 
 def load(flags: dict[str, str]) -> result.Result[Settings, list[str]]:
-    """Returns the settings from flags and environment, or every fault.
-
-    Flags go before environment variables.
-    """
-    try:
-        return result.Success(Settings(**flags))
-    except pydantic.ValidationError as error:
-        return result.Failure([describe_fault(row) for row in error.errors()])
-
-
-def describe_fault(row: dict) -> str:
-    """Returns one line that names the flag, the variable and the fault."""
-    name = str(row["loc"][0]) if row["loc"] else ""
-    if not name:
-        return row["msg"]
-    flag = f"--{name.replace('_', '-')}"
-    variable = f"{ENVIRONMENT_PREFIX}{name.upper()}"
-    return f"{flag} ({variable}): {row['msg']}"
+    """Returns the settings from flags and environment, or every fault."""
+    return settings.load(Settings, flags)
