Tell wrong usage from an answer that makes no sense

Cause: the command line took every ValueError for wrong usage. An answer with a state or a ran it did not know, as a balancer may give, ended with exit code 2, which means that no call was made, after the work had been sent. Arguments that are no UTF-8 ended with 4, unknown, though nothing was sent. Now only a UsageError and a path that cannot be encoded end with 2, an unreadable answer with 4, and a body that cannot be encoded with 3.

--- a/packages/cli/hickoryreach_cli/client.py
+++ b/packages/cli/hickoryreach_cli/client.py
@@ -82,7 +82,10 @@
         }
         if given:
             path = f"{path}?{urllib.parse.urlencode(given)}"
-        data = b"" if body is None else orjson.dumps(body)
+        try:
+            data = b"" if body is None else orjson.dumps(body)
+        except orjson.JSONEncodeError as error:
+            return self.fail(str(error), jobs.Ran.NOT_RUN)
         try:
             with gevent.Timeout(self.settings.timeout_s, OSError("timeout")):
                 return self.send(method, path, data)
--- a/packages/cli/hickoryreach_cli/reports.py
+++ b/packages/cli/hickoryreach_cli/reports.py
@@ -39,7 +39,10 @@
     if isinstance(outcome, result.Failure):
         return report_silence(outcome.failure())
     reply = outcome.unwrap()
-    return report_problem(reply) if reply.is_problem else show(reply.media)
+    try:
+        return report_problem(reply) if reply.is_problem else show(reply.media)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return report_unreadable(reply)
 
 
 def report_silence(failure: client.NoReply) -> Report:
@@ -50,6 +53,17 @@
     )
 
 
+def report_unreadable(reply: client.Reply) -> Report:
+    """Returns the report of an answer that no entry would give."""
+    return Report(
+        exit_code=steps.EXIT_UNKNOWN,
+        errors=(
+            f"status {reply.status}: the answer is not one of an entry "
+            f"(ran: {jobs.Ran.UNKNOWN})",
+        ),
+    )
+
+
 def report_problem(reply: client.Reply) -> Report:
     """Returns the report of a problem, with every fault it lists."""
     problem = reply.media if isinstance(reply.media, dict) else {}
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -113,12 +113,33 @@
             with mock.patch.object(client.Client, "send", side_effect=error):
                 self.assertEqual(self.run_line("submit issue"), code)
 
+    def test_answer_that_makes_no_sense_is_unknown(self):
+        for status, media in (
+            (200, {"state": "odd"}),
+            (200, []),
+            (502, {"ran": "perhaps"}),
+            (502, {"ran": ["ran"], "faults": 7}),
+            (502, None),
+        ):
+            with self.subTest((status, media)):
+                reply = client.Reply(status=status, media=media)
+                with mock.patch.object(
+                    client.Client, "send", return_value=result.Success(reply)
+                ):
+                    self.assertEqual(self.run_line("submit issue"), 4)
+
+    def test_arguments_that_cannot_be_sent_are_not_run(self):
+        self.assertEqual(self.run_line("submit issue \udcff"), 3)
+        self.assertEqual(self.sent, 0)
+
     def test_wrong_usage_sends_nothing(self):
         lines = [
             "nothing",
             "submit",
             "submit --color red issue",
             "submit --tasks many issue",
+            f"submit --tasks {'9' * 5_000} issue",
+            "status \udcff",
             "settings --url ftp://x --timeout-s none",
             "lists set plans /no/such/file",
         ]
