Write pages and edits of keys once

Cause: the last line of a page stood in two commands, and the two edits of a key spelled the same wrapper; a listing checked for a reply that its caller always gives. Behaviour is unchanged.

--- a/packages/cli/hickoryreach_cli/commands/audit.py
+++ b/packages/cli/hickoryreach_cli/commands/audit.py
@@ -23,9 +23,7 @@
 def show_changes(media: dict) -> reports.Report:
     """Returns the report of some changes."""
     lines = [line for change in media["changes"] for line in describe(change)]
-    if media["after"]:
-        lines.append(f"more: --after={media['after']}")
-    return reports.Report(lines=tuple(lines))
+    return reports.report_page(lines, media["after"])
 
 
 def describe(change: dict) -> list[str]:
--- a/packages/cli/hickoryreach_cli/commands/follow.py
+++ b/packages/cli/hickoryreach_cli/commands/follow.py
@@ -68,9 +68,7 @@
         f"done={job['tasks_done']}/{job['tasks']}"
         for job in media["jobs"]
     ]
-    if media["after"]:
-        lines.append(f"more: --after={media['after']}")
-    return reports.Report(lines=tuple(lines))
+    return reports.report_page(lines, media["after"])
 
 
 def cancel(
--- a/packages/cli/hickoryreach_cli/reports.py
+++ b/packages/cli/hickoryreach_cli/reports.py
@@ -1,6 +1,7 @@
 """What a command prints, and the exit code it ends with."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 import orjson
@@ -95,6 +96,12 @@
     return Report(lines=(to_json(media),))
 
 
+def report_page(lines: Sequence[str], after: str) -> Report:
+    """Returns the report of one page; `after` leads to the next, if any."""
+    more = (f"more: --after={after}",) if after else ()
+    return Report(lines=(*lines, *more))
+
+
 def report_usage(fault: str) -> Report:
     """Returns the report of a call that was never made."""
     return Report(exit_code=USAGE_ERROR, errors=(fault,))
--- a/packages/core/hickoryreach/lists/key_edits.py
+++ b/packages/core/hickoryreach/lists/key_edits.py
@@ -7,52 +7,37 @@
 from hickoryreach.lists import editor
 from hickoryreach.lists import plans
 
+Keys = tuple[plans.Key, ...]
+Build = Callable[[plans.Plans], result.Result[plans.Plans, editor.Refused]]
 
-def grant_key(
-    workspace: str, key: plans.Key
-) -> Callable[[plans.Plans], result.Result[plans.Plans, editor.Refused]]:
-    """Returns what adds a key to a workspace; twice does no harm."""
-
-    def build(
-        document: plans.Plans,
-    ) -> result.Result[plans.Plans, editor.Refused]:
-        return _change_keys(
-            document,
-            workspace,
-            lambda keys: keys if key in keys else (*keys, key),
-        )
 
-    return build
+def grant_key(workspace: str, key: plans.Key) -> Build:
+    """Returns what adds a key to a workspace; idempotent."""
 
+    def add(keys: Keys) -> Keys:
+        return keys if key in keys else (*keys, key)
 
-def withdraw_key(
-    workspace: str, key_id: str
-) -> Callable[[plans.Plans], result.Result[plans.Plans, editor.Refused]]:
-    """Returns what takes a key from a workspace; twice does no harm."""
+    return lambda document: _change_keys(document, workspace, add)
 
-    def build(
-        document: plans.Plans,
-    ) -> result.Result[plans.Plans, editor.Refused]:
-        return _change_keys(
-            document,
-            workspace,
-            lambda keys: tuple(row for row in keys if row.key_id != key_id),
-        )
 
-    return build
+def withdraw_key(workspace: str, key_id: str) -> Build:
+    """Returns what takes a key from a workspace; idempotent."""
+
+    def remove(keys: Keys) -> Keys:
+        return tuple(row for row in keys if row.key_id != key_id)
+
+    return lambda document: _change_keys(document, workspace, remove)
 
 
 def _change_keys(
-    document: plans.Plans,
-    workspace: str,
-    change_row: Callable[[tuple[plans.Key, ...]], tuple[plans.Key, ...]],
+    document: plans.Plans, workspace: str, change: Callable[[Keys], Keys]
 ) -> result.Result[plans.Plans, editor.Refused]:
     if workspace not in [row.workspace for row in document.plans]:
         return result.Failure(
             editor.Refused(faults=(f"there is no workspace {workspace}",))
         )
     rows = tuple(
-        row.model_copy(update={"keys": change_row(row.keys)})
+        row.model_copy(update={"keys": change(row.keys)})
         if row.workspace == workspace
         else row
         for row in document.plans
--- a/packages/entry/hickoryreach_entry/api/listing.py
+++ b/packages/entry/hickoryreach_entry/api/listing.py
@@ -11,7 +11,7 @@
 from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
 
-ListShard = Callable[[messages.ListRequest], messages.ListReply | None]
+ListShard = Callable[[messages.ListRequest], messages.ListReply]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,7 +72,7 @@
                     limit=query.limit - len(rows),
                 )
             )
-            if reply is None or not reply.owner:
+            if not reply.owner:
                 return result.Failure(notices.refuse_ownerless())
             rows += [notices.describe(row) for row in reply.jobs or ()]
             place = self.find_next(place, reply)
