Tell of lost audit records, and which methods a path takes

Cause: a segment that a restored store had lost read as an empty one, so the audit trail ended as if the list had begun there. The answer now names the newest revision lost and the command line prints it. Also, 405 came without the Allow header that RFC 9110 asks for, since headers of the framework's errors were dropped. Both tests failed before for want of the value.

--- a/packages/cli/hickoryreach_cli/commands/audit.py
+++ b/packages/cli/hickoryreach_cli/commands/audit.py
@@ -23,6 +23,8 @@
 def show_changes(media: dict) -> reports.Report:
     """Returns the report of some changes."""
     lines = [line for change in media["changes"] for line in describe(change)]
+    if media["lost_up_to"]:
+        lines.append(f"lost: changes up to revision {media['lost_up_to']}")
     return reports.report_page(lines, media["after"])
 
 
--- a/packages/entry/hickoryreach_entry/api/answers.py
+++ b/packages/entry/hickoryreach_entry/api/answers.py
@@ -74,6 +74,7 @@
     params: dict,
 ) -> None:
     """Answers what the framework refused before any work was taken."""
+    resp.set_headers(error.headers or {})
     write_problem(
         resp,
         problems.Problem(
--- a/packages/entry/hickoryreach_entry/api/audit.py
+++ b/packages/entry/hickoryreach_entry/api/audit.py
@@ -32,6 +32,22 @@
     below: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Page:
+    """Changes read so far.
+
+    Attributes:
+        rows: The changes, the newest first.
+        place: Where to read on; None at the end.
+        lost_up_to: Newest revision whose record the store has lost; the trail
+            ends there. 0 where it is whole.
+    """
+
+    rows: tuple[heads.Change, ...]
+    place: Cursor | None
+    lost_up_to: int = 0
+
+
 class Audit(resources.ListResource):
     """Lists who changed what, the newest change first."""
 
@@ -51,41 +67,51 @@
         self, name: str, cursor: Cursor, limit: int
     ) -> answers.Outcome:
         """Reads changes from the cursor on, backwards."""
-        rows: list[heads.Change] = []
-        place: Cursor | None = cursor
-        while place is not None and len(rows) < limit:
-            read = self.read_part(name, place.segment)
+        page = Page(rows=(), place=cursor)
+        while page.place is not None and len(page.rows) < limit:
+            read = self.read_part(name, page.place.segment)
             if isinstance(read, result.Failure):
                 return result.Failure(
                     changes.store_problem(read.failure().reason)
                 )
-            part = read.unwrap()
-            older = select_older(part, place.below)
-            page = older[: limit - len(rows)]
-            rows += page
-            place = find_next(place, part, older, page)
+            page = extend(page, page.place, read.unwrap(), limit)
         return result.Success(
             answers.Answer(
                 media={
                     "list": name,
-                    "changes": [describe(row) for row in rows],
-                    "after": pack_cursor(place) if place else "",
+                    "changes": [describe(row) for row in page.rows],
+                    "after": pack_cursor(page.place) if page.place else "",
+                    "lost_up_to": page.lost_up_to,
                 }
             )
         )
 
     def read_part(
         self, name: str, segment: int
-    ) -> result.Result[heads.Segment, exceptions.StoreFailure]:
-        """Reads a segment, or the changes in the head as if they were one."""
+    ) -> result.Result[heads.Segment | None, exceptions.StoreFailure]:
+        """Reads a segment, or the changes in the head as if they were one.
+
+        A segment that the store has lost is None.
+        """
         client = self.lists.client
         if not segment:
             return storage.read_head(client, name).map(
                 lambda found: heads.get_segment(found[0])
             )
-        return storage.read_segment(client, name, segment).map(
-            lambda found: found or heads.Segment(base_revision=0, changes=())
-        )
+        return storage.read_segment(client, name, segment)
+
+
+def extend(
+    page: Page, place: Cursor, part: heads.Segment | None, limit: int
+) -> Page:
+    """Returns a page with changes of one more segment, up to a limit."""
+    if part is None:
+        return dataclasses.replace(page, place=None, lost_up_to=place.segment)
+    older = select_older(part, place.below)
+    taken = older[: limit - len(page.rows)]
+    return Page(
+        rows=(*page.rows, *taken), place=find_next(place, part, older, taken)
+    )
 
 
 def select_older(part: heads.Segment, below: int) -> list[heads.Change]:
--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -3,6 +3,7 @@
 import unittest
 
 from hickoryreach.lists import editor
+from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
 from tests.core.lists import fakes as list_fakes
@@ -135,6 +136,30 @@
             wrong = self.call("GET", f"/v1/audit/plans?after={after}")
             self.assertEqual(wrong.status_code, 400)
 
+    def test_audit_tells_which_changes_the_store_lost(self):
+        for number in range(2, 60):
+            self.call(
+                "POST",
+                "/v1/keys",
+                json={
+                    "workspace": "north",
+                    "key_id": f"north-{number}",
+                    "hash": plans.hash_key(f"key {number}"),
+                },
+            )
+        path = "/v1/audit/plans?limit=1000"
+        whole = self.call("GET", path).json
+        self.assertEqual(whole["lost_up_to"], 0)
+        lost = max(
+            int(key.rpartition("/")[2])
+            for key in self.entry.store.values
+            if key.startswith(heads.SEGMENTS)
+        )
+        del self.entry.store.values[heads.get_segment_key("plans", lost)]
+        cut = self.call("GET", path).json
+        self.assertEqual(cut["lost_up_to"], lost)
+        self.assertEqual(cut["changes"][-1]["to_revision"], lost + 1)
+
     def test_store_outage_refuses_changes_truthfully(self):
         self.entry.store.down = True
         answer = self.call("DELETE", "/v1/keys/north/north-1")
--- a/tests/entry/api/test_work.py
+++ b/tests/entry/api/test_work.py
@@ -244,6 +244,8 @@
         self.assert_refused(
             self.entry.call("PATCH", "/v1/jobs"), 405, "method_not_allowed"
         )
+        allowed = self.entry.call("PATCH", "/v1/jobs").headers["allow"]
+        self.assertEqual(set(allowed.split(", ")), {"GET", "POST", "OPTIONS"})
 
     def test_malformed_parameters_are_problems(self):
         answer = self.entry.call("GET", "/v1/jobs?limit=x", fakes.NORTH_KEY)
