--- a/packages/core/hickoryreach/lists/key_edits.py
+++ b/packages/core/hickoryreach/lists/key_edits.py
@@ -4,11 +4,11 @@
 
 from returns import result
 
-from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import plans
 
 Keys = tuple[plans.Key, ...]
-Build = Callable[[plans.Plans], result.Result[plans.Plans, editor.Refused]]
+Build = Callable[[plans.Plans], result.Result[plans.Plans, edits.Refused]]
 
 
 def grant_key(workspace: str, key: plans.Key) -> Build:
@@ -31,10 +31,10 @@
 
 def _change_keys(
     document: plans.Plans, workspace: str, change: Callable[[Keys], Keys]
-) -> result.Result[plans.Plans, editor.Refused]:
+) -> result.Result[plans.Plans, edits.Refused]:
     if workspace not in [row.workspace for row in document.plans]:
         return result.Failure(
-            editor.Refused(faults=(f"there is no workspace {workspace}",))
+            edits.Refused(faults=(f"there is no workspace {workspace}",))
         )
     rows = tuple(
         row.model_copy(update={"keys": change(row.keys)})
--- a/packages/core/hickoryreach/lists/storage.py
+++ b/packages/core/hickoryreach/lists/storage.py
@@ -82,6 +82,16 @@
     )
 
 
+def read_settled(
+    client: store.Store, name: str
+) -> result.Result[Kept, exceptions.StoreFailure]:
+    """Reads a list, again where a roll took its snapshot meanwhile."""
+    read = read_list(client, name)
+    if isinstance(read, result.Failure):
+        read = read_list(client, name)
+    return read
+
+
 def read_segment(
     client: store.Store, name: str, revision: int
 ) -> result.Result[heads.Segment | None, exceptions.StoreFailure]:
--- /dev/null
+++ b/packages/core/hickoryreach/lists/swaps.py
@@ -0,0 +1,76 @@
+"""The compare-and-swap that carries a change, also when answers are lost."""
+
+import gevent
+from returns import result
+
+from hickoryreach import exceptions
+from hickoryreach.lists import edits
+from hickoryreach.lists import heads
+from hickoryreach.lists import storage
+from hickoryreach.platform import store
+
+ATTEMPTS = 5
+RETRY_S = 0.2
+
+
+def swap(
+    client: store.Store, name: str, kept: storage.Kept, head: heads.Head
+) -> result.Result[heads.Head, edits.Failure]:
+    """Swaps the head; a lost answer is settled by the change's token."""
+    reason = ""
+    for _ in range(ATTEMPTS):
+        written = client.put_if(
+            heads.get_head_key(name), heads.pack(head), index=kept.index
+        )
+        if isinstance(written, result.Success):
+            return result.Success(head)
+        if isinstance(written.failure(), exceptions.Conflict):
+            return settle(client, name, kept, head)
+        reason = written.failure().reason
+        gevent.sleep(RETRY_S)
+    return result.Failure(
+        edits.Unavailable(reason=reason, token=head.token, index=kept.index)
+    )
+
+
+def settle(
+    client: store.Store, name: str, kept: storage.Kept, head: heads.Head
+) -> result.Result[heads.Head, edits.Failure]:
+    """Tells a lost race from one's own write whose answer was lost."""
+    reason = ""
+    for _ in range(ATTEMPTS):
+        read = storage.read_settled(client, name)
+        if isinstance(read, result.Failure):
+            reason = read.failure().reason
+            gevent.sleep(RETRY_S)
+            continue
+        newest = read.unwrap()
+        found = find_change(client, name, newest.head, head.revision)
+        if isinstance(found, result.Failure):
+            reason = found.failure().reason
+            continue
+        if found.unwrap() and found.unwrap().token == head.token:
+            return result.Success(head)
+        return result.Failure(edits.Outdated(kept=newest))
+    return result.Failure(
+        edits.Unavailable(reason=reason, token=head.token, index=kept.index)
+    )
+
+
+def find_change(
+    client: store.Store, name: str, head: heads.Head, revision: int
+) -> result.Result[heads.Change | None, exceptions.StoreFailure]:
+    """Returns the change that led to a revision, from head or segments."""
+    changes = head.changes
+    base = head.base_revision
+    while revision <= base:
+        read = storage.read_segment(client, name, base)
+        if isinstance(read, result.Failure):
+            return result.Failure(read.failure())
+        segment = read.unwrap()
+        if segment is None:
+            return result.Success(None)
+        changes = segment.changes
+        base = segment.base_revision
+    found = [row for row in changes if row.revision == revision]
+    return result.Success(found[0] if found else None)
--- a/packages/entry/hickoryreach_entry/api/changes.py
+++ b/packages/entry/hickoryreach_entry/api/changes.py
@@ -5,7 +5,7 @@
 from returns import result
 
 from hickoryreach.lists import documents
-from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.structure import jobs
 from hickoryreach_entry import lists
 from hickoryreach_entry.api import answers
@@ -14,7 +14,7 @@
 RETRY_S = 1
 
 
-def make_change(in_force: lists.Lists, edit: editor.Edit) -> answers.Outcome:
+def make_change(in_force: lists.Lists, edit: edits.Edit) -> answers.Outcome:
     """Makes a change, and answers how it ended."""
     return (
         in_force.edit(edit)
@@ -56,7 +56,7 @@
     }
 
 
-def refuse_faults(refused: editor.Refused, status: int) -> problems.Problem:
+def refuse_faults(refused: edits.Refused, status: int) -> problems.Problem:
     """Returns the problem for a document with faults."""
     return problems.Problem(
         status=status,
@@ -66,12 +66,12 @@
     )
 
 
-def describe_refused(name: str, failure: editor.Refused) -> problems.Problem:
+def describe_refused(name: str, failure: edits.Refused) -> problems.Problem:
     """Returns the problem of a change that would break the lists."""
     return refuse_faults(failure, 422)
 
 
-def describe_outdated(name: str, failure: editor.Outdated) -> problems.Problem:
+def describe_outdated(name: str, failure: edits.Outdated) -> problems.Problem:
     """Returns the problem of a lost race, with the newer list."""
     kept = failure.kept
     return problems.Problem(
@@ -84,7 +84,7 @@
 
 
 def describe_unavailable(
-    name: str, failure: editor.Unavailable
+    name: str, failure: edits.Unavailable
 ) -> problems.Problem:
     """Returns the problem of a store that gave no usable answer."""
     if not failure.token:
@@ -110,7 +110,7 @@
 
 
 PROBLEMS: dict[type, Callable[[str, object], problems.Problem]] = {
-    editor.Refused: describe_refused,
-    editor.Outdated: describe_outdated,
-    editor.Unavailable: describe_unavailable,
+    edits.Refused: describe_refused,
+    edits.Outdated: describe_outdated,
+    edits.Unavailable: describe_unavailable,
 }
--- a/packages/entry/hickoryreach_entry/api/documents.py
+++ b/packages/entry/hickoryreach_entry/api/documents.py
@@ -5,6 +5,7 @@
 
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import plans
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
@@ -53,7 +54,7 @@
         """Makes the change."""
         return changes.make_change(
             self.lists,
-            editor.Edit(
+            edits.Edit(
                 name=name,
                 actor=operator,
                 action="set",
--- a/packages/entry/hickoryreach_entry/api/keys.py
+++ b/packages/entry/hickoryreach_entry/api/keys.py
@@ -3,7 +3,7 @@
 import falcon
 import pydantic
 
-from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
 from hickoryreach_entry.api import answers
@@ -41,7 +41,7 @@
         key = plans.Key(key_id=grant.key_id, hash=grant.hash)
         return changes.make_change(
             self.lists,
-            editor.Edit(
+            edits.Edit(
                 name="plans",
                 actor=operator,
                 action="grant",
@@ -63,7 +63,7 @@
         return self.access.find_operator(req).bind(
             lambda operator: changes.make_change(
                 self.lists,
-                editor.Edit(
+                edits.Edit(
                     name="plans",
                     actor=operator,
                     action="withdraw",
--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -11,10 +11,12 @@
 from hickoryreach.lists import allowances
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import freshness
 from hickoryreach.lists import heads
 from hickoryreach.lists import keys
 from hickoryreach.lists import plans
+from hickoryreach.lists import rolls
 from hickoryreach.lists import storage
 from hickoryreach.platform import store
 from hickoryreach.structure import workspaces
@@ -232,7 +234,7 @@
     def repair(self, name: str, index: int) -> None:
         """Writes the list in force over an older one in the store."""
         head = self.heads[name]
-        repaired = editor.repair(
+        repaired = rolls.repair(
             self.client, name, head, self.flats[name], index
         )
         log.warning(
@@ -244,7 +246,7 @@
             },
         )
 
-    def edit(self, edit: editor.Edit) -> editor.Outcome:
+    def edit(self, edit: edits.Edit) -> edits.Outcome:
         """Makes a change, and puts an accepted one in force here at once."""
         self.editing += 1
         try:
@@ -254,12 +256,12 @@
             self.editing -= 1
         return outcome
 
-    def settle(self, name: str, outcome: editor.Outcome) -> None:
+    def settle(self, name: str, outcome: edits.Outcome) -> None:
         """Takes in how a change ended."""
         if isinstance(outcome, result.Success):
             accepted = outcome.unwrap()
             self.take_head(name, accepted.head, accepted.flat)
-        elif isinstance(outcome.failure(), editor.Unavailable):
+        elif isinstance(outcome.failure(), edits.Unavailable):
             failure = outcome.failure()
             if failure.token:
                 self.unsettled[name] = failure.index
--- a/standins/list_costs.py
+++ b/standins/list_costs.py
@@ -13,6 +13,7 @@
 from hickoryreach.lists import allowances
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
@@ -100,7 +101,7 @@
 def grant(client: store.Store, number: int, workspaces: int) -> None:
     """Grants one more key."""
     workspace = f"workspace-{number % workspaces}"
-    edit = editor.Edit(
+    edit = edits.Edit(
         name="plans",
         actor="operator-1",
         action="grant",
--- a/tests/core/lists/test_editor.py
+++ b/tests/core/lists/test_editor.py
@@ -6,16 +6,18 @@
 
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
 from hickoryreach.lists import storage
+from hickoryreach.lists import swaps
 from tests.core.lists import fakes
 
 
-def grant(workspace: str, number: int, **fields) -> editor.Edit:
+def grant(workspace: str, number: int, **fields) -> edits.Edit:
     """Returns the grant of one more key."""
-    return editor.Edit(
+    return edits.Edit(
         name="plans",
         actor="ops",
         action="grant",
@@ -27,9 +29,9 @@
     )
 
 
-def replace(document: plans.Plans, revision: int) -> editor.Edit:
+def replace(document: plans.Plans, revision: int) -> edits.Edit:
     """Returns the replacement of the list of plans."""
-    return editor.Edit(
+    return edits.Edit(
         name="plans",
         actor="ops",
         action="set",
@@ -43,8 +45,8 @@
 
     def setUp(self):
         self.store = fakes.build_store("north", "south")
-        retry_s = editor.RETRY_S
-        editor.RETRY_S = 0.0
+        retry_s = swaps.RETRY_S
+        swaps.RETRY_S = 0.0
         self.addCleanup(setattr, editor, "RETRY_S", retry_s)
 
     def read(self) -> storage.Kept:
@@ -66,7 +68,7 @@
         self.store.before_write = race
         edit = replace(fakes.build_plans("north"), revision=1)
         failure = editor.change(self.store, edit).failure()
-        self.assertIsInstance(failure, editor.Outdated)
+        self.assertIsInstance(failure, edits.Outdated)
         self.assertEqual(failure.kept.head.revision, 2)
         self.assertIn("plans/south/keys/south-2/hash", self.read().flat)
 
@@ -111,14 +113,14 @@
     def test_change_without_any_answer_is_unclear(self):
         self.store.before_write = lambda: setattr(self.store, "down", True)
         failure = editor.change(self.store, grant("north", 2)).failure()
-        self.assertIsInstance(failure, editor.Unavailable)
+        self.assertIsInstance(failure, edits.Unavailable)
         self.assertNotEqual(failure.token, "")
 
     def test_restored_older_store_takes_no_change(self):
         failure = editor.change(
             self.store, grant("north", 2, floor=7)
         ).failure()
-        self.assertIsInstance(failure, editor.Unavailable)
+        self.assertIsInstance(failure, edits.Unavailable)
         self.assertEqual(failure.token, "")
         self.assertEqual(self.read().head.revision, 1)
 
@@ -129,7 +131,7 @@
         self.assertEqual(kept.head.revision, 99)
         self.assertLessEqual(len(heads.pack(kept.head)), heads.HEAD_LIMIT_BYTES)
         found = [
-            editor.find_change(self.store, "plans", kept.head, r).unwrap()
+            swaps.find_change(self.store, "plans", kept.head, r).unwrap()
             for r in range(1, 100)
         ]
         self.assertEqual([c.revision for c in found], list(range(1, 100)))
@@ -143,7 +145,7 @@
         kept = self.read()
         self.assertEqual((kept.head.revision, kept.head.changes), (2, ()))
         self.assertEqual(kept.flat, accepted.flat)
-        found = editor.find_change(self.store, "plans", kept.head, 2).unwrap()
+        found = swaps.find_change(self.store, "plans", kept.head, 2).unwrap()
         self.assertEqual(found, accepted.head.changes[-1])
         editor.change(self.store, grant("w7", 2)).unwrap()
         self.assertEqual(self.read().head.revision, 3)
@@ -162,7 +164,7 @@
         )
 
     def test_withdrawn_key_is_gone_and_twice_is_no_fault(self):
-        edit = editor.Edit(
+        edit = edits.Edit(
             name="plans",
             actor="ops",
             action="withdraw",
--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
@@ -112,7 +112,7 @@
     def test_audit_pages_lead_through_every_segment(self):
         for number in range(2, 60):
             self.entry.lists.edit(
-                editor.Edit(
+                edits.Edit(
                     name="plans",
                     actor="ops",
                     action="grant",
--- a/tests/entry/test_lists.py
+++ b/tests/entry/test_lists.py
@@ -4,9 +4,11 @@
 
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import storage
+from hickoryreach.lists import swaps
 from hickoryreach_entry import lists
 from tests.core.lists import fakes
 
@@ -39,7 +41,7 @@
 
     def withdraw(self, entry: lists.Lists, workspace: str = "north"):
         return entry.edit(
-            editor.Edit(
+            edits.Edit(
                 name="plans",
                 actor="ops",
                 action="withdraw",
@@ -59,7 +61,7 @@
     def grant(self, numbers: range) -> None:
         for number in numbers:
             self.first.edit(
-                editor.Edit(
+                edits.Edit(
                     name="plans",
                     actor="ops",
                     action="grant",
@@ -143,11 +145,11 @@
     def test_entry_with_an_unclear_change_is_not_agreed_with(self):
         self.exchange()
         self.store.before_write = lambda: setattr(self.store, "down", True)
-        retry_s = editor.RETRY_S
-        editor.RETRY_S = 0.0
+        retry_s = swaps.RETRY_S
+        swaps.RETRY_S = 0.0
         self.addCleanup(setattr, editor, "RETRY_S", retry_s)
         self.assertEqual(
-            type(self.withdraw(self.first).failure()), editor.Unavailable
+            type(self.withdraw(self.first).failure()), edits.Unavailable
         )
         for _ in range(10):
             self.now_s += 1
