Settle a change against a restored store and a rolled head

Cause: a change that found its own write missing was taken for one that had lost a race. Where the store had gone back after the write took effect, or had lost the audit segment, the operator was told not_run, or the change was made a second time with another token, although entries may have the first in force. Such a change is unclear now and names its token. The other way round, a roll moves the head's index without a newer revision: a change on the newest revision was refused as outdated by a list of that same revision. It is tried again.

--- a/packages/core/hickoryreach/lists/editor.py
+++ b/packages/core/hickoryreach/lists/editor.py
@@ -22,18 +22,26 @@
 
 
 def change(client: store.Store, edit: edits.Edit) -> edits.Outcome:
-    """Makes a change; a race that needs no revision is tried again."""
+    """Makes a change; a lost race is tried again where it may be won."""
     outcome = _change_once(client, edit)
     for _ in range(ATTEMPTS):
-        lost = isinstance(outcome, result.Failure) and isinstance(
-            outcome.failure(), edits.Outdated
-        )
-        if not lost or edit.revision is not None:
+        if not _may_win(edit, outcome):
             return outcome
         outcome = _change_once(client, edit)
     return outcome
 
 
+def _may_win(edit: edits.Edit, outcome: edits.Outcome) -> bool:
+    """Returns whether a change lost a race, and not for its revision."""
+    if isinstance(outcome, result.Success):
+        return False
+    failure = outcome.failure()
+    return isinstance(failure, edits.Outdated) and edit.revision in (
+        None,
+        failure.kept.head.revision,
+    )
+
+
 def _change_once(client: store.Store, edit: edits.Edit) -> edits.Outcome:
     read = storage.read_settled(client, edit.name)
     if isinstance(read, result.Failure):
--- a/packages/core/hickoryreach/lists/swaps.py
+++ b/packages/core/hickoryreach/lists/swaps.py
@@ -28,9 +28,7 @@
             return settle(client, name, kept, head)
         reason = written.failure().reason
         gevent.sleep(RETRY_S)
-    return result.Failure(
-        edits.Unavailable(reason=reason, token=head.token, index=kept.index)
-    )
+    return result.Failure(leave_open(kept, head, reason))
 
 
 def settle(
@@ -39,24 +37,53 @@
     """Tells a lost race from one's own write whose answer was lost."""
     reason = ""
     for _ in range(ATTEMPTS):
-        read = storage.read_settled(client, name)
-        if isinstance(read, result.Failure):
-            reason = read.failure().reason
-            gevent.sleep(RETRY_S)
-            continue
-        newest = read.unwrap()
-        found = find_change(client, name, newest.head, head.revision)
-        if isinstance(found, result.Failure):
-            reason = found.failure().reason
-            continue
-        if found.unwrap() and found.unwrap().token == head.token:
-            return result.Success(head)
+        read = storage.read_settled(client, name).bind(
+            lambda newest: find_change(
+                client, name, newest.head, head.revision
+            ).map(lambda found: judge(kept, head, newest, found))
+        )
+        if isinstance(read, result.Success):
+            return read.unwrap()
+        reason = read.failure().reason
+        gevent.sleep(RETRY_S)
+    return result.Failure(leave_open(kept, head, reason))
+
+
+def judge(
+    kept: storage.Kept,
+    head: heads.Head,
+    newest: storage.Kept,
+    found: heads.Change | None,
+) -> result.Result[heads.Head, edits.Failure]:
+    """Returns how a swap ended whose index was not the newest.
+
+    Args:
+        kept: The list that the change was made on.
+        head: Head with the change.
+        newest: The list as it is now.
+        found: The change that led to the revision of `head`, if any.
+    """
+    if found is not None and found.token == head.token:
+        return result.Success(head)
+    if found is not None or is_rolled(kept.head, newest.head):
         return result.Failure(edits.Outdated(kept=newest))
     return result.Failure(
-        edits.Unavailable(reason=reason, token=head.token, index=kept.index)
+        leave_open(kept, head, "the store went back, or lost a record")
     )
 
 
+def is_rolled(before: heads.Head, after: heads.Head) -> bool:
+    """Returns whether a head differs from an earlier one by a roll alone."""
+    return after.revision == before.revision and after != before
+
+
+def leave_open(
+    kept: storage.Kept, head: heads.Head, reason: str
+) -> edits.Unavailable:
+    """Returns the failure of a change that may have been accepted."""
+    return edits.Unavailable(reason=reason, token=head.token, index=kept.index)
+
+
 def find_change(
     client: store.Store, name: str, head: heads.Head, revision: int
 ) -> result.Result[heads.Change | None, exceptions.StoreFailure]:
--- a/tests/core/lists/test_editor.py
+++ b/tests/core/lists/test_editor.py
@@ -10,6 +10,7 @@
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
+from hickoryreach.lists import rolls
 from hickoryreach.lists import storage
 from hickoryreach.lists import swaps
 from tests.core.lists import fakes
@@ -47,7 +48,7 @@
         self.store = fakes.build_store("north", "south")
         retry_s = swaps.RETRY_S
         swaps.RETRY_S = 0.0
-        self.addCleanup(setattr, editor, "RETRY_S", retry_s)
+        self.addCleanup(setattr, swaps, "RETRY_S", retry_s)
 
     def read(self) -> storage.Kept:
         return storage.read_list(self.store, "plans").unwrap()
@@ -110,6 +111,61 @@
         self.assertEqual(accepted.head.revision, 2)
         self.assertGreater(self.read().head.base_revision, 2)
 
+    def test_change_on_the_newest_revision_outlives_a_roll_of_the_head(self):
+        kept = self.read()
+        self.store.before_write = lambda: rolls.compact(
+            self.store, "plans", kept.head, kept.flat
+        )
+        edit = replace(fakes.build_plans("north"), revision=1)
+        accepted = editor.change(self.store, edit).unwrap()
+        self.assertEqual(accepted.head.revision, 2)
+        self.assertEqual(self.read().head.base_revision, 1)
+
+    def test_lost_answer_from_a_store_that_was_restored_is_unclear(self):
+        older = dict(self.store.values)
+        editor.change(self.store, grant("south", 2)).unwrap()
+        newest = dict(self.store.values)
+        for backup in (older, newest):
+            self.store.values = dict(newest)
+            self.store.put_if = self.make_restoring_put(backup)
+            failure = editor.change(self.store, grant("north", 2)).failure()
+            self.assertIsInstance(failure, edits.Unavailable)
+            self.assertNotEqual(failure.token, "")
+
+    def make_restoring_put(self, backup):
+        real = type(self.store).put_if
+
+        def put_and_restore(key, data, *, index):
+            real(self.store, key, data, index=index).unwrap()
+            self.store.index += 1
+            self.store.values = {
+                kept: (value, self.store.index)
+                for kept, (value, _) in backup.items()
+            }
+            del self.store.put_if
+            return self.store.fail()
+
+        return put_and_restore
+
+    def test_lost_answer_is_unclear_when_the_segment_is_gone(self):
+        real = self.store.put_if
+
+        def put_and_lose(key, data, *, index):
+            written = real(key, data, index=index)
+            if key != "hickoryreach/lists/plans":
+                return written
+            self.store.put_if = real
+            for number in range(3, 40):
+                editor.change(self.store, grant("south", number)).unwrap()
+            for gone in [k for k in self.store.values if heads.SEGMENTS in k]:
+                del self.store.values[gone]
+            return self.store.fail()
+
+        self.store.put_if = put_and_lose
+        failure = editor.change(self.store, grant("north", 2)).failure()
+        self.assertIsInstance(failure, edits.Unavailable)
+        self.assertNotEqual(failure.token, "")
+
     def test_change_without_any_answer_is_unclear(self):
         self.store.before_write = lambda: setattr(self.store, "down", True)
         failure = editor.change(self.store, grant("north", 2)).failure()
--- a/tests/entry/test_lists.py
+++ b/tests/entry/test_lists.py
@@ -3,7 +3,6 @@
 import unittest
 
 from hickoryreach.lists import documents
-from hickoryreach.lists import editor
 from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
@@ -147,7 +146,7 @@
         self.store.before_write = lambda: setattr(self.store, "down", True)
         retry_s = swaps.RETRY_S
         swaps.RETRY_S = 0.0
-        self.addCleanup(setattr, editor, "RETRY_S", retry_s)
+        self.addCleanup(setattr, swaps, "RETRY_S", retry_s)
         self.assertEqual(
             type(self.withdraw(self.first).failure()), edits.Unavailable
         )
