--- a/standins/plays.py
+++ b/standins/scenarios.py
@@ -49,7 +49,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Play:
+class Scenario:
     """What is run on one deployment.
 
     Attributes:
@@ -128,7 +128,7 @@
     workspace="east",
 )
 
-CEDARLINE = Play(
+CEDARLINE = Scenario(
     deployment=cell.Deployment(name="cedarline", service="registry"),
     steps=(
         Step(
@@ -170,7 +170,7 @@
         REFUSED,
     ),
 )
-ASSOCIATION = Play(
+ASSOCIATION = Scenario(
     deployment=cell.Deployment(name="association", service="vouchers"),
     steps=(
         Step(
