Name bounds of work once, and move entitlements to the lists

Cause: the bounds on tasks, amounts and times stood as bare numbers in three modules, and what a workspace may use was worked out among the code that follows the lists. Behaviour is unchanged.

--- a/packages/core/hickoryreach/lists/allowances.py
+++ b/packages/core/hickoryreach/lists/allowances.py
@@ -12,6 +12,12 @@
 WORD_PATTERN = r"^-{0,2}[A-Za-z0-9][A-Za-z0-9_.-]{0,31}$"
 SHARE_MAX = 1_000_000.0
 EXIT_CODE_MAX = 255
+TASKS_MAX = 100_000
+TIME_MAX_MS = 2**40
+STEP_WAIT_MAX_MS = 60_000
+AMOUNT_MAX = 2**40
+COUNT_MAX = 2**30
+REQUEST_SLOTS = 1
 
 StepName = Annotated[str, pydantic.Field(pattern=STEP_PATTERN)]
 Word = Annotated[str, pydantic.Field(pattern=WORD_PATTERN)]
@@ -28,10 +34,10 @@
         slots: Concurrent requests.
     """
 
-    cpu_millis: int = pydantic.Field(default=0, ge=0, le=2**40)
-    memory_mb: int = pydantic.Field(default=0, ge=0, le=2**40)
-    accelerators: int = pydantic.Field(default=0, ge=0, le=2**30)
-    slots: int = pydantic.Field(default=0, ge=0, le=2**30)
+    cpu_millis: int = pydantic.Field(default=0, ge=0, le=AMOUNT_MAX)
+    memory_mb: int = pydantic.Field(default=0, ge=0, le=AMOUNT_MAX)
+    accelerators: int = pydantic.Field(default=0, ge=0, le=COUNT_MAX)
+    slots: int = pydantic.Field(default=0, ge=0, le=COUNT_MAX)
 
     def to_resources(self) -> resources.Resources:
         """Returns the amount as used inside."""
@@ -90,10 +96,10 @@
     idempotent: bool = True
     urgent: bool = False
     preemptible: bool = False
-    tasks: int = pydantic.Field(default=1, ge=1, le=100_000)
+    tasks: int = pydantic.Field(default=1, ge=1, le=TASKS_MAX)
     need: Amount = Amount()
-    run_time_ms: int = pydantic.Field(default=0, ge=0, le=2**40)
-    wait_ms: int = pydantic.Field(default=0, ge=0, le=60_000)
+    run_time_ms: int = pydantic.Field(default=0, ge=0, le=TIME_MAX_MS)
+    wait_ms: int = pydantic.Field(default=0, ge=0, le=STEP_WAIT_MAX_MS)
     output: str = "$reference $state"
     words: dict[jobs.JobState, str] = {}
     exit_codes: dict[jobs.JobState, ExitCode] = {}
--- a/packages/core/hickoryreach/runbooks/fields.py
+++ b/packages/core/hickoryreach/runbooks/fields.py
@@ -5,6 +5,7 @@
 import re
 
 from hickoryreach.decisions import registry
+from hickoryreach.lists import allowances
 from hickoryreach.structure import resources
 
 MS_PER_S = 1_000
@@ -59,8 +60,8 @@
     """Sets the number of tasks; a range such as 1-12 counts its members."""
     first, separator, last = value.partition("-")
     count = int(last) - int(first) + 1 if separator else int(value)
-    if not 1 <= count <= 100_000:
-        raise ValueError("ask for 1 to 100000 tasks")
+    if not 1 <= count <= allowances.TASKS_MAX:
+        raise ValueError(f"ask for 1 to {allowances.TASKS_MAX} tasks")
     return dataclasses.replace(work, tasks=count)
 
 
@@ -119,7 +120,9 @@
 
 
 def _set_need(work: Work, **amounts: int) -> Work:
-    if any(not 0 <= amount <= 2**40 for amount in amounts.values()):
+    if any(
+        not 0 <= amount <= allowances.AMOUNT_MAX for amount in amounts.values()
+    ):
         raise ValueError("an amount is out of range")
     return dataclasses.replace(
         work, need=dataclasses.replace(work.need, **amounts)
@@ -127,6 +130,6 @@
 
 
 def _set_run_time(work: Work, run_time_ms: int) -> Work:
-    if not 0 <= run_time_ms <= 2**40:
+    if not 0 <= run_time_ms <= allowances.TIME_MAX_MS:
         raise ValueError("the run time is out of range")
     return dataclasses.replace(work, run_time_ms=run_time_ms)
--- a/packages/core/hickoryreach/runbooks/steps.py
+++ b/packages/core/hickoryreach/runbooks/steps.py
@@ -16,7 +16,6 @@
 
 SUBMIT = "submit"
 REFERENCE = "reference"
-REQUEST_SLOTS = 1
 EXIT_OK = 0
 EXIT_RAN_BADLY = 1
 EXIT_NOT_RUN = 3
@@ -144,7 +143,7 @@
 def _add_slot(step: allowances.Step, work: fields.Work) -> fields.Work:
     if step.kind is not jobs.Kind.REQUEST or work.need.slots:
         return work
-    need = dataclasses.replace(work.need, slots=REQUEST_SLOTS)
+    need = dataclasses.replace(work.need, slots=allowances.REQUEST_SLOTS)
     return dataclasses.replace(work, need=need)
 
 
--- a/packages/entry/hickoryreach_entry/api/submissions.py
+++ b/packages/entry/hickoryreach_entry/api/submissions.py
@@ -12,9 +12,6 @@
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import job_ids
 
-REQUEST_SLOTS = 1
-TASKS_MAX = 100_000
-TIME_MAX_MS = 2**40
 WAVE_PATTERN = r"^[^/\s]*$"
 
 
@@ -28,13 +25,15 @@
     kind: jobs.Kind = jobs.Kind.BATCH
     command: str = pydantic.Field(min_length=1, max_length=1_000)
     arguments: tuple[str, ...] = ()
-    tasks: int = pydantic.Field(default=1, ge=1, le=TASKS_MAX)
+    tasks: int = pydantic.Field(default=1, ge=1, le=allowances.TASKS_MAX)
     need: allowances.Amount = allowances.Amount()
-    run_time_ms: int = pydantic.Field(default=0, ge=0, le=TIME_MAX_MS)
+    run_time_ms: int = pydantic.Field(
+        default=0, ge=0, le=allowances.TIME_MAX_MS
+    )
     idempotent: bool = True
     urgent: bool = False
     preemptible: bool = False
-    timeout_ms: int = pydantic.Field(default=0, ge=0, le=TIME_MAX_MS)
+    timeout_ms: int = pydantic.Field(default=0, ge=0, le=allowances.TIME_MAX_MS)
     wave: str = pydantic.Field(default="", max_length=200, pattern=WAVE_PATTERN)
     service: str = pydantic.Field(default="", max_length=63)
 
@@ -58,7 +57,7 @@
     fields = submission.model_dump(exclude={"need"})
     need = submission.need
     if submission.kind is jobs.Kind.REQUEST and not need.slots:
-        need = need.model_copy(update={"slots": REQUEST_SLOTS})
+        need = need.model_copy(update={"slots": allowances.REQUEST_SLOTS})
     return jobs.Job(
         **fields,
         job_id=job_ids.make(
--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -12,6 +12,7 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
 from hickoryreach.lists import edits
+from hickoryreach.lists import entitlements
 from hickoryreach.lists import freshness
 from hickoryreach.lists import heads
 from hickoryreach.lists import keys
@@ -276,21 +277,4 @@
 
     def get_entitlements(self) -> tuple[workspaces.Entitlement, ...]:
         """Returns the entitlement of every workspace."""
-        by_plan = {row.plan: row for row in self.allowances.allowances}
-        return tuple(
-            build_entitlement(plan.workspace, by_plan[plan.plan])
-            for plan in self.plans.plans
-            if plan.plan in by_plan
-        )
-
-
-def build_entitlement(
-    workspace: str, allowance: allowances.Allowance
-) -> workspaces.Entitlement:
-    """Returns what a workspace may use under its plan."""
-    limit = allowance.limit
-    return workspaces.Entitlement(
-        workspace=workspace,
-        share=allowance.share,
-        limit=limit.to_resources() if limit else None,
-    )
+        return entitlements.build(self.plans, self.allowances)
