Name open queues among those to submit to, and shorten functions

Cause: the refusal of a queue left out the queues open to all, and the longest functions of the command line's client, of access and of the steps each did two things. A query that cannot be encoded is not sent, and reported so.

--- a/packages/cli/hickoryreach_cli/client.py
+++ b/packages/cli/hickoryreach_cli/client.py
@@ -75,20 +75,14 @@
             body: JSON value, or None for no body.
             query: Parameters; one that is None or empty is left out.
         """
-        given = {
-            name: value
-            for name, value in (query or {}).items()
-            if value not in (None, "")
-        }
-        if given:
-            path = f"{path}?{urllib.parse.urlencode(given)}"
         try:
+            target = add_query(path, query or {})
             data = b"" if body is None else orjson.dumps(body)
-        except orjson.JSONEncodeError as error:
+        except (UnicodeEncodeError, orjson.JSONEncodeError) as error:
             return self.fail(str(error), jobs.Ran.NOT_RUN)
         try:
             with gevent.Timeout(self.settings.timeout_s, OSError("timeout")):
-                return self.send(method, path, data)
+                return self.send(method, target, data)
         except ConnectionRefusedError:
             return self.fail("connection refused", jobs.Ran.NOT_RUN)
         except (OSError, ValueError, http.client.HTTPException) as error:
@@ -101,16 +95,20 @@
             NoReply(reason=f"{self.settings.url}: {reason}", ran=ran)
         )
 
-    def send(self, method: str, path: str, data: bytes) -> Outcome:
-        """Sends one call over a connection of its own."""
+    def connect(self) -> geventhttpclient.HTTPClient:
+        """Returns a client for one connection, which is opened when used."""
         parts = urllib.parse.urlsplit(self.settings.url)
-        http_client = geventhttpclient.HTTPClient(
+        return geventhttpclient.HTTPClient(
             parts.hostname,
             port=parts.port,
             ssl=parts.scheme == "https",
             connection_timeout=CONNECT_TIMEOUT_S,
             network_timeout=self.settings.timeout_s,
         )
+
+    def send(self, method: str, path: str, data: bytes) -> Outcome:
+        """Sends one call over a connection of its own."""
+        http_client = self.connect()
         headers = {"Content-Type": "application/json"}
         key = self.settings.key.get_secret_value()
         if key:
@@ -130,6 +128,14 @@
         )
 
 
+def add_query(path: str, query: dict[str, object]) -> str:
+    """Returns a path with parameters; one that is None or empty is left out."""
+    given = {
+        name: value for name, value in query.items() if value not in (None, "")
+    }
+    return f"{path}?{urllib.parse.urlencode(given)}" if given else path
+
+
 def quote(part: str) -> str:
     """Returns one part of a path, safe to stand in a URL."""
     return urllib.parse.quote(part, safe="")
--- a/packages/core/hickoryreach/runbooks/steps.py
+++ b/packages/core/hickoryreach/runbooks/steps.py
@@ -73,26 +73,20 @@
         if row.plan == plan
         for step in row.steps
     )
+    if name in allowed and name in document.steps:
+        return result.Success(document.steps[name])
     advice = (
         f"Use one of: {', '.join(allowed)}."
         if allowed
         else "Submit the work with `hickoryreach submit`."
     )
-    if name not in document.steps:
-        return result.Failure(
-            Refusal(
-                reason="unknown_step",
-                detail=f"{name} is not mapped. {advice}",
-            )
-        )
-    if name not in allowed:
-        return result.Failure(
-            Refusal(
-                reason="step_not_allowed",
-                detail=f"Plan {plan} may not use {name}. {advice}",
-            )
-        )
-    return result.Success(document.steps[name])
+    if name in document.steps:
+        reason = "step_not_allowed"
+        fault = f"Plan {plan} may not use {name}."
+    else:
+        reason = "unknown_step"
+        fault = f"{name} is not mapped."
+    return result.Failure(Refusal(reason=reason, detail=f"{fault} {advice}"))
 
 
 def translate(
--- a/packages/entry/hickoryreach_entry/api/access.py
+++ b/packages/entry/hickoryreach_entry/api/access.py
@@ -114,31 +114,36 @@
         self, caller: Caller, name: str, queue: allowances.Queue | None
     ) -> result.Result[Caller, problems.Problem]:
         """Returns the caller if its plan may use a queue."""
-        allowed = [
-            row
-            for allowance in self.lists.allowances.allowances
-            if allowance.plan == caller.plan
-            for row in allowance.queues
-        ]
+        allowed = self.find_queues(caller.plan)
         if queue is None:
-            return result.Failure(
-                problems.Problem(
-                    status=422,
-                    reason="unknown_queue",
-                    detail=f"Submit to one of: {', '.join(allowed)}.",
-                )
+            problem = problems.Problem(
+                status=422,
+                reason="unknown_queue",
+                detail=f"Submit to one of: {', '.join(allowed)}.",
             )
-        if name not in allowed and not queue.open:
-            return result.Failure(
-                problems.Problem(
-                    status=403,
-                    reason="queue_not_allowed",
-                    detail=f"Plan {caller.plan} may submit to one of: "
-                    f"{', '.join(allowed)}.",
-                )
+            return result.Failure(problem)
+        if name not in allowed:
+            problem = problems.Problem(
+                status=403,
+                reason="queue_not_allowed",
+                detail=f"Plan {caller.plan} may submit to one of: "
+                f"{', '.join(allowed)}.",
             )
+            return result.Failure(problem)
         return result.Success(caller)
 
+    def find_queues(self, plan: str) -> list[str]:
+        """Returns the queues that a plan may use, and those open to all."""
+        document = self.lists.allowances
+        allowed = [
+            name
+            for row in document.allowances
+            if row.plan == plan
+            for name in row.queues
+        ]
+        opened = [row.name for row in document.queues if row.open]
+        return sorted({*allowed, *opened})
+
     def find_operator(
         self, req: falcon.Request
     ) -> result.Result[str, problems.Problem]:
--- a/packages/entry/hickoryreach_entry/api/health.py
+++ b/packages/entry/hickoryreach_entry/api/health.py
@@ -1,5 +1,7 @@
 """Resources for the balancer and for metrics."""
 
+from collections.abc import Callable
+
 import falcon
 import prometheus_client
 
@@ -15,7 +17,7 @@
 class Ready:
     """Answers whether the balancer should send callers here."""
 
-    def __init__(self, *, is_ready) -> None:
+    def __init__(self, *, is_ready: Callable[[], bool]) -> None:
         """Keeps the check."""
         self.is_ready = is_ready
 
--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -47,6 +47,8 @@
     """Both lists, followed through a watch and through peers.
 
     Attributes:
+        client: The platform's store.
+        clock: Monotonic clock, in s.
         plans: The plans in force.
         allowances: The allowances in force.
         keys: Every key in force, by digest.
@@ -57,6 +59,7 @@
         unsettled: Head index under which a change of unknown outcome was
             sent, by list.
         editing: Number of changes under way.
+        refused: List, revision and reason of each head refused so far.
         relay: Exchanges the lists with peers.
         listeners: Called without arguments after a change.
     """
@@ -81,9 +84,9 @@
         self.freshness = freshness.Freshness()
         self.unsettled: dict[str, int] = {}
         self.editing = 0
-        self.refused: set[tuple] = set()
+        self.refused: set[tuple[str, int, str]] = set()
         self.relay = list_relay.ListRelay(in_force=self)
-        self.listeners: list = []
+        self.listeners: list[Callable[[], None]] = []
         age_s.set_function(self.fresh_s)
 
     def start(self) -> None:
