--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -49,6 +49,20 @@
         _begin(shard, record)
 
 
+def reconsider(shard: state.ShardState) -> None:
+    """Lets a gang of a workspace with less go before one that must wait."""
+    record = shard.gathering
+    if record is None or record.job.urgent or not shard.gangs:
+        return
+    part = ordering.get_part(shard.workspaces[record.job.workspace])
+    if part <= shard.served_key:
+        return
+    best = min(_rank(shard, name) for name in shard.gangs)
+    if best[0] is False or best[1] < part:
+        disband(shard, record)
+        queue(shard, record)
+
+
 def _take_next(shard: state.ShardState) -> state.JobRecord:
     name = min(shard.gangs, key=lambda name: _rank(shard, name))
     group = shard.gangs[name]
@@ -99,6 +113,8 @@
         careful=ordering.is_careful(job),
     )
     shard.gathering = record
+    if job.urgent:
+        shard.lacking[job.job_id] = record
     if gang.reserving:
         record.reserve_turns += 1
         bound_ms = shard.settings.gang_reserve_ms << record.reserve_turns
--- a/packages/core/hickoryreach/decisions/state.py
+++ b/packages/core/hickoryreach/decisions/state.py
@@ -81,7 +81,8 @@
         confirmed: Whether some of it has run.
         doubtful: Whether some of it may have run.
         queue: The queue it stands in, or None.
-        spread: Attempts by failure domain and by rack, of a service.
+        spread: Attempts of a service by failure domain and rack; an empty
+            rack stands for the whole domain.
         gang: Progress of a gang's reservation, or None.
         reserve_turns: Times that it reserved room as a gang.
         claims: Room being made for tasks of it.
@@ -108,7 +109,7 @@
     confirmed: bool = False
     doubtful: bool = False
     queue: JobQueue | None = None
-    spread: collections.Counter[str] = dataclasses.field(
+    spread: collections.Counter[tuple[str, str]] = dataclasses.field(
         default_factory=collections.Counter
     )
     gang: Gang | None = None
@@ -209,9 +210,9 @@
         priority: Lower goes first.
         queues: Heap of order key, sequence and queue.
         pushed: Key of its valid entry in the shard's heap, or None.
+        pushed_blocked: Key of its valid entry among blocked lanes, or None.
         blocked: Whether no worker had room at the last search.
         blocked_ms: When it became blocked.
-        placed_ms: When a task of it was last placed.
         misfit_ms: Since when no worker is large enough, or -1.
         candidates: Workers that gained room since it was blocked.
         gang: Gang that gathers here, or None.
@@ -228,9 +229,9 @@
         default_factory=list
     )
     pushed: float | None = None
+    pushed_blocked: float | None = None
     blocked: bool = False
     blocked_ms: int = 0
-    placed_ms: int = 0
     misfit_ms: int = -1
     candidates: dict[str, None] = dataclasses.field(default_factory=dict)
     gang: JobRecord | None = None
@@ -255,6 +256,8 @@
         succeeded_on: Workers it succeeded on lately.
         failed_on: Workers it failed on lately.
         tokens: Repeats it may make now.
+        pool: What is known about the command in all workspaces, or None.
+        members: Profiles of the workspaces, where this is the pool.
     """
 
     cpu_millis: collections.deque[int] = dataclasses.field(
@@ -276,6 +279,8 @@
     succeeded_on: dict[str, None] = dataclasses.field(default_factory=dict)
     failed_on: dict[str, None] = dataclasses.field(default_factory=dict)
     tokens: float = 10.0
+    pool: Profile | None = None
+    members: list[Profile] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -389,14 +394,16 @@
         free: Index of the room for new tasks.
         reclaim: Index of the room that displacing would give.
         pools: Workers of each minion service, the freest first.
-        racks: Workers by rack.
+        racks: Workers by failure domain and rack.
         lanes: Lanes by key.
         order: Heap of lanes that may have room.
         blocked: Lanes without room, by pool.
+        blocked_order: Heaps of blocked lanes by pool, by order key.
+        grown: Workers that gained room and are not offered yet, by pool.
         kept: Room kept for large tasks.
         served_key: Key of the queue that an ordinary task was placed from.
         served_sequence: Sequence of that task's job.
-        pressing: Urgent lanes without room.
+        lacking: Urgent jobs for whose tasks no room is made yet.
         limited: Urgent queues that their workspace's limit holds back.
         profiles: What is known about commands, by workspace and command.
         resized: Profiles whose learned size may have changed.
@@ -449,7 +456,7 @@
     pools: dict[str, capacity.SlotIndex] = dataclasses.field(
         default_factory=dict
     )
-    racks: dict[tuple[str, str], dict[str, WorkerRecord]] = dataclasses.field(
+    racks: dict[str, dict[str, dict[str, WorkerRecord]]] = dataclasses.field(
         default_factory=dict
     )
     lanes: dict[tuple[Any, ...], Lane] = dataclasses.field(default_factory=dict)
@@ -459,12 +466,16 @@
     blocked: dict[str, sortedcontainers.SortedKeyList] = dataclasses.field(
         default_factory=lambda: collections.defaultdict(_make_blocked)
     )
+    blocked_order: dict[str, list[tuple[int, float, int, Lane]]] = (
+        dataclasses.field(default_factory=dict)
+    )
+    grown: dict[tuple[str, str], WorkerRecord] = dataclasses.field(
+        default_factory=dict
+    )
     kept: list[Claim] = dataclasses.field(default_factory=list)
     served_key: float = 0.0
     served_sequence: int = 0
-    pressing: dict[tuple[Any, ...], Lane] = dataclasses.field(
-        default_factory=dict
-    )
+    lacking: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     limited: dict[tuple[Any, ...], JobQueue] = dataclasses.field(
         default_factory=dict
     )
@@ -523,4 +534,5 @@
             or self.clearing
             or self.launching
             or self.ready
+            or self.grown
         )
