--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -97,10 +97,12 @@
         """Reads one key; an absent key gives no values."""
         return self._read("get", f"/v1/kv/{key}", self.timeout_s)
 
-    def get_prefix(self, prefix: str) -> Read:
-        """Reads every key below a prefix."""
+    def get_prefix(self, prefix: str, *, timeout_s: float = 0.0) -> Read:
+        """Reads every key below a prefix, within `timeout_s` if it is given."""
         return self._read(
-            "get", f"/v1/kv/{prefix}?recurse=true", self.timeout_s
+            "get",
+            f"/v1/kv/{prefix}?recurse=true",
+            timeout_s or self.timeout_s,
         )
 
     def watch(
--- a/packages/entry/hickoryreach_entry/owner/journal.py
+++ b/packages/entry/hickoryreach_entry/owner/journal.py
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.2
+TAKE_TIMEOUT_S = 15.0
 SEGMENT_LIMIT_BYTES = 700_000
 FLOOR_BYTES = 4_000_000
 KEEP_BYTES = 200_000
@@ -112,7 +113,9 @@
     def take(self) -> result.Result[None, exceptions.StoreFailure]:
         """Reads the journal and becomes its owner, at the first free number."""
         while not self.closed:
-            read = self.client.get_prefix(prefix(self.shard))
+            read = self.client.get_prefix(
+                prefix(self.shard), timeout_s=TAKE_TIMEOUT_S
+            )
             if isinstance(read, result.Failure):
                 return read
             self.read_image(read.unwrap())
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -72,7 +72,7 @@
         values = (found,) if found else ()
         return result.Success(store.Snapshot(values=values, index=self.index))
 
-    def get_prefix(self, prefix: str) -> store.Read:
+    def get_prefix(self, prefix: str, *, timeout_s: float = 0.0) -> store.Read:
         """Reads the keys below a prefix."""
         if self.down:
             return result.Failure(FAILURE)
