Bound what entries and owners keep of finished requests

Cause: each carried attempt stayed for 300 s with its answer, the reducer kept 200,000 final jobs and each reply of a worker walked all requests in flight; at 2,500 requests a second that passes 256 MB. Listing shows finished jobs from the image too.

--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -23,6 +23,7 @@
 HELD_S = 60.0
 HELD_REPEAT_S = 5.0
 OUTCOME_S = 300.0
+TAKEN_S = 5.0
 RELAY_LIMIT_BYTES = 262_144
 
 
@@ -316,20 +317,25 @@
         """Reports outcomes that no owner has taken in yet."""
         now = time.monotonic()
         for job_id, group in list(self.carried.items()):
-            old = [
-                carried
-                for carried in group
-                if carried.outcome is not None
-                and now - carried.ended_at > OUTCOME_S
-            ]
-            for carried in old:
-                group.remove(carried)
-            if not group:
+            if self.is_over(job_id, group, now):
                 del self.carried[job_id]
+                continue
             if shard is None or assignment.shard_of_job(job_id) == shard:
                 for carried in group:
                     self.report(carried)
 
+    def is_over(self, job_id: str, group: list[Carried], now: float) -> bool:
+        """Returns whether a request's attempts may be forgotten.
+
+        A late copy of a dispatch must find its attempt while the request may
+        still be sent.
+        """
+        if job_id in self.held or any(not each.outcome for each in group):
+            return False
+        taken = all(each.taken for each in group)
+        length_s = TAKEN_S if taken else OUTCOME_S
+        return now - max(each.ended_at for each in group) > length_s
+
     def repeat_held(self, now: float) -> None:
         """Submits held requests again that no caller waits for."""
         for job_id, held in list(self.held.items()):
@@ -361,6 +367,8 @@
         for carried in self.carried.get(notice.job_id, ()):
             if carried.attempt == notice.taken_attempt:
                 carried.taken = True
+                if carried.outcome is not None:
+                    carried.outcome.answer = b""
 
     def is_carried(self, job_id: str) -> bool:
         """Returns whether an attempt is being sent."""
@@ -378,7 +386,6 @@
         group = self.carried.setdefault(dispatch.job_id, [])
         for known in group:
             if known.attempt == carried.attempt:
-                known.taken = False
                 self.report(known)
                 return
             if known.attempt > carried.attempt:
--- a/packages/entry/hickoryreach_entry/owner/carriers.py
+++ b/packages/entry/hickoryreach_entry/owner/carriers.py
@@ -128,12 +128,14 @@
         owner.emit(events.JobCancelled(job_id=key.job_id))
         return
     now = time.monotonic()
-    owner.requests.live[key.job_id] = requests.Dispatched(
-        key=key,
-        worker_id=effect.worker_id,
-        entry=entry,
-        valid_until=now,
-        limit=now + requests.get_timeout_s(effect.job) + LIMIT_MARGIN_S,
+    owner.requests.add(
+        requests.Dispatched(
+            key=key,
+            worker_id=effect.worker_id,
+            entry=entry,
+            valid_until=now,
+            limit=now + requests.get_timeout_s(effect.job) + LIMIT_MARGIN_S,
+        )
     )
     hand_out(owner, effect.job)
 
--- a/packages/entry/hickoryreach_entry/owner/requests.py
+++ b/packages/entry/hickoryreach_entry/owner/requests.py
@@ -73,6 +73,7 @@
 
     Attributes:
         live: Attempts by job id.
+        by_worker: The same by worker, then by job id.
         inherited: Jobs not restored yet, by id.
         holders: Entry that holds the newest caller, by job id.
         unheld: Dispatches that wait for an entry to hold a caller, with the
@@ -82,6 +83,7 @@
     def __init__(self) -> None:
         """Creates an empty set."""
         self.live: dict[str, Dispatched] = {}
+        self.by_worker: dict[str, dict[str, Dispatched]] = {}
         self.inherited: dict[str, Inherited] = {}
         self.holders: dict[str, str] = {}
         self.unheld: dict[str, tuple[effects.DispatchRequest, float]] = {}
@@ -101,26 +103,45 @@
     def adopt(self, inherited: Inherited, now: float) -> None:
         """Follows an attempt of an earlier owner like one's own."""
         intent = inherited.intent
-        self.live[intent.key.job_id] = Dispatched(
-            key=intent.key,
-            worker_id=intent.worker_id,
-            entry=intent.entry,
-            valid_until=now,
-            limit=now + get_timeout_s(inherited.progress.job),
-            adopted=True,
+        self.add(
+            Dispatched(
+                key=intent.key,
+                worker_id=intent.worker_id,
+                entry=intent.entry,
+                valid_until=now,
+                limit=now + get_timeout_s(inherited.progress.job),
+                adopted=True,
+            )
         )
 
+    def add(self, dispatched: Dispatched) -> None:
+        """Follows an attempt, in place of an earlier one of its job."""
+        job_id = dispatched.key.job_id
+        if job_id in self.live:
+            self.drop(self.live[job_id])
+        self.live[job_id] = dispatched
+        group = self.by_worker.setdefault(dispatched.worker_id, {})
+        group[job_id] = dispatched
+
+    def drop(self, dispatched: Dispatched) -> None:
+        """Follows an attempt no more."""
+        del self.live[dispatched.key.job_id]
+        group = self.by_worker[dispatched.worker_id]
+        del group[dispatched.key.job_id]
+        if not group:
+            del self.by_worker[dispatched.worker_id]
+
     def settle(self, key: jobs.TaskKey) -> None:
         """Forgets an attempt that has ended."""
         live = self.live.get(key.job_id)
         if live is not None and live.key == key:
-            del self.live[key.job_id]
+            self.drop(live)
 
     def is_used(self, worker_id: str, now: float) -> bool:
         """Returns whether a request may still run at a worker's minion."""
         return any(
-            each.worker_id == worker_id and now < each.limit
-            for each in self.live.values()
+            now < each.limit
+            for each in self.by_worker.get(worker_id, {}).values()
         )
 
     def list_gone(
@@ -128,8 +149,8 @@
     ) -> Iterator[events.TaskEnded]:
         """Yields the end of each attempt that a worker's list rules out."""
         worker_id = worker_link.worker.worker_id
-        for each in list(self.live.values()):
-            if each.worker_id == worker_id and each.is_gone(worker_link):
+        for each in list(self.by_worker.get(worker_id, {}).values()):
+            if each.is_gone(worker_link):
                 yield end_unclear(each)
 
     def list_overdue(self, now: float) -> Iterator[events.TaskEnded]:
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -11,6 +11,7 @@
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import events
 from hickoryreach.decisions import reducer
+from hickoryreach.decisions import settings as decision_settings
 from hickoryreach.decisions import state
 from hickoryreach.platform import instances
 from hickoryreach.platform import store
@@ -43,7 +44,9 @@
 FLUSH_S = 2.0
 FAR_AHEAD_MS = 10**12
 JOURNAL_PART = 0.8
-REMEMBERED_LIMIT = 200_000
+REMEMBERED_LIMIT = 100_000
+FORGET_MS = 60_000
+FINAL_JOBS_LIMIT = 20_000
 
 
 class ShardOwner:
@@ -91,7 +94,11 @@
         self.on_ready = on_ready
         self.count_entries = count_entries
         self.is_member = is_member
-        self.state = state.ShardState()
+        self.state = state.ShardState(
+            settings=decision_settings.Settings(
+                forget_ms=FORGET_MS, final_jobs_limit=FINAL_JOBS_LIMIT
+            )
+        )
         self.requests = requests.Requests()
         self.watchers: dict[str, set[str]] = {}
         self.inbox: queue.Queue = queue.Queue()
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -406,6 +406,17 @@
             and (not request.state or record.state == request.state)
         ):
             yield notices.describe_record(record)
+    if request.wave:
+        return
+    for job_id in owner.journal.image.remembered:
+        finished = owner.journal.image.jobs[job_id].finished
+        if (
+            finished.workspace == request.workspace
+            and job_id > after
+            and job_id not in owner.state.jobs
+            and (not request.state or finished.state == request.state)
+        ):
+            yield notices.describe_finished(finished)
 
 
 def split_envelope(
--- a/tests/entry/test_front.py
+++ b/tests/entry/test_front.py
@@ -164,6 +164,23 @@
         self.assertEqual(len(self.list_outcomes()), 2)
         self.assertFalse(self.front.is_busy())
 
+    def test_a_taken_outcome_is_forgotten_once_nothing_can_be_sent(self):
+        caller = self.submit(idempotent=False)
+        self.front.take_dispatch(make_dispatch())
+        gevent.sleep(0)
+        self.carrying[0][1].set(SUCCEEDED)
+        gevent.sleep(0)
+        self.front.take_notice(make_notice("", taken_attempt=1, taken_term=1))
+        later = time.monotonic() + front.TAKEN_S + 1.0
+        with mock.patch.object(time, "monotonic", return_value=later):
+            self.front.repeat_outcomes(None)
+            self.assertIn("0.a", self.front.carried)
+        self.front.take_notice(make_notice("succeeded"))
+        caller.get()
+        with mock.patch.object(time, "monotonic", return_value=later):
+            self.front.repeat_outcomes(None)
+        self.assertEqual(self.front.carried, {})
+
     def test_a_refusal_of_another_call_is_not_taken(self):
         caller = self.submit(wait_s=0.2)
         self.front.take_notice(
