--- a/standins/load.py
+++ b/standins/load.py
@@ -155,11 +155,15 @@
     def settle(
         self, url: str, *, timeout_s: float
     ) -> dict[str, checker.Answer]:
-        """Asks for each acknowledged piece until its state is final."""
+        """Asks for each piece without a final answer until it has one."""
         deadline = time.monotonic() + timeout_s
         names = {a.piece for a in self.answers if a.status in ACKNOWLEDGED}
-        final: dict[str, checker.Answer] = {}
-        for name in sorted(names):
+        final = {
+            answer.piece: answer
+            for answer in self.answers
+            if answer.status in ACKNOWLEDGED and is_final(answer)
+        }
+        for name in sorted(names - final.keys()):
             final[name] = self.query(url, name)
             while not is_final(final[name]) and time.monotonic() < deadline:
                 time.sleep(POLL_S)
