--- a/tests/integration/test_owner_lost.py
+++ b/tests/integration/test_owner_lost.py
@@ -79,3 +79,21 @@
         self.assertEqual(self.trial.count("request", "retried"), 1)
         self.assertEqual(self.trial.find_violations(url), [])
         self.revive(first)
+
+
+class UnseenWorkerTest(cases.CellCase):
+    """The owner dies while a worker runs its tasks out of everyone's sight."""
+
+    def test_owner_killed_while_a_worker_is_out_of_reach(self):
+        owner = self.trial.find_owner()
+        url = self.cell.entries[(owner + 1) % self.entries].public_url
+        work = load.Work(name="unseen", tasks=40, run_ms=2200)
+        self.ledger.submit(url, work, wait_ms=0)
+        self.trial.wait_for_begin("unseen", tasks=30)
+        self.cell.set_rules({"target": "worker-0", "cut": True})
+        self.cell.entries[owner].kill()
+        self.trial.wait_for_new_owner(owner)
+        cases.wait_until(
+            lambda: self.trial.count("end", "unseen") >= 40,
+        )
+        self.assertEqual(self.trial.find_violations(url), [])
--- a/tests/integration/test_workers.py
+++ b/tests/integration/test_workers.py
@@ -39,6 +39,7 @@
         self.ledger.submit_all(self.trial.urls, works, wait_ms=20_000)
         self.assert_promises_hold()
 
+    @cases.long_only
     def test_silent_worker_runs_on(self):
         self.submit_running("silent")
         self.cell.workers[0].control(mode="silent")
@@ -46,6 +47,7 @@
         self.cell.workers[0].control(mode="normal")
         self.assert_promises_hold()
 
+    @cases.long_only
     def test_frozen_worker_thawed(self):
         self.submit_running("frozen-worker")
         self.cell.workers[0].freeze()
@@ -61,6 +63,7 @@
         self.ledger.submit(self.trial.urls[0], load.Work(name="after-lie"))
         self.assert_promises_hold()
 
+    @cases.long_only
     def test_garbling_worker(self):
         self.submit_running("garbled", idempotent=False)
         self.cell.workers[0].control(mode="garble")
@@ -68,6 +71,7 @@
         self.cell.workers[0].control(mode="normal")
         self.assert_promises_hold()
 
+    @cases.long_only
     def test_one_way_cuts_of_half_the_workers(self):
         for direction in ("hold_up", "hold_down"):
             with self.subTest(direction):
@@ -77,6 +81,7 @@
                 self.cell.set_rules()
                 self.assert_promises_hold()
 
+    @cases.long_only
     def test_late_and_dropped_answers_of_workers(self):
         self.cell.set_rules(
             {"target": "worker-*", "delay_ms": 150, "jitter_ms": 300},
@@ -89,6 +94,7 @@
         self.ledger.submit_all(self.trial.urls, works, wait_ms=3_000)
         self.assert_promises_hold()
 
+    @cases.long_only
     def test_owner_cut_off_from_every_worker(self):
         self.submit_running("owner-without-workers")
         owner = self.trial.find_owner()
