--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -90,7 +90,7 @@
         """Opens a port in front of a target and returns its number."""
 
         def serve(connection, address):
-            source = self.find_source(address[1])
+            source = self.find_source(address[1], server.server_port)
             Link(
                 network=self,
                 source=source,
@@ -103,9 +103,9 @@
         server.start()
         return server.server_port
 
-    def find_source(self, port: int) -> str:
-        """Returns the name of the process that uses a local port."""
-        inode = find_inode(port)
+    def find_source(self, port: int, listening: int) -> str:
+        """Returns the name of the process that opened a connection."""
+        inode = find_inode(port, listening)
         for process, name in self.sources.items():
             if inode and owns_socket(process, inode):
                 return name
@@ -220,12 +220,15 @@
                 reset_socket(end)
 
 
-def find_inode(port: int) -> str:
-    """Returns the inode of the loopback socket bound to a port, or empty."""
-    wanted = f":{port:04X}"
+def find_inode(port: int, remote: int) -> str:
+    """Returns the inode of the loopback socket between two ports, or empty.
+
+    One local port may serve connections to several remote ones.
+    """
     for line in pathlib.Path("/proc/net/tcp").read_text().splitlines()[1:]:
         fields = line.split()
-        if fields[1].endswith(wanted) and fields[9] != "0":
+        ends = [int(end.rsplit(":", 1)[1], 16) for end in fields[1:3]]
+        if ends == [port, remote] and fields[9] != "0":
             return fields[9]
     return ""
 
