--- a/standins/cell.py
+++ b/standins/cell.py
@@ -5,6 +5,7 @@
 import json
 import os
 import pathlib
+import re
 import signal
 import socket
 import subprocess
@@ -22,6 +23,7 @@
 PORT_COUNT = 22_000
 PORTS_PER_PROCESS = 211
 ADVERTISE_VARIABLE = "HICKORYREACH_PEER_ADVERTISE"
+SHARD_TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
 ENTRY_MODULE = "hickoryreach_entry"
 
 searched = itertools.count()
@@ -154,6 +156,10 @@
         self.signal(signal.SIGTERM)
         return self.popen.wait(timeout_s)
 
+    def ask(self) -> None:
+        """Asks the process to end, without waiting for it."""
+        self.signal(signal.SIGTERM)
+
     def control(self, **fields: object) -> None:
         """Brings a fault about in a stand-in."""
         put(f"{self.url}/control", fields)
@@ -329,6 +335,18 @@
         with path.open("a") as record:
             record.write(json.dumps(line) + "\n")
 
+    def find_owner(self, shard: int = 0) -> int:
+        """Returns the number of the entry that last took a shard."""
+        takes = []
+        for number, entry in enumerate(self.entries):
+            text = pathlib.Path(entry.log_path).read_text()
+            takes += [
+                (int(term), number)
+                for taken, term in SHARD_TAKEN.findall(text)
+                if int(taken) == shard
+            ]
+        return max(takes)[1]
+
     def wait_until_ready(self) -> None:
         """Waits until each entry is ready.
 
--- a/tests/integration/cases.py
+++ b/tests/integration/cases.py
@@ -2,8 +2,6 @@
 
 import dataclasses
 import os
-import pathlib
-import re
 import tempfile
 import time
 import unittest
@@ -30,7 +28,6 @@
     "slots": 10**6,
 }
 LEASES_S = 1.5 + 2.5 + 2.5
-TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -58,15 +55,7 @@
 
     def find_owner(self, shard: int = 0) -> int:
         """Returns the number of the entry that last took a shard."""
-        takes = []
-        for number, entry in enumerate(self.cell.entries):
-            text = pathlib.Path(entry.log_path).read_text()
-            takes += [
-                (int(term), number)
-                for taken, term in TAKEN.findall(text)
-                if int(taken) == shard
-            ]
-        return max(takes)[1]
+        return self.cell.find_owner(shard)
 
     def wait_for_new_owner(self, old: int, shard: int = 0) -> int:
         """Waits until another entry than the old owner took a shard."""
