--- a/standins/cell.py
+++ b/standins/cell.py
@@ -1,10 +1,11 @@
 """Starts a store, workers and entries as processes on loopback."""
 
 import dataclasses
+import itertools
 import json
 import os
 import pathlib
-import random
+import re
 import signal
 import socket
 import subprocess
@@ -13,19 +14,19 @@
 import urllib.error
 import urllib.request
 
-from hickoryreach_entry.config import settings as entry_settings
-
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
 WORKERS_PER_RACK = 6
 LOG_TAIL_LINES = 12
 FIRST_PORT = 10_000
-LAST_PORT = 32_000
+PORT_COUNT = 22_000
+PORTS_PER_PROCESS = 211
+ADVERTISE_VARIABLE = "HICKORYREACH_PEER_ADVERTISE"
+SHARD_TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
 ENTRY_MODULE = "hickoryreach_entry"
 
-ports = random.SystemRandom()
-taken_ports: set[int] = set()
+searched = itertools.count()
 
 
 @dataclasses.dataclass(kw_only=True)
@@ -51,17 +52,19 @@
 
 
 def find_port() -> int:
-    """Returns a port outside the range of outgoing connections."""
+    """Returns a free port; each process searches from a place of its own.
+
+    The range is outside that of outgoing connections.
+    """
     while True:
-        port = ports.randrange(FIRST_PORT, LAST_PORT)
-        if port in taken_ports:
-            continue
+        port = FIRST_PORT + (
+            (os.getpid() * PORTS_PER_PROCESS + next(searched)) % PORT_COUNT
+        )
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
-        taken_ports.add(port)
         return port
 
 
@@ -109,6 +112,7 @@
         arguments: list[str],
         log: str,
         public_url: str = "",
+        variables: dict[str, str] | None = None,
     ) -> None:
         """Starts the process."""
         self.name = name
@@ -122,6 +126,7 @@
                 stdout=output,
                 stderr=output,
                 stdin=subprocess.DEVNULL,
+                env=os.environ | (variables or {}),
             )
 
     def signal(self, number: int) -> None:
@@ -151,6 +156,10 @@
         self.signal(signal.SIGTERM)
         return self.popen.wait(timeout_s)
 
+    def ask(self) -> None:
+        """Asks the process to end, without waiting for it."""
+        self.signal(signal.SIGTERM)
+
     def control(self, **fields: object) -> None:
         """Brings a fault about in a stand-in."""
         put(f"{self.url}/control", fields)
@@ -283,8 +292,6 @@
             "store-url": self.store.public_url,
             **self.environment,
         }
-        if "peer_advertise" in entry_settings.Settings.model_fields:
-            flags["peer-advertise"] = f"127.0.0.1:{listed}"
         entry = Process(
             name=name,
             url=f"http://127.0.0.1:{port}",
@@ -295,6 +302,7 @@
                 *render_flags(flags),
             ],
             log=f"{self.log_folder}/{name}.log",
+            variables={ADVERTISE_VARIABLE: f"127.0.0.1:{listed}"},
         )
         self.name_sources([*self.entries, entry])
         return entry
@@ -327,6 +335,18 @@
         with path.open("a") as record:
             record.write(json.dumps(line) + "\n")
 
+    def find_owner(self, shard: int = 0) -> int:
+        """Returns the number of the entry that last took a shard."""
+        takes = []
+        for number, entry in enumerate(self.entries):
+            text = pathlib.Path(entry.log_path).read_text()
+            takes += [
+                (int(term), number)
+                for taken, term in SHARD_TAKEN.findall(text)
+                if int(taken) == shard
+            ]
+        return max(takes)[1]
+
     def wait_until_ready(self) -> None:
         """Waits until each entry is ready.
 
