Make the two changes of a key in one place

Cause: granting and withdrawing spelled the same edit, and three tests the same body. Assertions are unchanged.

--- a/packages/entry/hickoryreach_entry/api/keys.py
+++ b/packages/entry/hickoryreach_entry/api/keys.py
@@ -22,7 +22,27 @@
     hash: plans.Hash
 
 
-class Keys(resources.ListResource):
+class KeyResource(resources.ListResource):
+    """Base of the resources that change the keys in the list of plans."""
+
+    def change_keys(
+        self, operator: str, action: str, build: key_edits.Build
+    ) -> answers.Outcome:
+        """Makes a change on the newest revision of the plans."""
+        return changes.make_change(
+            self.lists,
+            edits.Edit(
+                name="plans",
+                actor=operator,
+                action=action,
+                revision=None,
+                build=build,
+                floor=self.lists.revisions["plans"],
+            ),
+        )
+
+
+class Keys(KeyResource):
     """Grants keys."""
 
     @answers.answered
@@ -39,20 +59,12 @@
     def grant(self, operator: str, grant: Grant) -> answers.Outcome:
         """Makes the change."""
         key = plans.Key(key_id=grant.key_id, hash=grant.hash)
-        return changes.make_change(
-            self.lists,
-            edits.Edit(
-                name="plans",
-                actor=operator,
-                action="grant",
-                revision=None,
-                build=key_edits.grant_key(grant.workspace, key),
-                floor=self.lists.revisions["plans"],
-            ),
+        return self.change_keys(
+            operator, "grant", key_edits.grant_key(grant.workspace, key)
         )
 
 
-class Key(resources.ListResource):
+class Key(KeyResource):
     """Withdraws a key."""
 
     @answers.answered
@@ -61,15 +73,9 @@
     ) -> answers.Outcome:
         """Withdraws the key; one that is not granted is no fault."""
         return self.access.find_operator(req).bind(
-            lambda operator: changes.make_change(
-                self.lists,
-                edits.Edit(
-                    name="plans",
-                    actor=operator,
-                    action="withdraw",
-                    revision=None,
-                    build=key_edits.withdraw_key(workspace, key_id),
-                    floor=self.lists.revisions["plans"],
-                ),
+            lambda operator: self.change_keys(
+                operator,
+                "withdraw",
+                key_edits.withdraw_key(workspace, key_id),
             )
         )
--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -19,6 +19,11 @@
     def call(self, method, path, key=fakes.OPERATOR_KEY, **fields):
         return self.entry.call(method, path, key, **fields)
 
+    def grant(self, key_id, key):
+        body = {"workspace": "north", "key_id": key_id}
+        body["hash"] = plans.hash_key(key)
+        return self.call("POST", "/v1/keys", json=body)
+
     def get_plans(self):
         return self.call("GET", "/v1/lists/plans").json
 
@@ -68,15 +73,7 @@
         self.assertEqual(len(wrong.json["faults"]), 1)
 
     def test_granted_key_works_at_once_until_withdrawn(self):
-        self.call(
-            "POST",
-            "/v1/keys",
-            json={
-                "workspace": "north",
-                "key_id": "north-2",
-                "hash": plans.hash_key("fresh"),
-            },
-        )
+        self.grant("north-2", "fresh")
         submission = {"request_id": "r1", "command": "issue"}
         path = "/v1/jobs"
         answer = self.call("POST", path, "fresh", json=submission)
@@ -87,15 +84,7 @@
 
     def test_audit_tells_who_what_and_revisions_without_hashes(self):
         self.call("DELETE", "/v1/keys/north/north-1")
-        self.call(
-            "POST",
-            "/v1/keys",
-            json={
-                "workspace": "north",
-                "key_id": "north-2",
-                "hash": plans.hash_key("fresh"),
-            },
-        )
+        self.grant("north-2", "fresh")
         changes = self.call("GET", "/v1/audit/plans").json["changes"]
         told = [
             (c["actor"], c["action"], c["from_revision"], c["to_revision"])
@@ -138,15 +127,7 @@
 
     def test_audit_tells_which_changes_the_store_lost(self):
         for number in range(2, 60):
-            self.call(
-                "POST",
-                "/v1/keys",
-                json={
-                    "workspace": "north",
-                    "key_id": f"north-{number}",
-                    "hash": plans.hash_key(f"key {number}"),
-                },
-            )
+            self.grant(f"north-{number}", f"key {number}")
         path = "/v1/audit/plans?limit=1000"
         whole = self.call("GET", path).json
         self.assertEqual(whole["lost_up_to"], 0)
