Say in the field's terms what commands map to

Cause: docstrings used stands for, told, nobody and news where map, answer and revision are the terms. No code changed but one function's name.

--- a/packages/cli/hickoryreach_cli/reports.py
+++ b/packages/cli/hickoryreach_cli/reports.py
@@ -38,7 +38,7 @@
 def report(outcome: client.Outcome, show: Callable[[object], Report]) -> Report:
     """Returns the report of a call, shown by `show` if it was carried out."""
     if isinstance(outcome, result.Failure):
-        return report_silence(outcome.failure())
+        return report_no_reply(outcome.failure())
     reply = outcome.unwrap()
     try:
         return report_problem(reply) if reply.is_problem else show(reply.media)
@@ -46,7 +46,7 @@
         return report_unreadable(reply)
 
 
-def report_silence(failure: client.NoReply) -> Report:
+def report_no_reply(failure: client.NoReply) -> Report:
     """Returns the report of a call without a whole answer."""
     return Report(
         exit_code=RAN_CODES[failure.ran],
--- a/packages/core/hickoryreach/lists/allowances.py
+++ b/packages/core/hickoryreach/lists/allowances.py
@@ -63,7 +63,7 @@
 
 
 class Step(plans.Model):
-    """What one command of an old system stands for.
+    """What one command of an old system maps to.
 
     Attributes:
         action: submit, status or cancel.
@@ -81,7 +81,7 @@
         need: Need of one task where no argument gives it.
         run_time_ms: Usual run time of one task, in ms.
         wait_ms: How long the step waits for the end, in ms.
-        output: Line the old command printed; `$name` stands for a field.
+        output: Line the old command printed; `$name` is replaced by a field.
         words: The old system's word for each state.
         exit_codes: The old command's exit code for each state.
     """
@@ -145,7 +145,7 @@
     Attributes:
         allowances: One entry for each plan.
         queues: Every queue.
-        steps: What each old command stands for, as `system.command`.
+        steps: What each old command maps to, as `system.command`.
     """
 
     allowances: tuple[Allowance, ...] = ()
--- a/packages/core/hickoryreach/lists/freshness.py
+++ b/packages/core/hickoryreach/lists/freshness.py
@@ -134,7 +134,8 @@
         Args:
             statement: The statement.
             now_s: Time of receipt.
-            revisions: What is in force here, the peer's news included.
+            revisions: Revision in force here of each list, after the peer's
+                newer ones were applied.
         """
         if statement.instance == self.instance:
             return
--- a/packages/core/hickoryreach/runbooks/__init__.py
+++ b/packages/core/hickoryreach/runbooks/__init__.py
@@ -1,1 +1,1 @@
-"""Commands of retired batch systems and the work they stand for."""
+"""Commands of retired batch systems and the work they map to."""
--- a/packages/core/hickoryreach/runbooks/fields.py
+++ b/packages/core/hickoryreach/runbooks/fields.py
@@ -1,4 +1,4 @@
-"""What an argument of an old command may set on the work it stands for."""
+"""What an argument of an old command may set on the work it maps to."""
 
 from collections.abc import Callable
 import dataclasses
@@ -17,7 +17,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Work:
-    """The work that a command stands for.
+    """The work that a command maps to.
 
     Attributes:
         reference: The old command's own name for the work.
--- a/packages/core/hickoryreach/runbooks/steps.py
+++ b/packages/core/hickoryreach/runbooks/steps.py
@@ -1,4 +1,4 @@
-"""Old commands turned into the work they stand for, and their output."""
+"""Old commands turned into the work they map to, and their output."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -92,7 +92,7 @@
 def translate(
     step: allowances.Step, words: Sequence[str]
 ) -> result.Result[fields.Work, Refusal]:
-    """Returns the work that a command's arguments stand for."""
+    """Returns the work that a command's arguments map to."""
     split = styles.styles.find(step.style)(step.arguments, words)
     return split.lash(lambda fault: result.Failure(_refuse(step, fault))).bind(
         lambda values: _fill(step, values)
--- a/packages/entry/hickoryreach_entry/api/access.py
+++ b/packages/entry/hickoryreach_entry/api/access.py
@@ -1,4 +1,4 @@
-"""Who makes a call: a workspace by its key, an operator, or nobody."""
+"""Authorization: which workspace or operator makes a call."""
 
 import dataclasses
 
--- a/packages/entry/hickoryreach_entry/api/changes.py
+++ b/packages/entry/hickoryreach_entry/api/changes.py
@@ -1,4 +1,4 @@
-"""Changes of the lists, and how they ended, as operators are told."""
+"""Changes of the lists, and their outcomes as HTTP answers."""
 
 from collections.abc import Callable
 
--- a/packages/entry/hickoryreach_entry/api/job_ids.py
+++ b/packages/entry/hickoryreach_entry/api/job_ids.py
@@ -16,7 +16,7 @@
 def make(
     workspace: str, request_id: str, shards: int, open_queue: str = ""
 ) -> str:
-    """Returns the id of the job that a request id stands for.
+    """Returns the id of the job that a request id maps to.
 
     Args:
         workspace: Workspace that the job is counted for.
@@ -30,7 +30,7 @@
 
 
 def make_tag(name: str) -> str:
-    """Returns the part of a job id that stands for a name."""
+    """Returns the part of a job id that is derived from a name."""
     return hashlib.sha256(name.encode()).hexdigest()[:TAG_LENGTH]
 
 
--- a/packages/entry/hickoryreach_entry/api/limits.py
+++ b/packages/entry/hickoryreach_entry/api/limits.py
@@ -18,7 +18,7 @@
     """
 
     def __init__(self, *, most: int) -> None:
-        """Creates a bound that serves nobody yet."""
+        """Creates a bound with no caller counted in."""
         self.most = most
         self.serving = 0
 
--- a/packages/entry/hickoryreach_entry/api/notices.py
+++ b/packages/entry/hickoryreach_entry/api/notices.py
@@ -1,4 +1,4 @@
-"""What callers are told about a job."""
+"""Notices about jobs as HTTP answers."""
 
 import orjson
 from returns import result
@@ -57,7 +57,7 @@
 
 
 def build_problem(notice: messages.Notice) -> problems.Problem:
-    """Returns the problem that a refusal stands for."""
+    """Returns the problem that a refusal maps to."""
     status = STATUSES.get(notice.reason, DEFAULT_STATUS)
     return problems.Problem(
         status=status,
--- a/packages/entry/hickoryreach_entry/api/steps.py
+++ b/packages/entry/hickoryreach_entry/api/steps.py
@@ -50,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Found:
-    """A step and the work that its arguments stand for.
+    """A step and the work that its arguments map to.
 
     Attributes:
         call: The call.
@@ -116,7 +116,7 @@
         return answer(found, waiter)
 
     def submit(self, found: Found, wait_s: float) -> answers.Outcome:
-        """Submits the work that a step stands for."""
+        """Submits the work that a step maps to."""
         try:
             submission = build_submission(found)
         except pydantic.ValidationError as error:
@@ -137,7 +137,7 @@
 
 
 def build_submission(found: Found) -> submissions.Submission:
-    """Returns the submission that a step stands for.
+    """Returns the submission that a step maps to.
 
     Raises:
         pydantic.ValidationError: The arguments ask for too much.
@@ -193,7 +193,7 @@
 
 
 def build_problem(refusal: steps.Refusal) -> problems.Problem:
-    """Returns the problem that a refusal stands for."""
+    """Returns the problem that a refusal maps to."""
     return problems.Problem(
         status=STATUSES.get(refusal.reason, 422),
         reason=refusal.reason,
--- a/standins/sample_steps.py
+++ b/standins/sample_steps.py
@@ -1,4 +1,4 @@
-"""Commands of three retired systems, and the work they stand for."""
+"""Commands of three retired systems, and the work they map to."""
 
 from hickoryreach.lists import allowances
 from hickoryreach.structure import jobs
--- a/standins/scenarios.py
+++ b/standins/scenarios.py
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
-    """Work that the steps stand for, and how often a worker must run it.
+    """Work that the steps map to, and how often a worker must run it.
 
     Attributes:
         system: The old system.
