--- a/tests/integration/test_workers.py
+++ b/tests/integration/test_workers.py
@@ -55,6 +55,7 @@
         self.cell.workers[0].thaw()
         self.assert_promises_hold()
 
+    @cases.long_only
     def test_lying_worker(self):
         self.submit_running("lied-about")
         self.cell.workers[0].control(mode="lie")
