--- a/packages/cli/hickoryreach_cli/reports.py
+++ b/packages/cli/hickoryreach_cli/reports.py
@@ -1,6 +1,7 @@
 """What a command prints, and the exit code it ends with."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 
 import orjson
@@ -37,12 +38,15 @@
 def report(outcome: client.Outcome, show: Callable[[object], Report]) -> Report:
     """Returns the report of a call, shown by `show` if it was carried out."""
     if isinstance(outcome, result.Failure):
-        return report_silence(outcome.failure())
+        return report_no_reply(outcome.failure())
     reply = outcome.unwrap()
-    return report_problem(reply) if reply.is_problem else show(reply.media)
+    try:
+        return report_problem(reply) if reply.is_problem else show(reply.media)
+    except (AttributeError, KeyError, TypeError, ValueError):
+        return report_unreadable(reply)
 
 
-def report_silence(failure: client.NoReply) -> Report:
+def report_no_reply(failure: client.NoReply) -> Report:
     """Returns the report of a call without a whole answer."""
     return Report(
         exit_code=RAN_CODES[failure.ran],
@@ -50,6 +54,17 @@
     )
 
 
+def report_unreadable(reply: client.Reply) -> Report:
+    """Returns the report of an answer that no entry would give."""
+    return Report(
+        exit_code=steps.EXIT_UNKNOWN,
+        errors=(
+            f"status {reply.status}: the answer is not one of an entry "
+            f"(ran: {jobs.Ran.UNKNOWN})",
+        ),
+    )
+
+
 def report_problem(reply: client.Reply) -> Report:
     """Returns the report of a problem, with every fault it lists."""
     problem = reply.media if isinstance(reply.media, dict) else {}
@@ -81,6 +96,12 @@
     return Report(lines=(to_json(media),))
 
 
+def report_page(lines: Sequence[str], after: str) -> Report:
+    """Returns the report of one page; `after` leads to the next, if any."""
+    more = (f"more: --after={after}",) if after else ()
+    return Report(lines=(*lines, *more))
+
+
 def report_usage(fault: str) -> Report:
     """Returns the report of a call that was never made."""
     return Report(exit_code=USAGE_ERROR, errors=(fault,))
--- a/packages/entry/hickoryreach_entry/api/access.py
+++ b/packages/entry/hickoryreach_entry/api/access.py
@@ -1,4 +1,4 @@
-"""Who makes a call: a workspace by its key, an operator, or nobody."""
+"""Authorization: which workspace or operator makes a call."""
 
 import dataclasses
 
@@ -13,6 +13,7 @@
 
 BEARER = "Bearer "
 STALE_RETRY_S = 1
+FIRST_OPERATOR = "first-operator"
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -22,12 +23,12 @@
     Attributes:
         workspace: The workspace.
         plan: Its plan.
-        keyed: Whether a key of the workspace came with the call.
+        open_queue: Queue that lets a call in without a key, else empty.
     """
 
     workspace: str
     plan: str
-    keyed: bool = True
+    open_queue: str = ""
 
 
 class Access:
@@ -67,7 +68,7 @@
         """
         queue = self.find_queue(queue_name)
         if queue is not None and queue.open and not has_key(req):
-            return self.find_workspace(queue.workspace)
+            return self.find_keyless(queue)
         return self.find_caller(req).bind(
             lambda caller: self.check_queue(caller, queue_name, queue)
         )
@@ -75,10 +76,13 @@
     def find_reader(
         self, req: falcon.Request
     ) -> result.Result[Caller, problems.Problem]:
-        """Returns whose jobs a call may see: by its key or an open queue."""
+        """Returns who asks for a job: by key, or by the open queue named.
+
+        A call without a key reaches only jobs that were submitted without one.
+        """
         queue = self.find_queue(req.get_param("queue") or "")
         if queue is not None and queue.open and not has_key(req):
-            return self.find_workspace(queue.workspace)
+            return self.find_keyless(queue)
         return self.find_caller(req)
 
     def find_queue(self, name: str) -> allowances.Queue | None:
@@ -88,67 +92,85 @@
                 return queue
         return None
 
-    def find_workspace(
-        self, workspace: str
+    def find_keyless(
+        self, queue: allowances.Queue
     ) -> result.Result[Caller, problems.Problem]:
-        """Returns the workspace that keyless work is counted for."""
+        """Returns whom work without a key in an open queue is counted for."""
         stale = self.find_staleness()
         if stale is not None:
             return result.Failure(stale)
-        plan = self.lists.keys.workspaces.get(workspace)
+        plan = self.lists.keys.workspaces.get(queue.workspace)
         if plan is None:
             return result.Failure(refuse_key())
         return result.Success(
-            Caller(workspace=workspace, plan=plan.plan, keyed=False)
+            Caller(
+                workspace=plan.workspace,
+                plan=plan.plan,
+                open_queue=queue.name,
+            )
         )
 
     def check_queue(
         self, caller: Caller, name: str, queue: allowances.Queue | None
     ) -> result.Result[Caller, problems.Problem]:
         """Returns the caller if its plan may use a queue."""
-        allowed = [
-            row
-            for allowance in self.lists.allowances.allowances
-            if allowance.plan == caller.plan
-            for row in allowance.queues
-        ]
+        allowed = self.find_queues(caller.plan)
         if queue is None:
-            return result.Failure(
-                problems.Problem(
-                    status=422,
-                    reason="unknown_queue",
-                    detail=f"Submit to one of: {', '.join(allowed)}.",
-                )
+            problem = problems.Problem(
+                status=422,
+                reason="unknown_queue",
+                detail=f"Submit to one of: {', '.join(allowed)}.",
             )
-        if name not in allowed and not queue.open:
-            return result.Failure(
-                problems.Problem(
-                    status=403,
-                    reason="queue_not_allowed",
-                    detail=f"Plan {caller.plan} may submit to one of: "
-                    f"{', '.join(allowed)}.",
-                )
+            return result.Failure(problem)
+        if name not in allowed:
+            problem = problems.Problem(
+                status=403,
+                reason="queue_not_allowed",
+                detail=f"Plan {caller.plan} may submit to one of: "
+                f"{', '.join(allowed)}.",
             )
+            return result.Failure(problem)
         return result.Success(caller)
 
+    def find_queues(self, plan: str) -> list[str]:
+        """Returns the queues that a plan may use, and those open to all."""
+        document = self.lists.allowances
+        allowed = [
+            name
+            for row in document.allowances
+            if row.plan == plan
+            for name in row.queues
+        ]
+        opened = [row.name for row in document.queues if row.open]
+        return sorted({*allowed, *opened})
+
     def find_operator(
         self, req: falcon.Request
     ) -> result.Result[str, problems.Problem]:
         """Returns the name of the operator whose key came with a call."""
-        key = get_key(req)
-        first = self.settings.first_operator_hash
-        if not self.lists.plans.operators:
-            if first and key and plans.hash_key(key) == first:
-                return result.Success("first-operator")
-            return result.Failure(refuse_operator())
         stale = self.find_staleness()
         if stale is not None:
             return result.Failure(stale)
+        key = get_key(req)
+        if not self.lists.plans.operators:
+            return self.check_first_operator(key)
         operator = self.lists.keys.find_operator(key) if key else None
         if operator is None:
             return result.Failure(refuse_operator())
         return result.Success(operator.name)
 
+    def check_first_operator(
+        self, key: str
+    ) -> result.Result[str, problems.Problem]:
+        """Returns the first operator's name if this is the key of the setting.
+
+        Only fresh lists can show that no operator is listed.
+        """
+        first = self.settings.first_operator_hash
+        if first and key and plans.hash_key(key) == first:
+            return result.Success(FIRST_OPERATOR)
+        return result.Failure(refuse_operator())
+
     def find_staleness(self) -> problems.Problem | None:
         """Returns the refusal while newer lists might be in force."""
         if self.lists.fresh_s() <= self.settings.lists_max_age_s:
--- a/packages/entry/hickoryreach_entry/api/audit.py
+++ b/packages/entry/hickoryreach_entry/api/audit.py
@@ -9,13 +9,14 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import heads
 from hickoryreach.lists import storage
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 
 PAGE_DEFAULT = 100
-PAGE_MAX = 1_000
+PAGE_LIMIT = 1_000
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,24 +32,33 @@
     below: int = 0
 
 
-class Audit:
-    """Lists who changed what, the newest change first."""
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Page:
+    """Changes read so far.
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
+    Attributes:
+        rows: The changes, the newest first.
+        place: Where to read on; None at the end.
+        lost_up_to: Newest revision whose record the store has lost; the trail
+            ends there. 0 where it is whole.
+    """
+
+    rows: tuple[heads.Change, ...]
+    place: Cursor | None
+    lost_up_to: int = 0
+
+
+class Audit(resources.ListResource):
+    """Lists who changed what, the newest change first."""
 
     @answers.answered
     def on_get(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers up to `limit` changes, `after` those of the last page."""
-        limit = req.get_param_as_int("limit", min_value=1) or PAGE_DEFAULT
+        limit = parameters.get_limit(req, PAGE_DEFAULT, PAGE_LIMIT)
         return changes.find_name(name).bind(
             lambda known: self.access.find_operator(req).bind(
                 lambda _: parse_cursor(req.get_param("after") or "").bind(
-                    lambda cursor: self.list_changes(
-                        known, cursor, min(limit, PAGE_MAX)
-                    )
+                    lambda cursor: self.list_changes(known, cursor, limit)
                 )
             )
         )
@@ -57,41 +67,51 @@
         self, name: str, cursor: Cursor, limit: int
     ) -> answers.Outcome:
         """Reads changes from the cursor on, backwards."""
-        rows: list[heads.Change] = []
-        place: Cursor | None = cursor
-        while place is not None and len(rows) < limit:
-            read = self.read_part(name, place.segment)
+        page = Page(rows=(), place=cursor)
+        while page.place is not None and len(page.rows) < limit:
+            read = self.read_part(name, page.place.segment)
             if isinstance(read, result.Failure):
                 return result.Failure(
                     changes.store_problem(read.failure().reason)
                 )
-            part = read.unwrap()
-            older = select_older(part, place.below)
-            page = older[: limit - len(rows)]
-            rows += page
-            place = find_next(place, part, older, page)
+            page = extend(page, page.place, read.unwrap(), limit)
         return result.Success(
             answers.Answer(
                 media={
                     "list": name,
-                    "changes": [describe(row) for row in rows],
-                    "after": pack_cursor(place) if place else "",
+                    "changes": [describe(row) for row in page.rows],
+                    "after": pack_cursor(page.place) if page.place else "",
+                    "lost_up_to": page.lost_up_to,
                 }
             )
         )
 
     def read_part(
         self, name: str, segment: int
-    ) -> result.Result[heads.Segment, exceptions.StoreFailure]:
-        """Reads a segment, or the changes in the head as if they were one."""
+    ) -> result.Result[heads.Segment | None, exceptions.StoreFailure]:
+        """Reads a segment, or the changes in the head as if they were one.
+
+        A segment that the store has lost is None.
+        """
         client = self.lists.client
         if not segment:
             return storage.read_head(client, name).map(
                 lambda found: heads.get_segment(found[0])
             )
-        return storage.read_segment(client, name, segment).map(
-            lambda found: found or heads.Segment(base_revision=0, changes=())
-        )
+        return storage.read_segment(client, name, segment)
+
+
+def extend(
+    page: Page, place: Cursor, part: heads.Segment | None, limit: int
+) -> Page:
+    """Returns a page with changes of one more segment, up to a limit."""
+    if part is None:
+        return dataclasses.replace(page, place=None, lost_up_to=place.segment)
+    older = select_older(part, place.below)
+    taken = older[: limit - len(page.rows)]
+    return Page(
+        rows=(*page.rows, *taken), place=find_next(place, part, older, taken)
+    )
 
 
 def select_older(part: heads.Segment, below: int) -> list[heads.Change]:
@@ -122,15 +142,11 @@
 ) -> result.Result[Cursor, problems.Problem]:
     """Returns the cursor that a page ended with."""
     segment, _, below = (text or "0.0").partition(".")
-    if segment.isdecimal() and below.isdecimal():
-        return result.Success(Cursor(segment=int(segment), below=int(below)))
-    return result.Failure(
-        problems.Problem(
-            status=400,
-            reason="malformed",
-            detail="Pass `after` as the last page gave it.",
-        )
-    )
+    ends = parameters.parse_number(segment)
+    bound = parameters.parse_number(below)
+    if ends is None or bound is None:
+        return result.Failure(parameters.refuse_cursor())
+    return result.Success(Cursor(segment=ends, below=bound))
 
 
 def pack_cursor(cursor: Cursor) -> str:
--- a/packages/entry/hickoryreach_entry/api/documents.py
+++ b/packages/entry/hickoryreach_entry/api/documents.py
@@ -5,22 +5,19 @@
 
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import plans
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
 from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import parameters
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 
 
-class Document:
+class Document(resources.ListResource):
     """Reads or replaces one list."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_get(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers the list in force with its revision."""
@@ -57,7 +54,7 @@
         """Makes the change."""
         return changes.make_change(
             self.lists,
-            editor.Edit(
+            edits.Edit(
                 name=name,
                 actor=operator,
                 action="set",
@@ -68,14 +65,9 @@
         )
 
 
-class Check:
+class Check(resources.ListResource):
     """Checks a document, and shows what it would change."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_post(self, req: falcon.Request, name: str) -> answers.Outcome:
         """Answers the faults and the difference; changes nothing."""
@@ -119,9 +111,9 @@
     req: falcon.Request,
 ) -> result.Result[int, problems.Problem]:
     """Returns the revision that a change was made on."""
-    text = req.get_param("revision") or ""
-    if text.isdecimal():
-        return result.Success(int(text))
+    revision = parameters.parse_number(req.get_param("revision") or "")
+    if revision is not None:
+        return result.Success(revision)
     return result.Failure(
         problems.Problem(
             status=400,
--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -11,10 +11,13 @@
 from hickoryreach.lists import allowances
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
+from hickoryreach.lists import entitlements
 from hickoryreach.lists import freshness
 from hickoryreach.lists import heads
 from hickoryreach.lists import keys
 from hickoryreach.lists import plans
+from hickoryreach.lists import rolls
 from hickoryreach.lists import storage
 from hickoryreach.platform import store
 from hickoryreach.structure import workspaces
@@ -44,6 +47,8 @@
     """Both lists, followed through a watch and through peers.
 
     Attributes:
+        client: The platform's store.
+        clock: Monotonic clock, in s.
         plans: The plans in force.
         allowances: The allowances in force.
         keys: Every key in force, by digest.
@@ -54,6 +59,7 @@
         unsettled: Head index under which a change of unknown outcome was
             sent, by list.
         editing: Number of changes under way.
+        refused: List, revision and reason of each head refused so far.
         relay: Exchanges the lists with peers.
         listeners: Called without arguments after a change.
     """
@@ -78,9 +84,9 @@
         self.freshness = freshness.Freshness()
         self.unsettled: dict[str, int] = {}
         self.editing = 0
-        self.refused: set[tuple] = set()
+        self.refused: set[tuple[str, int, str]] = set()
         self.relay = list_relay.ListRelay(in_force=self)
-        self.listeners: list = []
+        self.listeners: list[Callable[[], None]] = []
         age_s.set_function(self.fresh_s)
 
     def start(self) -> None:
@@ -232,7 +238,7 @@
     def repair(self, name: str, index: int) -> None:
         """Writes the list in force over an older one in the store."""
         head = self.heads[name]
-        repaired = editor.repair(
+        repaired = rolls.repair(
             self.client, name, head, self.flats[name], index
         )
         log.warning(
@@ -244,7 +250,7 @@
             },
         )
 
-    def edit(self, edit: editor.Edit) -> editor.Outcome:
+    def edit(self, edit: edits.Edit) -> edits.Outcome:
         """Makes a change, and puts an accepted one in force here at once."""
         self.editing += 1
         try:
@@ -254,12 +260,12 @@
             self.editing -= 1
         return outcome
 
-    def settle(self, name: str, outcome: editor.Outcome) -> None:
+    def settle(self, name: str, outcome: edits.Outcome) -> None:
         """Takes in how a change ended."""
         if isinstance(outcome, result.Success):
             accepted = outcome.unwrap()
             self.take_head(name, accepted.head, accepted.flat)
-        elif isinstance(outcome.failure(), editor.Unavailable):
+        elif isinstance(outcome.failure(), edits.Unavailable):
             failure = outcome.failure()
             if failure.token:
                 self.unsettled[name] = failure.index
@@ -274,21 +280,4 @@
 
     def get_entitlements(self) -> tuple[workspaces.Entitlement, ...]:
         """Returns the entitlement of every workspace."""
-        by_plan = {row.plan: row for row in self.allowances.allowances}
-        return tuple(
-            build_entitlement(plan.workspace, by_plan[plan.plan])
-            for plan in self.plans.plans
-            if plan.plan in by_plan
-        )
-
-
-def build_entitlement(
-    workspace: str, allowance: allowances.Allowance
-) -> workspaces.Entitlement:
-    """Returns what a workspace may use under its plan."""
-    limit = allowance.limit
-    return workspaces.Entitlement(
-        workspace=workspace,
-        share=allowance.share,
-        limit=limit.to_resources() if limit else None,
-    )
+        return entitlements.build(self.plans, self.allowances)
--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -2,7 +2,8 @@
 
 import unittest
 
-from hickoryreach.lists import editor
+from hickoryreach.lists import edits
+from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
 from tests.core.lists import fakes as list_fakes
@@ -18,6 +19,11 @@
     def call(self, method, path, key=fakes.OPERATOR_KEY, **fields):
         return self.entry.call(method, path, key, **fields)
 
+    def grant(self, key_id, key):
+        body = {"workspace": "north", "key_id": key_id}
+        body["hash"] = plans.hash_key(key)
+        return self.call("POST", "/v1/keys", json=body)
+
     def get_plans(self):
         return self.call("GET", "/v1/lists/plans").json
 
@@ -50,8 +56,9 @@
         self.assertEqual(late.json["current"]["document"], document)
 
     def test_revision_is_asked_for(self):
-        answer = self.call("PUT", "/v1/lists/plans", json={})
-        self.assertEqual(answer.status_code, 400)
+        for query in ("", "?revision=x", f"?revision={'9' * 5_000}"):
+            answer = self.call("PUT", f"/v1/lists/plans{query}", json={})
+            self.assertEqual(answer.status_code, 400)
 
     def test_check_shows_faults_and_difference_and_changes_nothing(self):
         document = self.get_plans()["document"]
@@ -66,15 +73,7 @@
         self.assertEqual(len(wrong.json["faults"]), 1)
 
     def test_granted_key_works_at_once_until_withdrawn(self):
-        self.call(
-            "POST",
-            "/v1/keys",
-            json={
-                "workspace": "north",
-                "key_id": "north-2",
-                "hash": plans.hash_key("fresh"),
-            },
-        )
+        self.grant("north-2", "fresh")
         submission = {"request_id": "r1", "command": "issue"}
         path = "/v1/jobs"
         answer = self.call("POST", path, "fresh", json=submission)
@@ -85,15 +84,7 @@
 
     def test_audit_tells_who_what_and_revisions_without_hashes(self):
         self.call("DELETE", "/v1/keys/north/north-1")
-        self.call(
-            "POST",
-            "/v1/keys",
-            json={
-                "workspace": "north",
-                "key_id": "north-2",
-                "hash": plans.hash_key("fresh"),
-            },
-        )
+        self.grant("north-2", "fresh")
         changes = self.call("GET", "/v1/audit/plans").json["changes"]
         told = [
             (c["actor"], c["action"], c["from_revision"], c["to_revision"])
@@ -110,7 +101,7 @@
     def test_audit_pages_lead_through_every_segment(self):
         for number in range(2, 60):
             self.entry.lists.edit(
-                editor.Edit(
+                edits.Edit(
                     name="plans",
                     actor="ops",
                     action="grant",
@@ -130,8 +121,25 @@
             if not after:
                 break
         self.assertEqual(seen, list(range(59, 0, -1)))
-        wrong = self.call("GET", "/v1/audit/plans?after=x")
-        self.assertEqual(wrong.status_code, 400)
+        for after in ("x", f"{'9' * 5_000}.0", f"0.{'9' * 5_000}"):
+            wrong = self.call("GET", f"/v1/audit/plans?after={after}")
+            self.assertEqual(wrong.status_code, 400)
+
+    def test_audit_tells_which_changes_the_store_lost(self):
+        for number in range(2, 60):
+            self.grant(f"north-{number}", f"key {number}")
+        path = "/v1/audit/plans?limit=1000"
+        whole = self.call("GET", path).json
+        self.assertEqual(whole["lost_up_to"], 0)
+        lost = max(
+            int(key.rpartition("/")[2])
+            for key in self.entry.store.values
+            if key.startswith(heads.SEGMENTS)
+        )
+        del self.entry.store.values[heads.get_segment_key("plans", lost)]
+        cut = self.call("GET", path).json
+        self.assertEqual(cut["lost_up_to"], lost)
+        self.assertEqual(cut["changes"][-1]["to_revision"], lost + 1)
 
     def test_store_outage_refuses_changes_truthfully(self):
         self.entry.store.down = True
@@ -168,6 +176,16 @@
         answer = entry.call("GET", "/v1/lists/plans", "first")
         self.assertEqual(answer.status_code, 401)
 
+    def test_first_operator_waits_until_the_lists_were_read(self):
+        entry = fakes.Entry(
+            store=list_fakes.FakeStore(),
+            first_operator_hash=plans.hash_key("first"),
+        )
+        entry.now_s += fakes.SETTINGS.lists_max_age_s + 1
+        answer = entry.call("GET", "/v1/lists/plans", "first")
+        self.assertEqual(answer.status_code, 503)
+        self.assertEqual(answer.json["ran"], "not_run")
+
 
 if __name__ == "__main__":
     unittest.main()
