--- a/tests/core/fuzz/test_found.py
+++ b/tests/core/fuzz/test_found.py
@@ -44,6 +44,22 @@
         self.submit(jobs.Kind.BATCH)
         self.state.teardown()
 
+    def test_task_reported_larger_than_any_worker_gets_an_answer(self):
+        for fake in self.state.fakes.values():
+            fake.honest = False
+        many = {"tasks": 3, "idempotent": True}
+        self.submit(jobs.Kind.SERVICE, urgent=True, **many)
+        self.submit(jobs.Kind.SERVICE, **many)
+        self.submit(
+            jobs.Kind.BATCH,
+            workspace="south",
+            preemptible=True,
+            size=3_000,
+            usage=150,
+            **many,
+        )
+        self.state.teardown()
+
 
 if __name__ == "__main__":
     unittest.main()
