Write back budget that was given up under a conflict

Cause, found by tests.integration.test_limits and reproduced in tests.entry.owner.test_budgets: a shard that lowered what it holds, and then lost the compare-and-swap, took its own lowered amount for written and never gave the parts back. Besides, shards that each kept too little for one task while work waited were stuck for good. What is wanted is now compared with the document, and a shard whose next task does not fit what is free gives back all that it does not use.

--- a/packages/entry/hickoryreach_entry/owner/budgets.py
+++ b/packages/entry/hickoryreach_entry/owner/budgets.py
@@ -179,7 +179,7 @@
             demands = get_demands()
             wanted = self.plan(known, limits, demands)
             short = self.list_short(limits, demands, wanted)
-            if not short and self.is_held(wanted):
+            if not short and self.is_held(known, wanted):
                 return False
             if short:
                 del self.buckets[number]
@@ -187,15 +187,22 @@
         if bucket is None or self.lost:
             return False
         wanted = self.plan(bucket, limits, get_demands())
-        if self.is_held(wanted) and not bucket.unsettled:
+        if self.is_held(bucket, wanted):
             return False
         self.write_bucket(number, bucket, wanted, on_lowered)
         return True
 
-    def is_held(self, wanted: Mapping[str, Parts]) -> bool:
+    def is_held(self, bucket: Bucket, wanted: Mapping[str, Parts]) -> bool:
         """Returns whether nothing needs to be written."""
+        if bucket.unsettled:
+            return False
+        written = {
+            holding.workspace: holding.parts
+            for holding in bucket.document.holdings
+            if holding.shard == self.shard and holding.term == self.term
+        }
         return all(
-            self.held.get(workspace) == parts
+            self.held.get(workspace) == written.get(workspace) == parts
             for workspace, parts in wanted.items()
         )
 
@@ -322,15 +329,21 @@
         """Returns the parts to hold of one workspace.
 
         While work waits, half of what is free is taken, or as much as the
-        next work needs. Without, all but a quarter above what is used goes
-        back after IDLE_S.
+        next work needs. If that is more than is free, all that is not used
+        goes back, so that shards can't each keep too little for one task.
+        Without waiting work, all but a quarter above what is used goes back
+        after IDLE_S.
         """
         used = count_parts(demand.used, limit)
         if demand.needed != resources.NOTHING:
             self.idle_since.pop(workspace, None)
             needed = count_parts(demand.used + demand.needed, limit)
+            if lower(parts, needed) == needed:
+                return parts
+            if lower(add(parts, free), needed) != needed:
+                return lower(parts, used)
             return tuple(
-                have + min(left, max(left // 2, need - have, 0))
+                have + min(left, max(left // 2, need - have))
                 if need > have
                 else have
                 for have, left, need in zip(parts, free, needed, strict=True)
--- a/tests/entry/owner/test_budgets.py
+++ b/tests/entry/owner/test_budgets.py
@@ -92,6 +92,19 @@
         self.balance(30)
         self.assertGreaterEqual(self.shards[1].running, 5)
 
+    def test_shards_that_all_have_work_are_not_stuck(self):
+        limit = resources.Resources(cpu_millis=1_100, memory_mb=99, slots=3)
+        for shard in self.shards:
+            shard.limit = limit
+            shard.waiting = 20
+        done = 0
+        for _ in range(200):
+            self.balance()
+            for shard in self.shards:
+                done += shard.running
+                shard.running = 0
+        self.assertEqual(done, 60)
+
     def test_with_one_shard_the_store_is_left_alone(self):
         alone = budgets.Budgets(client=self.store, shard=0, shards=1)
         entitlements = (self.shards[0].get_entitlement(),)
