Keep to the address at which a worker answers

Cause, found by tests.integration.test_instances with a list that names wrong ports: a changed address replaced the client at once, so every worker became unreachable and its tasks' leases lapsed. A link now leaves an address only when it fails there, and tries the listed and the last good one by turns.

--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -70,6 +70,7 @@
     Attributes:
         worker: The worker.
         client: Calls to the worker.
+        answered_at: Address at which it last answered, or empty.
         authority: The owner's right to act.
         boot: Boot and clock of the last reply, or None.
         joined: Whether the reducer counts the worker in.
@@ -96,7 +97,7 @@
         may_lose: Callable[[str], bool],
         name_request: Callable[[str], jobs.TaskKey],
         leases_until: float,
-        client: platform_workers.WorkerClient,
+        make_client: Callable[[workers.Worker], platform_workers.WorkerClient],
     ) -> None:
         """Creates a link that is not started yet."""
         self.worker = worker
@@ -109,7 +110,9 @@
         self.on_reply = on_reply
         self.may_lose = may_lose
         self.name_request = name_request
-        self.client = client
+        self.make_client = make_client
+        self.client = make_client(worker)
+        self.answered_at = ""
         self.operations: list[platform_workers.Operation] = []
         self.sent_starts: set[jobs.TaskKey] = set()
         self.acknowledged: dict[jobs.TaskKey, None] = {}
@@ -227,6 +230,7 @@
         if failure.stale_term > self.term:
             self.on_stale(failure.stale_term)
             return
+        self.change_address()
         granted = self.authority.granted_until.get(self.worker.worker_id, 0.0)
         if self.reachable and now > granted:
             self.reachable = False
@@ -295,6 +299,7 @@
             boot_id=reply.boot_id, clock_ms=reply.clock_ms, received=received
         )
         self.reachable = True
+        self.answered_at = self.client.address
         self.replied_sent = sent
         self.requests = frozenset(reply.requests)
         self.authority.take_grant(self.worker.worker_id, sent, received)
@@ -395,7 +400,20 @@
         if worker == self.worker:
             return
         self.worker = worker
-        if worker.address != self.client.address:
-            self.client.close()
-            self.client = platform_workers.WorkerClient(address=worker.address)
         self.described = False
+
+    def change_address(self) -> None:
+        """Tries the listed address, and the one that answered, by turns.
+
+        The platform's list may be wrong, so a worker that answers is not
+        left for another address.
+        """
+        addresses = [self.worker.address, self.answered_at]
+        if self.client.address == self.worker.address and self.answered_at:
+            addresses.reverse()
+        if addresses[0] == self.client.address:
+            return
+        self.client.close()
+        self.client = self.make_client(
+            dataclasses.replace(self.worker, address=addresses[0])
+        )
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -120,7 +120,7 @@
             may_lose=self.may_lose,
             name_request=self.name_request,
             leases_until=0.0,
-            client=self.make_client(worker),
+            make_client=self.make_client,
         )
         self.links[worker.worker_id] = opened
         opened.start()
--- a/tests/entry/owner/test_link.py
+++ b/tests/entry/owner/test_link.py
@@ -1,10 +1,12 @@
 """Tests of the link to a worker, with a worker that keeps its own time."""
 
+import dataclasses
 import unittest
 
 from hickoryreach.decisions import events
 from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
+from hickoryreach.structure import workers
 from hickoryreach_entry.owner import grants
 from hickoryreach_entry.owner import link
 from tests.entry import fakes
@@ -21,7 +23,9 @@
         self.clock = fakes.Clock()
         self.enterContext(self.clock.in_force())
         self.worker_clock = fakes.Clock(50.0)
-        self.worker = fakes.FakeWorker(clock=self.worker_clock)
+        self.worker = fakes.FakeWorker(
+            clock=self.worker_clock, address=fakes.make_worker().address
+        )
         self.events = []
         self.stale = []
         self.link = self.make_link(term=5)
@@ -44,9 +48,17 @@
                 job_id=job_id, index=0, attempt=0
             ),
             leases_until=0.0,
-            client=self.worker,
+            make_client=self.connect,
         )
 
+    def connect(self, worker: workers.Worker) -> fakes.FakeWorker:
+        """Returns the worker, or one that is down at another address."""
+        if worker.address == self.worker.address:
+            return self.worker
+        other = fakes.FakeWorker(clock=self.clock, address=worker.address)
+        other.down = True
+        return other
+
     def move(self, seconds: float) -> None:
         """Lets time pass for the owner and the worker."""
         self.clock.move(seconds)
@@ -175,6 +187,31 @@
         self.assertEqual(self.stale, [9])
         self.assertFalse(self.link.joined)
 
+    def test_a_wrong_address_does_not_lose_a_worker_that_answers(self):
+        self.link.sync_once()
+        wrong = dataclasses.replace(fakes.make_worker(), address="w:1")
+        self.link.change_worker(wrong)
+        for number in range(20):
+            self.worker.losing = number % 4 == 0
+            self.link.sync_once()
+            self.move(0.5)
+        self.assertEqual(self.list_events(events.WorkerUnreachable), [])
+
+    def test_a_worker_that_moved_is_found_at_its_new_address(self):
+        moved = fakes.FakeWorker(clock=self.worker_clock, address="w:2")
+        self.link.sync_once()
+        self.worker.down = True
+        self.link.make_client = lambda worker: (
+            moved if worker.address == "w:2" else self.worker
+        )
+        self.link.change_worker(
+            dataclasses.replace(fakes.make_worker(), address="w:2")
+        )
+        for _ in range(3):
+            self.link.sync_once()
+        self.assertEqual(moved.term, 5)
+        self.assertTrue(self.link.reachable)
+
     def test_requests_are_listed_as_running(self):
         self.worker.requests = ("0.r",)
         self.link.sync_once()
