--- a/packages/entry/hickoryreach_entry/api/steps.py
+++ b/packages/entry/hickoryreach_entry/api/steps.py
@@ -19,6 +19,7 @@
 from hickoryreach_entry.api import job_ids
 from hickoryreach_entry.api import notices
 from hickoryreach_entry.api import problems
+from hickoryreach_entry.api import resources
 from hickoryreach_entry.api import submissions
 
 STATUSES = {"step_not_allowed": 403, "unknown_step": 404}
@@ -49,7 +50,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Found:
-    """A step and the work that its arguments stand for.
+    """A step and the work that its arguments map to.
 
     Attributes:
         call: The call.
@@ -64,17 +65,9 @@
     work: fields.Work
 
 
-class Steps:
+class Steps(resources.WorkResource):
     """Runs a step of a runbook."""
 
-    def __init__(
-        self, *, door: front.Front, gate: access.Access, shards: int
-    ) -> None:
-        """Keeps what it needs."""
-        self.front = door
-        self.access = gate
-        self.shards = shards
-
     @answers.answered
     def on_post(self, req: falcon.Request) -> answers.Outcome:
         """Runs the command in the body."""
@@ -123,7 +116,7 @@
         return answer(found, waiter)
 
     def submit(self, found: Found, wait_s: float) -> answers.Outcome:
-        """Submits the work that a step stands for."""
+        """Submits the work that a step maps to."""
         try:
             submission = build_submission(found)
         except pydantic.ValidationError as error:
@@ -135,13 +128,7 @@
                     extra={"faults": bodies.describe_faults(error)},
                 )
             )
-        job = submissions.build_job(
-            submission, found.caller.workspace, self.shards
-        )
-        waiter = self.front.submit(
-            job, body=submissions.build_body(job), wait_s=wait_s
-        )
-        return answer(found, waiter)
+        return answer(found, self.submit_job(submission, found.caller, wait_s))
 
 
 def make_request_id(found: Found) -> str:
@@ -150,7 +137,7 @@
 
 
 def build_submission(found: Found) -> submissions.Submission:
-    """Returns the submission that a step stands for.
+    """Returns the submission that a step maps to.
 
     Raises:
         pydantic.ValidationError: The arguments ask for too much.
@@ -206,7 +193,7 @@
 
 
 def build_problem(refusal: steps.Refusal) -> problems.Problem:
-    """Returns the problem that a refusal stands for."""
+    """Returns the problem that a refusal maps to."""
     return problems.Problem(
         status=STATUSES.get(refusal.reason, 422),
         reason=refusal.reason,
--- a/packages/entry/hickoryreach_entry/api/submissions.py
+++ b/packages/entry/hickoryreach_entry/api/submissions.py
@@ -9,11 +9,9 @@
 
 from hickoryreach.lists import allowances
 from hickoryreach.structure import jobs
+from hickoryreach_entry.api import access
 from hickoryreach_entry.api import job_ids
 
-REQUEST_SLOTS = 1
-TASKS_MAX = 100_000
-TIME_MAX_MS = 2**40
 WAVE_PATTERN = r"^[^/\s]*$"
 
 
@@ -27,13 +25,15 @@
     kind: jobs.Kind = jobs.Kind.BATCH
     command: str = pydantic.Field(min_length=1, max_length=1_000)
     arguments: tuple[str, ...] = ()
-    tasks: int = pydantic.Field(default=1, ge=1, le=TASKS_MAX)
+    tasks: int = pydantic.Field(default=1, ge=1, le=allowances.TASKS_MAX)
     need: allowances.Amount = allowances.Amount()
-    run_time_ms: int = pydantic.Field(default=0, ge=0, le=TIME_MAX_MS)
+    run_time_ms: int = pydantic.Field(
+        default=0, ge=0, le=allowances.TIME_MAX_MS
+    )
     idempotent: bool = True
     urgent: bool = False
     preemptible: bool = False
-    timeout_ms: int = pydantic.Field(default=0, ge=0, le=TIME_MAX_MS)
+    timeout_ms: int = pydantic.Field(default=0, ge=0, le=allowances.TIME_MAX_MS)
     wave: str = pydantic.Field(default="", max_length=200, pattern=WAVE_PATTERN)
     service: str = pydantic.Field(default="", max_length=63)
 
@@ -50,16 +50,20 @@
         return self
 
 
-def build_job(submission: Submission, workspace: str, shards: int) -> jobs.Job:
-    """Returns the job for a checked submission."""
+def build_job(
+    submission: Submission, caller: access.Caller, shards: int
+) -> jobs.Job:
+    """Returns the job for a checked submission of a caller."""
     fields = submission.model_dump(exclude={"need"})
     need = submission.need
     if submission.kind is jobs.Kind.REQUEST and not need.slots:
-        need = need.model_copy(update={"slots": REQUEST_SLOTS})
+        need = need.model_copy(update={"slots": allowances.REQUEST_SLOTS})
     return jobs.Job(
         **fields,
-        job_id=job_ids.make(workspace, submission.request_id, shards),
-        workspace=workspace,
+        job_id=job_ids.make(
+            caller.workspace, submission.request_id, shards, caller.open_queue
+        ),
+        workspace=caller.workspace,
         need=need.to_resources(),
         submitted_ms=int(time.time() * 1000),
         digest=make_digest(submission),
--- a/tests/core/lists/test_editor.py
+++ b/tests/core/lists/test_editor.py
@@ -6,16 +6,19 @@
 
 from hickoryreach.lists import documents
 from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
+from hickoryreach.lists import rolls
 from hickoryreach.lists import storage
+from hickoryreach.lists import swaps
 from tests.core.lists import fakes
 
 
-def grant(workspace: str, number: int, **fields) -> editor.Edit:
+def grant(workspace: str, number: int, **fields) -> edits.Edit:
     """Returns the grant of one more key."""
-    return editor.Edit(
+    return edits.Edit(
         name="plans",
         actor="ops",
         action="grant",
@@ -27,9 +30,9 @@
     )
 
 
-def replace(document: plans.Plans, revision: int) -> editor.Edit:
+def replace(document: plans.Plans, revision: int) -> edits.Edit:
     """Returns the replacement of the list of plans."""
-    return editor.Edit(
+    return edits.Edit(
         name="plans",
         actor="ops",
         action="set",
@@ -43,9 +46,9 @@
 
     def setUp(self):
         self.store = fakes.build_store("north", "south")
-        retry_s = editor.RETRY_S
-        editor.RETRY_S = 0.0
-        self.addCleanup(setattr, editor, "RETRY_S", retry_s)
+        retry_s = swaps.RETRY_S
+        swaps.RETRY_S = 0.0
+        self.addCleanup(setattr, swaps, "RETRY_S", retry_s)
 
     def read(self) -> storage.Kept:
         return storage.read_list(self.store, "plans").unwrap()
@@ -66,7 +69,7 @@
         self.store.before_write = race
         edit = replace(fakes.build_plans("north"), revision=1)
         failure = editor.change(self.store, edit).failure()
-        self.assertIsInstance(failure, editor.Outdated)
+        self.assertIsInstance(failure, edits.Outdated)
         self.assertEqual(failure.kept.head.revision, 2)
         self.assertIn("plans/south/keys/south-2/hash", self.read().flat)
 
@@ -108,17 +111,72 @@
         self.assertEqual(accepted.head.revision, 2)
         self.assertGreater(self.read().head.base_revision, 2)
 
+    def test_change_on_the_newest_revision_outlives_a_roll_of_the_head(self):
+        kept = self.read()
+        self.store.before_write = lambda: rolls.compact(
+            self.store, "plans", kept.head, kept.flat
+        )
+        edit = replace(fakes.build_plans("north"), revision=1)
+        accepted = editor.change(self.store, edit).unwrap()
+        self.assertEqual(accepted.head.revision, 2)
+        self.assertEqual(self.read().head.base_revision, 1)
+
+    def test_lost_answer_from_a_store_that_was_restored_is_unclear(self):
+        older = dict(self.store.values)
+        editor.change(self.store, grant("south", 2)).unwrap()
+        newest = dict(self.store.values)
+        for backup in (older, newest):
+            self.store.values = dict(newest)
+            self.store.put_if = self.make_restoring_put(backup)
+            failure = editor.change(self.store, grant("north", 2)).failure()
+            self.assertIsInstance(failure, edits.Unavailable)
+            self.assertNotEqual(failure.token, "")
+
+    def make_restoring_put(self, backup):
+        real = type(self.store).put_if
+
+        def put_and_restore(key, data, *, index):
+            real(self.store, key, data, index=index).unwrap()
+            self.store.index += 1
+            self.store.values = {
+                kept: (value, self.store.index)
+                for kept, (value, _) in backup.items()
+            }
+            del self.store.put_if
+            return self.store.fail()
+
+        return put_and_restore
+
+    def test_lost_answer_is_unclear_when_the_segment_is_gone(self):
+        real = self.store.put_if
+
+        def put_and_lose(key, data, *, index):
+            written = real(key, data, index=index)
+            if key != "hickoryreach/lists/plans":
+                return written
+            self.store.put_if = real
+            for number in range(3, 40):
+                editor.change(self.store, grant("south", number)).unwrap()
+            for gone in [k for k in self.store.values if heads.SEGMENTS in k]:
+                del self.store.values[gone]
+            return self.store.fail()
+
+        self.store.put_if = put_and_lose
+        failure = editor.change(self.store, grant("north", 2)).failure()
+        self.assertIsInstance(failure, edits.Unavailable)
+        self.assertNotEqual(failure.token, "")
+
     def test_change_without_any_answer_is_unclear(self):
         self.store.before_write = lambda: setattr(self.store, "down", True)
         failure = editor.change(self.store, grant("north", 2)).failure()
-        self.assertIsInstance(failure, editor.Unavailable)
+        self.assertIsInstance(failure, edits.Unavailable)
         self.assertNotEqual(failure.token, "")
 
     def test_restored_older_store_takes_no_change(self):
         failure = editor.change(
             self.store, grant("north", 2, floor=7)
         ).failure()
-        self.assertIsInstance(failure, editor.Unavailable)
+        self.assertIsInstance(failure, edits.Unavailable)
         self.assertEqual(failure.token, "")
         self.assertEqual(self.read().head.revision, 1)
 
@@ -129,7 +187,7 @@
         self.assertEqual(kept.head.revision, 99)
         self.assertLessEqual(len(heads.pack(kept.head)), heads.HEAD_LIMIT_BYTES)
         found = [
-            editor.find_change(self.store, "plans", kept.head, r).unwrap()
+            swaps.find_change(self.store, "plans", kept.head, r).unwrap()
             for r in range(1, 100)
         ]
         self.assertEqual([c.revision for c in found], list(range(1, 100)))
@@ -143,7 +201,7 @@
         kept = self.read()
         self.assertEqual((kept.head.revision, kept.head.changes), (2, ()))
         self.assertEqual(kept.flat, accepted.flat)
-        found = editor.find_change(self.store, "plans", kept.head, 2).unwrap()
+        found = swaps.find_change(self.store, "plans", kept.head, 2).unwrap()
         self.assertEqual(found, accepted.head.changes[-1])
         editor.change(self.store, grant("w7", 2)).unwrap()
         self.assertEqual(self.read().head.revision, 3)
@@ -162,7 +220,7 @@
         )
 
     def test_withdrawn_key_is_gone_and_twice_is_no_fault(self):
-        edit = editor.Edit(
+        edit = edits.Edit(
             name="plans",
             actor="ops",
             action="withdraw",
