Leave a shard whose workers do not answer to another entry

Ruled out: doing so for a lost majority, since a new owner without a majority could do less than one that has held it.

--- a/packages/core/hickoryreach/wire/peer.thrift
+++ b/packages/core/hickoryreach/wire/peer.thrift
@@ -119,6 +119,8 @@
   2: bool draining = 0,
   // Entries that answered the sender a short while ago.
   3: list<string> heard = [],
+  // Shards that the sender does not take for now.
+  4: list<i32> declined = [],
 }
 
 // Newest revision of one operators' list that the sender has in force.
--- a/packages/entry/hickoryreach_entry/detector.py
+++ b/packages/entry/hickoryreach_entry/detector.py
@@ -17,6 +17,7 @@
         claims: Term by shard that it owns.
         draining: Whether it gives up its shards.
         heard: Entries that answered it lately.
+        declined: Shards that it does not take for now.
         told_at: When it came, in s.
         answered_at: When the entry last answered an envelope, in s.
     """
@@ -24,6 +25,7 @@
     claims: dict[int, int] = dataclasses.field(default_factory=dict)
     draining: bool = False
     heard: frozenset[str] = frozenset()
+    declined: frozenset[int] = frozenset()
     told_at: float = 0.0
     answered_at: float = 0.0
 
@@ -66,10 +68,16 @@
             return False
         claims = {claim.shard: claim.term for claim in status.claims or ()}
         draining = bool(status.draining)
-        changed = (claims, draining) != (known.claims, known.draining)
+        declined = frozenset(status.declined or ())
+        changed = (claims, draining, declined) != (
+            known.claims,
+            known.draining,
+            known.declined,
+        )
         first = not known.told_at
         known.claims = claims
         known.draining = draining
+        known.declined = declined
         known.heard = frozenset(status.heard or ())
         known.told_at = now
         return changed or first
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -20,6 +20,7 @@
 
 UNLISTED_S = 30.0
 LIST_TRUST_S = 600.0
+CUT_S = 5.0
 PROOF_PART = 3
 
 
@@ -231,6 +232,16 @@
             + grants.lengthen(self.lengths.task_lease_s)
         )
 
+    def is_cut(self, now: float) -> bool:
+        """Returns whether no worker has answered for a while.
+
+        Such an owner can do nothing, so another one can do no worse.
+        """
+        if not self.members or now - self.taken_at < CUT_S:
+            return False
+        newest = max(self.authority.granted_until.values(), default=0.0)
+        return now > newest
+
     def tick(self, now: float) -> None:
         """Proves ownership through the journal while grants are missing."""
         self.clear_holds(now)
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -79,6 +79,7 @@
         get_entitlements: Callable[[], tuple[workspaces.Entitlement, ...]],
         on_lost: Callable[[int], None],
         on_ready: Callable[[], None] = lambda: None,
+        on_cut: Callable[[int], None] = lambda shard: None,
         count_entries: Callable[[], int] = lambda: 1,
         is_member: Callable[[str], bool] = lambda name: True,
         instances_client: store.Store | None = None,
@@ -92,6 +93,7 @@
         self.get_entitlements = get_entitlements
         self.on_lost = on_lost
         self.on_ready = on_ready
+        self.on_cut = on_cut
         self.count_entries = count_entries
         self.is_member = is_member
         self.state = state.ShardState(
@@ -311,6 +313,8 @@
         shard = str(self.shard)
         metrics.inbox_length.labels(shard).set(self.inbox.qsize())
         metrics.journal_waiting.labels(shard).set(len(self.journal.waiting))
+        if self.roster.is_cut(now):
+            self.on_cut(self.shard)
         for event in self.requests.list_overdue(now):
             self.apply(event)
         carriers.drop_unheld(self, now)
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -24,6 +24,7 @@
 
 REVIEW_S = 0.25
 LOST_PAUSE_S = 1.0
+DECLINE_S = 15.0
 REBALANCE_S = 10.0
 
 
@@ -35,6 +36,7 @@
         peers: Connections to other entries, by name.
         front: Callers of this entry.
         detector: What the other entries told.
+        declined_until: Time, in s, by shard, before which it is not taken.
         draining: Whether this entry gives up its shards.
     """
 
@@ -55,6 +57,7 @@
         self.peers: dict[str, peers.Peer] = {}
         self.draining = False
         self.lost_at: dict[int, float] = {}
+        self.declined_until: dict[int, float] = {}
         self.known_owners: dict[int, str | None] = {}
         self.balanced_at = time.monotonic()
         self.heard: list[str] = []
@@ -169,13 +172,42 @@
                 owners[shard] = claims[shard][1]
                 continue
             chosen = assignment.choose_owner(
-                shard, candidates, loads, self.settings.shards
+                shard,
+                [
+                    name
+                    for name in candidates
+                    if not self.is_declined(shard, name, now)
+                ],
+                loads,
+                self.settings.shards,
             )
             owners[shard] = chosen
             if chosen is not None:
                 loads[chosen] = loads.get(chosen, 0) + 1
         return owners
 
+    def is_declined(self, shard: int, name: str, now: float) -> bool:
+        """Returns whether an entry does not take a shard for now."""
+        if name == self.settings.name:
+            return now < self.declined_until.get(shard, 0.0)
+        told = self.detector.told.get(name)
+        return told is not None and shard in told.declined
+
+    def decline(self, shard: int) -> None:
+        """Leaves a shard, none of whose workers answers, to the others."""
+        now = time.monotonic()
+        others = [
+            name
+            for name in self.list_candidates(now)
+            if name != self.settings.name
+            and not self.is_declined(shard, name, now)
+        ]
+        if self.draining or not others or shard not in self.owners:
+            return
+        log.warning("shard_declined", extra={"shard": shard})
+        self.declined_until[shard] = now + DECLINE_S
+        greenlets.spawn_vital(self.release_owner, shard)
+
     def reassign(self) -> None:
         """Starts and stops owners after a change of members or claims."""
         now = time.monotonic()
@@ -223,6 +255,7 @@
             get_entitlements=self.lists.get_entitlements,
             on_lost=self.lose_shard,
             on_ready=self.announce,
+            on_cut=self.decline,
             count_entries=lambda: len(self.membership.members),
             is_member=lambda name: name in self.membership.members,
             instances_client=self.instances_client,
@@ -239,7 +272,7 @@
     def release_owner(self, shard: int) -> None:
         """Hands a shard over: keeps what waits, then tells the others."""
         owner = self.owners.get(shard)
-        if owner is None:
+        if owner is None or not owner.deciding:
             return
         self.lost_at[shard] = time.monotonic()
         owner.release()
@@ -314,6 +347,11 @@
                 if owner.owning
             ],
             draining=self.draining,
+            declined=[
+                shard
+                for shard, until in self.declined_until.items()
+                if time.monotonic() < until
+            ],
             heard=self.detector.list_heard(time.monotonic()),
         )
 
--- a/tests/entry/test_router.py
+++ b/tests/entry/test_router.py
@@ -44,6 +44,7 @@
         self.on_lost = kwargs["on_lost"]
         self.ready = False
         self.owning = False
+        self.deciding = True
         self.journal = mock.Mock(term=0)
         self.taken: list = []
 
@@ -172,6 +173,26 @@
         self.assertEqual(self.router.build_status().claims, [])
         self.assertTrue(self.router.build_status().draining)
 
+    def test_a_shard_whose_workers_are_out_of_reach_goes_to_another(self):
+        self.join(*NAMES)
+        self.tell("e2", {})
+        self.tell("e3", {})
+        mine = min(self.router.owners)
+        self.own(*self.router.owners)
+        self.router.decline(mine)
+        router.greenlets.gevent.sleep(0)
+        self.assertNotIn(mine, self.router.owners)
+        self.assertEqual(self.router.build_status().declined, [mine])
+        self.assertIn(self.router.known_owners[mine], ("e2", "e3"))
+        self.tell("e2", {}, declined=[mine])
+        self.assertEqual(self.router.known_owners[mine], "e3")
+
+    def test_an_entry_alone_declines_nothing(self):
+        self.join("e1")
+        self.own(*range(6))
+        self.router.decline(2)
+        self.assertIn(2, self.router.owners)
+
     def test_a_lost_shard_is_not_taken_back_at_once(self):
         self.join("e1")
         self.own(*range(6))
