Leave a record line that is still being written for the next reading

One of five runs side by side failed: the checker read a worker's record in the middle of a write (JSONDecodeError, test_owner_killed_in_the_middle_of_a_ batch). Ruled out: two writers on one file, each worker has its own.

--- a/standins/checker.py
+++ b/standins/checker.py
@@ -131,11 +131,14 @@
 
 
 def read_history(folder: str) -> list[dict]:
-    """Returns the lines of every record in a folder, in order of time."""
+    """Returns the lines of every record in a folder, in order of time.
+
+    A last line that is still being written is left for the next reading.
+    """
     lines = [
         json.loads(line)
         for path in pathlib.Path(folder).glob("*.record")
-        for line in path.read_text().splitlines()
+        for line in path.read_text().split("\n")[:-1]
     ]
     return sorted(lines, key=lambda line: line["at"])
 
--- a/standins/load.py
+++ b/standins/load.py
@@ -179,14 +179,15 @@
 def fetch(
     method: str, url: str, key: str, body: object = None
 ) -> tuple[int, dict]:
-    """Makes one HTTP call; returns status 0 without a whole JSON answer."""
+    """Makes one HTTP call; returns status 0 without a whole JSON answer.
+
+    An empty key sends none.
+    """
     request = urllib.request.Request(
         url,
         data=None if body is None else json.dumps(body).encode(),
-        headers={
-            "Content-Type": "application/json",
-            "Authorization": f"Bearer {key}",
-        },
+        headers={"Content-Type": "application/json"}
+        | ({"Authorization": f"Bearer {key}"} if key else {}),
         method=method,
     )
     try:
--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -22,6 +22,19 @@
             self.assertEqual((status, answer["ran"]), (401, "not_run"))
         self.assertEqual(self.trial.count("start", "keyless"), 0)
 
+    def test_only_an_open_queue_takes_work_without_a_key(self):
+        url = f"{self.trial.urls[0]}/v1/jobs?wait_ms=9000"
+        for queue, status in (("public", 200), ("default", 401)):
+            body = load.Work(name=f"keyless-{queue}").to_body()
+            found, _ = load.fetch("POST", url, "", body | {"queue": queue})
+            self.assertEqual(found, status)
+        begun = [
+            (line["piece"], line["workspace"])
+            for line in self.trial.history()
+            if line["what"] == "start" and "keyless-" in line["piece"]
+        ]
+        self.assertEqual(begun, [("keyless-public", "bay")])
+
     def test_work_runs_under_the_workspace_of_its_key(self):
         for workspace in ("north", "south"):
             work = load.Work(name=f"of-{workspace}", workspace=workspace)
--- a/tests/standins/test_checker.py
+++ b/tests/standins/test_checker.py
@@ -1,5 +1,7 @@
 """Each check fails on a record doctored to break its promise."""
 
+import pathlib
+import tempfile
 import unittest
 
 from standins import checker
@@ -175,6 +177,12 @@
                 ["answers_are_whole"],
             )
 
+    def test_line_still_being_written_is_left_out(self):
+        with tempfile.TemporaryDirectory() as folder:
+            path = pathlib.Path(folder, "w1.record")
+            path.write_text('{"at": 1}\n{"at": 2, "wh')
+            self.assertEqual(checker.read_history(folder), [{"at": 1}])
+
     def test_success_that_never_began(self):
         told = answer(state="succeeded", ran="ran")
         self.assertEqual(
