--- a/packages/core/hickoryreach/runbooks/steps.py
+++ b/packages/core/hickoryreach/runbooks/steps.py
@@ -1,4 +1,4 @@
-"""Old commands turned into the work they stand for, and their output."""
+"""Old commands turned into the work they map to, and their output."""
 
 from collections.abc import Iterator
 from collections.abc import Mapping
@@ -16,7 +16,6 @@
 
 SUBMIT = "submit"
 REFERENCE = "reference"
-REQUEST_SLOTS = 1
 EXIT_OK = 0
 EXIT_RAN_BADLY = 1
 EXIT_NOT_RUN = 3
@@ -74,32 +73,26 @@
         if row.plan == plan
         for step in row.steps
     )
+    if name in allowed and name in document.steps:
+        return result.Success(document.steps[name])
     advice = (
         f"Use one of: {', '.join(allowed)}."
         if allowed
         else "Submit the work with `hickoryreach submit`."
     )
-    if name not in document.steps:
-        return result.Failure(
-            Refusal(
-                reason="unknown_step",
-                detail=f"{name} is not mapped. {advice}",
-            )
-        )
-    if name not in allowed:
-        return result.Failure(
-            Refusal(
-                reason="step_not_allowed",
-                detail=f"Plan {plan} may not use {name}. {advice}",
-            )
-        )
-    return result.Success(document.steps[name])
+    if name in document.steps:
+        reason = "step_not_allowed"
+        fault = f"Plan {plan} may not use {name}."
+    else:
+        reason = "unknown_step"
+        fault = f"{name} is not mapped."
+    return result.Failure(Refusal(reason=reason, detail=f"{fault} {advice}"))
 
 
 def translate(
     step: allowances.Step, words: Sequence[str]
 ) -> result.Result[fields.Work, Refusal]:
-    """Returns the work that a command's arguments stand for."""
+    """Returns the work that a command's arguments map to."""
     split = styles.styles.find(step.style)(step.arguments, words)
     return split.lash(lambda fault: result.Failure(_refuse(step, fault))).bind(
         lambda values: _fill(step, values)
@@ -144,7 +137,7 @@
 def _add_slot(step: allowances.Step, work: fields.Work) -> fields.Work:
     if step.kind is not jobs.Kind.REQUEST or work.need.slots:
         return work
-    need = dataclasses.replace(work.need, slots=REQUEST_SLOTS)
+    need = dataclasses.replace(work.need, slots=allowances.REQUEST_SLOTS)
     return dataclasses.replace(work, need=need)
 
 
--- a/packages/entry/hickoryreach_entry/api/keys.py
+++ b/packages/entry/hickoryreach_entry/api/keys.py
@@ -3,13 +3,13 @@
 import falcon
 import pydantic
 
-from hickoryreach.lists import editor
+from hickoryreach.lists import edits
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
-from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
 from hickoryreach_entry.api import changes
+from hickoryreach_entry.api import resources
 
 
 class Grant(pydantic.BaseModel):
@@ -22,13 +22,28 @@
     hash: plans.Hash
 
 
-class Keys:
-    """Grants keys."""
+class KeyResource(resources.ListResource):
+    """Base of the resources that change the keys in the list of plans."""
+
+    def change_keys(
+        self, operator: str, action: str, build: key_edits.Build
+    ) -> answers.Outcome:
+        """Makes a change on the newest revision of the plans."""
+        return changes.make_change(
+            self.lists,
+            edits.Edit(
+                name="plans",
+                actor=operator,
+                action=action,
+                revision=None,
+                build=build,
+                floor=self.lists.revisions["plans"],
+            ),
+        )
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
+
+class Keys(KeyResource):
+    """Grants keys."""
 
     @answers.answered
     def on_post(self, req: falcon.Request) -> answers.Outcome:
@@ -44,42 +59,23 @@
     def grant(self, operator: str, grant: Grant) -> answers.Outcome:
         """Makes the change."""
         key = plans.Key(key_id=grant.key_id, hash=grant.hash)
-        return changes.make_change(
-            self.lists,
-            editor.Edit(
-                name="plans",
-                actor=operator,
-                action="grant",
-                revision=None,
-                build=key_edits.grant_key(grant.workspace, key),
-                floor=self.lists.revisions["plans"],
-            ),
+        return self.change_keys(
+            operator, "grant", key_edits.grant_key(grant.workspace, key)
         )
 
 
-class Key:
+class Key(KeyResource):
     """Withdraws a key."""
 
-    def __init__(self, *, gate: access.Access) -> None:
-        """Keeps what it needs."""
-        self.access = gate
-        self.lists = gate.lists
-
     @answers.answered
     def on_delete(
         self, req: falcon.Request, workspace: str, key_id: str
     ) -> answers.Outcome:
         """Withdraws the key; one that is not granted is no fault."""
         return self.access.find_operator(req).bind(
-            lambda operator: changes.make_change(
-                self.lists,
-                editor.Edit(
-                    name="plans",
-                    actor=operator,
-                    action="withdraw",
-                    revision=None,
-                    build=key_edits.withdraw_key(workspace, key_id),
-                    floor=self.lists.revisions["plans"],
-                ),
+            lambda operator: self.change_keys(
+                operator,
+                "withdraw",
+                key_edits.withdraw_key(workspace, key_id),
             )
         )
--- a/standins/plays.py
+++ b/standins/scenarios.py
@@ -31,7 +31,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
 class Work:
-    """Work that the steps stand for, and how often a worker must run it.
+    """Work that the steps map to, and how often a worker must run it.
 
     Attributes:
         system: The old system.
@@ -49,7 +49,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
-class Play:
+class Scenario:
     """What is run on one deployment.
 
     Attributes:
@@ -128,7 +128,7 @@
     workspace="east",
 )
 
-CEDARLINE = Play(
+CEDARLINE = Scenario(
     deployment=cell.Deployment(name="cedarline", service="registry"),
     steps=(
         Step(
@@ -170,7 +170,7 @@
         REFUSED,
     ),
 )
-ASSOCIATION = Play(
+ASSOCIATION = Scenario(
     deployment=cell.Deployment(name="association", service="vouchers"),
     steps=(
         Step(
--- a/tests/cli/test_application.py
+++ b/tests/cli/test_application.py
@@ -79,7 +79,7 @@
             "--wave w --non-idempotent issue -- -x 7"
         )
         self.assertEqual(code, 0, self.errors)
-        job = self.entry.door.submitted[0]
+        job = self.entry.front.submitted[0]
         self.assertEqual(job.request_id, "r1")
         self.assertEqual((job.kind, job.tasks, job.wave), ("gang", 3, "w"))
         self.assertEqual(job.need.cpu_millis, 500)
@@ -88,7 +88,7 @@
 
     def test_request_goes_to_its_service(self):
         self.assertEqual(self.run_line("request registry check A-1"), 0)
-        job = self.entry.door.submitted[0]
+        job = self.entry.front.submitted[0]
         self.assertEqual((job.kind, job.service), ("request", "registry"))
 
     def test_exit_codes_tell_whether_the_work_ran(self):
@@ -104,7 +104,7 @@
         ]
         for notice, code in cases:
             with self.subTest(notice):
-                self.entry.door.notice = notice
+                self.entry.front.notice = notice
                 self.assertEqual(self.run_line("submit issue"), code)
         self.assertEqual(self.run_line("submit issue", key="bad"), 3)
 
@@ -113,12 +113,33 @@
             with mock.patch.object(client.Client, "send", side_effect=error):
                 self.assertEqual(self.run_line("submit issue"), code)
 
+    def test_answer_that_makes_no_sense_is_unknown(self):
+        for status, media in (
+            (200, {"state": "odd"}),
+            (200, []),
+            (502, {"ran": "perhaps"}),
+            (502, {"ran": ["ran"], "faults": 7}),
+            (502, None),
+        ):
+            with self.subTest((status, media)):
+                reply = client.Reply(status=status, media=media)
+                with mock.patch.object(
+                    client.Client, "send", return_value=result.Success(reply)
+                ):
+                    self.assertEqual(self.run_line("submit issue"), 4)
+
+    def test_arguments_that_cannot_be_sent_are_not_run(self):
+        self.assertEqual(self.run_line("submit issue \udcff"), 3)
+        self.assertEqual(self.sent, 0)
+
     def test_wrong_usage_sends_nothing(self):
         lines = [
             "nothing",
             "submit",
             "submit --color red issue",
             "submit --tasks many issue",
+            f"submit --tasks {'9' * 5_000} issue",
+            "status \udcff",
             "settings --url ftp://x --timeout-s none",
             "lists set plans /no/such/file",
         ]
@@ -153,7 +174,7 @@
         self.assertIn("quill.qsend", self.errors)
 
     def test_cancelled_job_is_a_success_of_cancel_only(self):
-        self.entry.door.notice = {"state": "cancelled", "ran": "ran"}
+        self.entry.front.notice = {"state": "cancelled", "ran": "ran"}
         job_id = job_ids.make("north", "r1", 1)
         self.assertEqual(self.run_line(f"cancel {job_id}"), 0)
         self.assertEqual(self.run_line(f"status {job_id}"), 1)
