--- a/standins/cell.py
+++ b/standins/cell.py
@@ -1,6 +1,8 @@
 """Starts a store, workers and entries as processes on loopback."""
 
 import dataclasses
+import fcntl
+import functools
 import itertools
 import json
 import os
@@ -10,6 +12,7 @@
 import socket
 import subprocess
 import sys
+import tempfile
 import time
 import urllib.error
 import urllib.request
@@ -20,8 +23,8 @@
 WORKERS_PER_RACK = 6
 LOG_TAIL_LINES = 12
 FIRST_PORT = 10_000
-PORT_COUNT = 22_000
-PORTS_PER_PROCESS = 211
+PORT_BLOCKS = 100
+PORTS_PER_BLOCK = 200
 ADVERTISE_VARIABLE = "HICKORYREACH_PEER_ADVERTISE"
 SHARD_TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
 ENTRY_MODULE = "hickoryreach_entry"
@@ -51,15 +54,30 @@
     workers_per_rack: int = WORKERS_PER_RACK
 
 
-def find_port() -> int:
-    """Returns a free port; each process searches from a place of its own.
+@functools.cache
+def lock_block() -> tuple[int, object]:
+    """Returns the first port of a block, and the lock this process holds.
 
-    The range is outside that of outgoing connections.
+    Raises:
+        RuntimeError: Every block is held by another process.
     """
+    folder = pathlib.Path(tempfile.gettempdir())
+    for block in range(PORT_BLOCKS):
+        lock = (folder / f"hickoryreach-ports-{block}.lock").open("w")
+        try:
+            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
+        except OSError:
+            lock.close()
+            continue
+        return FIRST_PORT + block * PORTS_PER_BLOCK, lock
+    raise RuntimeError("every block of ports is taken")
+
+
+def find_port() -> int:
+    """Returns a free port out of this process's own block."""
+    first, _ = lock_block()
     while True:
-        port = FIRST_PORT + (
-            (os.getpid() * PORTS_PER_PROCESS + next(searched)) % PORT_COUNT
-        )
+        port = first + next(searched) % PORTS_PER_BLOCK
         with socket.socket() as probe:
             try:
                 probe.bind(("127.0.0.1", port))
