--- a/tests/integration/test_instances.py
+++ b/tests/integration/test_instances.py
@@ -44,7 +44,6 @@
         cell.put(register, row)
         self.assert_promises_hold()
 
-    @cases.long_only
     def test_stale_empty_and_wrong_list(self):
         for mode in ("stale", "empty", "wrong"):
             with self.subTest(mode):
--- a/tests/integration/test_keys.py
+++ b/tests/integration/test_keys.py
@@ -92,7 +92,6 @@
         )
         self.assert_stops(number, "east")
 
-    @cases.long_only
     def test_at_an_owner_cut_off_from_the_store_and_its_peers(self):
         owner = self.trial.find_owner()
         self.cell.set_rules(
--- a/tests/integration/test_limits.py
+++ b/tests/integration/test_limits.py
@@ -36,7 +36,6 @@
         self.submit_many("both", "east")
         self.assert_promises_hold()
 
-    @cases.long_only
     def test_limit_lowered_while_one_owner_dies(self):
         self.trial.set_limit("large", cpu_millis=LIMIT)
         time.sleep(bounds.CONFIGURATION_S)
--- a/tests/integration/test_store_faults.py
+++ b/tests/integration/test_store_faults.py
@@ -30,7 +30,6 @@
         self.cell.store.control(down=False)
         self.assert_promises_hold()
 
-    @cases.long_only
     def test_refusals_of_new_work_while_the_store_is_down_are_true(self):
         self.cell.store.control(down=True)
         time.sleep(cases.LEASES_S)
@@ -62,7 +61,6 @@
         self.ledger.submit_all(self.trial.urls, works, wait_ms=2_000)
         self.assert_promises_hold()
 
-    @cases.long_only
     def test_slow_store(self):
         self.cell.store.control(delay_ms=700)
         works = [
@@ -100,7 +98,6 @@
                 self.assertTrue(self.is_refused(url, f"older-{number}"), url)
             time.sleep(0.5)
 
-    @cases.long_only
     def test_replaced_entry_learns_the_newer_revision_from_its_peers(self):
         self.cell.store.control(save="before")
         self.trial.withdraw_keys("hill")
--- a/tests/integration/test_workers.py
+++ b/tests/integration/test_workers.py
@@ -6,8 +6,8 @@
 from tests.integration import cases
 
 
-class WorkersTest(cases.CellCase):
-    """No worker is overcommitted, and no task runs in two places."""
+class WorkerCase(cases.CellCase):
+    """Tests that bring faults about in workers."""
 
     def tearDown(self):
         self.cell.set_rules()
@@ -21,6 +21,10 @@
         self.ledger.submit(self.trial.urls[0], work, wait_ms=0)
         self.trial.wait_for_begin(name, tasks=20)
 
+
+class WorkersTest(WorkerCase):
+    """Workers that are full, lie, or answer late or not at all."""
+
     def test_full_cell_keeps_every_capacity_and_slot(self):
         works = [
             load.Work(
@@ -39,23 +43,6 @@
         self.ledger.submit_all(self.trial.urls, works, wait_ms=20_000)
         self.assert_promises_hold()
 
-    @cases.long_only
-    def test_silent_worker_runs_on(self):
-        self.submit_running("silent")
-        self.cell.workers[0].control(mode="silent")
-        time.sleep(cases.LEASES_S)
-        self.cell.workers[0].control(mode="normal")
-        self.assert_promises_hold()
-
-    @cases.long_only
-    def test_frozen_worker_thawed(self):
-        self.submit_running("frozen-worker")
-        self.cell.workers[0].freeze()
-        time.sleep(cases.LEASES_S)
-        self.cell.workers[0].thaw()
-        self.assert_promises_hold()
-
-    @cases.long_only
     def test_lying_worker(self):
         self.submit_running("lied-about")
         self.cell.workers[0].control(mode="lie")
@@ -64,7 +51,6 @@
         self.ledger.submit(self.trial.urls[0], load.Work(name="after-lie"))
         self.assert_promises_hold()
 
-    @cases.long_only
     def test_garbling_worker(self):
         self.submit_running("garbled", idempotent=False)
         self.cell.workers[0].control(mode="garble")
@@ -72,17 +58,6 @@
         self.cell.workers[0].control(mode="normal")
         self.assert_promises_hold()
 
-    @cases.long_only
-    def test_one_way_cuts_of_half_the_workers(self):
-        for direction in ("hold_up", "hold_down"):
-            with self.subTest(direction):
-                self.submit_running(f"one-way-{direction}")
-                self.cell.set_rules({"target": "worker-[01]", direction: True})
-                time.sleep(cases.LEASES_S)
-                self.cell.set_rules()
-                self.assert_promises_hold()
-
-    @cases.long_only
     def test_late_and_dropped_answers_of_workers(self):
         self.cell.set_rules(
             {"target": "worker-*", "delay_ms": 150, "jitter_ms": 300},
@@ -95,7 +70,37 @@
         self.ledger.submit_all(self.trial.urls, works, wait_ms=3_000)
         self.assert_promises_hold()
 
-    @cases.long_only
+
+class UnreachableWorkersTest(WorkerCase):
+    """Workers that run on out of reach."""
+
+    def test_silent_worker_runs_on(self):
+        self.submit_running("silent")
+        self.cell.workers[0].control(mode="silent")
+        time.sleep(cases.LEASES_S)
+        self.cell.workers[0].control(mode="normal")
+        self.assert_promises_hold()
+
+    def test_frozen_worker_thawed(self):
+        self.submit_running("frozen-worker")
+        self.cell.workers[0].freeze()
+        time.sleep(cases.LEASES_S)
+        self.cell.workers[0].thaw()
+        self.assert_promises_hold()
+
+    def test_one_way_cuts_of_half_the_workers(self):
+        for direction in ("hold_up", "hold_down"):
+            with self.subTest(direction):
+                self.submit_running(f"one-way-{direction}")
+                self.cell.set_rules({"target": "worker-[01]", direction: True})
+                time.sleep(cases.LEASES_S)
+                self.cell.set_rules()
+                self.assert_promises_hold()
+
+
+class CutOffOwnerTest(WorkerCase):
+    """An owner that reaches no worker, which others reach."""
+
     def test_owner_cut_off_from_every_worker(self):
         self.submit_running("owner-without-workers")
         owner = self.trial.find_owner()
