Start nothing of a limited workspace while its tasks may run unseen

Cause: an earlier owner may have raised a task's cap or gone by a learned size, so the declared size does not bound what still runs on workers not heard yet. Requests, which need slots only, still start.

--- a/packages/core/hickoryreach/decisions/limits.py
+++ b/packages/core/hickoryreach/decisions/limits.py
@@ -10,7 +10,9 @@
     """Returns whether the workspace may have `need` more running.
 
     What an earlier owner may have left running, and what its gangs have
-    reserved, count as running.
+    reserved, count as running. An earlier owner may have given its tasks more
+    than they declare, so while some may run unseen, only what needs nothing
+    but slots starts; slots are never given beyond the declared size.
     """
     if not workspace.allowed:
         return False
@@ -20,6 +22,10 @@
     used = workspace.used
     claimed = workspace.claimed
     doubt = workspace.doubt
+    if (doubt.cpu_millis or doubt.memory_mb) and (
+        need.cpu_millis or need.memory_mb
+    ):
+        return False
     return (
         used.cpu_millis
         + claimed.cpu_millis
