Count reported use above a worker's capacity as its capacity

Ruled out: refusing the report, which would leave a true overrun unheeded. Before: test_task_reported_larger_than_any_worker_gets_an_answer red.

--- a/packages/core/hickoryreach/decisions/overruns.py
+++ b/packages/core/hickoryreach/decisions/overruns.py
@@ -19,13 +19,17 @@
 
     Without room to grow, processor use is capped; memory is freed by
     checkpointing the attempt when it is preemptible, else the cheapest
-    preemptible ones beside it.
+    preemptible ones beside it. Use above the worker's capacity counts as its
+    capacity: no placement could ever make room for more.
     """
     held = attempt.held
     used = attempt.used
+    capacity = worker.worker.capacity
+    cpu_millis = min(used.cpu_millis, capacity.cpu_millis)
+    memory_mb = min(used.memory_mb, capacity.memory_mb)
     wanted = resources.Resources(
-        cpu_millis=max(held.cpu_millis, used.cpu_millis),
-        memory_mb=max(held.memory_mb, used.memory_mb),
+        cpu_millis=max(held.cpu_millis, cpu_millis),
+        memory_mb=max(held.memory_mb, memory_mb),
         accelerators=held.accelerators,
         slots=held.slots,
     )
