Space the garbage collector's full collections in the entry server

Cause: single decisions waited for collections that walk the owner's whole state. Ruled out: switching it off, since cycles in answers and errors would pile up in a server that runs for weeks.

--- a/packages/entry/hickoryreach_entry/commands/serve.py
+++ b/packages/entry/hickoryreach_entry/commands/serve.py
@@ -4,6 +4,7 @@
 
 import gevent
 
+from hickoryreach_entry import garbage
 from hickoryreach_entry import server
 from hickoryreach_entry.config import settings as entry_settings
 
@@ -13,4 +14,5 @@
     entry = server.EntryServer(settings=settings)
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, entry.drain)
     gevent.signal_handler(signal.SIGINT, gevent.spawn, entry.drain)
+    garbage.set_up()
     entry.run()
