--- a/packages/entry/hickoryreach_entry/__init__.py
+++ b/packages/entry/hickoryreach_entry/__init__.py
@@ -1,1 +1,1 @@
-"""Entry server: callers' front door and, for some shards, the owner."""
+"""Entry server: it serves callers and owns some shards."""
--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -1,4 +1,4 @@
-"""The front door: callers who wait, and the owners that decide for them."""
+"""Callers who wait for answers, and requests sent on for them."""
 
 from collections.abc import Callable
 import dataclasses
@@ -133,7 +133,7 @@
         send_to_owner: Callable[[int, str, object], bool],
         send_request: Callable[..., minions.Answer] | None = None,
     ) -> None:
-        """Creates a front door without callers."""
+        """Creates a front without callers."""
         self.name = name
         self.send_to_owner = send_to_owner
         self.send_request = send_request or minions.Minions().send
--- a/packages/entry/hickoryreach_entry/owner/grants.py
+++ b/packages/entry/hickoryreach_entry/owner/grants.py
@@ -51,7 +51,7 @@
             a majority of each is needed.
         granted_until: Lapse of each worker's grant, in s.
         proven_until: Time, in s, until which the last kept segment counts.
-        crowned_at: When a majority was first held, in s, or 0.
+        majority_since: When a majority was first held, in s, or 0.
     """
 
     def __init__(self, *, grant_s: float) -> None:
@@ -60,7 +60,7 @@
         self.sets: list[frozenset[str]] = []
         self.granted_until: dict[str, float] = {}
         self.proven_until = 0.0
-        self.crowned_at = 0.0
+        self.majority_since = 0.0
         self.majority_end = 0.0
 
     def take_grant(self, worker_id: str, sent: float, now: float) -> None:
@@ -76,8 +76,8 @@
         self.majority_end = min(
             majority_until(members, self.granted_until) for members in self.sets
         )
-        if not self.crowned_at and now < self.majority_end:
-            self.crowned_at = now
+        if not self.majority_since and now < self.majority_end:
+            self.majority_since = now
 
     def take_proof(self, sent: float) -> None:
         """Counts a kept segment from when its write was first sent, in s."""
@@ -97,7 +97,7 @@
         """Returns the time, in s, until which the owner may act."""
         if now + self.grant_s / 2 > self.majority_end:
             self.count(now)
-        if not self.crowned_at:
+        if not self.majority_since:
             return 0.0
         return max(self.majority_end, self.proven_until)
 
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -76,7 +76,7 @@
         self.members = frozenset(worker_ids)
         self.authority.settle(self.members, now)
         if not self.members:
-            self.authority.crowned_at = 0.0
+            self.authority.majority_since = 0.0
 
     def stop(self) -> None:
         """Ends every link."""
@@ -136,7 +136,7 @@
             for worker_id in self.members | linked
             if self.is_gone(worker_id, now)
         }
-        if self.members and not self.authority.crowned_at and not gone:
+        if self.members and not self.authority.majority_since and not gone:
             return
         wanted = (linked | self.members) - gone
         if wanted == self.members:
@@ -160,7 +160,7 @@
             since = self.taken_at
         if since is None:
             return False
-        if not self.authority.crowned_at:
+        if not self.authority.majority_since:
             return now - since > LIST_TRUST_S
         if now - since <= UNLISTED_S or now <= self.get_hold_end():
             return False
@@ -225,7 +225,7 @@
         It could act for one grant after it lost the journal and its last
         majority, whichever came later, and its tasks run on for one lease.
         """
-        began = max(self.taken_at, self.authority.crowned_at)
+        began = max(self.taken_at, self.authority.majority_since)
         return (
             began
             + grants.lengthen(self.lengths.grant_s)
@@ -248,7 +248,7 @@
         metrics.grants_held.labels(str(self.shard)).set(
             self.authority.count_grants(now)
         )
-        if not self.authority.crowned_at or not self.journal.healthy:
+        if not self.authority.majority_since or not self.journal.healthy:
             return
         margin = self.lengths.grant_s / PROOF_PART
         if self.authority.until(now) - now < margin and not (
--- a/tests/entry/test_front.py
+++ b/tests/entry/test_front.py
@@ -1,4 +1,4 @@
-"""Tests of the front door: what callers are told, and what is sent."""
+"""Tests of the front: what callers are told, and what is sent."""
 
 import time
 import unittest
