Send list heads to a busy peer at most every 250 ms

Cause: each envelope and receipt carried both heads, about 417 bytes, so thousands of envelopes a second under load would pass the 10 KB/s for control with heads alone; spaced like this they are at most 1.7 KB/s a peer each way. A receipt carries heads only where the envelope did. Ruled out: sending them with heartbeats only, since a busy peer sends none.

--- a/packages/entry/hickoryreach_entry/peers.py
+++ b/packages/entry/hickoryreach_entry/peers.py
@@ -3,6 +3,7 @@
 import collections
 from collections.abc import Callable
 import logging
+import time
 
 import gevent
 from gevent import event as gevent_event
@@ -26,6 +27,7 @@
 QUEUE_LIMIT = 20_000
 RETRY_S = 0.05
 HEARTBEAT_S = 0.5
+HEADS_S = 0.25
 
 FIELDS = (
     "submissions",
@@ -118,6 +120,7 @@
         name: Name of the other entry.
         address: `host:port` of its peer interface.
         outbox: What waits to be sent.
+        heads_at: When list heads were last sent, in s.
     """
 
     def __init__(
@@ -138,6 +141,7 @@
         self.outbox = Outbox()
         self.client = None
         self.failing = False
+        self.heads_at = 0.0
         self.greenlet = greenlets.spawn_vital(self.send_forever)
 
     def send(self, field: str, message: object) -> None:
@@ -160,6 +164,7 @@
         Senders repeat what is not answered, so what fails is dropped.
         """
         envelope = self.build_envelope()
+        self.space_heads(envelope, time.monotonic())
         count = self.outbox.take(envelope)
         try:
             receipt = self.connect().deliver(envelope)
@@ -170,6 +175,17 @@
         self.on_receipt(self.name, receipt)
         return True
 
+    def space_heads(self, envelope: messages.Envelope, now: float) -> None:
+        """Leaves list heads out of an envelope soon after the last ones.
+
+        Under load envelopes follow one another within milliseconds, and the
+        heads would take more bytes than the messages.
+        """
+        if now - self.heads_at < HEADS_S:
+            envelope.heads = []
+            return
+        self.heads_at = now
+
     def fail(self, count: int, error: Exception) -> None:
         """Notes an envelope that was not answered."""
         if count:
@@ -180,6 +196,7 @@
                 extra={"peer": self.name, "error": str(error)},
             )
         self.failing = True
+        self.heads_at = 0.0
         self.disconnect()
         if is_refusal(error):
             self.on_refused(self.name)
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -1,6 +1,5 @@
 """Routes messages between this entry, its peers and the shards it owns."""
 
-import heapq
 import logging
 import time
 
@@ -10,14 +9,15 @@
 from hickoryreach.wire import messages
 from hickoryreach_entry import assignment
 from hickoryreach_entry import detector
+from hickoryreach_entry import envelopes
 from hickoryreach_entry import front
 from hickoryreach_entry import greenlets
+from hickoryreach_entry import listing
 from hickoryreach_entry import lists
 from hickoryreach_entry import membership
 from hickoryreach_entry import metrics
 from hickoryreach_entry import peers
 from hickoryreach_entry.config import settings as entry_settings
-from hickoryreach_entry.owner import notices
 from hickoryreach_entry.owner import shard as owner_shard
 
 log = logging.getLogger(__name__)
@@ -334,7 +334,7 @@
         """Returns an envelope with what this entry tells about itself."""
         return messages.Envelope(
             sender=self.settings.name,
-            heads=self.get_heads(),
+            heads=self.lists.get_heads(),
             status=self.build_status(),
         )
 
@@ -355,16 +355,10 @@
             heard=self.detector.list_heard(time.monotonic()),
         )
 
-    def get_heads(self) -> list[messages.ListHead]:
-        """Returns the newest revisions of the operators' lists."""
-        get_heads = getattr(self.lists, "get_heads", None)
-        return get_heads() if get_heads is not None else []
-
     def take_heads(self, heads: list[messages.ListHead] | None) -> None:
         """Passes revisions that a peer told on to the lists."""
-        take_heads = getattr(self.lists, "take_heads", None)
-        if heads and take_heads is not None:
-            take_heads(heads)
+        if heads:
+            self.lists.take_heads(heads)
 
     def take_receipt(self, name: str, receipt: messages.Receipt) -> None:
         """Takes in what a peer answered."""
@@ -388,7 +382,7 @@
         self.deliver_to_owners(envelope)
         return messages.Receipt(
             receiver=self.settings.name,
-            heads=self.get_heads(),
+            heads=self.lists.get_heads() if envelope.heads else [],
             status=self.build_status(),
         )
 
@@ -398,7 +392,7 @@
         A part for a shard that is not owned here is dropped: the receipt
         tells what is, and the sender repeats.
         """
-        for shard, part in split_envelope(envelope).items():
+        for shard, part in envelopes.split(envelope).items():
             owner = self.owners.get(shard)
             if owner is not None and owner.ready:
                 owner.take_envelope(part)
@@ -408,12 +402,7 @@
         owner = self.owners.get(request.shard)
         if owner is None or not owner.ready:
             return messages.ListReply(owner=False)
-        rows = heapq.nsmallest(
-            request.limit + 1, select_rows(owner, request), key=get_job_id
-        )
-        page = rows[: request.limit]
-        after = page[-1].job_id if len(rows) > len(page) else ""
-        return messages.ListReply(owner=True, jobs=page, after=after)
+        return listing.list_jobs(owner, request)
 
     def find_jobs(self, request: messages.ListRequest) -> messages.ListReply:
         """Lists a workspace's jobs in one shard, whoever owns it."""
@@ -425,64 +414,3 @@
         if member is not None:
             reply = peers.list_jobs(member.peer_address, request)
         return reply or messages.ListReply(owner=False)
-
-
-def get_job_id(notice: messages.Notice) -> str:
-    """Returns the order of a listed job."""
-    return notice.job_id
-
-
-def select_rows(owner: owner_shard.ShardOwner, request: messages.ListRequest):
-    """Yields the notices that a listing asks for."""
-    after = request.after or ""
-    for job_id, record in owner.state.jobs.items():
-        job = record.job
-        if (
-            job.workspace == request.workspace
-            and job_id > after
-            and (not request.wave or job.wave == request.wave)
-            and (not request.state or record.state == request.state)
-        ):
-            yield notices.describe_record(record)
-    if request.wave:
-        return
-    for job_id in owner.journal.image.remembered:
-        finished = owner.journal.image.jobs[job_id].finished
-        if (
-            finished.workspace == request.workspace
-            and job_id > after
-            and job_id not in owner.state.jobs
-            and (not request.state or finished.state == request.state)
-        ):
-            yield notices.describe_finished(finished)
-
-
-def split_envelope(
-    envelope: messages.Envelope,
-) -> dict[int, messages.Envelope]:
-    """Returns the part of an envelope that is meant for each shard."""
-    parts: dict[int, messages.Envelope] = {}
-
-    def find(job_id: str) -> messages.Envelope | None:
-        try:
-            shard = assignment.shard_of_job(job_id)
-        except ValueError:
-            log.warning("job_id_malformed", extra={"sender": envelope.sender})
-            return None
-        if shard not in parts:
-            parts[shard] = messages.Envelope(
-                sender=envelope.sender,
-                submissions=[],
-                queries=[],
-                cancellations=[],
-                outcomes=[],
-            )
-        return parts[shard]
-
-    for field in ("submissions", "queries", "cancellations", "outcomes"):
-        for message in getattr(envelope, field) or ():
-            job = getattr(message, "job", None)
-            part = find(job.job_id if job is not None else message.job_id)
-            if part is not None:
-                getattr(part, field).append(message)
-    return parts
