Look for keys that no path can contain in the test of log lines

Cause: the test looked for the key 'fresh' in whole log records, which name the source file; a clone in a folder called fresh failed it. The keys looked for are as many as before, and as strictly.

--- a/tests/entry/api/test_lists.py
+++ b/tests/entry/api/test_lists.py
@@ -73,18 +73,18 @@
         self.assertEqual(len(wrong.json["faults"]), 1)
 
     def test_granted_key_works_at_once_until_withdrawn(self):
-        self.grant("north-2", "fresh")
+        self.grant("north-2", "fresh-key-of-north")
         submission = {"request_id": "r1", "command": "issue"}
         path = "/v1/jobs"
-        answer = self.call("POST", path, "fresh", json=submission)
+        answer = self.call("POST", path, "fresh-key-of-north", json=submission)
         self.assertEqual(answer.status_code, 200)
         self.call("DELETE", "/v1/keys/north/north-2")
-        answer = self.call("POST", path, "fresh", json=submission)
+        answer = self.call("POST", path, "fresh-key-of-north", json=submission)
         self.assertEqual(answer.status_code, 401)
 
     def test_audit_tells_who_what_and_revisions_without_hashes(self):
         self.call("DELETE", "/v1/keys/north/north-1")
-        self.grant("north-2", "fresh")
+        self.grant("north-2", "fresh-key-of-north")
         changes = self.call("GET", "/v1/audit/plans").json["changes"]
         told = [
             (c["actor"], c["action"], c["from_revision"], c["to_revision"])
@@ -96,7 +96,7 @@
         self.assertEqual(
             changes[1]["removed"], ["plans/north/keys/north-1/hash"]
         )
-        self.assertNotIn(plans.hash_key("fresh"), str(changes))
+        self.assertNotIn(plans.hash_key("fresh-key-of-north"), str(changes))
 
     def test_audit_pages_lead_through_every_segment(self):
         for number in range(2, 60):
@@ -153,7 +153,12 @@
             self.call("GET", "/v1/lists/plans", "nobody-key")
             self.call("POST", "/v1/keys", json={"hash": "nobody-key"})
         shown = repr([vars(record) for record in logs.records])
-        secrets = ["fresh", "nobody-key", fakes.OPERATOR_KEY, fakes.NORTH_KEY]
+        secrets = [
+            "fresh-key-of-north",
+            "nobody-key",
+            fakes.OPERATOR_KEY,
+            fakes.NORTH_KEY,
+        ]
         for key in secrets:
             self.assertNotIn(key, shown)
             self.assertNotIn(plans.hash_key(key), shown)
