Tell the next owner of starts that were never sent

Cause: a handover kept the intents of non-idempotent starts that were decided a moment earlier, and stopped before they went out; the next owner found an intent that no worker lists and answered unknown. Ruled out: a lost request (it was a batch job) and a worker that forgot it. Now a handover takes back each start that was never sent, which can't be sent any more then, and journals that it is void. Before: the new test fails with 0 tasks running; after: it passes.

--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -157,6 +157,15 @@
         self.operations = kept
         return withdrawn
 
+    def withdraw_unsent(self) -> list[jobs.TaskKey]:
+        """Takes back every start that was never sent; returns their keys."""
+        starts = [
+            operation.key
+            for operation in self.operations
+            if operation.verb == "start"
+        ]
+        return [key for key in starts if self.withdraw(key)]
+
     def acknowledge(self, key: jobs.TaskKey) -> None:
         """Lets the worker forget an end that is recorded."""
         self.acknowledged[key] = None
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -184,6 +184,14 @@
             extra={"shard": self.shard, "workers": len(members)},
         )
 
+    def withdraw_unsent(self) -> list[jobs.TaskKey]:
+        """Takes back every start that was never sent; returns their keys."""
+        return [
+            key
+            for worker_link in self.links.values()
+            for key in worker_link.withdraw_unsent()
+        ]
+
     def wake(self, worker_id: str) -> None:
         """Asks a worker for its list soon."""
         worker_link = self.links.get(worker_id)
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -160,11 +160,29 @@
         self.ready = False
         self.deciding = False
         flushed = self.journal.flush(FLUSH_S)
+        if flushed:
+            self.finish_inbox()
+            self.void_unsent()
+            flushed = self.journal.flush(FLUSH_S)
         log.info(
             "shard_released", extra={"shard": self.shard, "flushed": flushed}
         )
         self.stop()
 
+    def finish_inbox(self) -> None:
+        """Handles what waits, so that each kept intent has met its link."""
+        while not self.inbox.empty():
+            handle, argument = self.inbox.get_nowait()
+            handle(argument)
+
+    def void_unsent(self) -> None:
+        """Journals that starts which were never sent are not carried out.
+
+        The next owner would find their intents and call them unknown.
+        """
+        for key in self.roster.withdraw_unsent():
+            self.journal.append(records.IntentVoided(key=key))
+
     def take_proof(self, sent: float) -> None:
         """Counts a kept segment as a proof of ownership."""
         self.roster.authority.take_proof(sent)
--- a/tests/entry/owner/test_shard.py
+++ b/tests/entry/owner/test_shard.py
@@ -182,6 +182,11 @@
     return jobs.Job(**{**defaults, **fields})
 
 
+def get_links(owner: owner_shard.ShardOwner) -> list[link.WorkerLink]:
+    """Returns an owner's links."""
+    return list(owner.roster.links.values())
+
+
 def make_request(**fields) -> jobs.Job:
     """Returns a request that is not idempotent."""
     defaults = {
@@ -254,6 +259,20 @@
             self.assertLessEqual(len(self.scene.list_running()), 1)
         self.assertFalse(first.roster.authority.holds(self.scene.clock()))
 
+    def test_a_start_never_sent_before_a_handover_is_run_by_the_next(self):
+        first = self.scene.take("e1")
+        self.scene.run(first)
+        with mock.patch.object(link.WorkerLink, "sync_once"):
+            self.scene.submit(first, make_job(idempotent=False))
+        self.assertTrue(any(each.operations for each in get_links(first)))
+        with mock.patch.object(
+            first.journal, "flush", lambda _: first.journal.write_waiting() or 1
+        ):
+            first.release()
+        second = self.scene.take("e2")
+        self.scene.move(3, second)
+        self.assertEqual(len(self.scene.list_running()), 1)
+
     def test_an_owner_paused_across_a_takeover_starts_nothing(self):
         first = self.scene.take("e1")
         self.scene.run(first)
