Refuse a grant too short for any request at the start

Ruled out: sending with less left, which would let a request reach a minion after the grant. The new test failed before (no fault was reported) and passes now.

--- a/packages/entry/hickoryreach_entry/config/settings.py
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -7,6 +7,8 @@
 
 HIDDEN_NAMES = ("first_operator_hash",)
 
+REQUEST_ROOM_MS = 1_500
+
 
 class Settings(settings.Settings):
     """Every setting with its type, default and check."""
@@ -100,10 +102,17 @@
     @pydantic.field_validator("sync_ms")
     @classmethod
     def check_sync(cls, value: int, info: pydantic.ValidationInfo) -> int:
-        """Checks that a grant outlasts two syncs."""
+        """Checks that a grant outlasts two syncs, and one and a request."""
         grant_ms = info.data.get("grant_ms")
-        if grant_ms is not None and grant_ms <= 2 * value:
+        if grant_ms is None:
+            return value
+        if grant_ms <= 2 * value:
             raise ValueError("must be less than half of --grant-ms")
+        if grant_ms - value < REQUEST_ROOM_MS:
+            raise ValueError(
+                f"must leave {REQUEST_ROOM_MS} ms of --grant-ms, in which a "
+                "request reaches its minion; raise --grant-ms"
+            )
         return value
 
 
--- a/tests/entry/test_settings.py
+++ b/tests/entry/test_settings.py
@@ -36,6 +36,12 @@
             variable = name.replace("-", "_").upper()
             self.assertIn(f"--{name} (HICKORYREACH_{variable}): ", faults)
 
+    def test_grant_too_short_for_any_request_is_a_fault(self):
+        flags = {**MINIMAL, "grant_ms": "1200", "sync_ms": "300"}
+        faults = entry_settings.load(flags).failure()
+        self.assertEqual(len(faults), 1)
+        self.assertIn("raise --grant-ms", faults[0])
+
     def test_shown_settings_hide_the_first_operator_s_hash(self):
         flags = {**MINIMAL, "first_operator_hash": "ab" * 32}
         settings = entry_settings.load(flags).unwrap()
