--- a/packages/core/hickoryreach/decisions/overruns.py
+++ b/packages/core/hickoryreach/decisions/overruns.py
@@ -23,16 +23,7 @@
     capacity: no placement could ever make room for more.
     """
     held = attempt.held
-    used = attempt.used
-    capacity = worker.worker.capacity
-    cpu_millis = min(used.cpu_millis, capacity.cpu_millis)
-    memory_mb = min(used.memory_mb, capacity.memory_mb)
-    wanted = resources.Resources(
-        cpu_millis=max(held.cpu_millis, cpu_millis),
-        memory_mb=max(held.memory_mb, memory_mb),
-        accelerators=held.accelerators,
-        slots=held.slots,
-    )
+    wanted = held.upper(_get_credible_use(worker, attempt))
     if wanted == held or attempt.stopping:
         return
     growth = wanted - held
@@ -52,6 +43,16 @@
         yield from _free_memory(shard, worker, attempt, growth)
 
 
+def _get_credible_use(
+    worker: state.WorkerRecord, attempt: state.Attempt
+) -> resources.Resources:
+    capacity = worker.worker.capacity
+    return resources.Resources(
+        cpu_millis=min(attempt.used.cpu_millis, capacity.cpu_millis),
+        memory_mb=min(attempt.used.memory_mb, capacity.memory_mb),
+    )
+
+
 def _free_memory(
     shard: state.ShardState,
     worker: state.WorkerRecord,
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -87,7 +87,7 @@
         """Takes in the platform's list, which may be stale, empty or wrong."""
         for worker in listed:
             self.unlisted_since.pop(worker.worker_id, None)
-            self.meet(worker)
+            self.open_link(worker)
         unlisted = set(self.links) - {worker.worker_id for worker in listed}
         if is_doubtful(len(unlisted), len(self.links)):
             log.warning(
@@ -103,7 +103,7 @@
                 )
         self.change_members(now)
 
-    def meet(self, worker: workers.Worker) -> None:
+    def open_link(self, worker: workers.Worker) -> None:
         """Opens a link to a worker, or takes in its new description."""
         known = self.links.get(worker.worker_id)
         if known is not None:
