Quarantine a failing worker for 5 s, and for at most 10 s

Cause: quarantines doubled from 10 s towards 10 min, so workers that had been mended stood idle while work waited; a probe costs one start of an idempotent task, an idle worker its whole capacity.

--- a/packages/core/hickoryreach/decisions/settings.py
+++ b/packages/core/hickoryreach/decisions/settings.py
@@ -75,8 +75,8 @@
     retry_tokens: float = 50.0
     retry_ratio: float = 0.2
     strikes: int = 3
-    quarantine_base_ms: int = 10_000
-    quarantine_cap_ms: int = 600_000
+    quarantine_base_ms: int = 5_000
+    quarantine_cap_ms: int = 10_000
     suspicion_ms: int = 30_000
     request_queue_limit: int = 8_192
     queue_limit: int = 1_000_000
