--- a/bench/baselines/fifo.py
+++ b/bench/baselines/fifo.py
@@ -56,7 +56,7 @@
     worker: workers.Worker
     free: resources.Resources
     usable: bool = True
-    placed: set[jobs.TaskKey] = dataclasses.field(default_factory=set)
+    placed: dict[jobs.TaskKey, None] = dataclasses.field(default_factory=dict)
 
 
 Shape = tuple[resources.Resources, str, int]
@@ -231,7 +231,7 @@
         key = jobs.TaskKey(job_id=job.job_id, index=index, attempt=attempt)
         worker_id = machine.worker.worker_id
         entry.running[key] = worker_id
-        machine.placed.add(key)
+        machine.placed[key] = None
         machine.free = machine.free - job.need
         self.used[job.workspace] = self.used[job.workspace] + job.need
         if job.kind is jobs.Kind.REQUEST:
@@ -277,7 +277,7 @@
         self, job: jobs.Job, key: jobs.TaskKey, worker_id: str
     ) -> None:
         machine = self.machines[worker_id]
-        machine.placed.discard(key)
+        machine.placed.pop(key, None)
         machine.free = machine.free + job.need
         self.used[job.workspace] = self.used[job.workspace] - job.need
         self.blocked = {
