--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,6 @@
 bench: setup
 	$(BIN)/python -m bench
 
-
 fuzz: setup
 	$(BIN)/python -m tests.core.fuzz
 
--- a/standins/checker.py
+++ b/standins/checker.py
@@ -10,6 +10,7 @@
 import dataclasses
 import json
 import pathlib
+from typing import Any
 
 FOREVER = float("inf")
 NOT_KEPT = "answer_not_kept"
@@ -204,17 +205,8 @@
 @check
 def capacity_kept(evidence: Evidence) -> Iterator[str]:
     """No worker is given more than it has."""
-    sizes = {
-        line["worker"]: line["capacity"]
-        for line in evidence.history
-        if line["what"] == "up"
-    }
-    for worker, size in sizes.items():
-        runs = [
-            run
-            for run in build_runs(evidence.history)
-            if run.worker == worker and not run.request
-        ]
+    for worker, size in get_sizes(evidence, "capacity").items():
+        runs = list(get_runs(evidence, worker, request=False))
         for name in RESOURCES:
             peak = max(sums_at_starts(runs, name), default=0)
             if peak > size[name]:
@@ -224,22 +216,31 @@
 @check
 def slots_kept(evidence: Evidence) -> Iterator[str]:
     """No minion serves more requests than it has slots."""
-    sizes = {
-        line["worker"]: line["slots"]
-        for line in evidence.history
-        if line["what"] == "up"
-    }
-    for worker, size in sizes.items():
-        runs = [
-            run
-            for run in build_runs(evidence.history)
-            if run.worker == worker and run.request
-        ]
+    for worker, size in get_sizes(evidence, "slots").items():
+        runs = list(get_runs(evidence, worker, request=True))
         peak = max(sums_at_starts(runs, "slots"), default=0)
         if peak > size:
             yield f"{worker} served {peak} requests on {size} slots"
 
 
+def get_sizes(evidence: Evidence, field: str) -> dict[str, Any]:
+    """Returns what each worker stated in a field when it came up."""
+    return {
+        line["worker"]: line[field]
+        for line in evidence.history
+        if line["what"] == "up"
+    }
+
+
+def get_runs(
+    evidence: Evidence, worker: str, *, request: bool
+) -> Iterator[Run]:
+    """Yields the runs of requests, or of other work, on one worker."""
+    for run in build_runs(evidence.history):
+        if run.worker == worker and bool(run.request) == request:
+            yield run
+
+
 def sums_at_starts(runs: list[Run], name: str) -> Iterator[int]:
     """Yields how much of a resource is taken just after each start."""
     moments = [(run.begin, 1, run.need.get(name, 0)) for run in runs]
