--- a/tests/integration/test_owner_lost.py
+++ b/tests/integration/test_owner_lost.py
@@ -82,12 +82,18 @@
 
 
 class UnseenWorkerTest(cases.CellCase):
-    """The owner dies while a worker runs its tasks out of everyone's sight."""
+    """The owner dies while a worker runs its tasks out of everyone's sight.
+
+    Leases outlast a takeover on a busy machine, so that the next owner is at
+    work while the tasks still run.
+    """
+
+    settings = {"task-lease-ms": "8000"}
 
     def test_owner_killed_while_a_worker_is_out_of_reach(self):
         owner = self.trial.find_owner()
         url = self.cell.entries[(owner + 1) % self.entries].public_url
-        work = load.Work(name="unseen", tasks=40, run_ms=2200)
+        work = load.Work(name="unseen", tasks=40, run_ms=7_000)
         self.ledger.submit(url, work, wait_ms=0)
         self.trial.wait_for_begin("unseen", tasks=30)
         self.cell.set_rules({"target": "worker-0", "cut": True})
