--- a/tests/cli/test_docs.py
+++ b/tests/cli/test_docs.py
@@ -12,6 +12,7 @@
 from hickoryreach_entry.config import settings as entry_settings
 from standins import cell
 from standins import samples
+from tests import cells
 
 DOCS = pathlib.Path(__file__).parents[2] / "docs"
 PAGES = (
@@ -51,18 +52,12 @@
 
     @classmethod
     def setUpClass(cls):
-        folder = tempfile.TemporaryDirectory()
-        cls.addClassCleanup(folder.cleanup)
-        cls.cell = cell.Cell(
-            deployment=cell.Deployment(
+        cls.cell = cells.start_cell(
+            cell.Deployment(
                 name="docs", service="registry", workers=4, entries=2
             ),
-            log_folder=folder.name,
+            cls.addClassCleanup,
         )
-        cls.addClassCleanup(cls.cell.stop)
-        cls.cell.start()
-        samples.write_lists(cls.cell.store.url)
-        cls.cell.wait_until_ready()
 
     def test_commands_end_as_written(self):
         for page in PAGES:
--- a/tests/integration/cases.py
+++ b/tests/integration/cases.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import os
-import tempfile
 import time
 import unittest
 
@@ -10,6 +9,7 @@
 from standins import checker
 from standins import load
 from standins import samples
+from tests import cells
 from tests.integration import bounds
 
 LONG = os.environ.get("FAULTS") == "long"
@@ -183,26 +183,20 @@
 
     @classmethod
     def setUpClass(cls):
-        folder = tempfile.TemporaryDirectory()
-        cls.addClassCleanup(folder.cleanup)
-        cls.cell = cell.Cell(
-            deployment=cell.Deployment(
+        cls.cell = cells.start_cell(
+            cell.Deployment(
                 name="small",
                 service="registry",
                 workers=cls.workers,
                 entries=cls.entries,
                 workers_per_rack=2,
             ),
-            log_folder=folder.name,
+            cls.addClassCleanup,
             environment=SHORT_LEASES | cls.settings,
             proxied=True,
             worker_flags=cls.worker_flags,
             entry_module=cls.entry_module,
         )
-        cls.addClassCleanup(cls.cell.stop)
-        cls.cell.start()
-        samples.write_lists(cls.cell.store.url)
-        cls.cell.wait_until_ready()
         cls.trial = Trial(cell=cls.cell)
         wait_for_work(cls.trial)
 
--- a/tests/integration/test_path.py
+++ b/tests/integration/test_path.py
@@ -1,28 +1,22 @@
 """The whole path through separate processes."""
 
-import tempfile
 import unittest
 
 from standins import cell
 from standins import samples
+from tests import cells
 
 
 class PathTest(unittest.TestCase):
     """Work through any entry, placed, run once and answered."""
 
     def setUp(self):
-        folder = tempfile.TemporaryDirectory()
-        self.addCleanup(folder.cleanup)
-        self.cell = cell.Cell(
-            deployment=cell.Deployment(
+        self.cell = cells.start_cell(
+            cell.Deployment(
                 name="small", service="registry", workers=4, entries=3
             ),
-            log_folder=folder.name,
+            self.addCleanup,
         )
-        self.addCleanup(self.cell.stop)
-        self.cell.start()
-        samples.write_lists(self.cell.store.url)
-        self.cell.wait_until_ready()
 
     def test_batch_job_is_run_once_and_answered_through_each_entry(self):
         for number, entry in enumerate(self.cell.entries):
