--- a/packages/core/hickoryreach/exceptions.py
+++ b/packages/core/hickoryreach/exceptions.py
@@ -11,10 +11,6 @@
     """An invariant of the system no longer holds; the process must stop."""
 
 
-class SettingsError(HickoryreachError):
-    """Settings are invalid; the message lists each fault."""
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StoreFailure:
     """A store call that gave no usable answer.
