Void intents through one function

The handover journaled a void for each start it took back, idempotent ones included, which have no intent; the check stood in void_intent already. That function now takes the attempt, and both call it. What the next owner reads is the same.

--- a/packages/entry/hickoryreach_entry/owner/carriers.py
+++ b/packages/entry/hickoryreach_entry/owner/carriers.py
@@ -150,12 +150,11 @@
         owner.emit(events.JobCancelled(job_id=job_id))
 
 
-def void_intent(owner, event: events.TaskEnded) -> None:
+def void_intent(owner, key: jobs.TaskKey) -> None:
     """Journals that a non-idempotent attempt was not carried out."""
-    record = owner.state.jobs.get(event.key.job_id)
-    not_run = event.result is jobs.TaskResult.NOT_RUN
-    if not_run and record is not None and not record.job.idempotent:
-        owner.journal.append(records.IntentVoided(key=event.key))
+    record = owner.state.jobs.get(key.job_id)
+    if record is not None and not record.job.idempotent:
+        owner.journal.append(records.IntentVoided(key=key))
 
 
 def repeat_dispatch(owner, sender: str, job: jobs.Job) -> None:
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -181,7 +181,7 @@
         The next owner would find their intents and call them unknown.
         """
         for key in self.roster.withdraw_unsent():
-            self.journal.append(records.IntentVoided(key=key))
+            carriers.void_intent(self, key)
 
     def take_proof(self, sent: float) -> None:
         """Counts a kept segment as a proof of ownership."""
@@ -295,7 +295,8 @@
             return
         if isinstance(event, events.TaskEnded):
             self.requests.settle(event.key)
-            carriers.void_intent(self, event)
+            if event.result is jobs.TaskResult.NOT_RUN:
+                carriers.void_intent(self, event.key)
         self.ending = event if isinstance(event, events.TaskEnded) else None
         started = time.perf_counter()
         decided = reducer.reduce(self.state, event, now_ms())
