--- a/bench/driver.py
+++ b/bench/driver.py
@@ -21,10 +21,10 @@
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import events
 from hickoryreach.decisions import registry
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach.trial import workers as platform_workers
 
 TICK_MS = 50
 COMMIT_MS = 50
--- a/bench/fakes.py
+++ b/bench/fakes.py
@@ -2,10 +2,10 @@
 
 import dataclasses
 
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach.trial import workers as platform_workers
 
 CHECKPOINT_MS = 300
 STOP_MS = 50
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -22,10 +22,10 @@
 from hickoryreach.lists import heads
 from hickoryreach.lists import keys
 from hickoryreach.lists import plans
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach.trial import workers as platform_workers
 from hickoryreach.wire import messages
 from hickoryreach_entry.owner import records
 
--- a/packages/core/hickoryreach/lists/editor.py
+++ b/packages/core/hickoryreach/lists/editor.py
@@ -14,7 +14,7 @@
 from hickoryreach.lists import rolls
 from hickoryreach.lists import storage
 from hickoryreach.lists import swaps
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 
 ATTEMPTS = 5
 MS_PER_S = 1000
--- a/packages/core/hickoryreach/lists/rolls.py
+++ b/packages/core/hickoryreach/lists/rolls.py
@@ -5,7 +5,7 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import heads
 from hickoryreach.lists import storage
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 
 
 def is_long(head: heads.Head) -> bool:
--- a/packages/core/hickoryreach/lists/storage.py
+++ b/packages/core/hickoryreach/lists/storage.py
@@ -8,7 +8,7 @@
 from hickoryreach import exceptions
 from hickoryreach.lists import documents
 from hickoryreach.lists import heads
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 
 Failure = exceptions.Conflict | exceptions.StoreFailure
 
--- a/packages/core/hickoryreach/lists/swaps.py
+++ b/packages/core/hickoryreach/lists/swaps.py
@@ -7,7 +7,7 @@
 from hickoryreach.lists import edits
 from hickoryreach.lists import heads
 from hickoryreach.lists import storage
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 
 ATTEMPTS = 5
 RETRY_S = 0.2
--- a/packages/core/hickoryreach/platform/instances.py
+++ b/packages/core/hickoryreach/trial/instances.py
@@ -7,9 +7,9 @@
 from returns import result
 
 from hickoryreach import exceptions
-from hickoryreach.platform import store
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach.trial import store
 
 
 def get_workers(
--- a/packages/entry/hickoryreach_entry/lists.py
+++ b/packages/entry/hickoryreach_entry/lists.py
@@ -19,8 +19,8 @@
 from hickoryreach.lists import plans
 from hickoryreach.lists import rolls
 from hickoryreach.lists import storage
-from hickoryreach.platform import store
 from hickoryreach.structure import workspaces
+from hickoryreach.trial import store
 from hickoryreach.wire import messages
 from hickoryreach_entry import list_relay
 
--- a/packages/entry/hickoryreach_entry/membership.py
+++ b/packages/entry/hickoryreach_entry/membership.py
@@ -8,7 +8,7 @@
 import orjson
 from returns import result
 
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 
--- a/packages/entry/hickoryreach_entry/metrics.py
+++ b/packages/entry/hickoryreach_entry/metrics.py
@@ -1,6 +1,6 @@
 """Every metric of an entry, by one name each.
 
-Calls to the store are counted in hickoryreach.platform.store.
+Calls to the store are counted in hickoryreach.trial.store.
 """
 
 import prometheus_client
--- a/packages/entry/hickoryreach_entry/owner/budgets.py
+++ b/packages/entry/hickoryreach_entry/owner/budgets.py
@@ -22,9 +22,9 @@
 import xxhash
 
 from hickoryreach import exceptions
-from hickoryreach.platform import store
 from hickoryreach.structure import resources
 from hickoryreach.structure import workspaces
+from hickoryreach.trial import store
 
 log = logging.getLogger(__name__)
 
--- a/packages/entry/hickoryreach_entry/owner/carriers.py
+++ b/packages/entry/hickoryreach_entry/owner/carriers.py
@@ -7,9 +7,9 @@
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import events
 from hickoryreach.decisions import registry
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
+from hickoryreach.trial import workers as platform_workers
 from hickoryreach.wire import messages
 from hickoryreach_entry import metrics
 from hickoryreach_entry.owner import notices
--- a/packages/entry/hickoryreach_entry/owner/journal.py
+++ b/packages/entry/hickoryreach_entry/owner/journal.py
@@ -17,7 +17,7 @@
 from returns import result
 
 from hickoryreach import exceptions
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 from hickoryreach_entry.owner import image as journal_image
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -11,10 +11,10 @@
 
 from hickoryreach import exceptions
 from hickoryreach.decisions import events
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach.trial import workers as platform_workers
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.owner import grants
 
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -7,9 +7,9 @@
 import time
 
 from hickoryreach.decisions import events
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import workers
+from hickoryreach.trial import workers as platform_workers
 from hickoryreach_entry import metrics
 from hickoryreach_entry.owner import grants
 from hickoryreach_entry.owner import journal
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -13,10 +13,10 @@
 from hickoryreach.decisions import reducer
 from hickoryreach.decisions import settings as decision_settings
 from hickoryreach.decisions import state
-from hickoryreach.platform import instances
-from hickoryreach.platform import store
 from hickoryreach.structure import jobs
 from hickoryreach.structure import workspaces
+from hickoryreach.trial import instances
+from hickoryreach.trial import store
 from hickoryreach.wire import messages
 from hickoryreach_entry import assignment
 from hickoryreach_entry import greenlets
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 from hickoryreach.wire import messages
 from hickoryreach_entry import assignment
 from hickoryreach_entry import detector
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -8,7 +8,7 @@
 from gevent import event as gevent_event
 import gevent.pywsgi
 
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 from hickoryreach_entry import lists
 from hickoryreach_entry import membership
 from hickoryreach_entry import peers
--- a/standins/list_costs.py
+++ b/standins/list_costs.py
@@ -18,7 +18,7 @@
 from hickoryreach.lists import key_edits
 from hickoryreach.lists import plans
 from hickoryreach.lists import storage
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 from hickoryreach_entry import lists
 from standins import cell
 from standins import samples
--- a/tests/core/lists/fakes.py
+++ b/tests/core/lists/fakes.py
@@ -7,7 +7,7 @@
 from hickoryreach.lists import documents
 from hickoryreach.lists import heads
 from hickoryreach.lists import plans
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 
 OPERATOR = plans.Operator(name="ops", hash=plans.hash_key("ops-key"))
 
--- a/tests/core/platform/test_store.py
+++ b/tests/core/trial/test_store.py
@@ -7,8 +7,8 @@
 from returns import result
 
 from hickoryreach import exceptions
-from hickoryreach.platform import instances
-from hickoryreach.platform import store
+from hickoryreach.trial import instances
+from hickoryreach.trial import store
 
 ROW = b'[{"Key":"k","Value":"dg==","ModifyIndex":7,"Flags":0,"CreateIndex":1}]'
 
--- a/tests/entry/fakes.py
+++ b/tests/entry/fakes.py
@@ -7,11 +7,11 @@
 from returns import result
 
 from hickoryreach import exceptions
-from hickoryreach.platform import store
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
 from hickoryreach.structure import workers
+from hickoryreach.trial import store
+from hickoryreach.trial import workers as platform_workers
 
 FAILURE = exceptions.StoreFailure(reason="down", effect_unknown=True)
 
--- a/tests/entry/owner/test_link.py
+++ b/tests/entry/owner/test_link.py
@@ -4,9 +4,9 @@
 import unittest
 
 from hickoryreach.decisions import events
-from hickoryreach.platform import workers as platform_workers
 from hickoryreach.structure import jobs
 from hickoryreach.structure import workers
+from hickoryreach.trial import workers as platform_workers
 from hickoryreach_entry.owner import grants
 from hickoryreach_entry.owner import link
 from tests.entry import fakes
--- a/tests/entry/test_membership.py
+++ b/tests/entry/test_membership.py
@@ -4,7 +4,7 @@
 
 import orjson
 
-from hickoryreach.platform import store
+from hickoryreach.trial import store
 from hickoryreach_entry import membership
 from tests.entry import fakes
 
--- a/tests/integration/broken_entry.py
+++ b/tests/integration/broken_entry.py
@@ -16,7 +16,7 @@
 from hickoryreach.decisions import limits  # noqa: E402
 from hickoryreach.decisions import registry  # noqa: E402
 from hickoryreach.lists import heads  # noqa: E402
-from hickoryreach.platform import instances  # noqa: E402
+from hickoryreach.trial import instances  # noqa: E402
 from hickoryreach_entry import __main__ as entry_main  # noqa: E402
 from hickoryreach_entry import lists  # noqa: E402
 from hickoryreach_entry import minions  # noqa: E402
