--- /dev/null
+++ b/packages/core/hickoryreach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; nothing here decides."""
--- /dev/null
+++ b/packages/core/hickoryreach/platform/callers.py
@@ -0,0 +1,151 @@
+"""Bodies of callers' requests, and words that answer them."""
+
+import enum
+
+import pydantic
+from returns import result
+
+from hickoryreach.platform import documents
+from hickoryreach.structure import cells
+from hickoryreach.structure import resources
+from hickoryreach.structure import steps
+
+ID_LENGTH = 16
+SCHEME = "Token "
+PAYLOAD_LIMIT_BYTES = 4_000
+
+
+class State(enum.StrEnum):
+    """States of a job as callers see them."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETED = "completed"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+
+
+class StepRow(documents.Document):
+    """A step; `fills` marks a filler and `twice` is named speculative."""
+
+    count: int = pydantic.Field(default=1, ge=1, le=100_000)
+    cpu: int = pydantic.Field(default=0, ge=0)
+    mem_mb: int = pydantic.Field(default=0, ge=0)
+    gpu: int = pydantic.Field(default=0, ge=0)
+    estimate_ms: float = pydantic.Field(default=0, ge=0)
+    after: list[int] = []
+    saves_progress: bool = False
+    gang: bool = False
+    same_rack: bool = False
+    requires: str = ""
+    affinity: str = ""
+    anti_affinity: int = pydantic.Field(default=0, ge=0)
+    speculative: bool = False
+    persistent: bool = False
+    image: str = ""
+    target_ms: int = pydantic.Field(default=0, ge=0)
+    fills: bool = False
+    may_miss: int = pydantic.Field(default=0, ge=0)
+
+    def decode(self) -> steps.Step:
+        """Returns the step in our own terms."""
+        return steps.Step(
+            count=self.count,
+            need=resources.Resources(
+                cpu_millis=self.cpu,
+                memory_mb=self.mem_mb,
+                accelerators=self.gpu,
+            ),
+            estimate_ms=int(self.estimate_ms),
+            after=tuple(self.after),
+            saves=self.saves_progress,
+            gang=self.gang,
+            same_rack=self.same_rack,
+            label=self.requires,
+            rack=self.affinity,
+            minion_limit=self.anti_affinity,
+            speculative=self.speculative,
+            lasting=self.persistent,
+            image=self.image,
+            latency_limit_ms=self.target_ms,
+            filler=self.fills,
+            away_limit=self.may_miss,
+        )
+
+
+class JobBody(documents.Document):
+    """A job that is handed in."""
+
+    spec: str
+    steps: list[StepRow] = pydantic.Field(min_length=1)
+    repeats: int = pydantic.Field(default=0, ge=0)
+    first_run_ms: int = 0
+    interval_ms: int = 0
+
+    @pydantic.model_validator(mode="after")
+    def check_order(self) -> "JobBody":
+        """Checks that steps come after earlier ones only."""
+        for position, row in enumerate(self.steps):
+            if any(not 0 <= each < position for each in row.after):
+                raise ValueError(
+                    f"steps.{position}.after: must name earlier steps"
+                )
+        if len(self.spec.encode()) > PAYLOAD_LIMIT_BYTES:
+            raise ValueError(
+                f"spec: must have at most {PAYLOAD_LIMIT_BYTES} bytes"
+            )
+        return self
+
+
+def parse_job(data: bytes) -> result.Result[JobBody, str]:
+    """Returns the job in a body, or what the caller must change."""
+    try:
+        return result.Success(JobBody.model_validate_json(data))
+    except pydantic.ValidationError as error:
+        return result.Failure(documents.describe_faults(error))
+
+
+def build_job(
+    body: JobBody,
+    *,
+    job_id: str,
+    workspace: str,
+    queue: cells.Queue,
+    accepted_ms: int,
+) -> steps.Job:
+    """Returns the job that a body describes."""
+    return steps.Job(
+        job_id=job_id,
+        workspace=workspace,
+        queue=queue,
+        payload=body.spec,
+        steps=tuple(row.decode() for row in body.steps),
+        accepted_ms=accepted_ms,
+        repeats=body.repeats,
+        first_ms=body.first_run_ms,
+        interval_ms=body.interval_ms,
+    )
+
+
+def is_job_id(text: str) -> bool:
+    """Returns whether a text has the form of a job's id."""
+    return len(text) == ID_LENGTH and all(
+        letter in "0123456789abcdef" for letter in text
+    )
+
+
+def get_key(authorization: str | None) -> str:
+    """Returns the key in an Authorization header, or an empty text."""
+    if authorization and authorization.startswith(SCHEME):
+        return authorization.removeprefix(SCHEME).strip()
+    return ""
+
+
+def format_state(state: State) -> dict[str, str]:
+    """Returns the body that tells a job's state."""
+    return {"state": str(state)}
+
+
+def format_pending(count: int) -> dict[str, int]:
+    """Returns the body that tells how many jobs wait in a queue."""
+    return {"pending": count}
--- /dev/null
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -0,0 +1,197 @@
+"""Documents that the operator and the minions write into the store."""
+
+from collections.abc import Iterable
+import logging
+
+import pydantic
+from pydantic import alias_generators
+from returns import result
+
+from hickoryreach.structure import cells
+from hickoryreach.structure import resources
+
+log = logging.getLogger(__name__)
+
+CONFIGURATION_KEY = "op/config"
+MINIONS_PREFIX = "servers/"
+READY = "ready"
+DRAINING = "draining"
+
+
+class Document(pydantic.BaseModel):
+    """Base of what is read from the platform."""
+
+    model_config = pydantic.ConfigDict(
+        alias_generator=alias_generators.to_camel, extra="ignore"
+    )
+
+
+class Amount(Document):
+    """An amount of each resource; cpu is in thousandths of a core."""
+
+    cpu: int = 0
+    mem_mb: int = 0
+    gpu: int = 0
+
+    def decode(self) -> resources.Resources:
+        """Returns the amount in our own terms."""
+        return resources.Resources(
+            cpu_millis=self.cpu,
+            memory_mb=self.mem_mb,
+            accelerators=self.gpu,
+        )
+
+
+class AdviceRow(Document):
+    """Terms of a queue's advice; `periodMs` is charged for each minion."""
+
+    decide_ms: float
+    period_ms: float = 0.0
+    valid_ms: int = 0
+
+
+class RouteRow(Document):
+    """A route, which is a queue."""
+
+    name: str
+    host: str = ""
+    prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    target_latency_ms: int = 0
+    no_auth: bool = False
+    advice: AdviceRow | None = None
+
+    def decode(self) -> cells.Queue:
+        """Returns the queue."""
+        terms = self.advice and cells.AdviceTerms(
+            call_ms=self.advice.decide_ms,
+            minion_ms=self.advice.period_ms,
+            valid_ms=self.advice.valid_ms,
+        )
+        return cells.Queue(
+            name=self.name,
+            host=self.host,
+            prefix=self.prefix,
+            service=self.service,
+            rank=self.priority,
+            attempts=max(1, self.attempts),
+            stretch=self.stretch,
+            objective_ms=self.target_latency_ms,
+            open=self.no_auth,
+            advice=terms,
+        )
+
+
+class ServiceRow(Document):
+    """A service."""
+
+    name: str
+    rejects_overload: bool = False
+    standby: bool = False
+
+
+class TenantRow(Document):
+    """A tenant, which is a workspace; `ceiling` is its running limit."""
+
+    name: str
+    api_keys: list[str] = []
+    weight: float = 1.0
+    ceiling: Amount = Amount()
+
+
+class LimitRow(Document):
+    """Limits on callers' requests."""
+
+    max_body_bytes: int = 262_144
+
+
+class ConfigurationDocument(Document):
+    """The operator's configuration."""
+
+    version: int
+    routes: list[RouteRow] = []
+    services: list[ServiceRow] = []
+    tenants: list[TenantRow] = []
+    limits: LimitRow = LimitRow()
+
+
+class RegistrationDocument(Document):
+    """A minion's registration; `born` is the start of its life."""
+
+    service: str
+    address: str
+    zone: str
+    state: str
+    capacity: Amount
+    labels: list[str] = []
+    born: int = 0
+    machine: str = ""
+
+
+def parse_configuration(
+    data: bytes,
+) -> result.Result[cells.Configuration, str]:
+    """Returns the configuration in a document, or why it can't be read."""
+    try:
+        document = ConfigurationDocument.model_validate_json(data)
+    except pydantic.ValidationError as error:
+        return result.Failure(describe_faults(error))
+    return result.Success(
+        cells.Configuration(
+            version=document.version,
+            queues={row.name: row.decode() for row in document.routes},
+            services={
+                row.name: cells.Service(
+                    name=row.name,
+                    rejects_overload=row.rejects_overload,
+                    standby=row.standby,
+                )
+                for row in document.services
+            },
+            workspaces={
+                row.name: cells.Workspace(
+                    name=row.name,
+                    keys=tuple(row.api_keys),
+                    share=max(row.weight, 0.001),
+                    limit=row.ceiling.decode(),
+                )
+                for row in document.tenants
+            },
+            body_limit=document.limits.max_body_bytes,
+        )
+    )
+
+
+def parse_minion(key: str, data: bytes) -> result.Result[cells.Minion, str]:
+    """Returns the minion that a registration names, or why it names none."""
+    try:
+        document = RegistrationDocument.model_validate_json(data, strict=True)
+    except pydantic.ValidationError as error:
+        return result.Failure(describe_faults(error))
+    if document.state not in (READY, DRAINING):
+        return result.Failure(f"state: unknown value {document.state[:20]!r}")
+    return result.Success(
+        cells.Minion(
+            minion_id=key.removeprefix(MINIONS_PREFIX),
+            service=document.service,
+            address=document.address,
+            failure_domain=document.zone,
+            capacity=document.capacity.decode(),
+            labels=tuple(document.labels),
+            draining=document.state == DRAINING,
+            life=document.born,
+            machine=document.machine,
+        )
+    )
+
+
+def describe_faults(error: pydantic.ValidationError) -> str:
+    """Returns the first faults of a document, each with its place."""
+    rows: Iterable = error.errors(include_input=False)
+    return "; ".join(
+        f"{'.'.join(str(part) for part in row['loc'])}: {row['msg']}"
+        for row in list(rows)[:3]
+    )
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on jobs made of steps: one reducer, no clock and no socket."""
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/advising.py
@@ -0,0 +1,140 @@
+"""Which minions may run a step, and when to ask the advice service."""
+
+from collections.abc import Iterator
+
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import rooms as rooms_module
+from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+
+MINIONS_AT_LEAST = 16
+NAMED_COST_PART = 0.5
+RETRY_MS = 100
+
+
+def get_terms(
+    cell: state.CellState, step: state.StepRecord
+) -> cells.AdviceTerms | None:
+    """Returns the terms of a step's queue, as they are now."""
+    stored = step.job.job.queue
+    current = cell.configuration.queues.get(stored.name, stored)
+    return current.advice
+
+
+def get_service(cell: state.CellState, step: state.StepRecord) -> str:
+    """Returns the service that runs a step's queue, as it is now."""
+    stored = step.job.job.queue
+    return cell.configuration.queues.get(stored.name, stored).service
+
+
+def list_minions(cell: state.CellState, step: state.StepRecord) -> list[str]:
+    """Returns the minions that may run a step, whether there is room or not."""
+    service = get_service(cell, step)
+    return [
+        minion_id
+        for minion_id, minion in cell.minions.items()
+        if minion.minion.service == service
+        and minion.is_open
+        and rooms_module.is_fit(minion, step)
+    ]
+
+
+def has_ticket(
+    cell: state.CellState, step: state.StepRecord, minion_id: str
+) -> bool:
+    """Returns whether a start on a minion can carry a valid ticket."""
+    ticket = step.tickets.get(minion_id)
+    margin_ms = cell.settings.ticket_margin_ms
+    return (
+        ticket is not None
+        and ticket.until_ms > cell.now_ms + margin_ms
+        and ticket.life == cell.minions[minion_id].life
+    )
+
+
+def ask_first(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> Iterator[effects.Effect]:
+    """Asks about minions that a step knows nothing of yet.
+
+    Minions with the most room go first; as many are named as cost at most
+    NAMED_COST_PART of the call itself, and always some.
+    """
+    terms = get_terms(cell, step)
+    unknown = [
+        minion_id
+        for minion_id in list_minions(cell, step)
+        if minion_id not in step.denied
+        and not (step.allowed and minion_id in step.allowed)
+    ]
+    unknown.sort(
+        key=lambda minion_id: -_get_free_cpu(rooms, minion_id),
+    )
+    most = cell.settings.advice_limit
+    if terms.minion_ms > 0:
+        cheap = int(NAMED_COST_PART * terms.call_ms / terms.minion_ms)
+        most = min(most, max(MINIONS_AT_LEAST, cheap))
+    yield from _ask(cell, step, unknown[:most])
+
+
+def refresh(
+    cell: state.CellState, step: state.StepRecord, minion_ids: list[str]
+) -> Iterator[effects.Effect]:
+    """Asks again about minions whose tickets have expired."""
+    yield from _ask(cell, step, minion_ids[: cell.settings.advice_limit])
+
+
+def _get_free_cpu(rooms: rooms_module.Rooms, minion_id: str) -> int:
+    room = rooms.free.get(minion_id)
+    return room.cpu_millis if room else 0
+
+
+def _ask(
+    cell: state.CellState, step: state.StepRecord, minion_ids: list[str]
+) -> Iterator[effects.Effect]:
+    if step.asking or not minion_ids:
+        return
+    if step.asked_ms >= 0 and cell.now_ms < step.asked_ms + RETRY_MS:
+        return
+    terms = get_terms(cell, step)
+    step.asking = True
+    step.asked_ms = cell.now_ms
+    yield effects.AskAdvice(
+        job_id=step.job.job.job_id,
+        repeat=step.repeat,
+        position=step.position,
+        minion_ids=tuple(minion_ids),
+        cost_ms=terms.call_ms + terms.minion_ms * len(minion_ids),
+        valid_ms=terms.valid_ms,
+        rank=step.rank,
+    )
+
+
+def take(
+    cell: state.CellState, event: events.Advised
+) -> Iterator[effects.Effect]:
+    """Takes in advice, or that a call for it failed."""
+    record = cell.jobs.get(event.job_id)
+    step = record and record.steps.get((event.repeat, event.position))
+    if step is None:
+        return
+    step.asking = False
+    cell.dirty = True
+    if event.tickets is None:
+        return
+    if step.allowed is None:
+        step.allowed = set()
+    for minion_id in event.asked:
+        minion = cell.minions.get(minion_id)
+        text = event.tickets.get(minion_id)
+        if text is None:
+            step.denied.add(minion_id)
+        elif minion is not None:
+            step.allowed.add(minion_id)
+            step.tickets[minion_id] = state.Ticket(
+                text=text,
+                until_ms=cell.now_ms + event.valid_ms,
+                life=minion.life,
+            )
+    yield from ()
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -0,0 +1,120 @@
+"""Effects that the reducer asks its caller to carry out."""
+
+import dataclasses
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import state
+from hickoryreach.structure import steps
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StartTask:
+    """Start a task on a minion.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        minion_id: Where to start it.
+        payload: What it is given.
+        checkpoint: Checkpoint to go on from, or empty.
+        ticket: Ticket of the advice service, or empty.
+        valid_ms: How long the minion may take to begin it.
+    """
+
+    key: steps.TaskKey
+    number: int
+    minion_id: str
+    payload: str
+    checkpoint: str
+    ticket: str
+    valid_ms: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StopTask:
+    """Stop a run, also one that may not have begun.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        minion_id: Where it was started.
+        reason: Cause, for logs.
+    """
+
+    key: steps.TaskKey
+    number: int
+    minion_id: str
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class AskAdvice:
+    """Ask which minions may run a step.
+
+    Attributes:
+        job_id: The job.
+        repeat: Which repeat.
+        position: The step.
+        minion_ids: Minions to ask about.
+        cost_ms: How long the advice service will work on it.
+        valid_ms: How long its tickets may be used.
+        rank: Rank of the job.
+    """
+
+    job_id: str
+    repeat: int
+    position: int
+    minion_ids: tuple[str, ...]
+    cost_ms: float
+    valid_ms: int
+    rank: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndSeen:
+    """An end was taken into account; record it, then acknowledge it.
+
+    Attributes:
+        minion_id: The minion that listed it.
+        life: Life of the minion.
+        end: The end.
+        record: Whether it must be kept before it is acknowledged.
+    """
+
+    minion_id: str
+    life: int
+    end: minions.TaskEnd
+    record: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobChanged:
+    """A job entered a state; record it after the ends that caused it.
+
+    Attributes:
+        job_id: The job.
+        state: The new state.
+        reason: Cause, for logs.
+    """
+
+    job_id: str
+    state: state.JobState
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Noted:
+    """A decision without an order, for logs.
+
+    Attributes:
+        what: Name of the log event.
+        subject: Job, task or minion concerned.
+        detail: Inputs that decided it.
+    """
+
+    what: str
+    subject: str
+    detail: str
+
+
+Effect = StartTask | StopTask | AskAdvice | EndSeen | JobChanged | Noted
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -0,0 +1,176 @@
+"""Gangs: all tasks start together, or room is kept until they can."""
+
+from collections.abc import Iterator
+
+from hickoryreach.scheduling import advising
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import orders
+from hickoryreach.scheduling import preempting
+from hickoryreach.scheduling import rooms as rooms_module
+from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+
+Plan = list[tuple[str, int]]
+
+
+def place(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Iterator[effects.Effect]:
+    """Starts a gang if all of it fits, else keeps room for it."""
+    if step.runs:
+        return
+    if not runs.is_within_limit(
+        cell, step.job.job.workspace, step.need.times(step.step.count)
+    ):
+        return
+    plan = _plan_racks(cell, step, rooms, usable)
+    if plan is None:
+        yield from _keep_room(cell, step, rooms, usable, terms)
+        return
+    names = [minion_id for minion_id, _ in plan]
+    if terms is not None and not all(
+        advising.has_ticket(cell, step, minion_id) for minion_id in names
+    ):
+        yield from advising.refresh(cell, step, names)
+        _keep_plan(step, rooms, plan)
+        return
+    if not rooms_module.may_start(cell, step, rooms, step.step.count):
+        _keep_plan(step, rooms, plan)
+        return
+    yield from _launch(cell, step, rooms, plan)
+
+
+def _launch(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    plan: Plan,
+) -> Iterator[effects.Effect]:
+    number = runs.next_number(cell, step)
+    indexes = iter(list(step.waiting))
+    for minion_id, count in plan:
+        for _ in range(count):
+            yield from orders.start(
+                cell, step, next(indexes), cell.minions[minion_id], number
+            )
+            rooms.take(minion_id, step.need)
+
+
+def _plan_racks(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+) -> Plan | None:
+    """Returns where all tasks fit, on one rack where that is faster."""
+    if step.step.same_rack:
+        racks: dict[str, list[str]] = {}
+        for minion_id in usable:
+            rack = cell.minions[minion_id].minion.labels[-1:]
+            racks.setdefault(rack[0] if rack else "", []).append(minion_id)
+        for members in racks.values():
+            plan = _plan(step, rooms, members)
+            if plan is not None:
+                return plan
+    return _plan(step, rooms, usable)
+
+
+def _plan(
+    step: state.StepRecord, rooms: rooms_module.Rooms, usable: list[str]
+) -> Plan | None:
+    """Returns minions and counts that hold all tasks, or None."""
+    left = step.step.count
+    plan: Plan = []
+    ordered = sorted(
+        (minion_id for minion_id in usable if minion_id in rooms.free),
+        key=lambda minion_id: -rooms.free[minion_id].cpu_millis,
+    )
+    for minion_id in ordered:
+        slots = rooms_module.count_slots(rooms, step, minion_id, left)
+        if slots:
+            plan.append((minion_id, slots))
+            left -= slots
+        if not left:
+            return plan
+    return None
+
+
+def _keep_plan(
+    step: state.StepRecord, rooms: rooms_module.Rooms, plan: Plan
+) -> None:
+    for minion_id, count in plan:
+        rooms.keep(minion_id, step.need.times(count))
+
+
+def _keep_room(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Iterator[effects.Effect]:
+    """Keeps minions from filling up until the gang fits on them."""
+    settings = cell.settings
+    plan = _plan_emptied(cell, step, rooms, usable)
+    if plan is None:
+        if terms is not None:
+            yield from advising.ask_first(cell, step, rooms)
+        return
+    size_cpu = step.need.cpu_millis * step.step.count
+    share = settings.claims_part * rooms.total_cpu
+    if (
+        rooms.claims >= settings.claims_limit
+        or rooms.claimed_cpu + size_cpu > share
+    ):
+        return
+    rooms.claims += 1
+    _keep_plan(step, rooms, plan)
+    yield from preempting.clear(cell, step, plan)
+
+
+def _plan_emptied(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+) -> Plan | None:
+    """Returns where the gang will fit once others have ended, or None.
+
+    Minions that lack the least processor time go first.
+    """
+    left = step.step.count
+    options = []
+    for minion_id in usable:
+        room = rooms.free.get(minion_id)
+        if room is None:
+            continue
+        capacity = cell.minions[minion_id].minion.capacity
+        slots = rooms_module.count_limit(
+            step, minion_id, runs.count_fitting(capacity, step.need, left)
+        )
+        if slots:
+            lack = step.need.cpu_millis * slots - room.cpu_millis
+            options.append((lack / slots, minion_id, slots))
+    options.sort()
+    plan: Plan = []
+    for _, minion_id, slots in options:
+        count = min(slots, left)
+        plan.append((minion_id, count))
+        left -= count
+        if not left:
+            return plan
+    return None
+
+
+def review(cell: state.CellState) -> Iterator[effects.Effect]:
+    """Stops gangs of which only a part runs, as after a takeover."""
+    for step in list(cell.ready.values()):
+        if step.step.gang and step.runs and step.waiting:
+            if step.job.doubtful_until_ms > cell.now_ms:
+                continue
+            yield from preempting.stop_gang(cell, step)
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/looks.py
@@ -0,0 +1,211 @@
+"""What minions list: runs, ends, and runs that are missing."""
+
+from collections.abc import Iterator
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import state
+from hickoryreach.structure import resources
+
+ENDS_LIMIT = 500
+LATE_MARGIN_MS = 300
+
+
+def take(
+    cell: state.CellState, event: events.MinionLooked
+) -> Iterator[effects.Effect]:
+    """Takes in a minion's lists."""
+    minion = cell.minions.get(event.minion_id)
+    if minion is None:
+        return
+    look = event.look
+    reborn = bool(minion.life) and look.life != minion.life
+    if not minion.is_open or reborn:
+        cell.dirty = True
+    minion.life = look.life
+    minion.looked = True
+    minion.reachable = True
+    for end in look.ends:
+        yield from _take_end(cell, minion, end)
+    listed = set()
+    strays = 0
+    for row in look.running:
+        listed.add((row.key, row.run))
+        yield from _take_running(cell, minion, row)
+        run = minion.runs.get((row.key, row.run))
+        if run is not None and run.need == resources.NOTHING:
+            strays += run.step is None
+    minion.strays = strays
+    for name, run in list(minion.runs.items()):
+        if name in listed or name not in minion.runs:
+            continue
+        reason = _explain_absence(cell, run, event, reborn=reborn)
+        if reason:
+            yield from lifecycle.give_up_run(cell, run, reason)
+
+
+def _take_end(
+    cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
+) -> Iterator[effects.Effect]:
+    run = minion.runs.get((end.key, end.run))
+    step = runs.find_step(cell, end.key)
+    if run is not None:
+        runs.free(cell, run)
+    counts = (
+        step is not None
+        and not step.job.state.is_final
+        and (end.key.index, end.run) not in step.void
+    )
+    if not counts:
+        yield effects.EndSeen(
+            minion_id=minion.minion.minion_id,
+            life=minion.life,
+            end=end,
+            record=False,
+        )
+        return
+    lifecycle.note_checkpoint(step, end.key.index, end.checkpoint)
+    _learn(cell, minion, end)
+    yield effects.EndSeen(
+        minion_id=minion.minion.minion_id,
+        life=minion.life,
+        end=end,
+        record=_must_record(end),
+    )
+    yield from lifecycle.note_begun(step.job)
+    if end.key.index in step.runs:
+        return
+    yield from lifecycle.take_outcome(
+        cell, step, end.key.index, end.run, end.kind
+    )
+    if end.kind is not minions.EndKind.DONE:
+        yield from lifecycle.break_gang(cell, step, "member_ended")
+
+
+def _must_record(end: minions.TaskEnd) -> bool:
+    return bool(end.checkpoint) or end.kind in (
+        minions.EndKind.DONE,
+        minions.EndKind.FAILED,
+    )
+
+
+def _learn(
+    cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
+) -> None:
+    """Counts failures of different jobs in a row against the minion."""
+    if end.kind is minions.EndKind.DONE:
+        minion.failed_jobs.clear()
+    elif end.kind is minions.EndKind.FAILED:
+        minion.failed_jobs[end.key.job_id] = None
+        if len(minion.failed_jobs) >= cell.settings.blame_failures:
+            minion.failed_jobs.clear()
+            minion.blamed_until_ms = cell.now_ms + cell.settings.blame_ms
+
+
+def _take_running(
+    cell: state.CellState,
+    minion: state.MinionRecord,
+    row: minions.RunningTask,
+) -> Iterator[effects.Effect]:
+    run = minion.runs.get((row.key, row.run))
+    if run is None:
+        yield from _adopt(cell, minion, row)
+        return
+    if run.phase is state.Phase.SENT:
+        run.phase = state.Phase.RUNNING
+        run.confirmed_ms = cell.now_ms
+        run.progress_ms = cell.now_ms
+        if run.step is not None:
+            yield from lifecycle.note_begun(run.step.job)
+    if row.percent > run.percent or row.checkpoint != run.checkpoint:
+        run.progress_ms = cell.now_ms
+    run.percent = row.percent
+    run.checkpoint = row.checkpoint
+    if run.step is not None:
+        lifecycle.note_checkpoint(run.step, row.key.index, row.checkpoint)
+
+
+def _adopt(
+    cell: state.CellState,
+    minion: state.MinionRecord,
+    row: minions.RunningTask,
+) -> Iterator[effects.Effect]:
+    """Takes over a run that another owner started, or stops it."""
+    step = runs.find_step(cell, row.key)
+    wanted = (
+        step is not None
+        and not step.job.state.is_final
+        and row.key.index not in step.done
+        and row.key.index not in step.runs
+        and (row.key.index, row.run) not in step.void
+    )
+    run = state.Run(
+        key=row.key,
+        number=row.run,
+        minion_id=minion.minion.minion_id,
+        step=step if wanted else None,
+        need=step.need if step else resources.NOTHING,
+        workspace=step.job.job.workspace if step else "",
+        phase=state.Phase.RUNNING,
+        sent_ms=cell.now_ms,
+        confirmed_ms=cell.now_ms,
+        percent=row.percent,
+        progress_ms=cell.now_ms,
+        checkpoint=row.checkpoint,
+    )
+    runs.add(cell, minion, run)
+    yield effects.Noted(
+        what="run_adopted" if wanted else "run_unwanted",
+        subject=minions.format_task(row.key),
+        detail=f"run={row.run} minion={minion.minion.minion_id}",
+    )
+    if wanted:
+        lifecycle.note_checkpoint(step, row.key.index, row.checkpoint)
+        yield from lifecycle.note_begun(step.job)
+    else:
+        yield from lifecycle.stop(cell, run, "unwanted")
+
+
+def _explain_absence(
+    cell: state.CellState,
+    run: state.Run,
+    event: events.MinionLooked,
+    *,
+    reborn: bool,
+) -> str:
+    """Returns why a run that is not listed can't run, or an empty text."""
+    settings = cell.settings
+    valid_ms = settings.start_ms * (1 + settings.drift) + LATE_MARGIN_MS
+    if run.phase in (state.Phase.RUNNING, state.Phase.STOPPING) and (
+        run.confirmed_ms >= 0
+    ):
+        if reborn:
+            return "minion_reborn"
+        if (
+            event.sent_ms > run.confirmed_ms
+            and len(event.look.ends) < ENDS_LIMIT
+        ):
+            return "not_listed"
+        return ""
+    if 0 <= run.stopped_ms < event.sent_ms:
+        return "stopped_before_start"
+    if event.sent_ms > run.sent_ms + valid_ms:
+        return "start_expired"
+    return ""
+
+
+def lapse(
+    cell: state.CellState, event: events.LeaseLapsed
+) -> Iterator[effects.Effect]:
+    """Frees every run of a minion whose lease is over."""
+    minion = cell.minions.get(event.minion_id)
+    if minion is None:
+        return
+    minion.looked = False
+    for run in list(minion.runs.values()):
+        yield from lifecycle.give_up_run(cell, run, "lease_lapsed")
+    if minion.gone:
+        del cell.minions[event.minion_id]
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -0,0 +1,132 @@
+"""Answers to starts and stops, and stops that are sent again."""
+
+from collections.abc import Iterator
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import state
+
+UNHEALTHY_MS = 500
+
+
+def take_start(
+    cell: state.CellState, event: events.StartAnswered
+) -> Iterator[effects.Effect]:
+    """Takes in the answer to a start."""
+    minion = cell.minions.get(event.minion_id)
+    run = minion and minion.runs.get((event.key, event.number))
+    if run is None:
+        return
+    failure = event.failure
+    if failure is None:
+        yield from _confirm(cell, run)
+    elif failure.refusal is None and failure.effect_unknown:
+        yield from _doubt(cell, run, failure.reason)
+    elif run.phase is not state.Phase.RUNNING:
+        yield from _refuse(cell, minion, run, failure)
+
+
+def _confirm(cell: state.CellState, run: state.Run) -> Iterator[effects.Effect]:
+    if run.confirmed_ms < 0:
+        run.confirmed_ms = cell.now_ms
+        run.progress_ms = cell.now_ms
+    if run.phase is state.Phase.SENT:
+        run.phase = state.Phase.RUNNING
+        if run.step is not None:
+            yield from lifecycle.note_begun(run.step.job)
+
+
+def _doubt(
+    cell: state.CellState, run: state.Run, reason: str
+) -> Iterator[effects.Effect]:
+    if run.phase is not state.Phase.SENT:
+        return
+    run.phase = state.Phase.UNCLEAR
+    yield effects.Noted(
+        what="start_unclear",
+        subject=minions.format_task(run.key),
+        detail=f"{reason} run={run.number} minion={run.minion_id}",
+    )
+    yield from lifecycle.send_stop(cell, run, "start_unclear")
+    if run.step is not None:
+        yield from lifecycle.break_gang(cell, run.step, "member_unclear")
+
+
+def _refuse(
+    cell: state.CellState,
+    minion: state.MinionRecord,
+    run: state.Run,
+    failure: minions.OrderFailure,
+) -> Iterator[effects.Effect]:
+    step = run.step
+    if failure.refusal in (
+        minions.Refusal.UNHEALTHY,
+        minions.Refusal.FULL,
+        None,
+    ):
+        blamed_ms = cell.now_ms + UNHEALTHY_MS
+        minion.blamed_until_ms = max(minion.blamed_until_ms, blamed_ms)
+    if failure.refusal is minions.Refusal.TICKET and step is not None:
+        step.tickets.pop(run.minion_id, None)
+    yield from lifecycle.give_up_run(
+        cell, run, f"refused_{failure.refusal or failure.reason}"
+    )
+
+
+def take_stop(
+    cell: state.CellState, event: events.StopAnswered
+) -> Iterator[effects.Effect]:
+    """Takes in the answer to a stop."""
+    minion = cell.minions.get(event.minion_id)
+    run = minion and minion.runs.get((event.key, event.number))
+    if run is None or not event.confirmed:
+        return
+    run.stopped_ms = cell.now_ms
+    cell.unclear.pop(id(run), None)
+    yield from ()
+
+
+def repeat_stops(cell: state.CellState) -> Iterator[effects.Effect]:
+    """Sends stops again that were not confirmed."""
+    for run in list(cell.unclear.values()):
+        age_ms = cell.now_ms - run.stop_sent_ms
+        if age_ms >= cell.settings.repeat_stop_ms:
+            yield from lifecycle.send_stop(cell, run, "again")
+
+
+def start(
+    cell: state.CellState,
+    step: state.StepRecord,
+    index: int,
+    minion: state.MinionRecord,
+    number: int,
+) -> Iterator[effects.Effect]:
+    """Starts a task on a minion."""
+    key = step.get_key(index)
+    minion_id = minion.minion.minion_id
+    ticket = step.tickets.get(minion_id)
+    run = state.Run(
+        key=key,
+        number=number,
+        minion_id=minion_id,
+        step=step,
+        need=step.need,
+        workspace=step.job.job.workspace,
+        phase=state.Phase.SENT,
+        sent_ms=cell.now_ms,
+    )
+    runs.add(cell, minion, run)
+    if not step.waiting:
+        cell.ready.pop(id(step), None)
+    yield effects.StartTask(
+        key=key,
+        number=number,
+        minion_id=minion_id,
+        payload=step.job.job.payload,
+        checkpoint=step.checkpoints.get(0 if step.step.gang else index, ""),
+        ticket=ticket.text if ticket else "",
+        valid_ms=cell.settings.start_ms,
+    )
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -0,0 +1,113 @@
+"""Places waiting tasks on minions, the most pressing step first."""
+
+from collections.abc import Iterator
+
+from hickoryreach.scheduling import advising
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import gangs
+from hickoryreach.scheduling import orders
+from hickoryreach.scheduling import preempting
+from hickoryreach.scheduling import rooms as rooms_module
+from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+
+
+def advance(cell: state.CellState) -> Iterator[effects.Effect]:
+    """Starts what can start, if something has changed."""
+    if not cell.dirty or cell.configuration is None:
+        return
+    cell.dirty = False
+    rooms = rooms_module.measure(cell)
+    waiting = sorted(
+        (step for step in cell.ready.values() if step.waiting),
+        key=lambda step: get_order(cell, step),
+    )
+    for step in waiting[: cell.settings.waiting_limit]:
+        if step.job.doubtful_until_ms > cell.now_ms:
+            continue
+        yield from _place(cell, step, rooms)
+
+
+def get_order(
+    cell: state.CellState, step: state.StepRecord
+) -> tuple[bool, int, int]:
+    """Returns the place of a step among those that wait.
+
+    What can still be in time goes before what is late, then the lower rank,
+    then the least slack.
+    """
+    slack_ms = step.job.due_ms - step.step.estimate_ms
+    return (slack_ms < cell.now_ms, step.rank, slack_ms)
+
+
+def _place(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> Iterator[effects.Effect]:
+    terms = advising.get_terms(cell, step)
+    if terms is not None and step.allowed is None:
+        yield from advising.ask_first(cell, step, rooms)
+        return
+    if terms is None:
+        usable = advising.list_minions(cell, step)
+    else:
+        usable = [
+            minion_id for minion_id in step.allowed if minion_id in rooms.free
+        ]
+    if step.step.gang:
+        yield from gangs.place(cell, step, rooms, usable, terms)
+        return
+    yield from _place_tasks(cell, step, rooms, usable, terms)
+
+
+def _place_tasks(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Iterator[effects.Effect]:
+    expired = []
+    for minion_id in _sort_tightest(rooms, step, usable):
+        slots = rooms_module.count_slots(
+            rooms, step, minion_id, len(step.waiting)
+        )
+        if not slots:
+            continue
+        if terms is not None and not advising.has_ticket(cell, step, minion_id):
+            expired.append(minion_id)
+            continue
+        for index in list(step.waiting)[:slots]:
+            if not rooms_module.may_start(cell, step, rooms):
+                return
+            number = runs.next_number(cell, step)
+            yield from orders.start(
+                cell, step, index, cell.minions[minion_id], number
+            )
+            rooms.take(minion_id, step.need)
+        if not step.waiting:
+            return
+    if expired:
+        yield from advising.refresh(cell, step, expired)
+        return
+    if terms is not None and _lacks_minions(cell, step):
+        yield from advising.ask_first(cell, step, rooms)
+    if step.rank == rooms_module.FIRST_RANK:
+        yield from preempting.make_room(
+            cell, step, rooms, usable, len(step.waiting)
+        )
+
+
+def _sort_tightest(
+    rooms: rooms_module.Rooms, step: state.StepRecord, usable: list[str]
+) -> list[str]:
+    return sorted(
+        (minion_id for minion_id in usable if minion_id in rooms.free),
+        key=lambda minion_id: rooms.free[minion_id].cpu_millis,
+    )
+
+
+def _lacks_minions(cell: state.CellState, step: state.StepRecord) -> bool:
+    """Returns whether asking about more minions may find room."""
+    known = len(step.allowed or ()) + len(step.denied)
+    return known < len(advising.list_minions(cell, step))
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -0,0 +1,133 @@
+"""The reducer: one event in, effects out, no clock and no I/O."""
+
+from collections.abc import Callable
+from collections.abc import Iterator
+
+from hickoryreach.decisions import registry
+from hickoryreach.scheduling import advising
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import gangs
+from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import looks
+from hickoryreach.scheduling import orders
+from hickoryreach.scheduling import placing
+from hickoryreach.scheduling import state
+
+Handler = Callable[[state.CellState, object], Iterator[effects.Effect]]
+
+handlers: registry.Registry[type, Handler] = registry.Registry(
+    title="scheduling handlers"
+)
+
+handlers.register(events.MinionLooked)(looks.take)
+handlers.register(events.LeaseLapsed)(looks.lapse)
+handlers.register(events.StartAnswered)(orders.take_start)
+handlers.register(events.StopAnswered)(orders.take_stop)
+handlers.register(events.JobRestored)(lifecycle.restore)
+handlers.register(events.Advised)(advising.take)
+
+
+def reduce(
+    cell: state.CellState, event: events.Event, now_ms: int
+) -> list[effects.Effect]:
+    """Applies one event; what waits is placed by `advance`."""
+    cell.now_ms = max(cell.now_ms, now_ms)
+    return list(handlers.find(type(event))(cell, event))
+
+
+def advance(cell: state.CellState, now_ms: int) -> list[effects.Effect]:
+    """Places what waits, after one or several events."""
+    cell.now_ms = max(cell.now_ms, now_ms)
+    return list(placing.advance(cell))
+
+
+@handlers.register(events.ConfigurationChanged)
+def change_configuration(
+    cell: state.CellState, event: events.ConfigurationChanged
+) -> Iterator[effects.Effect]:
+    """Puts a configuration in force."""
+    cell.configuration = event.configuration
+    cell.dirty = True
+    yield from ()
+
+
+@handlers.register(events.MinionRegistered)
+def register_minion(
+    cell: state.CellState, event: events.MinionRegistered
+) -> Iterator[effects.Effect]:
+    """Notes a minion or a change of its registration."""
+    known = cell.minions.get(event.minion.minion_id)
+    if known is None:
+        known = state.MinionRecord(minion=event.minion)
+        cell.minions[event.minion.minion_id] = known
+    known.minion = event.minion
+    known.gone = False
+    cell.dirty = True
+    yield from ()
+
+
+@handlers.register(events.MinionUnregistered)
+def unregister_minion(
+    cell: state.CellState, event: events.MinionUnregistered
+) -> Iterator[effects.Effect]:
+    """Places nothing more on a minion; what runs there may go on."""
+    known = cell.minions.get(event.minion_id)
+    if known is None:
+        return
+    known.gone = True
+    if not known.runs:
+        del cell.minions[event.minion_id]
+    yield from ()
+
+
+@handlers.register(events.MinionSilent)
+def suspend_minion(
+    cell: state.CellState, event: events.MinionSilent
+) -> Iterator[effects.Effect]:
+    """Places nothing on a minion that does not answer."""
+    known = cell.minions.get(event.minion_id)
+    if known is not None:
+        known.reachable = False
+    yield from ()
+
+
+@handlers.register(events.JobAccepted)
+def accept_job(
+    cell: state.CellState, event: events.JobAccepted
+) -> Iterator[effects.Effect]:
+    """Takes in a job."""
+    yield from lifecycle.accept(cell, event.job)
+
+
+@handlers.register(events.JobCancelled)
+def cancel_job(
+    cell: state.CellState, event: events.JobCancelled
+) -> Iterator[effects.Effect]:
+    """Cancels a job."""
+    record = cell.jobs.get(event.job_id)
+    if record is not None:
+        yield from lifecycle.cancel(cell, record)
+
+
+@handlers.register(events.DoubtEnded)
+def end_doubt(
+    cell: state.CellState, event: events.DoubtEnded
+) -> Iterator[effects.Effect]:
+    """Lets restored jobs start."""
+    for record in cell.jobs.values():
+        record.doubtful_until_ms = 0
+    cell.dirty = True
+    yield from ()
+
+
+@handlers.register(events.Ticked)
+def tick(
+    cell: state.CellState, event: events.Ticked
+) -> Iterator[effects.Effect]:
+    """Handles what has become due."""
+    cell.wall_ms = event.wall_ms
+    cell.dirty = True
+    yield from lifecycle.begin_timed(cell)
+    yield from orders.repeat_stops(cell)
+    yield from gangs.review(cell)
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -0,0 +1,91 @@
+"""Room that runs take up on minions and in their workspace's limit."""
+
+from hickoryreach.scheduling import state
+from hickoryreach.structure import resources
+from hickoryreach.structure import steps
+
+EPOCH_RUNS = 1_000_000
+
+
+def next_number(cell: state.CellState, step: state.StepRecord) -> int:
+    """Returns a run number above every earlier one of the step's tasks.
+
+    Runs of an earlier owner are not recorded, so that each ownership counts
+    in a range of its own.
+    """
+    highest = max(step.numbers.values(), default=0)
+    return max(highest, (cell.epoch - 1) * EPOCH_RUNS) + 1
+
+
+def add(
+    cell: state.CellState,
+    minion: state.MinionRecord,
+    run: state.Run,
+) -> None:
+    """Takes up room for a run."""
+    minion.runs[(run.key, run.number)] = run
+    minion.used = minion.used + run.need
+    used = cell.usage.get(run.workspace, resources.NOTHING)
+    cell.usage[run.workspace] = used + run.need
+    if run.step is not None:
+        run.step.runs[run.key.index] = run
+        run.step.waiting.pop(run.key.index, None)
+        highest = run.step.numbers.get(run.key.index, 0)
+        run.step.numbers[run.key.index] = max(highest, run.number)
+
+
+def free(cell: state.CellState, run: state.Run) -> None:
+    """Gives back the room of a run that has ended."""
+    minion = cell.minions.get(run.minion_id)
+    if minion is None or minion.runs.pop((run.key, run.number), None) is None:
+        return
+    minion.used = minion.used - run.need
+    cell.usage[run.workspace] = cell.usage[run.workspace] - run.need
+    cell.unclear.pop(id(run), None)
+    if run.step is not None and run.step.runs.get(run.key.index) is run:
+        del run.step.runs[run.key.index]
+    cell.dirty = True
+
+
+def is_within_limit(
+    cell: state.CellState, workspace: str, need: resources.Resources
+) -> bool:
+    """Returns whether a workspace may have that much more running."""
+    configuration = cell.configuration
+    known = configuration and configuration.workspaces.get(workspace)
+    if not known:
+        return not workspace
+    limit = known.limit
+    total = cell.usage.get(workspace, resources.NOTHING) + need
+    return (
+        (not limit.cpu_millis or total.cpu_millis <= limit.cpu_millis)
+        and (not limit.memory_mb or total.memory_mb <= limit.memory_mb)
+        and (not limit.accelerators or total.accelerators <= limit.accelerators)
+    )
+
+
+def count_fitting(
+    room: resources.Resources, need: resources.Resources, most: int
+) -> int:
+    """Returns how many tasks of a size fit into some room, up to `most`."""
+    count = most
+    if need.cpu_millis > 0:
+        count = min(count, room.cpu_millis // need.cpu_millis)
+    if need.memory_mb > 0:
+        count = min(count, room.memory_mb // need.memory_mb)
+    if need.accelerators > 0:
+        count = min(count, room.accelerators // need.accelerators)
+    return max(count, 0)
+
+
+def find_step(
+    cell: state.CellState, key: steps.TaskKey
+) -> state.StepRecord | None:
+    """Returns the step of a task whose job is known."""
+    record = cell.jobs.get(key.job_id)
+    if record is None:
+        return None
+    step = record.steps.get((key.repeat, key.step))
+    if step is None or key.index >= step.step.count:
+        return None
+    return step
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -0,0 +1,41 @@
+"""Figures that the decisions depend on."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Settings:
+    """Figures of one deployment.
+
+    Attributes:
+        start_ms: How long a start that is under way may still be carried out.
+        stop_ms: Longest time that a minion takes to stop a task.
+        gang_wait_ms: How long the first member of a gang waits for the last.
+        spread_factor: How much slower a task runs away from its data.
+        drift: Part by which a minion's clock may be slow.
+        repeat_stop_ms: Time after which an unconfirmed stop is sent again.
+        ticket_margin_ms: Validity that a ticket must have left at a start.
+        waiting_limit: Steps considered in one pass over what waits.
+        claims_limit: Gangs that may keep room for themselves at once.
+        claims_part: Part of the cell that gangs may keep for themselves.
+        urgent_part: Part of the cell that only the first rank may fill.
+        advice_limit: Most minions named in one call for advice.
+        blame_ms: How long a minion that fails its tasks is avoided.
+        blame_failures: Failures in a row of different jobs that count as the
+            minion's own.
+    """
+
+    start_ms: int = 2_000
+    stop_ms: int = 1_000
+    gang_wait_ms: int = 3_000
+    spread_factor: float = 1.5
+    drift: float = 0.02
+    repeat_stop_ms: int = 400
+    ticket_margin_ms: int = 150
+    waiting_limit: int = 60
+    claims_limit: int = 3
+    claims_part: float = 0.5
+    urgent_part: float = 0.04
+    advice_limit: int = 100
+    blame_ms: int = 4_000
+    blame_failures: int = 3
--- /dev/null
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -0,0 +1,96 @@
+// Frames between an entry and the owner of its cell, over one connection.
+// A frame holds exactly one of its optional messages. A frame with a number
+// is answered by one with the same number and `answer` set.
+namespace py hickoryreach.wire
+
+struct PeerInfo {
+  1: string name,
+  2: string address,
+  // Cores' worth of processor time that it gets.
+  3: double processor = 0,
+}
+
+// entry -> owner, first frame of a connection.
+struct Greeting {
+  1: PeerInfo peer,
+}
+
+// owner -> entry, several times a second.
+struct Status {
+  1: i64 epoch,
+  // Jobs by queue none of whose tasks has started.
+  2: map<string, i32> pending,
+  // Entries in the order in which they should take over.
+  3: list<PeerInfo> succession,
+  // The owner is stopping; the first of the succession takes over at once.
+  4: bool leaving = 0,
+}
+
+// entry -> owner, several times a second.
+struct Pulse {
+  1: bool store_reached = 1,
+}
+
+// entry -> owner: this job is kept, or is to be written for the entry.
+struct Submission {
+  1: binary job,
+  2: bool kept = 1,
+}
+
+// Of a job of another workspace nothing is told; an empty one sees all.
+struct Query {
+  1: string job_id,
+  2: string workspace = "",
+}
+
+struct Cancellation {
+  1: string job_id,
+  2: string workspace = "",
+}
+
+// owner -> entry, in answer to the three above.
+struct JobReport {
+  1: bool known = 0,
+  2: string state = "",
+  // False when the owner could not keep what was asked.
+  3: bool kept = 1,
+}
+
+// owner -> entry: ask the advice service.
+struct AdviceCall {
+  1: string step,
+  2: list<string> minions,
+  3: double cost_ms = 0,
+}
+
+struct AdviceReport {
+  1: bool failed = 0,
+  2: map<string, string> tickets,
+  3: i64 valid_ms = 0,
+}
+
+// entry -> entry: have you heard the owner lately?
+struct OwnerQuestion {
+  1: i64 epoch,
+}
+
+struct OwnerReport {
+  1: bool heard = 0,
+  2: i64 epoch = 0,
+}
+
+struct Frame {
+  1: i64 number = 0,
+  2: bool answer = 0,
+  3: optional Greeting greeting,
+  4: optional Status status,
+  5: optional Pulse pulse,
+  6: optional Submission submission,
+  7: optional Query query,
+  8: optional Cancellation cancellation,
+  9: optional JobReport job_report,
+  10: optional AdviceCall advice_call,
+  11: optional AdviceReport advice_report,
+  12: optional OwnerQuestion owner_question,
+  13: optional OwnerReport owner_report,
+}
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/__init__.py
@@ -0,0 +1,1 @@
+"""One entry of a cell on the users' platform."""
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -0,0 +1,148 @@
+"""Carries out what the reducer asks for."""
+
+import logging
+
+import gevent
+
+from hickoryreach.decisions import registry
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import state
+from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import records
+
+log = logging.getLogger(__name__)
+
+handlers: registry.Registry = registry.Registry(title="effect handlers")
+
+
+class Carrier:
+    """Carries out the effects of one owner.
+
+    Attributes:
+        owner: The owner.
+        starts_under_way: Starts without an answer yet.
+    """
+
+    def __init__(self, *, owner) -> None:
+        """Creates a carrier."""
+        self.owner = owner
+        self.starts_under_way = 0
+
+    def carry(self, effect: effects.Effect) -> None:
+        """Carries out one effect."""
+        handlers.find(type(effect))(self, effect)
+
+    @handlers.register(effects.StartTask)
+    def start_task(self, effect: effects.StartTask) -> None:
+        """Sends a start."""
+        link = self.owner.fleet.links.get(effect.minion_id)
+        if link is None:
+            self.owner.emit(
+                events.StartAnswered(
+                    key=effect.key,
+                    number=effect.number,
+                    minion_id=effect.minion_id,
+                    failure=minions.OrderFailure(reason="minion_unknown"),
+                )
+            )
+            return
+        self._observe_wait(effect)
+        self.starts_under_way += 1
+        gevent.spawn(self._start, link, effect)
+
+    def _start(self, link, effect: effects.StartTask) -> None:
+        try:
+            link.start(effect)
+        finally:
+            self.starts_under_way -= 1
+
+    def _observe_wait(self, effect: effects.StartTask) -> None:
+        record = self.owner.state.jobs.get(effect.key.job_id)
+        if record is not None and not record.begun:
+            wait_ms = clock.now_ms() - record.accepted_ms
+            metrics.first_start_seconds.observe(max(0, wait_ms) / 1000)
+
+    @handlers.register(effects.StopTask)
+    def stop_task(self, effect: effects.StopTask) -> None:
+        """Sends a stop."""
+        link = self.owner.fleet.links.get(effect.minion_id)
+        if link is not None:
+            gevent.spawn(link.stop_task, effect)
+
+    @handlers.register(effects.AskAdvice)
+    def ask_advice(self, effect: effects.AskAdvice) -> None:
+        """Asks for advice."""
+        self.owner.advisors.ask(effect)
+
+    @handlers.register(effects.EndSeen)
+    def record_end(self, effect: effects.EndSeen) -> None:
+        """Keeps an end, then lets the minion forget it."""
+        end = effect.end
+        link = self.owner.fleet.links.get(effect.minion_id)
+        log.info(
+            "task_end",
+            extra={
+                "task": minions.format_task(end.key),
+                "run": end.run,
+                "minion": effect.minion_id,
+                "how": str(end.kind),
+                "recorded": effect.record,
+            },
+        )
+
+        def settle() -> None:
+            if link is not None:
+                link.settle(effect.life, end.number)
+
+        if not effect.record:
+            settle()
+            return
+        row = records.Row(
+            kind=records.END,
+            job_id=end.key.job_id,
+            end=events.PastEnd(
+                key=end.key,
+                number=end.run,
+                kind=end.kind,
+                checkpoint=end.checkpoint,
+            ),
+        )
+        self.owner.progress.append(row, settle)
+
+    @handlers.register(effects.JobChanged)
+    def change_job(self, effect: effects.JobChanged) -> None:
+        """Shows a state of a job once what led to it is kept."""
+        owner = self.owner
+        metrics.jobs.labels(str(effect.state)).inc()
+        record = owner.state.jobs.get(effect.job_id)
+        age_ms = clock.now_ms() - record.accepted_ms if record else 0
+        log.info(
+            "job_state",
+            extra={
+                "job": effect.job_id,
+                "state": str(effect.state),
+                "cause": effect.reason,
+                "age_ms": age_ms,
+                "slack_ms": record.due_ms - clock.now_ms() if record else 0,
+            },
+        )
+        if not effect.state.is_final:
+            owner.show(effect.job_id, effect.state)
+            return
+        row = None
+        if effect.state is state.JobState.CANCELLED:
+            row = records.Row(kind=records.CANCELLED, job_id=effect.job_id)
+        owner.progress.append(
+            row, lambda: owner.show(effect.job_id, effect.state)
+        )
+
+    @handlers.register(effects.Noted)
+    def note(self, effect: effects.Noted) -> None:
+        """Logs a decision."""
+        log.info(
+            effect.what,
+            extra={"subject": effect.subject, "detail": effect.detail},
+        )
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -0,0 +1,132 @@
+"""The minions that have registered, and the way to each."""
+
+from collections.abc import Callable
+import logging
+
+import gevent
+from returns import result
+
+from hickoryreach.platform import documents
+from hickoryreach.platform import store
+from hickoryreach.scheduling import events
+from hickoryreach.structure import cells
+from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import watching
+
+log = logging.getLogger(__name__)
+
+WATCH_WAIT_S = 1.0
+UNREGISTERED_GRACE_S = 2.5
+
+
+class Fleet:
+    """Follows registrations and keeps a link to each minion.
+
+    Attributes:
+        links: Links by minion id.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: store.Store,
+        get_terms: Callable[[], links.Terms],
+        emit: Callable[[events.Event], None],
+        on_fenced: Callable[[str], None],
+    ) -> None:
+        """Creates a fleet that follows nothing yet."""
+        self.get_terms = get_terms
+        self.emit = emit
+        self.on_fenced = on_fenced
+        self.links: dict[str, links.MinionLink] = {}
+        self.watcher = watching.Watcher(
+            client=client,
+            prefix=documents.MINIONS_PREFIX,
+            wait_s=WATCH_WAIT_S,
+            on_page=self.take_page,
+        )
+
+    def take_page(self, page: store.Page, complete: bool) -> None:
+        """Takes in changed registrations, or all of them."""
+        present = set()
+        for item in page.items:
+            minion_id = item.key.removeprefix(documents.MINIONS_PREFIX)
+            present.add(minion_id)
+            if item.data is None:
+                self.remove(minion_id, "unregistered")
+            else:
+                self.register(item)
+        if complete:
+            for minion_id in set(self.links) - present:
+                self.remove(minion_id, "not_listed")
+
+    def register(self, item: store.Item) -> None:
+        """Takes in one registration."""
+        parsed = documents.parse_minion(item.key, item.data)
+        minion_id = item.key.removeprefix(documents.MINIONS_PREFIX)
+        if isinstance(parsed, result.Failure):
+            log.warning(
+                "registration_unusable",
+                extra={
+                    "minion": minion_id,
+                    "revision": item.revision,
+                    "reason": parsed.failure(),
+                },
+            )
+            self.remove(minion_id, "registration_unusable")
+            return
+        minion = parsed.unwrap()
+        log.info(
+            "minion_registered",
+            extra={
+                "minion": minion_id,
+                "draining": minion.draining,
+                "revision": item.revision,
+            },
+        )
+        self.emit(events.MinionRegistered(minion=minion))
+        self.connect(minion)
+
+    def connect(self, minion: cells.Minion) -> None:
+        """Makes a link to a minion, or a new one to its new address."""
+        known = self.links.get(minion.minion_id)
+        if known is not None and known.minion.address == minion.address:
+            known.minion = minion
+            return
+        if known is not None:
+            known.close()
+        self.links[minion.minion_id] = links.MinionLink(
+            minion=minion,
+            get_terms=self.get_terms,
+            emit=self.emit,
+            on_fenced=self.on_fenced,
+        )
+
+    def remove(self, minion_id: str, reason: str) -> None:
+        """Notes that a minion's registration is gone.
+
+        Its link stays for as long as something may run there.
+        """
+        link = self.links.get(minion_id)
+        if link is None:
+            return
+        log.info("minion_gone", extra={"minion": minion_id, "cause": reason})
+        self.emit(events.MinionUnregistered(minion_id=minion_id))
+        gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_lapsed, link)
+
+    def drop_lapsed(self, link: links.MinionLink) -> None:
+        """Closes the link to a minion that left and does not answer."""
+        minion_id = link.minion.minion_id
+        if self.links.get(minion_id) is not link or link.stopped:
+            return
+        if link.lapsed or (link.silent and not link.clock_read_ms):
+            del self.links[minion_id]
+            link.close()
+            return
+        gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_lapsed, link)
+
+    def close(self) -> None:
+        """Closes every link."""
+        self.watcher.close()
+        for link in self.links.values():
+            link.close()
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -0,0 +1,275 @@
+"""The way to one minion: its lease, its lists and orders to it."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+
+import gevent
+from gevent import event as gevent_event
+from returns import result
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.structure import cells
+from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import metrics
+
+log = logging.getLogger(__name__)
+
+LOOK_WAIT_MS = 1_000
+SETTLE_WAIT_S = 0.1
+RETRY_S = 0.2
+CLOCK_DRIFT = 0.02
+LAPSE_MARGIN_MS = 100
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Terms:
+    """Under which terms an owner gives orders.
+
+    Attributes:
+        token: Fencing token.
+        lease_ms: Length of a minion's lease.
+    """
+
+    token: int
+    lease_ms: int
+
+
+class MinionLink:
+    """Renews a minion's lease, reads its lists and carries orders.
+
+    Attributes:
+        minion: The minion.
+        life: Present life of the minion, in ms since 1970.
+        passed: Number of the last end that was handed on.
+        settled: Ends up to this number may be acknowledged.
+        deadline_ms: Latest deadline sent, on the minion's clock.
+        looked: Set once it has listed what runs.
+    """
+
+    def __init__(
+        self,
+        *,
+        minion: cells.Minion,
+        get_terms: Callable[[], Terms],
+        emit: Callable[[events.Event], None],
+        on_fenced: Callable[[str], None],
+    ) -> None:
+        """Begins to look after a minion."""
+        self.minion = minion
+        self.get_terms = get_terms
+        self.emit = emit
+        self.on_fenced = on_fenced
+        self.client = minions.MinionClient(
+            minion_id=minion.minion_id, address=minion.address
+        )
+        self.life = 0
+        self.clock_ms = 0
+        self.clock_read_ms = 0
+        self.deadline_ms = 0
+        self.passed = 0
+        self.settled = 0
+        self.unsettled: set[int] = set()
+        self.settling = gevent_event.Event()
+        self.looked = gevent_event.Event()
+        self.tried = gevent_event.Event()
+        self.silent = True
+        self.lapsed = False
+        self.stopped = False
+        self.greenlet = gevent.spawn(self.look_forever)
+
+    def estimate_clock(self) -> int:
+        """Returns a lower bound of the minion's clock, in ms."""
+        elapsed_ms = clock.now_ms() - self.clock_read_ms
+        return self.clock_ms + int(elapsed_ms * (1 - CLOCK_DRIFT))
+
+    def look_forever(self) -> None:
+        """Renews the lease and hands on what the minion lists."""
+        while not self.stopped:
+            terms = self.get_terms()
+            deadline_ms = None
+            if self.clock_read_ms:
+                deadline_ms = self.estimate_clock() + terms.lease_ms
+                self.deadline_ms = max(self.deadline_ms, deadline_ms)
+            quick = self.silent
+            sent_ms = clock.now_ms()
+            looked = self.client.look(
+                token=terms.token,
+                acknowledged=self.settled,
+                deadline_ms=deadline_ms,
+                wait_ms=0 if quick else LOOK_WAIT_MS,
+                quick=quick,
+            )
+            if self.stopped:
+                return
+            if isinstance(looked, result.Success):
+                self.take_look(looked.unwrap(), sent_ms)
+            else:
+                self.take_failure(looked.failure())
+            self.tried.set()
+
+    def take_look(self, look: minions.Look, sent_ms: int) -> None:
+        """Hands on what is new in a minion's lists."""
+        if self.silent:
+            log.info(
+                "minion_reached",
+                extra={"minion": self.minion.minion_id, "life": look.life},
+            )
+        if look.life != self.life:
+            self.life = look.life
+            self.passed = self.settled = self.deadline_ms = 0
+            self.unsettled.clear()
+        self.silent = self.lapsed = False
+        self.clock_ms = look.clock_ms
+        self.clock_read_ms = clock.now_ms()
+        fresh = tuple(end for end in look.ends if end.number > self.passed)
+        for end in fresh:
+            self.passed = max(self.passed, end.number)
+            self.unsettled.add(end.number)
+            metrics.ends.labels(str(end.kind)).inc()
+        self.settling.clear()
+        self.emit(
+            events.MinionLooked(
+                minion_id=self.minion.minion_id,
+                look=dataclasses.replace(look, ends=fresh),
+                sent_ms=sent_ms,
+            )
+        )
+        self.looked.set()
+        if look.ends:
+            self.settling.wait(SETTLE_WAIT_S)
+
+    def take_failure(self, failure: minions.OrderFailure) -> None:
+        """Notes that the minion did not answer as it should."""
+        if failure.refusal is minions.Refusal.FENCED:
+            self.on_fenced(self.minion.minion_id)
+            gevent.sleep(RETRY_S)
+            return
+        if not self.silent:
+            log.warning(
+                "minion_silent",
+                extra={
+                    "minion": self.minion.minion_id,
+                    "reason": failure.reason,
+                },
+            )
+        self.silent = True
+        self.emit(events.MinionSilent(minion_id=self.minion.minion_id))
+        if failure.refusal is minions.Refusal.OTHER_LIFE or self.is_lapsed():
+            self.report_lapse()
+        gevent.sleep(RETRY_S)
+
+    def is_lapsed(self) -> bool:
+        """Returns whether nothing can run on the minion by any clock."""
+        return (
+            bool(self.clock_read_ms)
+            and self.estimate_clock() > self.deadline_ms + LAPSE_MARGIN_MS
+        )
+
+    def report_lapse(self) -> None:
+        """Tells once that the minion's lease is over."""
+        if self.lapsed or not self.clock_read_ms:
+            return
+        self.lapsed = True
+        log.warning(
+            "minion_lapsed",
+            extra={
+                "minion": self.minion.minion_id,
+                "deadline_ms": self.deadline_ms,
+                "clock_ms": self.estimate_clock(),
+            },
+        )
+        self.emit(events.LeaseLapsed(minion_id=self.minion.minion_id))
+
+    def settle(self, life: int, number: int) -> None:
+        """Notes that an end may be acknowledged."""
+        if life != self.life:
+            return
+        self.unsettled.discard(number)
+        if self.unsettled:
+            self.settled = min(self.unsettled) - 1
+        else:
+            self.settled = self.passed
+            self.settling.set()
+
+    def start(self, effect: effects.StartTask) -> None:
+        """Sends a start and hands on its answer."""
+        deadline_ms = self.estimate_clock() + effect.valid_ms
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        ordered = self.client.start(
+            minions.StartOrder(
+                key=effect.key,
+                run=effect.number,
+                payload=effect.payload,
+                deadline_ms=deadline_ms,
+                token=self.get_terms().token,
+                checkpoint=effect.checkpoint,
+                ticket=effect.ticket,
+            )
+        )
+        failure = self.get_failure(ordered)
+        outcome = "confirmed"
+        if failure is not None:
+            outcome = str(failure.refusal or "unclear")
+        metrics.starts.labels(outcome).inc()
+        log.info(
+            "task_start",
+            extra={
+                "task": minions.format_task(effect.key),
+                "run": effect.number,
+                "minion": self.minion.minion_id,
+                "outcome": outcome,
+            },
+        )
+        self.emit(
+            events.StartAnswered(
+                key=effect.key,
+                number=effect.number,
+                minion_id=self.minion.minion_id,
+                failure=failure,
+            )
+        )
+
+    def stop_task(self, effect: effects.StopTask) -> None:
+        """Sends a stop and hands on its answer."""
+        ordered = self.client.stop(
+            effect.key, effect.number, self.get_terms().token
+        )
+        failure = self.get_failure(ordered)
+        log.info(
+            "task_stop",
+            extra={
+                "task": minions.format_task(effect.key),
+                "run": effect.number,
+                "minion": self.minion.minion_id,
+                "cause": effect.reason,
+                "outcome": failure.reason if failure else "confirmed",
+            },
+        )
+        self.emit(
+            events.StopAnswered(
+                key=effect.key,
+                number=effect.number,
+                minion_id=self.minion.minion_id,
+                confirmed=failure is None,
+            )
+        )
+
+    def get_failure(
+        self, ordered: minions.Ordered
+    ) -> minions.OrderFailure | None:
+        """Returns why an order was not confirmed; reports a fence."""
+        if isinstance(ordered, result.Success):
+            return None
+        failure = ordered.failure()
+        if failure.refusal is minions.Refusal.FENCED:
+            self.on_fenced(self.minion.minion_id)
+        return failure
+
+    def close(self) -> None:
+        """Stops looking after the minion."""
+        self.stopped = True
+        self.greenlet.kill(block=False)
+        self.client.close()
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -0,0 +1,348 @@
+"""The owner of the cell: decides, gives orders and keeps the progress."""
+
+from collections.abc import Callable
+import logging
+import time
+
+import gevent
+from gevent import event as gevent_event
+from gevent import queue as gevent_queue
+
+from hickoryreach.platform import node as node_module
+from hickoryreach.platform import store
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import reducer
+from hickoryreach.scheduling import settings as scheduling_settings
+from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+from hickoryreach.structure import steps
+from hickoryreach.wire import frames
+from hickoryreach_entry import greenlets
+from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import effects as effects_module
+from hickoryreach_entry.cell import fleet
+from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import progress
+from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import restoring
+from hickoryreach_entry.cell import retention
+from hickoryreach_entry.cell import watching
+
+log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+BATCH_LIMIT = 200
+LEASE_MS = 4_000
+CONFIRM_S = 0.5
+CONFIRM_LIMIT_S = 1.5
+HEARD_S = 1.0
+JOBS_PAUSE_S = 0.5
+JOBS_WAIT_S = 0.5
+HANDOVER_WAIT_S = 0.8
+
+
+class Owner:
+    """One ownership of the cell.
+
+    Attributes:
+        epoch: Number of the ownership.
+        revision: Revision of the owner's key; the fencing token.
+        state: What the reducer works on.
+        visible: State of each job as callers may be told.
+        serving: Whether decisions are being made.
+        leaving: Whether the ownership is being handed over.
+        confirmed_at: When the ownership was last certain, in s.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: node_module.NodeSettings,
+        client: store.Store,
+        epoch: int,
+        revision: int,
+        configuration: cells.Configuration | None,
+        local_advisor: advisors.LocalAdvisor,
+        get_channels: Callable[[], dict[str, channel.Channel]],
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        """Creates an owner that decides nothing yet."""
+        self.settings = settings
+        self.client = client
+        self.epoch = epoch
+        self.revision = revision
+        self.configuration = configuration
+        self.get_channels = get_channels
+        self.on_deposed = on_deposed
+        self.begun_at = time.monotonic()
+        self.confirmed_at = self.begun_at
+        self.inbox: gevent_queue.Queue = gevent_queue.Queue()
+        self.visible: dict[str, state.JobState] = {}
+        self.unbegun: dict[str, str] = {}
+        self.cancel_waiters: dict[str, gevent_event.Event] = {}
+        self.serving = False
+        self.leaving = False
+        self.stopped = False
+        bounds = settings.bounds
+        self.state = state.CellState(
+            settings=scheduling_settings.Settings(
+                stop_ms=bounds.stop_ms,
+                gang_wait_ms=bounds.gang_wait_ms,
+                spread_factor=bounds.spread_factor,
+            ),
+            epoch=epoch,
+        )
+        self.progress = progress.Progress(
+            client=client,
+            epoch=epoch,
+            revision=revision,
+            on_deposed=on_deposed,
+        )
+        self.advisors = advisors.Advisors(
+            local=local_advisor, get_channels=get_channels, emit=self.emit
+        )
+        self.fleet = fleet.Fleet(
+            client=client,
+            get_terms=self.get_terms,
+            emit=self.emit,
+            on_fenced=self.note_fenced,
+        )
+        self.effects = effects_module.Carrier(owner=self)
+        self.retention = retention.Retention(
+            client=client,
+            progress=self.progress,
+            keep_s=settings.bounds.keep_state_s,
+        )
+        self.jobs_watcher = watching.Watcher(
+            client=client,
+            prefix=records.JOBS_PREFIX,
+            wait_s=JOBS_WAIT_S,
+            pause_s=JOBS_PAUSE_S,
+            on_page=self.take_jobs,
+        )
+        self.greenlets: list[gevent.Greenlet] = []
+
+    def get_terms(self) -> links.Terms:
+        """Returns the terms under which orders are given."""
+        lease_ms = min(LEASE_MS, self.settings.bounds.hold_limit_ms)
+        return links.Terms(token=self.revision, lease_ms=lease_ms)
+
+    def start(self) -> None:
+        """Takes the cell over and begins to decide."""
+        self.greenlets.append(greenlets.spawn_vital(self.run))
+        self.greenlets.append(greenlets.spawn_vital(self.confirm_forever))
+
+    def run(self) -> None:
+        """Takes over, then decides until stopped."""
+        metrics.owning.set(1)
+        restoring.restore(self)
+        self.serving = True
+        took_s = time.monotonic() - self.begun_at
+        metrics.takeover_seconds.observe(took_s)
+        log.info(
+            "ownership_serving",
+            extra={
+                "epoch": self.epoch,
+                "token": self.revision,
+                "jobs": len(self.state.jobs),
+                "minions": len(self.state.minions),
+                "took_ms": int(took_s * 1000),
+            },
+        )
+        self.jobs_watcher.start()
+        ticked_at = 0.0
+        while not self.stopped:
+            ticked_at = self.take_batch(ticked_at)
+
+    def take_batch(self, ticked_at: float) -> float:
+        """Takes what waits, then places; returns when it last ticked."""
+        timeout = max(0.0, ticked_at + TICK_S - time.monotonic())
+        try:
+            event = self.inbox.get(timeout=timeout)
+            self.apply(event)
+            for _ in range(BATCH_LIMIT):
+                if self.inbox.empty():
+                    break
+                self.apply(self.inbox.get_nowait())
+        except gevent_queue.Empty:
+            log.debug("inbox_empty", extra={})
+        now = time.monotonic()
+        if now >= ticked_at + TICK_S:
+            self.apply(events.Ticked(wall_ms=clock.wall_ms()))
+            self.retention.run(self.state, self.visible, now)
+            ticked_at = now
+        if self.may_place(now):
+            begun = time.perf_counter()
+            self.carry(reducer.advance(self.state, clock.now_ms()))
+            metrics.advance_seconds.observe(time.perf_counter() - begun)
+        return ticked_at
+
+    def may_place(self, now: float) -> bool:
+        """Returns whether this is certain enough to be the owner to start."""
+        return (
+            not self.leaving
+            and not self.stopped
+            and now - self.confirmed_at < CONFIRM_LIMIT_S
+        )
+
+    def emit(self, event: events.Event) -> None:
+        """Hands an event to the reducer."""
+        self.inbox.put(event)
+
+    def apply(self, event: events.Event) -> None:
+        """Applies one event and carries out what follows."""
+        if isinstance(event, events.JobAccepted):
+            self.note_job(event.job)
+        self.carry(reducer.reduce(self.state, event, clock.now_ms()))
+
+    def carry(self, wanted: list[effects.Effect]) -> None:
+        """Carries out effects in order."""
+        for effect in wanted:
+            self.effects.carry(effect)
+
+    def note_job(self, job: steps.Job) -> None:
+        """Notes a job that callers may ask about from now on."""
+        if job.job_id in self.visible:
+            return
+        self.visible[job.job_id] = state.JobState.QUEUED
+        self.unbegun[job.job_id] = job.queue.name
+        log.info(
+            "job_accepted",
+            extra={
+                "job": job.job_id,
+                "workspace": job.workspace,
+                "queue": job.queue.name,
+                "steps": len(job.steps),
+                "tasks": sum(step.count for step in job.steps),
+            },
+        )
+
+    def submit(self, job: steps.Job) -> None:
+        """Takes in a job that an entry has kept."""
+        if job.job_id not in self.visible:
+            self.emit(events.JobAccepted(job=job))
+
+    def take_jobs(self, page: store.Page, complete: bool) -> None:
+        """Takes in jobs that entries kept without telling."""
+        for item in page.items:
+            job_id = item.key.removeprefix(records.JOBS_PREFIX)
+            if item.data is None or job_id in self.visible:
+                continue
+            job = restoring.decode_item(item)
+            if job is not None:
+                self.submit(job)
+
+    def query(self, query: frames.Query) -> frames.JobReport:
+        """Returns what a caller may be told of a job."""
+        if not self.is_theirs(query.job_id, query.workspace):
+            return frames.JobReport(known=False)
+        return frames.JobReport(
+            known=True, state=str(self.visible[query.job_id])
+        )
+
+    def is_theirs(self, job_id: str, workspace: str) -> bool:
+        """Returns whether a job is known and belongs to a workspace."""
+        if job_id not in self.visible:
+            return False
+        record = self.state.jobs.get(job_id)
+        if record is None or not workspace:
+            return True
+        return record.job.workspace == workspace
+
+    def cancel(
+        self, cancellation: frames.Cancellation, timeout_s: float
+    ) -> frames.JobReport:
+        """Cancels a job and waits until that is kept."""
+        job_id = cancellation.job_id
+        if not self.is_theirs(job_id, cancellation.workspace):
+            return frames.JobReport(known=False)
+        if self.visible[job_id].is_final:
+            return frames.JobReport(known=True, state=str(self.visible[job_id]))
+        waiter = self.cancel_waiters.setdefault(job_id, gevent_event.Event())
+        self.emit(events.JobCancelled(job_id=job_id))
+        kept = waiter.wait(timeout_s)
+        return frames.JobReport(
+            known=True, state=str(self.visible[job_id]), kept=bool(kept)
+        )
+
+    def show(self, job_id: str, shown: state.JobState) -> None:
+        """Lets callers see a state of a job."""
+        if job_id in self.visible and self.visible[job_id].is_final:
+            return
+        self.visible[job_id] = shown
+        if shown is not state.JobState.QUEUED:
+            self.unbegun.pop(job_id, None)
+        if shown.is_final:
+            self.retention.note_final(job_id, time.monotonic())
+            waiter = self.cancel_waiters.pop(job_id, None)
+            if waiter is not None:
+                waiter.set()
+
+    def count_pending(self) -> dict[str, int]:
+        """Returns the jobs by queue none of whose tasks has started."""
+        counts: dict[str, int] = {}
+        for queue in self.unbegun.values():
+            counts[queue] = counts.get(queue, 0) + 1
+        return counts
+
+    def change_configuration(self, configuration: cells.Configuration) -> None:
+        """Puts a configuration in force."""
+        self.configuration = configuration
+        self.emit(events.ConfigurationChanged(configuration=configuration))
+
+    def confirm_forever(self) -> None:
+        """Makes sure from time to time that nobody else has taken over."""
+        while not self.stopped:
+            self.confirm()
+            gevent.sleep(CONFIRM_S)
+
+    def confirm(self) -> None:
+        """Asks the store who the owner is, or the peers while it is away."""
+        asked_at = time.monotonic()
+        found = self.client.get(records.OWNER_KEY).value_or(None)
+        if found is None:
+            if self.is_heard(time.monotonic()):
+                self.confirmed_at = asked_at
+        elif found.revision == self.revision:
+            self.confirmed_at = asked_at
+        else:
+            self.on_deposed("owner_key_changed")
+
+    def is_heard(self, now: float) -> bool:
+        """Returns whether most of the entries still follow this one."""
+        peers = list(self.get_channels().values())
+        heard = sum(now - peer.heard_at < HEARD_S for peer in peers)
+        return bool(peers) and 2 * heard >= len(peers)
+
+    def note_fenced(self, minion_id: str) -> None:
+        """Notes that a minion knows a later owner."""
+        log.warning(
+            "order_fenced", extra={"minion": minion_id, "token": self.revision}
+        )
+        gevent.spawn(self.confirm)
+
+    def hand_over(self) -> None:
+        """Stops deciding, and keeps what has been decided so far."""
+        self.leaving = True
+        deadline = time.monotonic() + HANDOVER_WAIT_S
+        while time.monotonic() < deadline:
+            if self.progress.is_empty() and not self.effects.starts_under_way:
+                return
+            gevent.sleep(0.02)
+
+    def close(self) -> None:
+        """Ends the ownership here; nothing more is ordered."""
+        self.stopped = True
+        metrics.owning.set(0)
+        self.jobs_watcher.close()
+        self.fleet.close()
+        self.progress.close()
+        current = gevent.getcurrent()
+        gevent.killall(
+            [each for each in self.greenlets if each is not current],
+            block=False,
+        )
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -0,0 +1,188 @@
+"""Writes the owner's progress to the store, many rows in one call."""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+import time
+
+import gevent
+from gevent import event as gevent_event
+from returns import result
+
+from hickoryreach.platform import store
+from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import records
+
+log = logging.getLogger(__name__)
+
+WRITES_AT_ONCE = 3
+ROWS_LIMIT = 2_000
+RETRY_S = 0.1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Part:
+    """Rows that are written together.
+
+    Attributes:
+        number: Number of the part in its epoch.
+        rows: The rows.
+        kept: Called once they are kept.
+        begun_at: When the first row came, on the steady clock in s.
+    """
+
+    number: int
+    rows: list[records.Row] = dataclasses.field(default_factory=list)
+    kept: list[Callable[[], None]] = dataclasses.field(default_factory=list)
+    begun_at: float = 0.0
+
+
+class Progress:
+    """Appends to the progress of one ownership.
+
+    Parts are written by several greenlets at once. Callbacks run in the
+    order in which they were added, so that a job's final state follows the
+    ends that caused it.
+
+    Attributes:
+        epoch: Number of the ownership.
+        revision: Revision of the owner's key, which guards each write.
+        healthy: Whether the last write was carried out.
+        failing_since: When writes began to fail, in s; 0 while they don't.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: store.Store,
+        epoch: int,
+        revision: int,
+        on_deposed: Callable[[str], None],
+    ) -> None:
+        """Begins to write."""
+        self.client = client
+        self.epoch = epoch
+        self.revision = revision
+        self.on_deposed = on_deposed
+        self.healthy = True
+        self.failing_since = 0.0
+        self.stopped = False
+        self.number = 0
+        self.open = Part(number=0)
+        self.pending = gevent_event.Event()
+        self.unkept: dict[int, Part] = {}
+        self.finished: dict[int, Part] = {}
+        self.next_kept = 1
+        self.on_part: Callable[[str, list[records.Row]], None] | None = None
+        self.greenlets = [
+            gevent.spawn(self.write_forever) for _ in range(WRITES_AT_ONCE)
+        ]
+
+    def append(
+        self,
+        row: records.Row | None,
+        kept: Callable[[], None] | None = None,
+    ) -> None:
+        """Adds a row, or just a callback that follows the rows before it."""
+        if row is None and kept is not None and self.is_empty():
+            kept()
+            return
+        if not self.open.begun_at:
+            self.open.begun_at = time.monotonic()
+        if row is not None:
+            self.open.rows.append(row)
+        if kept is not None:
+            self.open.kept.append(kept)
+        self.pending.set()
+
+    def is_empty(self) -> bool:
+        """Returns whether everything that was added is kept."""
+        return not (self.open.rows or self.open.kept or self.unkept)
+
+    def write_forever(self) -> None:
+        """Writes what waits, part by part."""
+        while not self.stopped:
+            self.pending.wait()
+            part = self.open
+            if not part.rows and not part.kept:
+                self.pending.clear()
+                continue
+            self.number += 1
+            part.number = self.number
+            self.open = Part(number=0)
+            self.unkept[part.number] = part
+            self.write(part)
+
+    def write(self, part: Part) -> None:
+        """Writes one part until it is kept or the ownership is lost."""
+        if part.rows:
+            key = records.name_progress(self.epoch, part.number)
+            data = records.encode_rows(part.rows)
+            while not self.write_once(key, data):
+                if self.stopped:
+                    return
+                gevent.sleep(RETRY_S)
+            metrics.record_seconds.observe(time.monotonic() - part.begun_at)
+            if self.on_part is not None:
+                self.on_part(key, part.rows)
+        self.finished[part.number] = part
+        while self.next_kept in self.finished:
+            done = self.finished.pop(self.next_kept)
+            self.unkept.pop(self.next_kept, None)
+            self.next_kept += 1
+            for kept in done.kept:
+                kept()
+
+    def write_once(self, key: str, data: bytes) -> bool:
+        """Tries to write one part; returns whether it is kept."""
+        written = self.client.write(
+            puts=(store.Put(key=key, data=data),),
+            expected=((records.OWNER_KEY, self.revision), (key, 0)),
+        )
+        if isinstance(written, result.Success):
+            self.note_health(None)
+            return True
+        failure = written.failure()
+        if failure.conflict is None:
+            self.note_health(failure)
+            return False
+        self.note_health(None)
+        found = {item.key: item for item in failure.conflict}
+        mine = found.get(key)
+        if mine is not None and mine.data == data:
+            return True
+        owner = found.get(records.OWNER_KEY)
+        if owner is None or owner.revision != self.revision:
+            self.stopped = True
+            self.on_deposed("progress_conflict")
+        return False
+
+    def note_health(self, failure: store.StoreFailure | None) -> None:
+        """Notes whether the store carries out writes."""
+        healthy = failure is None
+        if healthy != self.healthy:
+            log.warning(
+                "progress_writes",
+                extra={
+                    "healthy": healthy,
+                    "reason": failure.reason if failure else "",
+                },
+            )
+        self.healthy = healthy
+        if healthy:
+            self.failing_since = 0.0
+        elif not self.failing_since:
+            self.failing_since = time.monotonic()
+
+    def close(self) -> None:
+        """Stops writing; what is not kept is listed again by minions."""
+        self.stopped = True
+        self.pending.set()
+        gevent.killall(
+            [
+                each
+                for each in self.greenlets
+                if each is not gevent.getcurrent()
+            ],
+            block=False,
+        )
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -0,0 +1,163 @@
+"""Takes a cell over: reads what is kept, and asks every minion."""
+
+from collections.abc import Callable
+import logging
+import time
+
+import gevent
+from returns import result
+
+from hickoryreach.platform import documents
+from hickoryreach.platform import store
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import reducer
+from hickoryreach.structure import steps
+from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import records
+
+log = logging.getLogger(__name__)
+
+RETRY_S = 0.1
+LOOKS_LIMIT_S = 0.6
+LOOKS_POLL_S = 0.01
+LAPSE_SLACK_MS = 1_500
+HEX = "0123456789abcdef"
+
+
+def restore(owner) -> None:
+    """Fills an owner's state; returns when it may place tasks."""
+    owner.state.now_ms = clock.now_ms()
+    owner.state.wall_ms = clock.wall_ms()
+    if owner.configuration is not None:
+        owner.apply(
+            events.ConfigurationChanged(configuration=owner.configuration)
+        )
+    fleet = gevent.spawn(
+        read_until_done, owner.client, documents.MINIONS_PREFIX
+    )
+    fleet.link_value(lambda done: owner.fleet.watcher.take(done.value))
+    reads = [
+        gevent.spawn(read_until_done, owner.client, records.JOBS_PREFIX + digit)
+        for digit in HEX
+    ]
+    kept = read_until_done(owner.client, records.PROGRESS_PREFIX).unwrap()
+    gevent.joinall([fleet, *reads])
+    jobs = [each.value.unwrap() for each in reads]
+    owner.jobs_watcher.revision = min(page.revision for page in jobs)
+    deadline = time.monotonic() + LOOKS_LIMIT_S
+    wait_for(lambda: has_asked_all(owner), deadline)
+    settled = has_heard_all(owner)
+    doubtful_until_ms = 0
+    if owner.epoch > 1 and not settled:
+        lease_ms = owner.get_terms().lease_ms
+        doubtful_until_ms = clock.now_ms() + lease_ms + LAPSE_SLACK_MS
+    restore_jobs(owner, jobs, kept, doubtful_until_ms)
+    owner.fleet.watcher.start()
+    if doubtful_until_ms:
+        log.warning(
+            "takeover_in_doubt",
+            extra={
+                "silent": ",".join(list_silent(owner)),
+                "until_ms": doubtful_until_ms,
+            },
+        )
+        gevent.spawn(end_doubt, owner, doubtful_until_ms)
+
+
+def read_until_done(
+    client: store.Store, prefix: str
+) -> result.Result[store.Page, store.StoreFailure]:
+    """Reads a prefix, again and again until the store answers."""
+    while True:
+        read = client.get_prefix(prefix)
+        if isinstance(read, result.Success):
+            return read
+        log.warning(
+            "takeover_read_failed",
+            extra={"prefix": prefix, "reason": read.failure().reason},
+        )
+        gevent.sleep(RETRY_S)
+
+
+def restore_jobs(
+    owner,
+    jobs: list[store.Page],
+    kept: store.Page,
+    doubtful_until_ms: int,
+) -> None:
+    """Applies what was kept of each job."""
+    ends: dict[str, list[events.PastEnd]] = {}
+    cancelled: set[str] = set()
+    for item in kept.items:
+        rows = records.decode_rows(item.data or b"")
+        if isinstance(rows, result.Failure):
+            log.error(
+                "progress_unreadable",
+                extra={"key": item.key, "reason": rows.failure()},
+            )
+            continue
+        owner.retention.note_part(item.key, rows.unwrap())
+        for row in rows.unwrap():
+            if row.end is None:
+                cancelled.add(row.job_id)
+            else:
+                ends.setdefault(row.job_id, []).append(row.end)
+    for page in jobs:
+        for item in page.items:
+            job = decode_item(item)
+            if job is None:
+                continue
+            owner.note_job(job)
+            event = events.JobRestored(
+                job=job,
+                ends=tuple(ends.get(job.job_id, ())),
+                cancelled=job.job_id in cancelled,
+                doubtful_until_ms=doubtful_until_ms,
+            )
+            owner.carry(reducer.reduce(owner.state, event, clock.now_ms()))
+
+
+def decode_item(item: store.Item) -> steps.Job | None:
+    """Returns the job that an item holds, or None if it can't be read."""
+    decoded = records.decode_job(item.data or b"")
+    if isinstance(decoded, result.Failure):
+        log.error(
+            "job_unreadable",
+            extra={"key": item.key, "reason": decoded.failure()},
+        )
+        return None
+    return decoded.unwrap()
+
+
+def has_asked_all(owner) -> bool:
+    """Returns whether every minion has answered or failed to."""
+    return all(link.tried.is_set() for link in owner.fleet.links.values())
+
+
+def has_heard_all(owner) -> bool:
+    """Returns whether every minion has listed what runs on it."""
+    return not list_silent(owner)
+
+
+def list_silent(owner) -> list[str]:
+    """Returns the minions that have not listed what runs on them."""
+    return [
+        name
+        for name, link in owner.fleet.links.items()
+        if not link.looked.is_set()
+    ]
+
+
+def wait_for(is_done: Callable[[], bool], deadline: float) -> None:
+    """Waits until something holds, or until a deadline of the steady clock."""
+    while not is_done() and time.monotonic() < deadline:
+        gevent.sleep(LOOKS_POLL_S)
+
+
+def end_doubt(owner, until_ms: int) -> None:
+    """Ends the doubt once no run of an earlier owner can be unknown."""
+    while not owner.stopped:
+        if clock.now_ms() >= until_ms or has_heard_all(owner):
+            owner.emit(events.DoubtEnded())
+            return
+        gevent.sleep(RETRY_S)
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/suspicion.py
@@ -0,0 +1,108 @@
+"""Whether an owner that is not heard has failed."""
+
+import logging
+import time
+
+import gevent
+
+from hickoryreach.wire import frames
+from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import records
+
+log = logging.getLogger(__name__)
+
+ASK_TIMEOUT_S = 0.4
+ALONE_S = 2.0
+
+
+class Suspicion:
+    """Weighs what this entry and its peers hear of an owner.
+
+    A refused connection shows that the process is gone. A silent one may be
+    this entry's own fault, so that its peers are asked; without any peer to
+    ask it waits longer.
+
+    Attributes:
+        refused: Epoch of the owner that refused a connection, or 0.
+        since: When the owner was first found silent, in s; 0 if it is not.
+    """
+
+    def __init__(self, *, member) -> None:
+        """Creates a suspicion of nobody."""
+        self.member = member
+        self.refused = 0
+        self.since = 0.0
+
+    def clear(self) -> None:
+        """Forgets what was found, as the owner is heard."""
+        self.refused = 0
+        self.since = 0.0
+
+    def note_connect(self, found: records.Ownership, error: OSError) -> None:
+        """Notes an owner that does not accept a connection."""
+        if isinstance(error, ConnectionRefusedError):
+            self.refused = found.epoch
+        elif not self.since:
+            self.since = time.monotonic()
+
+    def is_dead(self, found: records.Ownership, silent: bool) -> bool:
+        """Returns whether an owner should be replaced."""
+        if not silent and self.refused != found.epoch:
+            if self.member.join(found):
+                return False
+            if self.refused != found.epoch and not self.since:
+                self.since = time.monotonic()
+        if self.refused == found.epoch:
+            return True
+        now = time.monotonic()
+        self.since = self.since or now
+        reports = self.ask_peers(found)
+        heard = sum(report.heard for report in reports)
+        log.info(
+            "owner_suspected",
+            extra={
+                "owner": found.name,
+                "epoch": found.epoch,
+                "asked": len(reports),
+                "heard_by": heard,
+                "silent_ms": int((now - self.since) * 1000),
+            },
+        )
+        if any(report.epoch > found.epoch for report in reports):
+            return False
+        if reports:
+            return 2 * heard < len(reports)
+        return now - self.since > ALONE_S
+
+    def ask_peers(self, found: records.Ownership) -> list[frames.OwnerReport]:
+        """Asks the other entries whether they hear the owner."""
+        status = self.member.status
+        peers = [
+            peer
+            for peer in (status.succession if status else [])
+            if peer.name not in (self.member.me.name, found.name)
+        ]
+        asked = [
+            gevent.spawn(self.ask_peer, peer.address, found.epoch)
+            for peer in peers
+        ]
+        gevent.joinall(asked, timeout=ASK_TIMEOUT_S)
+        return [each.value for each in asked if each.value is not None]
+
+    def ask_peer(self, address: str, epoch: int) -> frames.OwnerReport | None:
+        """Asks one entry; None without an answer."""
+        try:
+            peer = channel.connect(address, self.member.handle)
+        except OSError as error:
+            log.info(
+                "peer_unreachable",
+                extra={"address": address, "reason": str(error)},
+            )
+            return None
+        try:
+            return peer.call(
+                ASK_TIMEOUT_S,
+                owner_question=frames.OwnerQuestion(epoch=epoch),
+            )
+        finally:
+            peer.close("asked")
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/commands/cell.py
@@ -0,0 +1,24 @@
+"""Serves one entry on the users' platform."""
+
+import signal
+
+import gevent
+from returns import result
+
+from hickoryreach.platform import node
+from hickoryreach_entry import garbage
+from hickoryreach_entry.cell import server
+
+
+def serve(path: str) -> result.Result[None, str]:
+    """Serves until a SIGTERM has been drained, or returns what is wrong."""
+    loaded = node.load(path)
+    if isinstance(loaded, result.Failure):
+        return loaded
+    entry = server.CellServer(settings=loaded.unwrap(), path=path)
+    gevent.signal_handler(signal.SIGTERM, gevent.spawn, entry.drain)
+    gevent.signal_handler(signal.SIGINT, gevent.spawn, entry.drain)
+    gevent.signal_handler(signal.SIGHUP, gevent.spawn, entry.reload)
+    garbage.set_up()
+    entry.run()
+    return result.Success(None)
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -1,14 +1,13 @@
 """The entry server: wires its parts together and drains on request."""
 
 import logging
-import socket
 import time
 
 import gevent
 from gevent import event as gevent_event
-import gevent.pywsgi
 
 from hickoryreach.trial import store
+from hickoryreach_entry import http_server
 from hickoryreach_entry import lists
 from hickoryreach_entry import membership
 from hickoryreach_entry import peers
@@ -23,47 +22,6 @@
 BACKLOG_S = 0.2
 
 
-class HttpHandler(gevent.pywsgi.WSGIHandler):
-    """Counts the requests being answered, and ends connections in a drain."""
-
-    def handle_one_response(self) -> None:
-        """Answers one request."""
-        self.server.active += 1
-        try:
-            super().handle_one_response()
-        finally:
-            self.server.active -= 1
-
-    def finalize_headers(self) -> None:
-        """Asks the client for another connection while draining."""
-        super().finalize_headers()
-        if self.server.draining:
-            self.close_connection = True
-            self.response_headers.append((b"Connection", b"close"))
-
-
-class HttpServer(gevent.pywsgi.WSGIServer):
-    """A WSGI server that sends each write at once.
-
-    Attributes:
-        active: Requests being answered.
-        draining: Whether connections end with their next answer.
-    """
-
-    handler_class = HttpHandler
-
-    def __init__(self, *args, **kwargs) -> None:
-        """Creates a server that is not started yet."""
-        super().__init__(*args, **kwargs)
-        self.active = 0
-        self.draining = False
-
-    def do_handle(self, *args) -> None:
-        """Turns Nagle's algorithm off before serving a connection."""
-        args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().do_handle(*args)
-
-
 class EntryServer:
     """One entry instance.
 
@@ -100,7 +58,7 @@
             port=settings.peer_port,
             handler=self.router,
         )
-        self.http_server = HttpServer(
+        self.http_server = http_server.HttpServer(
             (settings.http_host, settings.http_port),
             app.build_app(
                 front_end=self.router.front,
