Let leases of silent minions lapse, and watch registrations less often

A silent minion is now asked without a new deadline. Registrations are written with every heartbeat; the watch pauses 0.3 s between calls and unchanged ones are dropped. Ruled out: a lost event between link and reducer (the log had no lapse).

--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import time
 
 import gevent
 from returns import result
@@ -16,7 +17,9 @@
 log = logging.getLogger(__name__)
 
 WATCH_WAIT_S = 1.0
+WATCH_PAUSE_S = 0.3
 UNREGISTERED_GRACE_S = 2.5
+LEFT_HEARTBEATS = 2
 
 
 class Fleet:
@@ -24,6 +27,7 @@
 
     Attributes:
         links: Links by minion id.
+        seen_at: When each registration was last written, in s.
     """
 
     def __init__(
@@ -33,16 +37,20 @@
         get_terms: Callable[[], links.Terms],
         emit: Callable[[events.Event], None],
         on_fenced: Callable[[str], None],
+        heartbeat_ms: int,
     ) -> None:
         """Creates a fleet that follows nothing yet."""
+        self.left_s = LEFT_HEARTBEATS * heartbeat_ms / 1000
         self.get_terms = get_terms
         self.emit = emit
         self.on_fenced = on_fenced
         self.links: dict[str, links.MinionLink] = {}
+        self.seen_at: dict[str, float] = {}
         self.watcher = watching.Watcher(
             client=client,
             prefix=documents.MINIONS_PREFIX,
             wait_s=WATCH_WAIT_S,
+            pause_s=WATCH_PAUSE_S,
             on_page=self.take_page,
         )
 
@@ -76,6 +84,10 @@
             self.remove(minion_id, "registration_unusable")
             return
         minion = parsed.unwrap()
+        self.seen_at[minion_id] = time.monotonic()
+        known = self.links.get(minion_id)
+        if known is not None and known.minion == minion and not known.removed:
+            return
         log.info(
             "minion_registered",
             extra={
@@ -92,6 +104,7 @@
         known = self.links.get(minion.minion_id)
         if known is not None and known.minion.address == minion.address:
             known.minion = minion
+            known.removed = False
             return
         if known is not None:
             known.close()
@@ -112,15 +125,32 @@
             return
         log.info("minion_gone", extra={"minion": minion_id, "cause": reason})
         self.emit(events.MinionUnregistered(minion_id=minion_id))
+        link.removed = True
+        if self.has_left(link):
+            link.report_lapse("left")
         gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_lapsed, link)
 
+    def has_left(self, link: links.MinionLink) -> bool:
+        """Returns whether a minion has left as planned.
+
+        One that was draining and whose registration was removed sooner than
+        silence could have removed it.
+        """
+        seen_at = self.seen_at.get(link.minion.minion_id, 0.0)
+        return (
+            link.minion.draining
+            and link.silent
+            and time.monotonic() - seen_at < self.left_s
+        )
+
     def drop_lapsed(self, link: links.MinionLink) -> None:
         """Closes the link to a minion that left and does not answer."""
         minion_id = link.minion.minion_id
-        if self.links.get(minion_id) is not link or link.stopped:
+        if self.links.get(minion_id) is not link or not link.removed:
             return
         if link.lapsed or (link.silent and not link.clock_read_ms):
             del self.links[minion_id]
+            self.seen_at.pop(minion_id, None)
             link.close()
             return
         gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_lapsed, link)
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -47,6 +47,10 @@
         settled: Ends up to this number may be acknowledged.
         deadline_ms: Latest deadline sent, on the minion's clock.
         looked: Set once it has listed what runs.
+        tried: Set once it was asked.
+        silent: Whether its last call was not answered.
+        lapsed: Whether nothing can run there until it answers.
+        removed: Whether its registration is gone.
     """
 
     def __init__(
@@ -77,6 +81,7 @@
         self.tried = gevent_event.Event()
         self.silent = True
         self.lapsed = False
+        self.removed = False
         self.stopped = False
         self.greenlet = gevent.spawn(self.look_forever)
 
@@ -90,7 +95,7 @@
         while not self.stopped:
             terms = self.get_terms()
             deadline_ms = None
-            if self.clock_read_ms:
+            if self.clock_read_ms and not self.silent:
                 deadline_ms = self.estimate_clock() + terms.lease_ms
                 self.deadline_ms = max(self.deadline_ms, deadline_ms)
             quick = self.silent
@@ -157,8 +162,10 @@
             )
         self.silent = True
         self.emit(events.MinionSilent(minion_id=self.minion.minion_id))
-        if failure.refusal is minions.Refusal.OTHER_LIFE or self.is_lapsed():
-            self.report_lapse()
+        if failure.refusal is minions.Refusal.OTHER_LIFE:
+            self.report_lapse("other_life")
+        elif self.is_lapsed():
+            self.report_lapse("lease")
         gevent.sleep(RETRY_S)
 
     def is_lapsed(self) -> bool:
@@ -168,8 +175,8 @@
             and self.estimate_clock() > self.deadline_ms + LAPSE_MARGIN_MS
         )
 
-    def report_lapse(self) -> None:
-        """Tells once that the minion's lease is over."""
+    def report_lapse(self, cause: str) -> None:
+        """Tells once that nothing runs on the minion any more."""
         if self.lapsed or not self.clock_read_ms:
             return
         self.lapsed = True
@@ -177,6 +184,7 @@
             "minion_lapsed",
             extra={
                 "minion": self.minion.minion_id,
+                "cause": cause,
                 "deadline_ms": self.deadline_ms,
                 "clock_ms": self.estimate_clock(),
             },
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -110,6 +110,7 @@
             get_terms=self.get_terms,
             emit=self.emit,
             on_fenced=self.note_fenced,
+            heartbeat_ms=settings.heartbeat_ms,
         )
         self.effects = effects_module.Carrier(owner=self)
         self.retention = retention.Retention(
