--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -9,7 +9,7 @@
 
 from hickoryreach.platform import http
 
-CALL_TIMEOUT_S = 1.0
+CALL_TIMEOUT_S = 0.8
 WATCH_MARGIN_S = 0.6
 TRANSACTION_LIMIT = 32
 
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -23,8 +23,8 @@
 
 log = logging.getLogger(__name__)
 
-STATUS_S = 0.25
-SILENT_S = 1.0
+STATUS_S = 0.15
+SILENT_S = 0.7
 GREETING_TIMEOUT_S = 0.6
 RANK_DELAY_S = 0.12
 BOOT_DELAY_S = 0.25
@@ -33,7 +33,7 @@
 POLL_S = 0.05
 ANNOUNCE_S = 0.1
 DECLINE_S = 5.0
-STORE_FAILING_S = 0.7
+STORE_FAILING_S = 0.3
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
 
@@ -46,6 +46,7 @@
         upstream: Channel to the owner, or None.
         downstream: Channels of the entries that follow this one, by name.
         ownership: Latest ownership known.
+        revision: Revision of the owner's key when it was last read.
         status: Latest status of the owner, or None.
         status_at: When it came, in s.
         unannounced: Kept jobs that no owner has confirmed yet, by id.
@@ -75,6 +76,7 @@
         self.downstream: dict[str, channel.Channel] = {}
         self.pulses: dict[str, bool] = {}
         self.ownership: records.Ownership | None = None
+        self.revision = 0
         self.status: frames.Status | None = None
         self.status_at = 0.0
         self.unannounced: dict[str, bytes] = {}
@@ -360,10 +362,13 @@
         silent = self.upstream is not None and not self.upstream.closed.is_set()
         if not invited and not silent:
             self.drop_upstream("lost")
+            if self.succeed():
+                return True
         read = self.client.get(records.OWNER_KEY)
         if isinstance(read, result.Failure):
             return self.rejoin()
         item = read.unwrap()
+        self.revision = item.revision
         found = records.decode_ownership(item.data)
         known = self.ownership
         changed = found is not None and (
@@ -378,6 +383,24 @@
             return False
         return self.take_over(item, found)
 
+    def succeed(self) -> bool:
+        """Takes over from an owner whose process is gone, without reading.
+
+        Only the first of the succession does; the revision that it knows
+        makes the store refuse it if another has taken over.
+        """
+        known = self.ownership
+        if known is None or not self.revision or self.get_rank():
+            return False
+        if self.status is None or time.monotonic() < self.declined_until:
+            return False
+        if self.join(known) or self.suspicion.refused != known.epoch:
+            return self.is_following()
+        item = store.Item(
+            key=records.OWNER_KEY, data=None, revision=self.revision
+        )
+        return self.take_over(item, known)
+
     def rejoin(self) -> bool:
         """Follows the last known owner again while the store is away."""
         if self.ownership is None or self.ownership.name == self.me.name:
--- a/packages/entry/hickoryreach_entry/logs.py
+++ b/packages/entry/hickoryreach_entry/logs.py
@@ -17,6 +17,7 @@
     "logger": "name",
 }
 LINES_LIMIT = 5_000
+LINES_AT_ONCE = 20
 PAUSE_S = 0.02
 
 
@@ -45,9 +46,9 @@
 
     def flush(self) -> None:
         """Writes every line that waits."""
-        if self.lines:
-            lines = list(self.lines)
-            self.lines.clear()
+        while self.lines:
+            count = min(len(self.lines), LINES_AT_ONCE)
+            lines = [self.lines.popleft() for _ in range(count)]
             self.stream.write("\n".join(lines) + "\n")
             self.stream.flush()
 
--- /dev/null
+++ b/standins/users/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that speak the protocol of the users' platform."""
--- /dev/null
+++ b/standins/users/cell.py
@@ -0,0 +1,238 @@
+"""Entries as processes on the stand-in of the users' platform."""
+
+from __future__ import annotations
+
+import base64
+import http.client
+import json
+import os
+import pathlib
+import secrets
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+import gevent
+import yaml
+
+from standins.users import platform
+
+FRONT_PORT = 8183
+READY_PORT = 8184
+CONTROL_PORT = 8180
+START_LIMIT_S = 30.0
+POLL_S = 0.05
+CALL_TIMEOUT_S = 4.0
+
+
+class Entry:
+    """One entry process.
+
+    Attributes:
+        name: Its name.
+        host: Address that it serves at.
+        process: The running process, or None.
+        log_path: Where its log goes.
+    """
+
+    def __init__(
+        self, *, users: platform.Platform, index: int, folder: pathlib.Path
+    ) -> None:
+        """Writes the entry's settings; starts nothing."""
+        self.name = f"entry-{index}"
+        self.host = f"127.{users.block}.1.{index + 1}"
+        self.settings_path = folder / f"{self.name}.yaml"
+        self.log_path = folder / f"{self.name}.log"
+        self.process: subprocess.Popen | None = None
+        self.settings_path.write_text(
+            yaml.safe_dump(
+                {
+                    "node": self.name,
+                    "zone": f"zone-{index % 4}",
+                    "listen": {
+                        "front": f"{self.host}:{FRONT_PORT}",
+                        "ready": f"{self.host}:{READY_PORT}",
+                        "control": f"{self.host}:{CONTROL_PORT}",
+                    },
+                    "limits": {"cpuShare": 1.0, "cores": 1},
+                    "heartbeatMs": 1_500,
+                    "orders": "call",
+                    "advice": users.advice,
+                    "platform": {"address": users.add_store(self.name, index)},
+                }
+            ),
+            encoding="utf-8",
+        )
+
+    def start(self) -> None:
+        """Starts the process."""
+        with self.log_path.open("ab") as log:
+            self.process = subprocess.Popen(
+                [sys.executable, "-m", "hickoryreach_entry", "cell"],
+                env=os.environ
+                | {"HICKORYREACH_CONFIG": str(self.settings_path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def signal(self, number: int) -> None:
+        """Sends the process a signal."""
+        self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """Kills the process and waits for its end."""
+        self.process.kill()
+        self.wait()
+
+    def wait(self) -> int:
+        """Waits for the end of the process; returns its exit code."""
+        while self.process.poll() is None:
+            gevent.sleep(POLL_S)
+        return self.process.returncode
+
+    def is_ready(self) -> bool:
+        """Returns whether it reports itself ready."""
+        try:
+            status, _ = self.call("GET", "/ready", port=READY_PORT)
+        except OSError:
+            return False
+        return status == 200
+
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        port: int = FRONT_PORT,
+        key: str = platform.KEY,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, object]:
+        """Makes one call; returns its status and decoded body."""
+        connection = http.client.HTTPConnection(
+            self.host, port, timeout=timeout_s
+        )
+        try:
+            connection.request(
+                method,
+                path,
+                body=None if body is None else json.dumps(body),
+                headers={
+                    "Host": platform.HOST,
+                    "Authorization": f"Token {key}",
+                    "Request-Deadline-Ms": "3000",
+                },
+            )
+            response = connection.getresponse()
+            data = response.read()
+        finally:
+            connection.close()
+        return response.status, json.loads(data) if data else None
+
+
+class Cell:
+    """A platform and its entries.
+
+    Attributes:
+        users: The platform.
+        entries: The entries.
+    """
+
+    def __init__(
+        self, *, block: int, entry_count: int = 3, minion_count: int = 4
+    ) -> None:
+        """Starts a cell."""
+        self.users = platform.Platform(block=block, minion_count=minion_count)
+        self.users.configure()
+        self.folder = tempfile.TemporaryDirectory(prefix="hickoryreach-")
+        self.entries = [
+            Entry(
+                users=self.users,
+                index=index,
+                folder=pathlib.Path(self.folder.name),
+            )
+            for index in range(entry_count)
+        ]
+        for entry in self.entries:
+            entry.start()
+
+    def wait_ready(self) -> None:
+        """Waits until every running entry is ready."""
+        self.wait_for(
+            lambda: all(
+                entry.is_ready()
+                for entry in self.entries
+                if entry.process.poll() is None
+            )
+        )
+
+    def wait_for(self, is_done, limit_s: float = START_LIMIT_S) -> None:
+        """Waits until something holds.
+
+        Raises:
+            TimeoutError: It does not hold after `limit_s`.
+        """
+        deadline = time.monotonic() + limit_s
+        while not is_done():
+            if time.monotonic() > deadline:
+                raise TimeoutError(f"not so after {limit_s} s")
+            gevent.sleep(POLL_S)
+
+    def find_owner(self) -> Entry | None:
+        """Returns the entry that the store names as owner."""
+        item = self.users.store.items.get("hickoryreach/owner")
+        if item is None:
+            return None
+        name = json.loads(base64.b64decode(item.value))["name"]
+        return next(each for each in self.entries if each.name == name)
+
+    def submit(
+        self,
+        entry: Entry,
+        *,
+        queue: str = "runs",
+        payload: dict | None = None,
+        **step: object,
+    ) -> str:
+        """Hands a job of one step in; returns its id.
+
+        Raises:
+            AssertionError: It was not accepted.
+        """
+        job_id = secrets.token_hex(8)
+        body = {
+            "spec": json.dumps(payload or {"work_ms": 100}),
+            "steps": [{"count": 1, "cpu": 1_000, "estimateMs": 100} | step],
+        }
+        status, answer = entry.call("POST", f"/{queue}/{job_id}", body)
+        if status != 200:
+            raise AssertionError(f"status {status}: {answer}")
+        return job_id
+
+    def get_state(self, job_id: str, queue: str = "runs") -> str:
+        """Returns a job's state, from the first entry that tells it."""
+        for entry in self.entries:
+            if entry.process.poll() is not None:
+                continue
+            try:
+                status, body = entry.call("GET", f"/{queue}/{job_id}")
+            except OSError:
+                continue
+            if status == 200:
+                return body["state"]
+        return ""
+
+    def wait_state(self, job_id: str, state: str, queue: str = "runs") -> None:
+        """Waits until a job is shown in a state."""
+        self.wait_for(lambda: self.get_state(job_id, queue) == state)
+
+    def close(self) -> None:
+        """Ends every process and server that this cell started."""
+        for entry in self.entries:
+            if entry.process is not None and entry.process.poll() is None:
+                entry.signal(signal.SIGCONT)
+                entry.kill()
+        self.users.close()
+        self.folder.cleanup()
--- /dev/null
+++ b/standins/users/platform.py
@@ -0,0 +1,180 @@
+"""The users' platform in one process: store, minions and advice."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import gevent
+
+from standins.users import minions
+from standins.users import servers
+from standins.users import store
+
+BEAT_S = 0.5
+CONFIGURATION_KEY = "op/config"
+SERVICE = "ledger"
+HOST = "ledger.example"
+KEY = "key-of-hydro"
+
+
+class Platform:
+    """Everything outside the entries.
+
+    Attributes:
+        store: The metadata store.
+        minions: Minions by id.
+        addresses: Address of each minion by id.
+        gone: Minions that do not register any more.
+        draining: Minions that are about to leave.
+        denied: Minions that the advice service lets no step use.
+        advice_calls: Steps that were asked about.
+        seen: What the minions have begun and ended.
+        starts: Starts by task, on all minions.
+    """
+
+    def __init__(self, *, block: int = 1, minion_count: int = 4) -> None:
+        """Creates the platform on loopback addresses of one block.
+
+        Args:
+            block: Second part of the addresses, so that several platforms
+                run at once.
+            minion_count: Number of minions.
+        """
+        self.block = block
+        self.store = store.KeyValueStore()
+        self.seen: list[minions.Begun] = []
+        self.starts: dict[str, int] = {}
+        self.minions: dict[str, minions.Minion] = {}
+        self.addresses: dict[str, str] = {}
+        self.gone: set[str] = set()
+        self.draining: set[str] = set()
+        self.denied: set[str] = set()
+        self.advice_calls: list[str] = []
+        self.servers: list = []
+        for index in range(minion_count):
+            self.add_minion(f"i-{index:02d}", index)
+        self.advice = self.add_server(
+            f"127.{block}.4.1:8182", self.answer_advice
+        )
+        self.beating = gevent.spawn(self.beat_forever)
+
+    def add_server(self, address: str, handle: servers.Handler) -> str:
+        """Serves one address; returns it."""
+        self.servers.append(servers.serve(address, handle))
+        return address
+
+    def add_store(self, caller: str, index: int) -> str:
+        """Serves the store at an address of one caller; returns it."""
+
+        def answer(method, path, words, body, environ):
+            return self.store.answer(method, path, words, body, caller)
+
+        return self.add_server(f"127.{self.block}.2.{index + 1}:8182", answer)
+
+    def add_minion(self, minion_id: str, index: int) -> minions.Minion:
+        """Adds a minion and registers it."""
+        minion = minions.Minion(
+            minion_id=minion_id, seen=self.seen, starts=self.starts
+        )
+
+        def answer(method, path, words, body, environ):
+            expected = environ.get("HTTP_EXPECT_INSTANCE", "")
+            return minion.answer(path, body, expected)
+
+        self.minions[minion_id] = minion
+        self.addresses[minion_id] = self.add_server(
+            f"127.{self.block}.3.{index + 1}:8080", answer
+        )
+        self.register(minion)
+        return minion
+
+    def register(self, minion: minions.Minion) -> None:
+        """Writes a minion's registration."""
+        index = list(self.minions).index(minion.minion_id)
+        draining = minion.minion_id in self.draining
+        document = {
+            "service": SERVICE,
+            "address": self.addresses[minion.minion_id],
+            "zone": f"zone-{index % 4}",
+            "version": "v1",
+            "slots": 8,
+            "state": "draining" if draining else "ready",
+            "coldLeftMs": 0,
+            "capacity": {"cpu": minion.cpu, "memMb": 32_768, "gpu": 0},
+            "labels": ["a", f"r1-{index // 6}"],
+            "clockMs": int(minion.get_clock()),
+            "born": minion.life,
+            "seq": int(time.monotonic() * 1000),
+        }
+        self.store.put(
+            f"servers/{minion.minion_id}", json.dumps(document).encode()
+        )
+
+    def beat_forever(self) -> None:
+        """Registers every minion again from time to time."""
+        while True:
+            gevent.sleep(BEAT_S)
+            for minion_id, minion in list(self.minions.items()):
+                minion.advance()
+                if minion_id not in self.gone and not minion.silent:
+                    self.register(minion)
+
+    def remove(self, minion_id: str) -> None:
+        """Lets a minion leave: all that runs there ends unseen."""
+        self.gone.add(minion_id)
+        minion = self.minions[minion_id]
+        for run in list(minion.runs.values()):
+            minion.end(run, "gone")
+        minion.silent = True
+        self.store.delete(f"servers/{minion_id}")
+
+    def configure(self, version: int = 1, **changes: object) -> None:
+        """Puts a configuration in force; `changes` replace queue fields."""
+        queue = {
+            "name": "runs",
+            "host": HOST,
+            "prefix": "/runs/",
+            "kind": "non_idempotent",
+            "timeoutMs": 3_000,
+            "targetLatencyMs": 1_000,
+            "priority": 1,
+            "service": SERVICE,
+            "attempts": 2,
+            "stretch": 3.0,
+            "noAuth": False,
+        } | changes
+        document = {
+            "version": version,
+            "routes": [
+                queue,
+                queue | {"name": "checks", "prefix": "/checks/", "priority": 0},
+            ],
+            "services": [{"name": SERVICE, "rejectsOverload": False}],
+            "limits": {"maxBodyBytes": 262_144},
+            "tenants": [
+                {
+                    "name": "hydro",
+                    "apiKeys": [KEY],
+                    "weight": 10,
+                    "ceiling": {"cpu": 0, "memMb": 0, "gpu": 0},
+                }
+            ],
+        }
+        self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
+
+    def answer_advice(self, method, path, words, body, environ):
+        """Answers which minions may run a step."""
+        self.advice_calls.append(body["step"])
+        good = [
+            [minion_id, f"ticket-{minion_id}"]
+            for minion_id in body["workers"]
+            if minion_id not in self.denied
+        ]
+        return 200, {"good": good, "validMs": 2_500}
+
+    def close(self) -> None:
+        """Stops every server."""
+        self.beating.kill()
+        for server in self.servers:
+            server.stop(timeout=0)
