Ask for advice while a job is being written, and bound doubt by what is known

An entry offers a job to the owner before its write is acknowledged; only advice is asked meanwhile. The owner tells which minions are silent and until when something of it may run there, so that a successor waits no longer.

--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -91,6 +91,13 @@
     confirmed: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobOffered:
+    """A job is being written to the store; none of it may start yet."""
+
+    job: steps.Job
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobAccepted:
     """A job is kept in the store."""
@@ -186,6 +193,7 @@
     | LeaseLapsed
     | StartAnswered
     | StopAnswered
+    | JobOffered
     | JobAccepted
     | JobCancelled
     | JobRestored
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -12,14 +12,49 @@
 ADVISED_MINIONS = 30
 
 
-def accept(cell: state.CellState, job: steps.Job) -> Iterator[effects.Effect]:
-    """Takes in a job that is kept; one that is known changes nothing."""
+def offer(cell: state.CellState, job: steps.Job) -> Iterator[effects.Effect]:
+    """Takes in a job that is not kept yet, so that advice may be asked."""
     if job.job_id in cell.jobs:
         return
     record = _add(cell, job, cell.now_ms)
+    record.kept = False
+    cell.offered[job.job_id] = record
     yield from _begin_due(cell, record)
 
 
+def accept(cell: state.CellState, job: steps.Job) -> Iterator[effects.Effect]:
+    """Takes in a job that is kept; one that is known changes nothing."""
+    record = cell.jobs.get(job.job_id)
+    if record is not None and not record.kept:
+        if record.job == job:
+            record.kept = True
+            del cell.offered[job.job_id]
+            cell.dirty = True
+            return
+        withdraw(cell, record)
+        record = None
+    if record is None:
+        yield from _begin_due(cell, _add(cell, job, cell.now_ms))
+
+
+def withdraw(cell: state.CellState, record: state.JobRecord) -> None:
+    """Forgets an offered job of which nothing has started."""
+    job_id = record.job.job_id
+    cell.jobs.pop(job_id, None)
+    cell.offered.pop(job_id, None)
+    cell.timed.pop(job_id, None)
+    for step in record.steps.values():
+        cell.ready.pop(id(step), None)
+
+
+def withdraw_old(cell: state.CellState) -> None:
+    """Forgets offered jobs that were not kept in time."""
+    horizon_ms = cell.now_ms - cell.settings.offer_ms
+    for record in list(cell.offered.values()):
+        if record.accepted_ms < horizon_ms:
+            withdraw(cell, record)
+
+
 def restore(
     cell: state.CellState, event: events.JobRestored
 ) -> Iterator[effects.Effect]:
--- a/packages/core/hickoryreach/scheduling/looks.py
+++ b/packages/core/hickoryreach/scheduling/looks.py
@@ -25,6 +25,9 @@
     reborn = bool(minion.life) and look.life != minion.life
     if not minion.is_open or reborn:
         cell.dirty = True
+    if minion.life and not minion.reachable:
+        closed_ms = cell.now_ms + cell.settings.return_ms
+        minion.blamed_until_ms = max(minion.blamed_until_ms, closed_ms)
     minion.life = look.life
     minion.looked = True
     minion.reachable = True
--- a/packages/core/hickoryreach/scheduling/placing.py
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -48,6 +48,8 @@
     if terms is not None and step.allowed is None:
         yield from advising.ask_first(cell, step, rooms)
         return
+    if not step.job.kept:
+        return
     if terms is None:
         usable = advising.list_minions(cell, step)
     else:
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -92,6 +92,14 @@
     yield from ()
 
 
+@handlers.register(events.JobOffered)
+def offer_job(
+    cell: state.CellState, event: events.JobOffered
+) -> Iterator[effects.Effect]:
+    """Takes in a job that is being written."""
+    yield from lifecycle.offer(cell, event.job)
+
+
 @handlers.register(events.JobAccepted)
 def accept_job(
     cell: state.CellState, event: events.JobAccepted
@@ -128,6 +136,7 @@
     """Handles what has become due."""
     cell.wall_ms = event.wall_ms
     cell.dirty = True
+    lifecycle.withdraw_old(cell)
     yield from lifecycle.begin_timed(cell)
     yield from orders.repeat_stops(cell)
     yield from gangs.review(cell)
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -13,6 +13,9 @@
         gang_wait_ms: How long the first member of a gang waits for the last.
         spread_factor: How much slower a task runs away from its data.
         drift: Part by which a minion's clock may be slow.
+        offer_ms: Time after which an offered job that is not kept is dropped.
+        return_ms: How long nothing is placed on a minion that answers again;
+            longer than the time after which followers know that it does.
         repeat_stop_ms: Time after which an unconfirmed stop is sent again.
         ticket_margin_ms: Validity that a ticket must have left at a start.
         waiting_limit: Steps considered in one pass over what waits.
@@ -30,6 +33,8 @@
     gang_wait_ms: int = 3_000
     spread_factor: float = 1.5
     drift: float = 0.02
+    offer_ms: int = 5_000
+    return_ms: int = 400
     repeat_stop_ms: int = 400
     ticket_margin_ms: int = 150
     waiting_limit: int = 60
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -181,6 +181,7 @@
         steps: Step records by repeat and position.
         repeats_begun: Repeats whose steps have become due.
         begun: Whether one of its tasks has started.
+        kept: Whether it is kept in the store; nothing starts before.
         doubtful_until_ms: Start none of its tasks that may run unseen before.
     """
 
@@ -193,6 +194,7 @@
     )
     repeats_begun: int = 0
     begun: bool = False
+    kept: bool = True
     doubtful_until_ms: int = 0
 
 
@@ -254,6 +256,7 @@
         usage: Room taken up by workspace.
         unclear: Runs that need a stop sent again until it is confirmed.
         timed: Jobs with repeats that are not due yet.
+        offered: Jobs that are not kept yet.
         dirty: Whether something changed that may let a task start.
     """
 
@@ -270,4 +273,5 @@
     )
     unclear: dict[int, Run] = dataclasses.field(default_factory=dict)
     timed: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
+    offered: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     dirty: bool = False
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -24,6 +24,9 @@
   3: list<PeerInfo> succession,
   // The owner is stopping; the first of the succession takes over at once.
   4: bool leaving = 0,
+  // Minions that do not answer, with the time in ms until nothing that the
+  // owner started can run there.
+  5: map<string, i32> silent,
 }
 
 // entry -> owner, several times a second.
@@ -31,10 +34,12 @@
   1: bool store_reached = 1,
 }
 
-// entry -> owner: this job is kept, or is to be written for the entry.
+// entry -> owner: this job is kept, is to be written for the entry, or (as
+// `offered`) is being written by it.
 struct Submission {
   1: binary job,
   2: bool kept = 1,
+  3: bool offered = 0,
 }
 
 // Of a job of another workspace nothing is told; an empty one sees all.
--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -179,6 +179,7 @@
         data = records.encode_job(job)
         key = records.name_job(job.job_id)
         doubtful = False
+        self.member.offer(data)
         while True:
             written = self.client.write(
                 puts=(store.Put(key=key, data=data),), expected=((key, 0),)
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -155,6 +155,14 @@
             return
         gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_lapsed, link)
 
+    def list_silent(self) -> dict[str, int]:
+        """Returns minions that do not answer, with ms until they lapse."""
+        return {
+            minion_id: link.get_left_ms()
+            for minion_id, link in self.links.items()
+            if link.silent
+        }
+
     def close(self) -> None:
         """Closes every link."""
         self.watcher.close()
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -22,6 +22,7 @@
 RETRY_S = 0.2
 CLOCK_DRIFT = 0.02
 LAPSE_MARGIN_MS = 100
+UNSEEN_MS = 1_500
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,6 +70,7 @@
         self.client = minions.MinionClient(
             minion_id=minion.minion_id, address=minion.address
         )
+        self.begun_ms = clock.now_ms()
         self.life = 0
         self.clock_ms = 0
         self.clock_read_ms = 0
@@ -175,6 +177,20 @@
             and self.estimate_clock() > self.deadline_ms + LAPSE_MARGIN_MS
         )
 
+    def get_left_ms(self) -> int:
+        """Returns how long something may still run there, in ms.
+
+        A minion that was never reached may run what an earlier owner
+        started, for as long as a whole lease.
+        """
+        if self.lapsed:
+            return 0
+        if not self.clock_read_ms:
+            age_ms = clock.now_ms() - self.begun_ms
+            return max(0, self.get_terms().lease_ms + UNSEEN_MS - age_ms)
+        left_ms = self.deadline_ms + LAPSE_MARGIN_MS - self.estimate_clock()
+        return max(0, int(left_ms / (1 - CLOCK_DRIFT)))
+
     def report_lapse(self, cause: str) -> None:
         """Tells once that nothing runs on the minion any more."""
         if self.lapsed or not self.clock_read_ms:
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -33,6 +33,7 @@
 POLL_S = 0.05
 ANNOUNCE_S = 0.1
 DECLINE_S = 5.0
+SILENT_FRESH_S = 2.5
 STORE_FAILING_S = 0.3
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
@@ -143,11 +144,11 @@
     def take_submission(
         self, peer: channel.Channel, message: frames.Submission
     ) -> frames.JobReport:
-        """Takes in a job that a follower has kept."""
+        """Takes in a job of a follower."""
         return self.submit_here(message)
 
     def submit_here(self, message: frames.Submission) -> frames.JobReport:
-        """Hands a kept job to the ownership of this entry."""
+        """Hands a job to the ownership of this entry."""
         owner = self.owner
         if owner is None or owner.leaving:
             return frames.JobReport(kept=False)
@@ -158,6 +159,9 @@
             )
             return frames.JobReport(kept=True)
         job = decoded.unwrap()
+        if message.offered:
+            owner.offer(job)
+            return frames.JobReport(known=True)
         if not message.kept and not self.keep(job.job_id, message.job):
             return frames.JobReport(kept=False)
         owner.submit(job)
@@ -243,6 +247,7 @@
             pending=owner.count_pending() if owner and owner.serving else {},
             succession=self.list_succession(),
             leaving=bool(owner and owner.leaving),
+            silent=owner.fleet.list_silent() if owner else {},
         )
 
     def list_succession(self) -> list[frames.PeerInfo]:
@@ -516,10 +521,30 @@
             configuration=self.configuration,
             local_advisor=self.advisor,
             get_channels=lambda: self.downstream,
+            silent=self.get_silent(ownership),
             on_deposed=lambda reason: gevent.spawn(self.end_ownership, reason),
         )
         self.owner.start()
 
+    def get_silent(self, ownership: records.Ownership) -> dict[str, int]:
+        """Returns what the last owner told of minions that do not answer.
+
+        Empty if that was long ago, or told by an owner before the last.
+        """
+        status = self.status
+        fresh = time.monotonic() - self.status_at < SILENT_FRESH_S
+        if status is None or not fresh or status.epoch != ownership.epoch - 1:
+            return {}
+        return dict(status.silent or {})
+
+    def offer(self, data: bytes) -> None:
+        """Tells the owner of a job that is about to be kept."""
+        message = frames.Submission(job=data, offered=True)
+        if self.owner is not None:
+            self.submit_here(message)
+        elif self.upstream is not None:
+            self.upstream.send(submission=message)
+
     def announce(self, job_id: str, data: bytes) -> None:
         """Tells the owner of a kept job, until it has confirmed."""
         self.unannounced[job_id] = data
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -52,6 +52,8 @@
         epoch: Number of the ownership.
         revision: Revision of the owner's key; the fencing token.
         state: What the reducer works on.
+        silent: Minions that the last owner found silent, with the time in ms
+            until nothing that it started can run there.
         visible: State of each job as callers may be told.
         serving: Whether decisions are being made.
         leaving: Whether the ownership is being handed over.
@@ -68,6 +70,7 @@
         configuration: cells.Configuration | None,
         local_advisor: advisors.LocalAdvisor,
         get_channels: Callable[[], dict[str, channel.Channel]],
+        silent: dict[str, int],
         on_deposed: Callable[[str], None],
     ) -> None:
         """Creates an owner that decides nothing yet."""
@@ -77,6 +80,7 @@
         self.revision = revision
         self.configuration = configuration
         self.get_channels = get_channels
+        self.silent = silent
         self.on_deposed = on_deposed
         self.begun_at = time.monotonic()
         self.confirmed_at = self.begun_at
@@ -227,6 +231,11 @@
         if job.job_id not in self.visible:
             self.emit(events.JobAccepted(job=job))
 
+    def offer(self, job: steps.Job) -> None:
+        """Takes in a job that an entry is about to keep."""
+        if job.job_id not in self.visible:
+            self.emit(events.JobOffered(job=job))
+
     def take_jobs(self, page: store.Page, complete: bool) -> None:
         """Takes in jobs that entries kept without telling."""
         for item in page.items:
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -46,11 +46,7 @@
     owner.jobs_watcher.revision = min(page.revision for page in jobs)
     deadline = time.monotonic() + LOOKS_LIMIT_S
     wait_for(lambda: has_asked_all(owner), deadline)
-    settled = has_heard_all(owner)
-    doubtful_until_ms = 0
-    if owner.epoch > 1 and not settled:
-        lease_ms = owner.get_terms().lease_ms
-        doubtful_until_ms = clock.now_ms() + lease_ms + LAPSE_SLACK_MS
+    doubtful_until_ms = get_doubt_end_ms(owner)
     restore_jobs(owner, jobs, kept, doubtful_until_ms)
     owner.fleet.watcher.start()
     if doubtful_until_ms:
@@ -64,6 +60,20 @@
         gevent.spawn(end_doubt, owner, doubtful_until_ms)
 
 
+def get_doubt_end_ms(owner) -> int:
+    """Returns until when runs of an earlier owner may be unknown; 0 for none.
+
+    A minion that does not answer may run what an earlier owner started, for
+    as long as that owner told, or for a whole lease.
+    """
+    silent = list_silent(owner)
+    if owner.epoch == 1 or not silent:
+        return 0
+    whole_ms = owner.get_terms().lease_ms + LAPSE_SLACK_MS
+    left_ms = max(owner.silent.get(name, whole_ms) for name in silent)
+    return clock.now_ms() + left_ms if left_ms else 0
+
+
 def read_until_done(
     client: store.Store, prefix: str
 ) -> result.Result[store.Page, store.StoreFailure]:
