--- /dev/null
+++ b/tests/core/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the decisions on jobs made of steps."""
--- /dev/null
+++ b/tests/core/scheduling/cases.py
@@ -0,0 +1,235 @@
+"""A small cell for tests of the decisions."""
+
+import itertools
+import unittest
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import reducer
+from hickoryreach.scheduling import settings
+from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+from hickoryreach.structure import resources
+from hickoryreach.structure import steps
+
+SERVICE = "ledger"
+
+
+def build_need(cpu: int = 1_000, memory: int = 100) -> resources.Resources:
+    """Returns a need."""
+    return resources.Resources(cpu_millis=cpu, memory_mb=memory)
+
+
+def build_step(count: int = 1, cpu: int = 1_000, **words) -> steps.Step:
+    """Returns a step of tasks of one size."""
+    return steps.Step(
+        count=count,
+        need=build_need(cpu),
+        **({"estimate_ms": 1_000} | words),
+    )
+
+
+class CellCase(unittest.TestCase):
+    """Drives the reducer as an owner does.
+
+    Attributes:
+        cell: State of the cell.
+        now_ms: The time, on the owner's clock.
+        out: Effects of the last event and of the pass after it.
+    """
+
+    minion_cpu = 4_000
+    minion_count = 2
+    epoch = 1
+    advice = None
+    limit = resources.NOTHING
+
+    def setUp(self) -> None:
+        """Creates a cell whose minions have been looked at."""
+        self.cell = state.CellState(
+            settings=self.build_settings(), epoch=self.epoch
+        )
+        self.now_ms = 10_000
+        self.out: list[effects.Effect] = []
+        self.numbers = itertools.count(1)
+        self.ids = itertools.count(1)
+        self.configure()
+        for index in range(self.minion_count):
+            self.add_minion(f"m{index}")
+            self.look(f"m{index}")
+
+    def build_settings(self) -> settings.Settings:
+        """Returns figures that keep no room for the first rank."""
+        return settings.Settings(urgent_part=0.0, claims_part=1.0)
+
+    def build_queue(self, name: str = "runs", rank: int = 1) -> cells.Queue:
+        """Returns a queue."""
+        return cells.Queue(
+            name=name,
+            host="h",
+            prefix=f"/{name}/",
+            service=SERVICE,
+            rank=rank,
+            attempts=2,
+            stretch=2.0,
+            objective_ms=1_000,
+            advice=self.advice,
+        )
+
+    def configure(self) -> None:
+        """Puts a configuration in force."""
+        queues = [self.build_queue(), self.build_queue("checks", rank=0)]
+        self.configuration = cells.Configuration(
+            version=1,
+            queues={queue.name: queue for queue in queues},
+            services={SERVICE: cells.Service(name=SERVICE)},
+            workspaces={
+                "hydro": cells.Workspace(name="hydro", limit=self.limit)
+            },
+        )
+        self.apply(
+            events.ConfigurationChanged(configuration=self.configuration)
+        )
+
+    def apply(self, event: events.Event, after_ms: int = 0) -> None:
+        """Applies an event and runs a pass."""
+        self.now_ms += after_ms
+        self.out = reducer.reduce(self.cell, event, self.now_ms)
+        self.out += reducer.advance(self.cell, self.now_ms)
+
+    def tick(self, after_ms: int = 100) -> None:
+        """Lets time pass."""
+        self.apply(events.Ticked(wall_ms=self.now_ms), after_ms)
+
+    def add_minion(self, name: str, **words) -> None:
+        """Registers a minion."""
+        minion = cells.Minion(
+            minion_id=name,
+            service=SERVICE,
+            address="127.0.0.1:1",
+            failure_domain="z",
+            capacity=build_need(self.minion_cpu, 32_000),
+            **({"labels": ("a", "r1")} | words),
+        )
+        self.apply(events.MinionRegistered(minion=minion))
+
+    def look(
+        self,
+        name: str,
+        *,
+        running: tuple = (),
+        ends: tuple = (),
+        life: int = 1,
+        sent_ms: int | None = None,
+    ) -> None:
+        """Lets a minion list runs, as starts, and ends."""
+        sent = self.now_ms if sent_ms is None else sent_ms
+        self.now_ms += 1
+        self.apply(
+            events.MinionLooked(
+                minion_id=name,
+                look=minions.Look(
+                    life=life,
+                    clock_ms=self.now_ms,
+                    running=tuple(
+                        minions.RunningTask(
+                            key=start.key,
+                            run=start.number,
+                            checkpoint="",
+                            percent=10,
+                        )
+                        for start in running
+                    ),
+                    ends=ends,
+                ),
+                sent_ms=sent,
+            )
+        )
+
+    def end(
+        self, start: effects.StartTask, kind: str = "done", checkpoint: str = ""
+    ) -> None:
+        """Lets a run end, the others of its minion going on."""
+        others = tuple(
+            each
+            for each in self.list_running(start.minion_id)
+            if (each.key, each.number) != (start.key, start.number)
+        )
+        self.look(
+            start.minion_id,
+            running=others,
+            ends=(
+                minions.TaskEnd(
+                    number=next(self.numbers),
+                    key=start.key,
+                    run=start.number,
+                    kind=minions.EndKind(kind),
+                    checkpoint=checkpoint,
+                ),
+            ),
+        )
+
+    def list_running(self, name: str) -> list[state.Run]:
+        """Returns the runs that are believed to be on a minion."""
+        return list(self.cell.minions[name].runs.values())
+
+    def submit(self, *wanted: steps.Step, queue: str = "runs") -> str:
+        """Hands a job in; returns its id."""
+        job = self.build_job(*wanted, queue=queue)
+        self.apply(events.JobAccepted(job=job))
+        return job.job_id
+
+    def build_job(self, *wanted: steps.Step, queue: str = "runs") -> steps.Job:
+        """Returns a job."""
+        return steps.Job(
+            job_id=f"job{next(self.ids)}",
+            workspace="hydro",
+            queue=self.configuration.queues[queue],
+            payload="",
+            steps=wanted or (build_step(),),
+            accepted_ms=self.now_ms,
+        )
+
+    def confirm(self, start: effects.StartTask) -> None:
+        """Lets a minion confirm a start."""
+        self.answer(start, None)
+
+    def answer(
+        self,
+        start: effects.StartTask,
+        failure: minions.OrderFailure | None,
+    ) -> None:
+        """Answers a start."""
+        self.now_ms += 1
+        self.apply(
+            events.StartAnswered(
+                key=start.key,
+                number=start.number,
+                minion_id=start.minion_id,
+                failure=failure,
+            )
+        )
+
+    def run_all(self) -> list[effects.StartTask]:
+        """Confirms every start of the last step; returns them."""
+        starts = self.get_starts()
+        for start in starts:
+            self.confirm(start)
+        return starts
+
+    def get_starts(self) -> list[effects.StartTask]:
+        """Returns the starts that were asked for last."""
+        return self.get_effects(effects.StartTask)
+
+    def get_stops(self) -> list[effects.StopTask]:
+        """Returns the stops that were asked for last."""
+        return self.get_effects(effects.StopTask)
+
+    def get_effects(self, kind: type) -> list:
+        """Returns the effects of one kind that were asked for last."""
+        return [effect for effect in self.out if isinstance(effect, kind)]
+
+    def get_state(self, job_id: str) -> state.JobState:
+        """Returns a job's state."""
+        return self.cell.jobs[job_id].state
