Avoid slow minions and move tasks that stand still

Cause: tasks placed on a minion that works several times slower, or whose tasks stand still, were late however early they had started. Progress between two looks gives each minion's speed against the estimates; one below 0.45 of the median is avoided for 2.5 s. A failed task goes to another minion, and two failures of different jobs in a row count against the minion.

--- a/packages/core/hickoryreach/scheduling/looks.py
+++ b/packages/core/hickoryreach/scheduling/looks.py
@@ -6,6 +6,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
@@ -33,6 +34,7 @@
     minion.reachable = True
     for end in look.ends:
         yield from _take_end(cell, minion, end)
+    pace.measure(cell, minion, look.running)
     listed = set()
     strays = 0
     for row in look.running:
@@ -72,6 +74,8 @@
         return
     lifecycle.note_checkpoint(step, end.key.index, end.checkpoint)
     _learn(cell, minion, end)
+    if end.kind is minions.EndKind.FAILED:
+        step.shunned.add(minion.minion.minion_id)
     yield effects.EndSeen(
         minion_id=minion.minion.minion_id,
         life=minion.life,
@@ -126,6 +130,7 @@
     if row.percent > run.percent or row.checkpoint != run.checkpoint:
         run.progress_ms = cell.now_ms
     run.percent = row.percent
+    run.listed_ms = cell.now_ms
     run.checkpoint = row.checkpoint
     if run.step is not None:
         lifecycle.note_checkpoint(run.step, row.key.index, row.checkpoint)
--- a/packages/core/hickoryreach/scheduling/placing.py
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -12,6 +12,12 @@
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 
+IN_TIME = 0
+LATE = 1
+WORTHLESS = 2
+LATE_FACTOR = 3
+FINISH_MS = 100
+
 
 def advance(cell: state.CellState) -> Iterator[effects.Effect]:
     """Starts what can start, if something has changed."""
@@ -31,14 +37,21 @@
 
 def get_order(
     cell: state.CellState, step: state.StepRecord
-) -> tuple[bool, int, int]:
+) -> tuple[int, int, int]:
     """Returns the place of a step among those that wait.
 
-    What can still be in time goes before what is late, then the lower rank,
-    then the least slack.
+    What can still be in time goes before what will be late, and that before
+    what is worth nothing any more; then the lower rank; then the least slack.
     """
-    slack_ms = step.job.due_ms - step.step.estimate_ms
-    return (slack_ms < cell.now_ms, step.rank, slack_ms)
+    job = step.job
+    latest_ms = job.due_ms - step.step.estimate_ms - FINISH_MS
+    if cell.now_ms <= latest_ms:
+        group = IN_TIME
+    else:
+        allowed_ms = job.due_ms - job.accepted_ms
+        worthless_ms = latest_ms + (LATE_FACTOR - 1) * allowed_ms
+        group = LATE if cell.now_ms <= worthless_ms else WORTHLESS
+    return (group, step.rank, latest_ms)
 
 
 def _place(
@@ -105,7 +118,10 @@
 ) -> list[str]:
     return sorted(
         (minion_id for minion_id in usable if minion_id in rooms.free),
-        key=lambda minion_id: rooms.free[minion_id].cpu_millis,
+        key=lambda minion_id: (
+            minion_id in step.shunned,
+            rooms.free[minion_id].cpu_millis,
+        ),
     )
 
 
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -11,6 +11,7 @@
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import looks
 from hickoryreach.scheduling import orders
+from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import placing
 from hickoryreach.scheduling import state
 
@@ -140,3 +141,4 @@
     yield from lifecycle.begin_timed(cell)
     yield from orders.repeat_stops(cell)
     yield from gangs.review(cell)
+    yield from pace.move_stalled(cell)
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -26,6 +26,10 @@
         blame_ms: How long a minion that fails its tasks is avoided.
         blame_failures: Failures in a row of different jobs that count as the
             minion's own.
+        slow_part: Part of the usual speed below which a minion is slow.
+        slow_ms: How long a slow minion is avoided before it is tried again.
+        stall_ms: Least time without progress after which a task is moved.
+        stall_part: Part of a task's estimate that it may stand still.
     """
 
     start_ms: int = 2_000
@@ -43,4 +47,8 @@
     urgent_part: float = 0.04
     advice_limit: int = 100
     blame_ms: int = 4_000
-    blame_failures: int = 3
+    blame_failures: int = 2
+    slow_part: float = 0.45
+    slow_ms: int = 2_500
+    stall_ms: int = 1_500
+    stall_part: float = 0.5
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -61,6 +61,7 @@
         stopped_ms: When the minion confirmed the stop, or -1.
         percent: Last known progress.
         progress_ms: When the progress last rose.
+        listed_ms: When it was last listed, or -1.
         checkpoint: Last known checkpoint.
     """
 
@@ -77,6 +78,7 @@
     stopped_ms: int = -1
     percent: int = 0
     progress_ms: int = 0
+    listed_ms: int = -1
     checkpoint: str = ""
 
 
@@ -118,6 +120,7 @@
         tickets: Tickets by minion.
         asking: Whether advice is being asked.
         asked_ms: When advice was last asked.
+        shunned: Minions on which one of its runs failed or stood still.
         void: Runs, by position and number, that were given up for lost.
     """
 
@@ -140,6 +143,7 @@
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     asking: bool = False
     asked_ms: int = -1
+    shunned: set[str] = dataclasses.field(default_factory=set)
     void: set[tuple[int, int]] = dataclasses.field(default_factory=set)
 
     @property
@@ -213,6 +217,7 @@
         strays: Listed runs of unknown jobs; nothing is placed beside them.
         blamed_until_ms: Nothing is placed before.
         failed_jobs: Jobs of its latest failures in a row.
+        speed: Work done by its tasks against their estimates, of late.
     """
 
     minion: cells.Minion
@@ -227,6 +232,7 @@
     strays: int = 0
     blamed_until_ms: int = 0
     failed_jobs: dict[str, None] = dataclasses.field(default_factory=dict)
+    speed: float = 1.0
 
     @property
     def is_open(self) -> bool:
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -18,6 +18,7 @@
 log = logging.getLogger(__name__)
 
 LOOK_WAIT_MS = 1_000
+LOOKS_IN_LEASE = 4
 SETTLE_WAIT_S = 0.1
 RETRY_S = 0.2
 CLOCK_DRIFT = 0.02
@@ -106,7 +107,7 @@
                 token=terms.token,
                 acknowledged=self.settled,
                 deadline_ms=deadline_ms,
-                wait_ms=0 if quick else LOOK_WAIT_MS,
+                wait_ms=0 if quick else self.get_wait_ms(terms.lease_ms),
                 quick=quick,
             )
             if self.stopped:
@@ -117,6 +118,10 @@
                 self.take_failure(looked.failure())
             self.tried.set()
 
+    def get_wait_ms(self, lease_ms: int) -> int:
+        """Returns how long a look may wait for an end."""
+        return min(LOOK_WAIT_MS, lease_ms // LOOKS_IN_LEASE)
+
     def take_look(self, look: minions.Look, sent_ms: int) -> None:
         """Hands on what is new in a minion's lists."""
         if self.silent:
--- /dev/null
+++ b/tests/core/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter of the users' platform."""
--- /dev/null
+++ b/tests/core/platform/test_documents.py
@@ -0,0 +1,127 @@
+"""Tests of documents and bodies that come from outside."""
+
+import json
+import unittest
+
+from hypothesis import given
+from hypothesis import strategies
+from returns import result
+
+from hickoryreach.platform import callers
+from hickoryreach.platform import documents
+from hickoryreach.platform import minions
+from hickoryreach.structure import steps
+
+REGISTRATION = {
+    "service": "s",
+    "address": "127.0.0.1:1",
+    "zone": "z",
+    "state": "ready",
+    "capacity": {"cpu": 4000, "memMb": 100, "gpu": 1},
+    "labels": ["a", "r1"],
+    "born": 5,
+}
+
+
+class RegistrationTest(unittest.TestCase):
+    """Registrations that name a minion, and those that don't."""
+
+    def parse(self, **changes):
+        """Parses a registration with some fields changed."""
+        document = {
+            name: value
+            for name, value in (REGISTRATION | changes).items()
+            if value is not None
+        }
+        return documents.parse_minion(
+            "servers/i-1", json.dumps(document).encode()
+        )
+
+    def test_registration_is_decoded(self) -> None:
+        minion = self.parse(state="draining").unwrap()
+        self.assertEqual(minion.minion_id, "i-1")
+        self.assertEqual(minion.capacity.memory_mb, 100)
+        self.assertTrue(minion.draining)
+
+    def test_unusable_registrations_name_no_minion(self) -> None:
+        for changes in (
+            {"state": "asleep"},
+            {"state": None},
+            {"address": 5},
+            {"capacity": "much"},
+            {"capacity": {"cpu": "4000"}},
+            {"service": None},
+        ):
+            with self.subTest(changes):
+                self.assertIsInstance(self.parse(**changes), result.Failure)
+
+    @given(strategies.binary(max_size=60))
+    def test_bytes_that_are_no_document_are_refused(self, data: bytes) -> None:
+        parsed = documents.parse_minion("servers/i", data)
+        self.assertIsInstance(parsed, result.Failure)
+
+    @given(strategies.binary(max_size=60))
+    def test_bytes_that_are_no_configuration_are_refused(
+        self, data: bytes
+    ) -> None:
+        parsed = documents.parse_configuration(data)
+        self.assertIsInstance(parsed, result.Failure)
+
+
+class JobBodyTest(unittest.TestCase):
+    """Jobs as callers hand them in."""
+
+    def parse(self, *rows: dict, **words):
+        """Parses a body."""
+        body = {"spec": "x", "steps": list(rows)} | words
+        return callers.parse_job(json.dumps(body).encode())
+
+    def test_left_out_fields_have_their_defaults(self) -> None:
+        (row,) = self.parse({"count": 3, "cpu": 500}).unwrap().steps
+        step = row.decode()
+        self.assertEqual(step.count, 3)
+        self.assertEqual(step.need.cpu_millis, 500)
+        self.assertFalse(step.gang)
+
+    def test_names_are_translated(self) -> None:
+        (row,) = (
+            self.parse(
+                {
+                    "savesProgress": True,
+                    "sameRack": True,
+                    "antiAffinity": 2,
+                    "persistent": True,
+                    "fills": True,
+                    "mayMiss": 1,
+                }
+            )
+            .unwrap()
+            .steps
+        )
+        step = row.decode()
+        self.assertEqual(
+            (
+                step.saves,
+                step.same_rack,
+                step.minion_limit,
+                step.lasting,
+                step.filler,
+                step.away_limit,
+            ),
+            (True, True, 2, True, True, 1),
+        )
+
+    def test_faults_are_named(self) -> None:
+        for parsed in (
+            self.parse(),
+            self.parse({"count": 0}),
+            self.parse({"after": [0]}),
+            self.parse({}, {"after": [1]}),
+            self.parse({}, spec="x" * 5_000),
+            callers.parse_job(b"\xff"),
+        ):
+            self.assertIsInstance(parsed, result.Failure)
+
+    def test_task_names_go_there_and_back(self) -> None:
+        key = steps.TaskKey(job_id="5c0e", repeat=1, step=2, index=17)
+        self.assertEqual(minions.parse_task(minions.format_task(key)), key)
--- /dev/null
+++ b/tests/entry/cell/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of an entry on the users' platform."""
--- /dev/null
+++ b/tests/entry/cell/test_links.py
@@ -0,0 +1,127 @@
+"""Tests of the link to a minion against its stand-in."""
+
+import unittest
+
+import gevent
+
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.structure import cells
+from hickoryreach.structure import resources
+from hickoryreach.structure import steps
+from hickoryreach_entry.cell import links
+from standins.users import minions as standin
+from standins.users import servers
+
+LEASE_MS = 800
+
+
+class LinkTest(unittest.TestCase):
+    """Leases, lists and orders."""
+
+    def setUp(self) -> None:
+        """Serves one minion and follows it."""
+        self.model = standin.Minion(minion_id="i-1")
+
+        def answer(method, path, words, body, environ):
+            return self.model.answer(
+                path, body, environ.get("HTTP_EXPECT_INSTANCE", "")
+            )
+
+        self.server = servers.serve("127.0.0.1:0", answer)
+        self.addCleanup(self.server.stop, 0)
+        self.events: list[events.Event] = []
+        self.fenced: list[str] = []
+        self.link = links.MinionLink(
+            minion=cells.Minion(
+                minion_id="i-1",
+                service="s",
+                address=f"127.0.0.1:{self.server.server_port}",
+                failure_domain="z",
+                capacity=resources.NOTHING,
+            ),
+            get_terms=lambda: links.Terms(token=5, lease_ms=LEASE_MS),
+            emit=self.events.append,
+            on_fenced=self.fenced.append,
+        )
+        self.addCleanup(self.link.close)
+        self.wait(lambda: self.link.looked.is_set())
+
+    def wait(self, is_done, limit_s: float = 5.0) -> None:
+        """Waits until something holds."""
+        with gevent.Timeout(limit_s):
+            while not is_done():
+                gevent.sleep(0.01)
+
+    def count(self, kind: type) -> int:
+        """Returns how many events of a kind came."""
+        return sum(isinstance(event, kind) for event in self.events)
+
+    def start(self, payload: str = "{}", number: int = 1) -> None:
+        """Starts a task."""
+        self.link.start(
+            effects.StartTask(
+                key=steps.TaskKey(job_id="j", repeat=0, step=0, index=0),
+                number=number,
+                minion_id="i-1",
+                payload=payload,
+                checkpoint="",
+                ticket="",
+                valid_ms=500,
+            )
+        )
+
+    def list_ends(self) -> list:
+        """Returns the ends that were handed on."""
+        return [
+            end
+            for event in self.events
+            if isinstance(event, events.MinionLooked)
+            for end in event.look.ends
+        ]
+
+    def test_an_end_is_handed_on_once_and_kept_until_settled(self) -> None:
+        self.start('{"work_ms": 50}')
+        self.wait(self.list_ends)
+        gevent.sleep(0.4)
+        self.assertEqual(len(self.list_ends()), 1)
+        self.assertEqual(len(self.model.ends), 1)
+        self.link.settle(self.model.life, 1)
+        self.wait(lambda: not self.model.ends)
+
+    def test_a_long_task_outlives_its_first_lease(self) -> None:
+        self.start('{"work_ms": 2500}')
+        self.wait(self.list_ends)
+        self.assertEqual(
+            [str(each.kind) for each in self.list_ends()], ["done"]
+        )
+
+    def test_the_lease_of_a_silent_minion_lapses(self) -> None:
+        self.model.silent = True
+        self.wait(lambda: self.count(events.LeaseLapsed), limit_s=8.0)
+        self.assertEqual(self.count(events.LeaseLapsed), 1)
+        self.assertGreater(self.model.get_clock(), self.model.lease_ms)
+
+    def test_a_fence_is_reported(self) -> None:
+        self.model.token = 9
+        self.wait(lambda: self.fenced)
+
+    def test_an_unanswered_start_is_unclear(self) -> None:
+        self.model.late_s = 0.1
+        self.start()
+        (answer,) = [
+            event
+            for event in self.events
+            if isinstance(event, events.StartAnswered)
+        ]
+        self.assertTrue(answer.failure.effect_unknown)
+
+    def test_numbers_of_ends_begin_anew_with_a_new_life(self) -> None:
+        self.start('{"work_ms": 20}')
+        self.wait(self.list_ends)
+        self.link.settle(self.model.life, 1)
+        self.wait(lambda: not self.model.ends)
+        self.model.be_reborn()
+        self.wait(lambda: self.link.life == self.model.life)
+        self.start('{"work_ms": 20}', number=2)
+        self.wait(lambda: len(self.list_ends()) == 2)
--- /dev/null
+++ b/tests/entry/cell/test_progress.py
@@ -0,0 +1,91 @@
+"""Tests of the progress that an owner keeps in the store."""
+
+import unittest
+
+import gevent
+
+from hickoryreach.platform import store
+from hickoryreach_entry.cell import progress
+from hickoryreach_entry.cell import records
+from standins.users import servers
+from standins.users import store as standin
+
+
+class ProgressTest(unittest.TestCase):
+    """Rows are kept once, in order, and only by the owner."""
+
+    def setUp(self) -> None:
+        """Serves a store that names an owner."""
+        self.model = standin.KeyValueStore()
+
+        def answer(method, path, words, body, environ):
+            return self.model.answer(method, path, words, body, "me")
+
+        self.server = servers.serve("127.0.0.1:0", answer)
+        self.addCleanup(self.server.stop, 0)
+        self.revision = self.model.put(records.OWNER_KEY, b"{}")
+        self.deposed: list[str] = []
+        self.kept: list[int] = []
+        self.progress = progress.Progress(
+            client=store.Store(address=f"127.0.0.1:{self.server.server_port}"),
+            epoch=1,
+            revision=self.revision,
+            on_deposed=self.deposed.append,
+        )
+        self.addCleanup(self.progress.close)
+
+    def append(self, number: int) -> None:
+        """Adds a row."""
+        row = records.Row(kind=records.CANCELLED, job_id=str(number))
+        self.progress.append(row, lambda: self.kept.append(number))
+
+    def wait(self, count: int, limit_s: float = 5.0) -> None:
+        """Waits until that many rows are kept."""
+        with gevent.Timeout(limit_s):
+            while len(self.kept) < count:
+                gevent.sleep(0.01)
+
+    def list_rows(self) -> list[str]:
+        """Returns the jobs of the rows that the store holds."""
+        client = self.progress.client
+        page = client.get_prefix(records.PROGRESS_PREFIX).unwrap()
+        return [
+            row.job_id
+            for item in page.items
+            for row in records.decode_rows(item.data).unwrap()
+        ]
+
+    def test_rows_are_kept_in_order(self) -> None:
+        for number in range(40):
+            self.append(number)
+            gevent.sleep(0.001)
+        self.wait(40)
+        self.assertEqual(self.kept, list(range(40)))
+        self.assertEqual(self.list_rows(), [str(each) for each in range(40)])
+
+    def test_a_lost_answer_keeps_the_rows_once(self) -> None:
+        self.model.faults.lost_share = 1.0
+        self.append(1)
+        gevent.sleep(0.3)
+        self.assertEqual(self.kept, [])
+        self.model.faults.lost_share = 0.0
+        self.wait(1)
+        self.assertEqual(self.list_rows(), ["1"])
+
+    def test_nothing_is_told_while_the_store_is_away(self) -> None:
+        self.model.faults.busy.add("*")
+        self.append(1)
+        gevent.sleep(0.3)
+        self.assertEqual(self.kept, [])
+        self.assertFalse(self.progress.healthy)
+        self.model.faults.busy.clear()
+        self.wait(1)
+        self.assertTrue(self.progress.healthy)
+
+    def test_a_deposed_owner_keeps_nothing(self) -> None:
+        self.model.put(records.OWNER_KEY, b"{}")
+        self.append(1)
+        gevent.sleep(0.3)
+        self.assertEqual(self.deposed, ["progress_conflict"])
+        self.assertEqual(self.list_rows(), [])
+        self.assertEqual(self.kept, [])
