Tell followers at once that an entry is not the owner

Cause: an owner that was stopped just after it had taken over, before anybody followed it, ended its ownership unseen; it went on accepting connections for the length of its drain, and its peers counted an open connection as hearing an owner. Now a greeting is answered with epoch 0, which counts like a refused connection, and only a recent status counts as hearing the owner. Ruled out: the store's slowness (over by 13.2 s). Test: an_owner_that_has_just_taken_over_is_stopped.

--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -17,6 +17,7 @@
 
 // owner -> entry, several times a second.
 struct Status {
+  // 0 from an entry that is not the owner.
   1: i64 epoch,
   // Jobs by queue none of whose tasks has started.
   2: map<string, i32> pending,
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -115,7 +115,7 @@
         """Takes in an entry that follows this one."""
         peer.peer = message.peer
         if self.owner is None:
-            peer.close("not_owner")
+            peer.send(status=frames.Status(epoch=0, leaving=True))
             return
         self.downstream[message.peer.name] = peer
         self.pulses[message.peer.name] = True
@@ -129,6 +129,9 @@
         """Takes in what the owner tells."""
         if peer is not self.upstream:
             return
+        if not message.epoch:
+            peer.close("not_owner")
+            return
         self.status = message
         self.status_at = time.monotonic()
         if message.leaving:
@@ -221,9 +224,7 @@
             return frames.OwnerReport(heard=True, epoch=self.owner.epoch)
         epoch = self.ownership.epoch if self.ownership else 0
         heard = (
-            self.upstream is not None
-            and not self.upstream.closed.is_set()
-            and time.monotonic() - self.upstream.heard_at < SILENT_S
+            self.is_following() and time.monotonic() - self.status_at < SILENT_S
         )
         return frames.OwnerReport(heard=heard, epoch=epoch)
 
@@ -463,6 +464,8 @@
                 )
                 return True
             gevent.sleep(0.01)
+        if upstream.reason == "not_owner":
+            self.suspicion.refused = found.epoch
         self.drop_upstream("no_greeting")
         return False
 
--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -15,6 +15,7 @@
 import time
 
 import gevent
+import geventhttpclient
 import yaml
 
 from standins.users import platform
@@ -111,25 +112,30 @@
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, object]:
         """Makes one call; returns its status and decoded body."""
-        connection = http.client.HTTPConnection(
-            self.host, port, timeout=timeout_s
+        client = geventhttpclient.HTTPClient(
+            self.host,
+            port=port,
+            connection_timeout=timeout_s,
+            network_timeout=timeout_s,
         )
         try:
-            connection.request(
+            response = client.request(
                 method,
                 path,
-                body=None if body is None else json.dumps(body),
+                body=b"" if body is None else json.dumps(body).encode(),
                 headers={
                     "Host": platform.HOST,
                     "Authorization": f"Token {key}",
                     "Request-Deadline-Ms": "3000",
                 },
             )
-            response = connection.getresponse()
-            data = response.read()
+            status = response.status_code
+            data = bytes(response.read())
+        except http.client.HTTPException as error:
+            raise ConnectionError(str(error)) from error
         finally:
-            connection.close()
-        return response.status, json.loads(data) if data else None
+            client.close()
+        return status, json.loads(data) if data else None
 
 
 class Cell:
@@ -140,11 +146,9 @@
         entries: The entries.
     """
 
-    def __init__(
-        self, *, block: int, entry_count: int = 3, minion_count: int = 4
-    ) -> None:
+    def __init__(self, *, entry_count: int = 3, minion_count: int = 4) -> None:
         """Starts a cell."""
-        self.users = platform.Platform(block=block, minion_count=minion_count)
+        self.users = platform.Platform(minion_count=minion_count)
         self.users.configure()
         self.folder = tempfile.TemporaryDirectory(prefix="hickoryreach-")
         self.entries = [
--- /dev/null
+++ b/standins/users/checker.py
@@ -0,0 +1,57 @@
+"""Checks what minions have run against what callers were told."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from standins.users import minions
+
+
+def find_faults(
+    seen: Iterable[minions.Begun], completed: dict[str, int]
+) -> list[str]:
+    """Returns what must never happen, one line each.
+
+    Args:
+        seen: What the minions have begun and ended, in order.
+        completed: Tasks of each job that was shown as completed.
+    """
+    return [
+        *_find_doubles(seen),
+        *_find_incomplete(seen, completed),
+    ]
+
+
+def _find_doubles(seen: Iterable[minions.Begun]) -> list[str]:
+    faults = []
+    running: dict[str, dict[tuple[str, int], float]] = {}
+    done: dict[str, float] = {}
+    for each in seen:
+        present = running.setdefault(each.task, {})
+        name = (each.minion_id, each.number)
+        if each.what == "start":
+            if present:
+                faults.append(f"{each.task} runs twice: {present}, {name}")
+            if each.task in done:
+                faults.append(f"{each.task} started again after it was done")
+            present[name] = each.at_s
+        else:
+            present.pop(name, None)
+            if each.how == "done":
+                done[each.task] = each.at_s
+    return faults
+
+
+def _find_incomplete(
+    seen: Iterable[minions.Begun], completed: dict[str, int]
+) -> list[str]:
+    done: dict[str, set[str]] = {}
+    for each in seen:
+        if each.what == "end" and each.how == "done":
+            done.setdefault(each.task.split(".", 1)[0], set()).add(each.task)
+    return [
+        f"{job_id} was shown as completed with {len(done.get(job_id, ()))} of "
+        f"{tasks} tasks done"
+        for job_id, tasks in completed.items()
+        if len(done.get(job_id, ())) != tasks
+    ]
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import socket
 import time
 
 import gevent
@@ -16,12 +17,15 @@
 SERVICE = "ledger"
 HOST = "ledger.example"
 KEY = "key-of-hydro"
+BLOCKS = range(20, 250)
+GUARD_PORT = 8199
 
 
 class Platform:
     """Everything outside the entries.
 
     Attributes:
+        block: Second part of the addresses; several platforms run at once.
         store: The metadata store.
         minions: Minions by id.
         addresses: Address of each minion by id.
@@ -33,15 +37,10 @@
         starts: Starts by task, on all minions.
     """
 
-    def __init__(self, *, block: int = 1, minion_count: int = 4) -> None:
-        """Creates the platform on loopback addresses of one block.
-
-        Args:
-            block: Second part of the addresses, so that several platforms
-                run at once.
-            minion_count: Number of minions.
-        """
-        self.block = block
+    def __init__(self, *, minion_count: int = 4) -> None:
+        """Creates the platform on loopback addresses of a free block."""
+        self.guard = take_block()
+        self.block = int(self.guard.getsockname()[0].split(".")[1])
         self.store = store.KeyValueStore()
         self.seen: list[minions.Begun] = []
         self.starts: dict[str, int] = {}
@@ -55,7 +54,7 @@
         for index in range(minion_count):
             self.add_minion(f"i-{index:02d}", index)
         self.advice = self.add_server(
-            f"127.{block}.4.1:8182", self.answer_advice
+            f"127.{self.block}.4.1:8182", self.answer_advice
         )
         self.beating = gevent.spawn(self.beat_forever)
 
@@ -178,3 +177,18 @@
         self.beating.kill()
         for server in self.servers:
             server.stop(timeout=0)
+        self.guard.close()
+
+
+def take_block() -> socket.socket:
+    """Returns a socket that holds the first free block of addresses."""
+    for block in BLOCKS:
+        guard = socket.socket()
+        try:
+            guard.bind((f"127.{block}.5.1", GUARD_PORT))
+        except OSError:
+            guard.close()
+            continue
+        guard.listen()
+        return guard
+    raise RuntimeError("every block of loopback addresses is taken")
