--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -3,6 +3,7 @@
 import dataclasses
 import http.client
 import logging
+import time
 from typing import Any
 
 import geventhttpclient
@@ -65,6 +66,7 @@
     Attributes:
         address: `host:port` of the other side.
         kind: What the other side is, for metrics.
+        answered_at: When it last answered a call, on the steady clock in s.
     """
 
     def __init__(
@@ -88,6 +90,7 @@
         host, port = address.rsplit(":", 1)
         self.address = address
         self.kind = kind
+        self.answered_at = 0.0
         self.http = geventhttpclient.HTTPClient(
             host,
             port=int(port),
@@ -110,6 +113,8 @@
         except (OSError, ValueError, http.client.HTTPException) as error:
             return self._fail(error)
         calls.labels(self.kind, str(status)).inc()
+        if status not in (TOO_MANY, UNAVAILABLE):
+            self.answered_at = time.monotonic()
         return result.Success(Answer(status=status, body=_decode(data)))
 
     def _fail(self, error: Exception) -> Called:
--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -96,6 +96,11 @@
         )
         self.watchers: dict[float, http.Client] = {}
 
+    def get_answered_at(self) -> float:
+        """Returns when the store last served a call, in s of the clock."""
+        clients = [self.quick, *self.watchers.values()]
+        return max(client.answered_at for client in clients)
+
     def get(self, key: str) -> result.Result[Item, StoreFailure]:
         """Reads one key; an absent one has the revision 0."""
         query = urllib.parse.urlencode({"key": key})
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -32,7 +32,8 @@
 
 // entry -> owner, several times a second.
 struct Pulse {
-  1: bool store_reached = 1,
+  // Time since the store last served a call of the entry.
+  1: i64 store_age_ms = 0,
 }
 
 // entry -> owner: this job is kept, is to be written for the entry, or (as
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -1,6 +1,5 @@
 """An entry as a member of its cell: who owns it, and the way there."""
 
-from collections.abc import Callable
 import logging
 import time
 
@@ -35,6 +34,8 @@
 DECLINE_S = 5.0
 SILENT_FRESH_S = 2.5
 STORE_FAILING_S = 0.3
+STORE_LAG_S = 0.3
+STORE_AGE_S = 1.5
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
 
@@ -46,6 +47,7 @@
         owner: The ownership held by this entry, or None.
         upstream: Channel to the owner, or None.
         downstream: Channels of the entries that follow this one, by name.
+        served_at: When the store last served each of them, in s.
         ownership: Latest ownership known.
         revision: Revision of the owner's key when it was last read.
         status: Latest status of the owner, or None.
@@ -59,12 +61,10 @@
         *,
         settings: node_module.NodeSettings,
         client: store.Store,
-        is_store_reached: Callable[[], bool],
     ) -> None:
         """Creates a member that follows nobody yet."""
         self.settings = settings
         self.client = client
-        self.is_store_reached = is_store_reached
         self.me = frames.PeerInfo(
             name=settings.node,
             address=settings.listen.control,
@@ -75,7 +75,7 @@
         self.owner: owner_module.Owner | None = None
         self.upstream: channel.Channel | None = None
         self.downstream: dict[str, channel.Channel] = {}
-        self.pulses: dict[str, bool] = {}
+        self.served_at: dict[str, float] = {}
         self.ownership: records.Ownership | None = None
         self.revision = 0
         self.status: frames.Status | None = None
@@ -118,7 +118,7 @@
             peer.send(status=frames.Status(epoch=0, leaving=True))
             return
         self.downstream[message.peer.name] = peer
-        self.pulses[message.peer.name] = True
+        self.served_at[message.peer.name] = time.monotonic()
         log.info("peer_follows", extra={"peer": message.peer.name})
         peer.send(status=self.build_status())
 
@@ -139,9 +139,11 @@
 
     @handlers.register("pulse")
     def take_pulse(self, peer: channel.Channel, message: frames.Pulse) -> None:
-        """Notes whether a follower reaches the store."""
+        """Notes when the store last served a follower."""
         if peer.peer is not None:
-            self.pulses[peer.peer.name] = message.store_reached
+            self.served_at[peer.peer.name] = (
+                time.monotonic() - message.store_age_ms / 1000
+            )
 
     @handlers.register("submission")
     def take_submission(
@@ -234,7 +236,7 @@
             return
         if self.downstream.get(peer.peer.name) is peer:
             del self.downstream[peer.peer.name]
-            self.pulses.pop(peer.peer.name, None)
+            self.served_at.pop(peer.peer.name, None)
             log.warning(
                 "peer_lost",
                 extra={"peer": peer.peer.name, "reason": peer.reason},
@@ -263,7 +265,7 @@
             for peer in sorted(
                 self.downstream.values(),
                 key=lambda peer: (
-                    not self.pulses.get(peer.peer.name, False),
+                    now - self.served_at.get(peer.peer.name, 0.0) > STORE_AGE_S,
                     now - peer.heard_at > SILENT_S,
                     -peer.peer.processor,
                     peer.peer.name,
@@ -281,19 +283,25 @@
                 for peer in list(self.downstream.values()):
                     peer.send(status=status)
             elif self.upstream is not None:
+                age_s = time.monotonic() - self.client.get_answered_at()
                 self.upstream.send(
-                    pulse=frames.Pulse(store_reached=self.is_store_reached())
+                    pulse=frames.Pulse(store_age_ms=int(age_s * 1000))
                 )
 
     def review_store(self) -> None:
-        """Hands the ownership over if only this entry is turned away."""
+        """Hands the ownership over if only this entry is turned away.
+
+        That is shown by a follower that the store has served since it began
+        to fail here; while it is away for all there is none.
+        """
         owner = self.owner
         since = owner.progress.failing_since
         if not since or owner.leaving:
             return
         if time.monotonic() - since < STORE_FAILING_S:
             return
-        if any(self.pulses.get(name) for name in self.downstream):
+        served_at = max(self.served_at.values(), default=0.0)
+        if served_at > since + STORE_LAG_S:
             log.warning("ownership_store_lost", extra={"epoch": owner.epoch})
             self.declined_until = time.monotonic() + DECLINE_S
             gevent.spawn(self.release)
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -45,11 +45,7 @@
         self.draining = False
         self.stopped = gevent_event.Event()
         self.client = store.Store(address=settings.platform.address)
-        self.member = member.Member(
-            settings=settings,
-            client=self.client,
-            is_store_reached=self.is_store_reached,
-        )
+        self.member = member.Member(settings=settings, client=self.client)
         self.callers = callers.Callers(member=self.member, client=self.client)
         self.watcher = watching.Watcher(
             client=self.client,
@@ -66,10 +62,6 @@
             f"{host}:{METRICS_PORT}", prometheus_client.make_wsgi_app()
         )
 
-    def is_store_reached(self) -> bool:
-        """Returns whether the store has answered lately."""
-        return self.watcher.healthy
-
     def is_ready(self) -> bool:
         """Returns whether callers should be sent here."""
         return (
--- a/tests/integration/test_users_cell.py
+++ b/tests/integration/test_users_cell.py
@@ -162,11 +162,13 @@
 
     def test_work_goes_on_while_the_store_is_down(self) -> None:
         self.hand_in(0.7)
+        owner = self.cell.find_owner()
         begun = len(self.cell.users.seen)
         self.cell.users.store.faults.busy.add("*")
         self.hand_in(2.0)
         self.cell.users.store.faults.busy.clear()
         self.assertGreater(len(self.cell.users.seen), begun)
+        self.assertIs(self.cell.find_owner(), owner)
         self.hand_in(0.7)
         self.check()
 
