--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -6,6 +6,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import shares
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
 
@@ -17,6 +18,7 @@
     if job.job_id in cell.jobs:
         return
     record = _add(cell, job, cell.now_ms)
+    record.excess = not shares.take(cell, job.workspace)
     record.kept = False
     cell.offered[job.job_id] = record
     yield from _begin_due(cell, record)
@@ -34,7 +36,9 @@
         withdraw(cell, record)
         record = None
     if record is None:
-        yield from _begin_due(cell, _add(cell, job, cell.now_ms))
+        record = _add(cell, job, cell.now_ms)
+        record.excess = not shares.take(cell, job.workspace)
+        yield from _begin_due(cell, record)
 
 
 def withdraw(cell: state.CellState, record: state.JobRecord) -> None:
--- a/packages/core/hickoryreach/scheduling/placing.py
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -17,6 +17,7 @@
 WORTHLESS = 2
 LATE_FACTOR = 3
 FINISH_MS = 100
+DOUBT_PART = 0.25
 
 
 def advance(cell: state.CellState) -> Iterator[effects.Effect]:
@@ -37,21 +38,23 @@
 
 def get_order(
     cell: state.CellState, step: state.StepRecord
-) -> tuple[int, int, int]:
+) -> tuple[bool, int, int, float]:
     """Returns the place of a step among those that wait.
 
-    What can still be in time goes before what will be late, and that before
-    what is worth nothing any more; then the lower rank; then the least slack.
+    Jobs beyond their workspace's share go last. What can still be in time
+    goes before what will be late, and that before what is worth nothing any
+    more; then the lower rank; then the least slack.
     """
     job = step.job
-    latest_ms = job.due_ms - step.step.estimate_ms - FINISH_MS
+    needed_ms = step.step.estimate_ms * (1 + DOUBT_PART) + FINISH_MS
+    latest_ms = job.due_ms - needed_ms
     if cell.now_ms <= latest_ms:
         group = IN_TIME
     else:
         allowed_ms = job.due_ms - job.accepted_ms
         worthless_ms = latest_ms + (LATE_FACTOR - 1) * allowed_ms
         group = LATE if cell.now_ms <= worthless_ms else WORTHLESS
-    return (group, step.rank, latest_ms)
+    return (job.excess, group, step.rank, latest_ms)
 
 
 def _place(
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -186,6 +186,8 @@
         repeats_begun: Repeats whose steps have become due.
         begun: Whether one of its tasks has started.
         kept: Whether it is kept in the store; nothing starts before.
+        excess: Whether its workspace had handed in more than its share of
+            jobs; such jobs wait for the others.
         doubtful_until_ms: Start none of its tasks that may run unseen before.
     """
 
@@ -199,9 +201,23 @@
     repeats_begun: int = 0
     begun: bool = False
     kept: bool = True
+    excess: bool = False
     doubtful_until_ms: int = 0
 
 
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Allowance:
+    """A token bucket of jobs.
+
+    Attributes:
+        jobs: Jobs that may be handed in now.
+        at_ms: When that was so.
+    """
+
+    jobs: float
+    at_ms: int
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class MinionRecord:
     """A minion, what runs on it and how it answers.
@@ -263,6 +279,7 @@
         unclear: Runs that need a stop sent again until it is confirmed.
         timed: Jobs with repeats that are not due yet.
         offered: Jobs that are not kept yet.
+        allowances: Jobs that each workspace may hand in within its share.
         dirty: Whether something changed that may let a task start.
     """
 
@@ -280,4 +297,5 @@
     unclear: dict[int, Run] = dataclasses.field(default_factory=dict)
     timed: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     offered: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
+    allowances: dict[str, Allowance] = dataclasses.field(default_factory=dict)
     dirty: bool = False
--- a/tests/core/scheduling/cases.py
+++ b/tests/core/scheduling/cases.py
@@ -77,6 +77,10 @@
             advice=self.advice,
         )
 
+    def build_workspaces(self) -> list[cells.Workspace]:
+        """Returns the workspaces."""
+        return [cells.Workspace(name="hydro", share=1_000.0, limit=self.limit)]
+
     def configure(self) -> None:
         """Puts a configuration in force."""
         queues = [self.build_queue(), self.build_queue("checks", rank=0)]
@@ -84,9 +88,7 @@
             version=1,
             queues={queue.name: queue for queue in queues},
             services={SERVICE: cells.Service(name=SERVICE)},
-            workspaces={
-                "hydro": cells.Workspace(name="hydro", limit=self.limit)
-            },
+            workspaces={each.name: each for each in self.build_workspaces()},
         )
         self.apply(
             events.ConfigurationChanged(configuration=self.configuration)
@@ -174,17 +176,22 @@
         """Returns the runs that are believed to be on a minion."""
         return list(self.cell.minions[name].runs.values())
 
-    def submit(self, *wanted: steps.Step, queue: str = "runs") -> str:
+    def submit(self, *wanted: steps.Step, **words: str) -> str:
         """Hands a job in; returns its id."""
-        job = self.build_job(*wanted, queue=queue)
+        job = self.build_job(*wanted, **words)
         self.apply(events.JobAccepted(job=job))
         return job.job_id
 
-    def build_job(self, *wanted: steps.Step, queue: str = "runs") -> steps.Job:
+    def build_job(
+        self,
+        *wanted: steps.Step,
+        queue: str = "runs",
+        workspace: str = "hydro",
+    ) -> steps.Job:
         """Returns a job."""
         return steps.Job(
             job_id=f"job{next(self.ids)}",
-            workspace="hydro",
+            workspace=workspace,
             queue=self.configuration.queues[queue],
             payload="",
             steps=wanted or (build_step(),),
--- /dev/null
+++ b/tests/core/scheduling/test_shares.py
@@ -0,0 +1,44 @@
+"""Tests of workspaces that hand in more than their share."""
+
+from hickoryreach.scheduling import shares
+from hickoryreach.structure import cells
+from tests.core.scheduling import cases
+
+SHARE = 2.0
+
+
+class SharesTest(cases.CellCase):
+    """A share is a rate of jobs a second."""
+
+    minion_count = 1
+
+    def build_workspaces(self) -> list[cells.Workspace]:
+        """Returns two workspaces, one of them with a small share."""
+        return [
+            cells.Workspace(name="hydro", share=SHARE),
+            cells.Workspace(name="wind", share=100.0),
+        ]
+
+    def test_jobs_beyond_the_share_wait_for_the_others(self) -> None:
+        self.submit(cases.build_step(cpu=4_000), queue="checks")
+        (blocker,) = self.run_all()
+        for _ in range(int(SHARE * shares.BURST_S) + 3):
+            self.submit(cases.build_step(cpu=4_000))
+        other = self.submit(
+            cases.build_step(cpu=4_000, estimate_ms=3_000), workspace="wind"
+        )
+        order = []
+        while blocker is not None:
+            self.end(blocker)
+            started = self.run_all()
+            blocker = started[0] if started else None
+            order += [each.key.job_id for each in started]
+        place = order.index(other)
+        self.assertEqual(len(order) - 1 - place, 4)
+
+    def test_the_share_comes_back_with_time(self) -> None:
+        for _ in range(20):
+            shares.take(self.cell, "hydro")
+        self.assertFalse(shares.take(self.cell, "hydro"))
+        self.cell.now_ms += 1_000
+        self.assertTrue(shares.take(self.cell, "hydro"))
