--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -32,7 +32,7 @@
     """Answers callers' requests.
 
     Attributes:
-        member: This entry's place in the cell.
+        desk: The way to the owner.
         client: The store.
         queues: Queues by host, the longest prefix first.
         keys: Workspace of each key.
@@ -42,7 +42,7 @@
         self, *, member: member_module.Member, client: store.Store
     ) -> None:
         """Creates an interface without a configuration."""
-        self.member = member
+        self.desk = member.desk
         self.client = client
         self.configuration: cells.Configuration | None = None
         self.queues: dict[str, list[cells.Queue]] = {}
@@ -115,11 +115,11 @@
         self, resp: falcon.Response, queue: cells.Queue, now: float
     ) -> None:
         """Answers how many jobs of a queue wait."""
-        pending = self.member.get_pending(queue.name, now, PENDING_LIMIT_S)
+        pending = self.desk.get_pending(queue.name, now, PENDING_LIMIT_S)
         if pending is None:
             refuse(resp, "the number is not known at present")
             return
-        own = len(self.member.unannounced)
+        own = len(self.desk.unannounced)
         resp.media = callers.format_pending(pending + own)
 
     def submit(
@@ -179,13 +179,13 @@
         data = records.encode_job(job)
         key = records.name_job(job.job_id)
         doubtful = False
-        self.member.offer(data)
+        self.desk.offer(data)
         while True:
             written = self.client.write(
                 puts=(store.Put(key=key, data=data),), expected=((key, 0),)
             )
             if isinstance(written, result.Success):
-                self.member.announce(job.job_id, data)
+                self.desk.announce(job.job_id, data)
                 return "kept"
             failure = written.failure()
             if failure.conflict:
@@ -193,14 +193,14 @@
             doubtful = doubtful or failure.effect_unknown
             if time.monotonic() + KEEP_RETRY_S >= deadline:
                 return "unclear" if doubtful else "not_kept"
-            report = self.member.ask_once(
+            report = self.desk.ask_once(
                 max(0.1, deadline - time.monotonic()),
                 "submission",
                 frames.Submission(job=data, kept=False),
             )
             if report is not None and report.kept and report.known:
                 return "kept"
-            doubtful = doubtful or self.member.has_owner()
+            doubtful = doubtful or self.desk.has_owner()
             gevent.sleep(KEEP_RETRY_S)
 
     def take_existing(self, job: steps.Job, item: store.Item) -> str:
@@ -214,7 +214,7 @@
             return "unclear"
         if decoded.unwrap().workspace != job.workspace:
             return "other"
-        self.member.announce(job.job_id, item.data)
+        self.desk.announce(job.job_id, item.data)
         return "kept"
 
     def show(
@@ -226,7 +226,7 @@
     ) -> None:
         """Answers the state of a job."""
         waited = min(deadline, time.monotonic() + OWNER_WAIT_S)
-        report = self.member.ask(
+        report = self.desk.ask(
             waited,
             "query",
             frames.Query(job_id=job_id, workspace=workspace),
@@ -254,7 +254,7 @@
         if workspace and job.workspace != workspace:
             resp.status = falcon.HTTP_410
             return
-        self.member.announce(job.job_id, item.data)
+        self.desk.announce(job.job_id, item.data)
         resp.media = callers.format_state(callers.State.QUEUED)
 
     def cancel(
@@ -266,7 +266,7 @@
     ) -> None:
         """Cancels a job."""
         message = frames.Cancellation(job_id=job_id, workspace=workspace)
-        report = self.member.ask(deadline, "cancellation", message)
+        report = self.desk.ask(deadline, "cancellation", message)
         if report is not None and not report.known:
             report = self.cancel_untold(resp, job_id, message, deadline)
             if resp.status.startswith("410"):
@@ -295,9 +295,9 @@
         if item.data is None:
             resp.status = falcon.HTTP_410
             return None
-        self.member.announce(job_id, item.data)
+        self.desk.announce(job_id, item.data)
         gevent.sleep(KEEP_RETRY_S)
-        return self.member.ask(deadline, "cancellation", message)
+        return self.desk.ask(deadline, "cancellation", message)
 
 
 def get_deadline_s(req: falcon.Request) -> float:
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -0,0 +1,111 @@
+"""What an entry asks the owner of the cell for its callers."""
+
+import time
+
+import gevent
+
+from hickoryreach.wire import frames
+from hickoryreach_entry.cell import election as election_module
+
+CALL_TIMEOUT_S = 1.0
+CALL_RETRY_S = 0.05
+ANNOUNCE_S = 0.1
+
+
+class Desk:
+    """Speaks to the owner, wherever it is.
+
+    Attributes:
+        member: This entry as a member of the cell.
+        unannounced: Kept jobs that no owner has confirmed yet, by id.
+    """
+
+    def __init__(self, *, member, election: election_module.Election) -> None:
+        """Creates a desk."""
+        self.member = member
+        self.election = election
+        self.unannounced: dict[str, bytes] = {}
+
+    def offer(self, data: bytes) -> None:
+        """Tells the owner of a job that is about to be kept."""
+        message = frames.Submission(job=data, offered=True)
+        if self.member.owner is not None:
+            self.member.submit_here(message)
+        elif self.election.upstream is not None:
+            self.election.upstream.send(submission=message)
+
+    def announce(self, job_id: str, data: bytes) -> None:
+        """Tells the owner of a kept job, until it has confirmed."""
+        self.unannounced[job_id] = data
+        gevent.spawn(self.announce_one, job_id, data)
+
+    def announce_one(self, job_id: str, data: bytes) -> None:
+        """Tells the owner of one kept job."""
+        report = self.ask_once(
+            CALL_TIMEOUT_S, "submission", frames.Submission(job=data)
+        )
+        if report is not None and report.kept:
+            self.unannounced.pop(job_id, None)
+
+    def announce_forever(self) -> None:
+        """Tells the owner again of what it has not confirmed."""
+        while True:
+            gevent.sleep(ANNOUNCE_S)
+            if not self.unannounced or not self.has_owner():
+                continue
+            for job_id, data in list(self.unannounced.items()):
+                self.announce_one(job_id, data)
+
+    def has_owner(self) -> bool:
+        """Returns whether there is an owner to speak to."""
+        return self.member.owner is not None or self.election.is_following()
+
+    def ask_once(
+        self, timeout_s: float, field: str, message: object
+    ) -> frames.JobReport | None:
+        """Asks the owner once; None without an answer."""
+        if self.member.owner is not None:
+            here = {
+                "submission": self.member.submit_here,
+                "query": self.member.query_here,
+                "cancellation": self.member.cancel_here,
+            }
+            return here[field](message)
+        if self.election.upstream is None:
+            return None
+        return self.election.upstream.call(timeout_s, **{field: message})
+
+    def ask(
+        self, deadline: float, field: str, message: object
+    ) -> frames.JobReport | None:
+        """Asks the owner until it answers or a deadline passes.
+
+        Args:
+            deadline: Time on the steady clock, in s.
+            field: Field of the frame.
+            message: The message.
+        """
+        while True:
+            left_s = deadline - time.monotonic()
+            if left_s <= 0:
+                return None
+            report = self.ask_once(min(left_s, CALL_TIMEOUT_S), field, message)
+            if report is not None and report.kept:
+                return report
+            gevent.sleep(min(CALL_RETRY_S, left_s))
+
+    def get_pending(self, queue: str, now: float, limit_s: float) -> int | None:
+        """Returns the jobs of a queue none of whose tasks has started.
+
+        None when nothing as young as `limit_s` is known.
+        """
+        if self.member.owner is not None and self.member.owner.serving:
+            counts = self.member.owner.count_pending()
+        elif (
+            self.election.status is not None
+            and now - self.election.status_at <= limit_s
+        ):
+            counts = self.election.status.pending or {}
+        else:
+            return None
+        return counts.get(queue, 0)
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -0,0 +1,287 @@
+"""Who owns the cell: follows the owner, or takes over where there is none."""
+
+import logging
+import time
+
+import gevent
+from gevent import event as gevent_event
+from returns import result
+
+from hickoryreach.platform import store
+from hickoryreach.wire import frames
+from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import owner as owner_module
+from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import suspicion
+
+log = logging.getLogger(__name__)
+
+SILENT_S = 0.7
+GREETING_TIMEOUT_S = 0.6
+RANK_DELAY_S = 0.12
+BOOT_DELAY_S = 0.25
+POLL_S = 0.05
+SILENT_FRESH_S = 2.5
+
+
+class Election:
+    """Keeps a way to the owner, or makes this entry the owner.
+
+    The owner is named by one key of the store, which is written only if its
+    revision is still the one that was read; the revision of that write is
+    the fencing token.
+
+    Attributes:
+        member: This entry as a member of the cell.
+        upstream: Channel to the owner, or None.
+        ownership: Latest ownership known.
+        revision: Revision of the owner's key when it was last read.
+        status: Latest status of the owner, or None.
+        status_at: When it came, in s.
+        declined_until: Until when this entry does not take over, in s.
+        invited: Set when the owner hands its ownership over.
+    """
+
+    def __init__(self, *, member) -> None:
+        """Creates an election without an owner."""
+        self.member = member
+        self.upstream: channel.Channel | None = None
+        self.ownership: records.Ownership | None = None
+        self.revision = 0
+        self.status: frames.Status | None = None
+        self.status_at = 0.0
+        self.declined_until = 0.0
+        self.invited = gevent_event.Event()
+        self.suspicion = suspicion.Suspicion(election=self)
+
+    def take_status(
+        self, peer: channel.Channel, message: frames.Status
+    ) -> None:
+        """Takes in what the owner tells."""
+        if peer is not self.upstream:
+            return
+        if not message.epoch:
+            peer.close("not_owner")
+            return
+        self.status = message
+        self.status_at = time.monotonic()
+        if message.leaving:
+            self.invited.set()
+
+    def report(self) -> frames.OwnerReport:
+        """Returns whether this entry has heard the owner lately."""
+        epoch = self.ownership.epoch if self.ownership else 0
+        heard = (
+            self.is_following() and time.monotonic() - self.status_at < SILENT_S
+        )
+        return frames.OwnerReport(heard=heard, epoch=epoch)
+
+    def follow_forever(self) -> None:
+        """Keeps a way to the owner, or takes over where there is none."""
+        if not self.member.draining:
+            self.follow_first()
+        while not self.member.draining:
+            if self.member.owner is not None:
+                gevent.sleep(POLL_S)
+                continue
+            if self.is_following() and not self.invited.is_set():
+                self.upstream.closed.wait(POLL_S)
+                continue
+            if not self.seek():
+                gevent.sleep(POLL_S)
+
+    def follow_first(self) -> None:
+        """Lets the machines with the most processor time go first."""
+        found = self.member.client.get(records.OWNER_KEY).value_or(None)
+        if found is None or found.data is None:
+            gevent.sleep(BOOT_DELAY_S / max(self.member.me.processor, 0.2))
+
+    def is_following(self) -> bool:
+        """Returns whether the owner has been heard lately."""
+        upstream = self.upstream
+        return (
+            upstream is not None
+            and not upstream.closed.is_set()
+            and time.monotonic() - upstream.heard_at < SILENT_S
+        )
+
+    def seek(self) -> bool:
+        """Finds the owner or takes over; returns whether there is one."""
+        invited = self.invited.is_set()
+        self.invited.clear()
+        silent = self.upstream is not None and not self.upstream.closed.is_set()
+        if not invited and not silent:
+            self.drop_upstream("lost")
+            if self.succeed():
+                return True
+        read = self.member.client.get(records.OWNER_KEY)
+        if isinstance(read, result.Failure):
+            return self.rejoin()
+        item = read.unwrap()
+        self.revision = item.revision
+        found = records.decode_ownership(item.data)
+        known = self.ownership
+        changed = found is not None and (
+            known is None or found.epoch != known.epoch
+        )
+        if found is not None and found.name != self.member.me.name:
+            if changed and self.join(found):
+                return True
+            if not invited and not self.suspicion.is_dead(found, silent):
+                return self.join(found)
+        if self.must_wait(invited, item):
+            return False
+        return self.take_over(item, found)
+
+    def succeed(self) -> bool:
+        """Takes over from an owner whose process is gone, without reading.
+
+        Only the first of the succession does; the revision that it knows
+        makes the store refuse it if another has taken over.
+        """
+        known = self.ownership
+        if known is None or not self.revision or self.get_rank():
+            return False
+        if self.status is None or time.monotonic() < self.declined_until:
+            return False
+        if self.join(known) or self.suspicion.refused != known.epoch:
+            return self.is_following()
+        item = store.Item(
+            key=records.OWNER_KEY, data=None, revision=self.revision
+        )
+        return self.take_over(item, known)
+
+    def rejoin(self) -> bool:
+        """Follows the last known owner again while the store is away."""
+        if self.ownership is None or self.ownership.name == self.member.me.name:
+            return False
+        return self.is_following() or self.join(self.ownership)
+
+    def must_wait(self, invited: bool, item: store.Item) -> bool:
+        """Waits for those that go first; returns whether one took over."""
+        if time.monotonic() < self.declined_until:
+            gevent.sleep(RANK_DELAY_S)
+            return True
+        rank = self.get_rank()
+        if rank == 0:
+            return False
+        gevent.sleep(rank * RANK_DELAY_S * (2 if invited else 1))
+        again = self.member.client.get(records.OWNER_KEY).value_or(None)
+        return again is None or again.revision != item.revision
+
+    def get_rank(self) -> int:
+        """Returns this entry's place in the succession."""
+        if self.status is None:
+            return 0
+        names = [peer.name for peer in self.status.succession]
+        if self.member.me.name not in names:
+            return len(names)
+        return names.index(self.member.me.name)
+
+    def join(self, found: records.Ownership) -> bool:
+        """Connects to an owner; returns whether it answered as one."""
+        self.drop_upstream("owner_changed")
+        self.status_at = 0.0
+        try:
+            upstream = channel.connect(found.address, self.member.handle)
+        except OSError as error:
+            log.info(
+                "owner_unreachable",
+                extra={
+                    "owner": found.name,
+                    "epoch": found.epoch,
+                    "reason": str(error),
+                },
+            )
+            self.suspicion.note_connect(found, error)
+            return False
+        self.upstream = upstream
+        upstream.send(greeting=frames.Greeting(peer=self.member.me))
+        deadline = time.monotonic() + GREETING_TIMEOUT_S
+        while time.monotonic() < deadline and not upstream.closed.is_set():
+            if self.status_at:
+                self.ownership = found
+                self.suspicion.clear()
+                log.info(
+                    "owner_followed",
+                    extra={"owner": found.name, "epoch": found.epoch},
+                )
+                return True
+            gevent.sleep(0.01)
+        if upstream.reason == "not_owner":
+            self.suspicion.refused = found.epoch
+        self.drop_upstream("no_greeting")
+        return False
+
+    def drop_upstream(self, reason: str) -> None:
+        """Forgets the way to the owner."""
+        if self.upstream is not None:
+            log.info("owner_lost", extra={"cause": reason})
+            self.upstream.close(reason)
+            self.upstream = None
+
+    def take_over(
+        self, item: store.Item, found: records.Ownership | None
+    ) -> bool:
+        """Tries to become the owner; returns whether that worked."""
+        wanted = records.Ownership(
+            name=self.member.me.name,
+            address=self.member.me.address,
+            epoch=found.epoch + 1 if found else 1,
+        )
+        data = records.encode_ownership(wanted)
+        written = self.member.client.write(
+            puts=(store.Put(key=records.OWNER_KEY, data=data),),
+            expected=((records.OWNER_KEY, item.revision),),
+        )
+        if isinstance(written, result.Success):
+            self.begin_ownership(wanted, written.unwrap())
+            return True
+        failure = written.failure()
+        log.info(
+            "takeover_refused",
+            extra={"epoch": wanted.epoch, "reason": failure.reason},
+        )
+        if failure.effect_unknown:
+            again = self.member.client.get(records.OWNER_KEY).value_or(None)
+            if again is not None and again.data == data:
+                self.begin_ownership(wanted, again.revision)
+                return True
+        return False
+
+    def begin_ownership(
+        self, ownership: records.Ownership, revision: int
+    ) -> None:
+        """Becomes the owner under an epoch and a token."""
+        self.drop_upstream("took_over")
+        self.ownership = ownership
+        self.suspicion.clear()
+        log.info(
+            "ownership_taken",
+            extra={"epoch": ownership.epoch, "token": revision},
+        )
+        self.member.owner = owner_module.Owner(
+            settings=self.member.settings,
+            client=self.member.client,
+            epoch=ownership.epoch,
+            revision=revision,
+            configuration=self.member.configuration,
+            local_advisor=self.member.advisor,
+            get_channels=lambda: self.member.downstream,
+            silent=self.get_silent(ownership),
+            on_deposed=lambda reason: gevent.spawn(
+                self.member.end_ownership, reason
+            ),
+        )
+        self.member.owner.start()
+
+    def get_silent(self, ownership: records.Ownership) -> dict[str, int]:
+        """Returns what the last owner told of minions that do not answer.
+
+        Empty if that was long ago, or told by an owner before the last.
+        """
+        status = self.status
+        fresh = time.monotonic() - self.status_at < SILENT_FRESH_S
+        if status is None or not fresh or status.epoch != ownership.epoch - 1:
+            return {}
+        return dict(status.silent or {})
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -43,6 +43,7 @@
 JOBS_PAUSE_S = 0.5
 JOBS_WAIT_S = 0.5
 HANDOVER_WAIT_S = 0.8
+HANDOVER_POLL_S = 0.02
 
 
 class Owner:
@@ -336,13 +337,15 @@
         gevent.spawn(self.confirm)
 
     def hand_over(self) -> None:
-        """Stops deciding, and keeps what has been decided so far."""
-        self.leaving = True
+        """Waits until what has been decided is kept, or a successor acts.
+
+        What is not kept by then is listed again by the minions.
+        """
         deadline = time.monotonic() + HANDOVER_WAIT_S
-        while time.monotonic() < deadline:
+        while time.monotonic() < deadline and not self.stopped:
             if self.progress.is_empty() and not self.effects.starts_under_way:
                 return
-            gevent.sleep(0.02)
+            gevent.sleep(HANDOVER_POLL_S)
 
     def close(self) -> None:
         """Ends the ownership here; nothing more is ordered."""
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -21,7 +21,7 @@
 
 CONFIGURATION_WAIT_S = 1.0
 BALANCER_LAG_S = 2.3
-FINISH_MARGIN_S = 0.8
+FINISH_MARGIN_S = 0.35
 DRAIN_POLL_S = 0.05
 SETTINGS_POLL_S = 1.0
 METRICS_PORT = 9464
@@ -67,7 +67,7 @@
         return (
             not self.draining
             and self.callers.configuration is not None
-            and self.member.has_owner()
+            and self.member.desk.has_owner()
         )
 
     def answer_ready(self, environ: dict, start_response) -> list[bytes]:
--- a/packages/entry/hickoryreach_entry/cell/suspicion.py
+++ b/packages/entry/hickoryreach_entry/cell/suspicion.py
@@ -27,9 +27,9 @@
         since: When the owner was first found silent, in s; 0 if it is not.
     """
 
-    def __init__(self, *, member) -> None:
+    def __init__(self, *, election) -> None:
         """Creates a suspicion of nobody."""
-        self.member = member
+        self.election = election
         self.refused = 0
         self.since = 0.0
 
@@ -48,7 +48,7 @@
     def is_dead(self, found: records.Ownership, silent: bool) -> bool:
         """Returns whether an owner should be replaced."""
         if not silent and self.refused != found.epoch:
-            if self.member.join(found):
+            if self.election.join(found):
                 return False
             if self.refused != found.epoch and not self.since:
                 self.since = time.monotonic()
@@ -76,11 +76,11 @@
 
     def ask_peers(self, found: records.Ownership) -> list[frames.OwnerReport]:
         """Asks the other entries whether they hear the owner."""
-        status = self.member.status
+        status = self.election.status
         peers = [
             peer
             for peer in (status.succession if status else [])
-            if peer.name not in (self.member.me.name, found.name)
+            if peer.name not in (self.election.member.me.name, found.name)
         ]
         asked = [
             gevent.spawn(self.ask_peer, peer.address, found.epoch)
@@ -92,7 +92,7 @@
     def ask_peer(self, address: str, epoch: int) -> frames.OwnerReport | None:
         """Asks one entry; None without an answer."""
         try:
-            peer = channel.connect(address, self.member.handle)
+            peer = channel.connect(address, self.election.member.handle)
         except OSError as error:
             log.info(
                 "peer_unreachable",
