--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -11,6 +11,7 @@
 ORDER_TIMEOUT_S = 0.7
 LOOK_MARGIN_S = 0.7
 WAIT_LIMIT_MS = 2_000
+FIGURE = 4
 
 
 class EndKind(enum.StrEnum):
@@ -66,12 +67,16 @@
         run: Number of the run.
         checkpoint: Its newest checkpoint, or empty.
         percent: Progress, or for a lasting task whether it is at work.
+        figure: For a task that serves, the tail of its response times of
+            late, in ms; for any other, the processor time in use, in
+            thousandths of a core.
     """
 
     key: steps.TaskKey
     run: int
     checkpoint: str
     percent: int
+    figure: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -343,7 +348,11 @@
 
 def _parse_running(row: list) -> RunningTask:
     return RunningTask(
-        key=parse_task(row[0]), run=row[1], checkpoint=row[2], percent=row[3]
+        key=parse_task(row[0]),
+        run=row[1],
+        checkpoint=row[2],
+        percent=row[3],
+        figure=float(row[4] or 0.0) if len(row) > FIGURE else 0.0,
     )
 
 
--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -47,6 +47,23 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PaceTask:
+    """Let a run work at a share of its speed.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        minion_id: Where it runs.
+        share: The share, in percent.
+    """
+
+    key: steps.TaskKey
+    number: int
+    minion_id: str
+    share: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AskAdvice:
     """Ask which minions may run a step.
@@ -117,4 +134,6 @@
     detail: str
 
 
-Effect = StartTask | StopTask | AskAdvice | EndSeen | JobChanged | Noted
+Effect = (
+    StartTask | StopTask | PaceTask | AskAdvice | EndSeen | JobChanged | Noted
+)
--- a/packages/core/hickoryreach/scheduling/looks.py
+++ b/packages/core/hickoryreach/scheduling/looks.py
@@ -8,6 +8,7 @@
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import sharing
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
@@ -44,6 +45,7 @@
         if run is not None and run.need == resources.NOTHING:
             strays += run.step is None
     minion.strays = strays
+    yield from sharing.adjust(minion, look.running)
     for name, run in list(minion.runs.items()):
         if name in listed or name not in minion.runs:
             continue
--- a/packages/core/hickoryreach/scheduling/pace.py
+++ b/packages/core/hickoryreach/scheduling/pace.py
@@ -26,6 +26,8 @@
         run = minion.runs.get((row.key, row.run))
         if run is None or run.listed_ms < 0 or run.step is None:
             continue
+        if run.step.step.lasting or run.step.step.filler:
+            continue
         estimate_ms = run.step.step.estimate_ms
         if not estimate_ms or run.phase is not state.Phase.RUNNING:
             continue
@@ -58,7 +60,9 @@
             step = run.step
             if run.phase is not state.Phase.RUNNING or step is None:
                 continue
-            if step.step.lasting or run.listed_ms <= run.confirmed_ms:
+            if step.step.lasting or step.step.filler:
+                continue
+            if run.listed_ms <= run.confirmed_ms:
                 continue
             allowed_ms = max(
                 settings.stall_ms,
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -63,6 +63,7 @@
         progress_ms: When the progress last rose.
         listed_ms: When it was last listed, or -1.
         checkpoint: Last known checkpoint.
+        share: Share of its speed that a filler may work at, in percent.
     """
 
     key: steps.TaskKey
@@ -80,6 +81,7 @@
     progress_ms: int = 0
     listed_ms: int = -1
     checkpoint: str = ""
+    share: int = 100
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -72,6 +72,13 @@
         if link is not None:
             gevent.spawn(link.stop_task, effect)
 
+    @handlers.register(effects.PaceTask)
+    def pace_task(self, effect: effects.PaceTask) -> None:
+        """Sends a share to work at."""
+        link = self.owner.fleet.links.get(effect.minion_id)
+        if link is not None:
+            gevent.spawn(link.pace, effect)
+
     @handlers.register(effects.AskAdvice)
     def ask_advice(self, effect: effects.AskAdvice) -> None:
         """Asks for advice."""
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -286,6 +286,22 @@
             )
         )
 
+    def pace(self, effect: effects.PaceTask) -> None:
+        """Sends a share to work at; the next look tells whether it helps."""
+        ordered = self.client.pace(
+            effect.key, effect.number, effect.share, self.get_terms().token
+        )
+        failure = self.get_failure(ordered)
+        log.info(
+            "task_pace",
+            extra={
+                "task": minions.format_task(effect.key),
+                "minion": self.minion.minion_id,
+                "share": effect.share,
+                "outcome": failure.reason if failure else "confirmed",
+            },
+        )
+
     def get_failure(
         self, ordered: minions.Ordered
     ) -> minions.OrderFailure | None:
--- /dev/null
+++ b/tests/core/scheduling/test_sharing.py
@@ -0,0 +1,60 @@
+"""Tests of fillers beside tasks that serve."""
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from tests.core.scheduling import cases
+
+LIMIT_MS = 100
+
+
+class SharingTest(cases.CellCase):
+    """Fillers give way while a serving task is above its limit."""
+
+    minion_count = 1
+
+    def setUp(self) -> None:
+        """Starts a serving task and a filler on one minion."""
+        super().setUp()
+        self.submit(
+            cases.build_step(lasting=True, latency_limit_ms=LIMIT_MS),
+            queue="checks",
+        )
+        (self.serving,) = self.run_all()
+        self.submit(cases.build_step(cpu=4_000, filler=True), queue="checks")
+        (self.filler,) = self.run_all()
+
+    def list_tail(self, tail_ms: float) -> list[int]:
+        """Lists both tasks; returns the shares that were asked for."""
+        rows = tuple(
+            minions.RunningTask(
+                key=start.key,
+                run=start.number,
+                checkpoint="",
+                percent=100,
+                figure=figure,
+            )
+            for start, figure in ((self.serving, tail_ms), (self.filler, 900))
+        )
+        self.now_ms += 500
+        self.apply(
+            events.MinionLooked(
+                minion_id="m0",
+                look=minions.Look(life=1, clock_ms=0, running=rows, ends=()),
+                sent_ms=self.now_ms - 1,
+            )
+        )
+        return [each.share for each in self.get_effects(effects.PaceTask)]
+
+    def test_share_falls_to_nothing_while_the_limit_is_passed(self) -> None:
+        shares = [self.list_tail(LIMIT_MS + 1) for _ in range(4)]
+        self.assertEqual(shares, [[50], [25], [0], []])
+
+    def test_share_rises_again_below_the_limit(self) -> None:
+        self.list_tail(LIMIT_MS + 1)
+        self.assertEqual(self.list_tail(LIMIT_MS * 0.9), [])
+        self.assertEqual(self.list_tail(LIMIT_MS * 0.5), [75])
+        self.assertEqual(self.list_tail(LIMIT_MS * 0.5), [100])
+
+    def test_nothing_is_paced_below_the_limit(self) -> None:
+        self.assertEqual(self.list_tail(LIMIT_MS * 0.5), [])
