--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup format lint test unit demo bench fuzz capacity plots
+.PHONY: setup format lint test unit demo bench fuzz capacity plots soak
 
 $(READY): packages/core/pyproject.toml packages/entry/pyproject.toml packages/cli/pyproject.toml requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -40,3 +40,6 @@
 
 plots: bench
 	$(BIN)/python -m bench.plots
+
+soak: setup
+	$(BIN)/python -m soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
--- /dev/null
+++ b/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak of the entries under faults from outside."""
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,197 @@
+"""Faults that the soak brings about; each undoes itself."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+import random
+import signal
+
+import gevent
+
+from standins import proxy
+from standins.users import cell
+
+Fault = Callable[["Trouble"], None]
+
+faults: dict[str, Fault] = {}
+
+
+def register(fault: Fault) -> Fault:
+    """Adds a fault under its function's name."""
+    faults[fault.__name__] = fault
+    return fault
+
+
+class Trouble:
+    """What a fault may touch.
+
+    Attributes:
+        cell: The cell.
+        network: The proxy between the entries and all else.
+        generator: Draws what is struck and for how long.
+    """
+
+    def __init__(
+        self,
+        *,
+        whole: cell.Cell,
+        network: proxy.Network,
+        generator: random.Random,
+    ) -> None:
+        """Creates trouble for one cell."""
+        self.cell = whole
+        self.network = network
+        self.generator = generator
+
+    def pick_entry(self) -> cell.Entry:
+        """Returns the owner half of the time, else any entry."""
+        owner = self.cell.find_owner()
+        if owner is not None and self.generator.random() < 0.5:
+            return owner
+        return self.generator.choice(self.cell.entries)
+
+    def pick_minion(self) -> str:
+        """Returns a minion that has not left."""
+        return self.generator.choice(
+            sorted(set(self.cell.users.minions) - self.cell.users.gone)
+        )
+
+    def wait(self, least_s: float, most_s: float) -> None:
+        """Waits for a drawn time."""
+        gevent.sleep(self.generator.uniform(least_s, most_s))
+
+    def apply_rule(self, rule: proxy.Rule, least_s: float, most_s: float):
+        """Puts a rule of the proxy in force for a drawn time."""
+        self.network.set_rules([*self.network.rules, rule])
+        self.wait(least_s, most_s)
+        self.network.set_rules(
+            [each for each in self.network.rules if each is not rule]
+        )
+
+
+@register
+def kill_entry(trouble: Trouble) -> None:
+    """Kills an entry and starts it again."""
+    entry = trouble.pick_entry()
+    if entry.process.poll() is not None:
+        return
+    entry.process.kill()
+    entry.wait()
+    trouble.wait(0.0, 1.5)
+    entry.start()
+
+
+@register
+def stop_entry(trouble: Trouble) -> None:
+    """Stops an entry gracefully and starts it again."""
+    entry = trouble.pick_entry()
+    if entry.process.poll() is not None:
+        return
+    entry.signal(signal.SIGTERM)
+    entry.wait()
+    trouble.wait(0.0, 0.5)
+    entry.start()
+
+
+@register
+def freeze_entry(trouble: Trouble) -> None:
+    """Freezes an entry and wakes it."""
+    entry = trouble.pick_entry()
+    if entry.process.poll() is not None:
+        return
+    entry.signal(signal.SIGSTOP)
+    trouble.wait(0.5, 4.0)
+    if entry.process.poll() is None:
+        entry.signal(signal.SIGCONT)
+
+
+@register
+def kill_all(trouble: Trouble) -> None:
+    """Kills every entry at once and starts them again."""
+    running = [
+        entry for entry in trouble.cell.entries if entry.process.poll() is None
+    ]
+    for entry in running:
+        entry.process.kill()
+    for entry in running:
+        entry.wait()
+        entry.start()
+
+
+@register
+def cut_store(trouble: Trouble) -> None:
+    """Cuts one entry, or all, from the store."""
+    source = trouble.generator.choice(["*", trouble.pick_entry().name])
+    rule = proxy.Rule(source=source, target="store", cut=True)
+    trouble.apply_rule(rule, 0.5, 3.0)
+
+
+@register
+def silence_store(trouble: Trouble) -> None:
+    """Holds the store's answers to one entry, or to all."""
+    source = trouble.generator.choice(["*", trouble.pick_entry().name])
+    rule = proxy.Rule(source=source, target="store", hold_down=True)
+    trouble.apply_rule(rule, 0.5, 3.0)
+
+
+@register
+def slow_store(trouble: Trouble) -> None:
+    """Delays what goes to and comes from the store."""
+    rule = proxy.Rule(target="store", delay_ms=100, jitter_ms=100)
+    trouble.apply_rule(rule, 1.0, 4.0)
+
+
+@register
+def lose_answers(trouble: Trouble) -> None:
+    """Loses a third of the store's answers to writes."""
+    trouble.cell.users.store.faults.lost_share = 0.3
+    trouble.wait(1.0, 3.0)
+    trouble.cell.users.store.faults.lost_share = 0.0
+
+
+@register
+def forget_history(trouble: Trouble) -> None:
+    """Lets the store drop its history."""
+    trouble.cell.users.store.forget_history()
+
+
+@register
+def cut_minion(trouble: Trouble) -> None:
+    """Cuts a minion off, one way or both."""
+    minion_id = trouble.pick_minion()
+    way = trouble.generator.choice(["cut", "hold_up", "hold_down"])
+    rule = proxy.Rule(target=minion_id, **{way: True})
+    trouble.apply_rule(rule, 0.5, 6.0)
+
+
+@register
+def reset_connections(trouble: Trouble) -> None:
+    """Resets every connection of the entries."""
+    trouble.network.reset_all()
+
+
+@register
+def carry_out_late(trouble: Trouble) -> None:
+    """Lets a minion carry starts out late and unanswered."""
+    minion = trouble.cell.users.minions[trouble.pick_minion()]
+    minion.late_s = trouble.generator.uniform(0.5, 4.0)
+    trouble.wait(0.5, 2.0)
+    minion.late_s = 0.0
+
+
+@register
+def rebear_minion(trouble: Trouble) -> None:
+    """Lets a minion crash and start again under its id."""
+    users = trouble.cell.users
+    minion = users.minions[trouble.pick_minion()]
+    for run in list(minion.runs.values()):
+        minion.end(run, "crashed")
+    minion.be_reborn()
+    users.register(minion)
+
+
+@register
+def change_configuration(trouble: Trouble) -> None:
+    """Puts a new configuration in force."""
+    version = trouble.cell.users.store.revision
+    trouble.cell.users.configure(version, targetLatencyMs=version % 5_000)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -86,6 +86,29 @@
         self.links: set[Link] = set()
         self.random = random.Random(JITTER_SEED)
 
+    def front(
+        self,
+        *,
+        source: str,
+        target: str,
+        near: tuple[str, int],
+        far: tuple[str, int],
+    ) -> gevent.server.StreamServer:
+        """Opens an address in front of a target, for one known source."""
+
+        def serve(connection, address):
+            Link(
+                network=self,
+                source=source,
+                target=target,
+                near=connection,
+                address=far,
+            ).run()
+
+        server = gevent.server.StreamServer(near, serve)
+        server.start()
+        return server
+
     def listen(self, *, target: str, port: int) -> int:
         """Opens a port in front of a target and returns its number."""
 
@@ -96,7 +119,7 @@
                 source=source,
                 target=target,
                 near=connection,
-                port=port,
+                address=("127.0.0.1", port),
             ).run()
 
         server = gevent.server.StreamServer(("127.0.0.1", 0), serve)
@@ -132,14 +155,20 @@
     """One connection through the proxy."""
 
     def __init__(
-        self, *, network: Network, source: str, target: str, near, port: int
+        self,
+        *,
+        network: Network,
+        source: str,
+        target: str,
+        near,
+        address: tuple[str, int],
     ) -> None:
         """Creates a link that has not reached its target yet."""
         self.network = network
         self.source = source
         self.target = target
         self.near = near
-        self.port = port
+        self.address = address
         self.far = None
         self.passed_down = 0
 
@@ -153,7 +182,7 @@
             reset_socket(self.near)
             return
         try:
-            self.far = socket.create_connection(("127.0.0.1", self.port))
+            self.far = socket.create_connection(self.address)
         except OSError:
             reset_socket(self.near)
             return
--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -18,6 +18,7 @@
 import geventhttpclient
 import yaml
 
+from standins import proxy
 from standins.users import platform
 
 FRONT_PORT = 8183
@@ -146,9 +147,17 @@
         entries: The entries.
     """
 
-    def __init__(self, *, entry_count: int = 3, minion_count: int = 4) -> None:
-        """Starts a cell."""
-        self.users = platform.Platform(minion_count=minion_count)
+    def __init__(
+        self,
+        *,
+        entry_count: int = 3,
+        minion_count: int = 4,
+        network: proxy.Network | None = None,
+    ) -> None:
+        """Starts a cell, behind a proxy if one is given."""
+        self.users = platform.Platform(
+            minion_count=minion_count, network=network
+        )
         self.users.configure()
         self.folder = tempfile.TemporaryDirectory(prefix="hickoryreach-")
         self.entries = [
@@ -206,14 +215,29 @@
             AssertionError: It was not accepted.
         """
         job_id = secrets.token_hex(8)
+        status = self.submit_as(
+            entry, job_id, payload or {"work_ms": 100}, queue=queue, **step
+        )
+        if status != 200:
+            raise AssertionError(f"status {status}")
+        return job_id
+
+    def submit_as(
+        self,
+        entry: Entry,
+        job_id: str,
+        payload: dict,
+        *,
+        queue: str = "runs",
+        **step: object,
+    ) -> int:
+        """Hands a job of one step in under an id; returns the status."""
         body = {
-            "spec": json.dumps(payload or {"work_ms": 100}),
+            "spec": json.dumps(payload),
             "steps": [{"count": 1, "cpu": 1_000, "estimateMs": 100} | step],
         }
-        status, answer = entry.call("POST", f"/{queue}/{job_id}", body)
-        if status != 200:
-            raise AssertionError(f"status {status}: {answer}")
-        return job_id
+        status, _ = entry.call("POST", f"/{queue}/{job_id}", body)
+        return status
 
     def get_state(self, job_id: str, queue: str = "runs") -> str:
         """Returns a job's state, from the first entry that tells it."""
--- a/standins/users/checker.py
+++ b/standins/users/checker.py
@@ -42,6 +42,30 @@
     return faults
 
 
+def find_overcommits(
+    seen: Iterable[minions.Begun], cpu: int, capacity: int
+) -> list[str]:
+    """Returns starts that brought a minion above its capacity.
+
+    Args:
+        seen: What the minions have begun and ended, in order.
+        cpu: What each task takes, in thousandths of a core.
+        capacity: What each minion offers, likewise.
+    """
+    faults = []
+    running: dict[str, set[tuple[str, int]]] = {}
+    for each in seen:
+        present = running.setdefault(each.minion_id, set())
+        name = (each.task, each.number)
+        if each.what == "start":
+            present.add(name)
+            if len(present) * cpu > capacity:
+                faults.append(f"{each.minion_id} runs {len(present)} tasks")
+        else:
+            present.discard(name)
+    return faults
+
+
 def _find_incomplete(
     seen: Iterable[minions.Begun], completed: dict[str, int]
 ) -> list[str]:
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -8,6 +8,7 @@
 
 import gevent
 
+from standins import proxy
 from standins.users import minions
 from standins.users import servers
 from standins.users import store
@@ -37,8 +38,16 @@
         starts: Starts by task, on all minions.
     """
 
-    def __init__(self, *, minion_count: int = 4) -> None:
-        """Creates the platform on loopback addresses of a free block."""
+    def __init__(
+        self, *, minion_count: int = 4, network: proxy.Network | None = None
+    ) -> None:
+        """Creates the platform on loopback addresses of a free block.
+
+        Args:
+            minion_count: Number of minions.
+            network: Proxy between the entries and all else, or None.
+        """
+        self.network = network
         self.guard = take_block()
         self.block = int(self.guard.getsockname()[0].split(".")[1])
         self.store = store.KeyValueStore()
@@ -69,7 +78,26 @@
         def answer(method, path, words, body, environ):
             return self.store.answer(method, path, words, body, caller)
 
-        return self.add_server(f"127.{self.block}.2.{index + 1}:8182", answer)
+        address = self.add_server(
+            f"127.{self.block}.2.{index + 1}:8182", answer
+        )
+        return self.front(caller, "store", address, 7)
+
+    def front(self, source: str, target: str, address: str, part: int) -> str:
+        """Puts the proxy in front of an address, if there is one."""
+        if self.network is None:
+            return address
+        host, port = address.split(":")
+        near = f"127.{self.block}.{part}.{host.split('.')[3]}"
+        self.servers.append(
+            self.network.front(
+                source=source,
+                target=target,
+                near=(near, int(port)),
+                far=(host, int(port)),
+            )
+        )
+        return f"{near}:{port}"
 
     def add_minion(self, minion_id: str, index: int) -> minions.Minion:
         """Adds a minion and registers it."""
@@ -82,9 +110,10 @@
             return minion.answer(path, body, expected)
 
         self.minions[minion_id] = minion
-        self.addresses[minion_id] = self.add_server(
+        address = self.add_server(
             f"127.{self.block}.3.{index + 1}:8080", answer
         )
+        self.addresses[minion_id] = self.front("entry", minion_id, address, 6)
         self.register(minion)
         return minion
 
