--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -15,7 +15,8 @@
 
 log = logging.getLogger(__name__)
 
-WRITES_AT_ONCE = 3
+WRITES_AT_ONCE = 2
+GATHER_S = 0.008
 ROWS_LIMIT = 2_000
 RETRY_S = 0.1
 
@@ -107,6 +108,10 @@
             if not part.rows and not part.kept:
                 self.pending.clear()
                 continue
+            gevent.sleep(GATHER_S)
+            part = self.open
+            if not part.rows and not part.kept:
+                continue
             self.number += 1
             part.number = self.number
             self.open = Part(number=0)
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -19,7 +19,7 @@
 
 log = logging.getLogger(__name__)
 
-CONFIGURATION_WAIT_S = 1.0
+CONFIGURATION_WAIT_S = 1.8
 BALANCER_LAG_S = 2.3
 FINISH_MARGIN_S = 0.35
 DRAIN_POLL_S = 0.05
