--- a/packages/core/hickoryreach/scheduling/advising.py
+++ b/packages/core/hickoryreach/scheduling/advising.py
@@ -1,16 +1,22 @@
 """Which minions may run a step, and when to ask the advice service."""
 
 from collections.abc import Iterator
+import math
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import rooms as rooms_module
+from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 
 MINIONS_AT_LEAST = 16
 NAMED_COST_PART = 0.5
 RETRY_MS = 100
+ALLOWED_PART = 0.35
+LEAST_PART = 0.1
+NEW_WEIGHT = 0.1
+SPARE = 1.25
 
 
 def get_terms(
@@ -59,7 +65,8 @@
     """Asks about minions that a step knows nothing of yet.
 
     Minions with the most room go first; as many are named as cost at most
-    NAMED_COST_PART of the call itself, and always some.
+    NAMED_COST_PART of the call itself, and always as many as the step is
+    likely to need, going by the part that the queue's steps were allowed.
     """
     terms = get_terms(cell, step)
     unknown = [
@@ -74,10 +81,25 @@
     most = cell.settings.advice_limit
     if terms.minion_ms > 0:
         cheap = int(NAMED_COST_PART * terms.call_ms / terms.minion_ms)
-        most = min(most, max(MINIONS_AT_LEAST, cheap))
+        needed = _count_needed(cell, step)
+        most = min(most, max(MINIONS_AT_LEAST, cheap, needed))
     yield from _ask(cell, step, unknown[:most])
 
 
+def _count_needed(cell: state.CellState, step: state.StepRecord) -> int:
+    """Returns how many minions to name so that the step fits on those left."""
+    sizes = [
+        runs.count_fitting(
+            minion.minion.capacity, step.need, max(1, len(step.waiting))
+        )
+        for minion in cell.minions.values()
+        if minion.is_open
+    ]
+    slots = max(1.0, sum(sizes) / max(1, len(sizes)))
+    part = cell.allowed_parts.get(step.job.job.queue.name, ALLOWED_PART)
+    return math.ceil(len(step.waiting) / slots / part * SPARE)
+
+
 def refresh(
     cell: state.CellState, step: state.StepRecord, minion_ids: list[str]
 ) -> Iterator[effects.Effect]:
@@ -123,8 +145,11 @@
     cell.dirty = True
     if event.tickets is None:
         return
+    first = step.allowed is None
     if step.allowed is None:
         step.allowed = set()
+    if first and event.asked:
+        _learn_part(cell, step, len(event.tickets) / len(event.asked))
     for minion_id in event.asked:
         minion = cell.minions.get(minion_id)
         text = event.tickets.get(minion_id)
@@ -138,3 +163,13 @@
                 life=minion.life,
             )
     yield from ()
+
+
+def _learn_part(
+    cell: state.CellState, step: state.StepRecord, part: float
+) -> None:
+    """Learns which part of the minions a queue's steps are allowed."""
+    name = step.job.job.queue.name
+    known = cell.allowed_parts.get(name, ALLOWED_PART)
+    known += NEW_WEIGHT * (part - known)
+    cell.allowed_parts[name] = max(LEAST_PART, known)
--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -28,7 +28,15 @@
         cell, step.job.job.workspace, step.need.times(step.step.count)
     ):
         return
-    plan = _plan_racks(cell, step, rooms, usable)
+    plan = None
+    if terms is not None:
+        ticketed = [
+            minion_id
+            for minion_id in usable
+            if advising.has_ticket(cell, step, minion_id)
+        ]
+        plan = _plan_racks(cell, step, rooms, ticketed)
+    plan = plan or _plan_racks(cell, step, rooms, usable)
     if plan is None:
         yield from _keep_room(cell, step, rooms, usable, terms)
         return
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,6 +19,7 @@
 SETTLE_S = 40.0
 HAND_IN_GAP_S = 0.08
 CANCEL_EACH = 9
+STRIKES_AT_ONCE = 2
 
 
 class Soak:
@@ -28,11 +29,13 @@
         accepted: Ids of accepted jobs that nobody cancels.
         cancelled: Ids of jobs that were cancelled.
         refused: Ids of jobs of which each hand-in was refused.
+        seed: Seed of what is drawn.
         struck: Faults in the order in which they began.
     """
 
     def __init__(self, *, seed: int, entries: int, minions: int) -> None:
         """Starts a cell."""
+        self.seed = seed
         self.generator = random.Random(seed)
         self.network = proxy.Network()
         self.cell = cell.Cell(
@@ -48,21 +51,28 @@
         """Runs callers and faults, waits for calm; returns what is wrong."""
         self.cell.wait_ready()
         callers = gevent.spawn(self.hand_in)
-        strikes = [gevent.spawn(self.strike) for _ in range(2)]
+        struck: set[str] = set()
+        strikes = [
+            gevent.spawn(self.strike, number, struck)
+            for number in range(STRIKES_AT_ONCE)
+        ]
         gevent.sleep(seconds)
         self.stopping = True
         gevent.joinall([callers, *strikes])
         self.network.set_rules([])
         return [*self.find_unfinished(), *self.find_faults()]
 
-    def strike(self) -> None:
+    def strike(self, number: int, struck: set[str]) -> None:
         """Brings about one fault after another."""
         trouble = faults.Trouble(
-            whole=self.cell, network=self.network, generator=self.generator
+            whole=self.cell,
+            network=self.network,
+            generator=random.Random(f"{self.seed}/{number}"),
+            struck=struck,
         )
         while not self.stopping:
-            gevent.sleep(self.generator.uniform(0.1, 1.5))
-            name = self.generator.choice(sorted(faults.faults))
+            trouble.wait(0.1, 1.5)
+            name = trouble.generator.choice(sorted(faults.faults))
             self.struck.append(name)
             faults.faults[name](trouble)
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
 import random
 import signal
 
@@ -29,6 +31,7 @@
         cell: The cell.
         network: The proxy between the entries and all else.
         generator: Draws what is struck and for how long.
+        struck: Names of entries that a fault has in hand.
     """
 
     def __init__(
@@ -37,11 +40,13 @@
         whole: cell.Cell,
         network: proxy.Network,
         generator: random.Random,
+        struck: set[str],
     ) -> None:
         """Creates trouble for one cell."""
         self.cell = whole
         self.network = network
         self.generator = generator
+        self.struck = struck
 
     def pick_entry(self) -> cell.Entry:
         """Returns the owner half of the time, else any entry."""
@@ -50,6 +55,17 @@
             return owner
         return self.generator.choice(self.cell.entries)
 
+    @contextlib.contextmanager
+    def take(self, *entries: cell.Entry) -> Iterator[list[cell.Entry]]:
+        """Gives the entries that no other fault has in hand."""
+        free = [each for each in entries if each.name not in self.struck]
+        names = {each.name for each in free}
+        self.struck |= names
+        try:
+            yield free
+        finally:
+            self.struck -= names
+
     def pick_minion(self) -> str:
         """Returns a minion that has not left."""
         return self.generator.choice(
@@ -72,50 +88,43 @@
 @register
 def kill_entry(trouble: Trouble) -> None:
     """Kills an entry and starts it again."""
-    entry = trouble.pick_entry()
-    if entry.process.poll() is not None:
-        return
-    entry.process.kill()
-    entry.wait()
-    trouble.wait(0.0, 1.5)
-    entry.start()
+    with trouble.take(trouble.pick_entry()) as entries:
+        for entry in entries:
+            entry.kill()
+            trouble.wait(0.0, 1.5)
+            entry.start()
 
 
 @register
 def stop_entry(trouble: Trouble) -> None:
     """Stops an entry gracefully and starts it again."""
-    entry = trouble.pick_entry()
-    if entry.process.poll() is not None:
-        return
-    entry.signal(signal.SIGTERM)
-    entry.wait()
-    trouble.wait(0.0, 0.5)
-    entry.start()
+    with trouble.take(trouble.pick_entry()) as entries:
+        for entry in entries:
+            entry.signal(signal.SIGTERM)
+            entry.wait()
+            trouble.wait(0.0, 0.5)
+            entry.start()
 
 
 @register
 def freeze_entry(trouble: Trouble) -> None:
     """Freezes an entry and wakes it."""
-    entry = trouble.pick_entry()
-    if entry.process.poll() is not None:
-        return
-    entry.signal(signal.SIGSTOP)
-    trouble.wait(0.5, 4.0)
-    if entry.process.poll() is None:
-        entry.signal(signal.SIGCONT)
+    with trouble.take(trouble.pick_entry()) as entries:
+        for entry in entries:
+            entry.signal(signal.SIGSTOP)
+            trouble.wait(0.5, 4.0)
+            entry.signal(signal.SIGCONT)
 
 
 @register
 def kill_all(trouble: Trouble) -> None:
     """Kills every entry at once and starts them again."""
-    running = [
-        entry for entry in trouble.cell.entries if entry.process.poll() is None
-    ]
-    for entry in running:
-        entry.process.kill()
-    for entry in running:
-        entry.wait()
-        entry.start()
+    with trouble.take(*trouble.cell.entries) as entries:
+        for entry in entries:
+            entry.process.kill()
+        for entry in entries:
+            entry.wait()
+            entry.start()
 
 
 @register
