Answer for finished jobs without an owner, read less at a takeover, start lighter

Final states are now written beside the rows that bring them about, in the same call; jobs, progress and registrations are one reading each; the watch of jobs goes on without a pause while it finds untold ones.

--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -14,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.6
+BLOCK_BYTES = 65_536
 OK = 200
 NOT_FOUND = 404
 CONFLICT = 409
@@ -97,6 +98,7 @@
             concurrency=connections,
             connection_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
             network_timeout=timeout_s,
+            block_size=BLOCK_BYTES,
             headers=dict(headers or {}),
         )
 
--- a/packages/entry/hickoryreach_entry/__main__.py
+++ b/packages/entry/hickoryreach_entry/__main__.py
@@ -4,7 +4,6 @@
 
 monkey.patch_all()
 
-import os  # noqa: E402
 import sys  # noqa: E402
 
 import cleo.application  # noqa: E402
@@ -13,9 +12,8 @@
 from returns import result  # noqa: E402
 
 from hickoryreach.config import settings  # noqa: E402
-from hickoryreach.platform import node  # noqa: E402
+from hickoryreach_entry import cell_console  # noqa: E402
 from hickoryreach_entry import logs  # noqa: E402
-from hickoryreach_entry.commands import cell  # noqa: E402
 from hickoryreach_entry.commands import serve  # noqa: E402
 from hickoryreach_entry.commands import show_settings  # noqa: E402
 from hickoryreach_entry.config import settings as entry_settings  # noqa: E402
@@ -67,41 +65,6 @@
         return 0
 
 
-class CellCommand(cleo.commands.command.Command):
-    """Serves one entry on the users' platform."""
-
-    name = "cell"
-    description = "Serve one entry on the users' platform until SIGTERM."
-    options = [
-        cleo.helpers.option(
-            "node-settings",
-            description="Path of the platform's settings file; "
-            f"{node.PATH_VARIABLE} if not given.",
-            flag=False,
-        ),
-        cleo.helpers.option(
-            "log-level",
-            description="Least severe level that is logged.",
-            flag=False,
-            default="INFO",
-        ),
-    ]
-
-    def handle(self) -> int:
-        """Runs the command."""
-        path = self.option("node-settings") or os.environ.get(
-            node.PATH_VARIABLE, ""
-        )
-        logs.set_up(self.option("log-level"))
-        served = cell.serve(path)
-        if isinstance(served, result.Failure):
-            self.line_error(
-                f"--node-settings ({node.PATH_VARIABLE}): {served.failure()}"
-            )
-            return USAGE_ERROR
-        return 0
-
-
 class SettingsShowCommand(SettingsCommand):
     """Shows the effective settings."""
 
@@ -122,7 +85,7 @@
     """Runs the entry binary."""
     application = cleo.application.Application("hickoryreach-entry", "0.1.0")
     application.add(ServeCommand())
-    application.add(CellCommand())
+    application.add(cell_console.CellCommand())
     application.add(SettingsShowCommand())
     return application.run()
 
--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -225,12 +225,13 @@
         deadline: float,
     ) -> None:
         """Answers the state of a job."""
-        waited = min(deadline, time.monotonic() + OWNER_WAIT_S)
-        report = self.desk.ask(
-            waited,
-            "query",
-            frames.Query(job_id=job_id, workspace=workspace),
-        )
+        report = None
+        if self.desk.has_owner():
+            report = self.desk.ask(
+                min(deadline, time.monotonic() + OWNER_WAIT_S),
+                "query",
+                frames.Query(job_id=job_id, workspace=workspace),
+            )
         if report is not None and report.known:
             resp.media = callers.format_state(callers.State(report.state))
             return
@@ -254,8 +255,13 @@
         if workspace and job.workspace != workspace:
             resp.status = falcon.HTTP_410
             return
-        self.desk.announce(job.job_id, item.data)
-        resp.media = callers.format_state(callers.State.QUEUED)
+        final = self.client.get(records.name_state(job.job_id)).value_or(None)
+        if final is not None and final.data is not None:
+            state = callers.State(final.data.decode())
+        else:
+            state = callers.State.QUEUED
+            self.desk.announce(job.job_id, item.data)
+        resp.media = callers.format_state(state)
 
     def cancel(
         self,
--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -143,7 +143,9 @@
         if effect.state is state.JobState.CANCELLED:
             row = records.Row(kind=records.CANCELLED, job_id=effect.job_id)
         owner.progress.append(
-            row, lambda: owner.show(effect.job_id, effect.state)
+            row,
+            lambda: owner.show(effect.job_id, effect.state),
+            {effect.job_id: str(effect.state)},
         )
 
     @handlers.register(effects.Noted)
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -42,6 +42,7 @@
 HEARD_S = 1.0
 JOBS_PAUSE_S = 0.5
 JOBS_WAIT_S = 0.5
+UNTOLD_S = 5.0
 HANDOVER_WAIT_S = 0.8
 HANDOVER_POLL_S = 0.02
 
@@ -56,6 +57,7 @@
         silent: Minions that the last owner found silent, with the time in ms
             until nothing that it started can run there.
         visible: State of each job as callers may be told.
+        untold_at: When a job was last found that no entry had told of, in s.
         serving: Whether decisions are being made.
         leaving: Whether the ownership is being handed over.
         confirmed_at: When the ownership was last certain, in s.
@@ -89,6 +91,7 @@
         self.visible: dict[str, state.JobState] = {}
         self.unbegun: dict[str, str] = {}
         self.cancel_waiters: dict[str, gevent_event.Event] = {}
+        self.untold_at = -UNTOLD_S
         self.serving = False
         self.leaving = False
         self.stopped = False
@@ -238,14 +241,23 @@
             self.emit(events.JobOffered(job=job))
 
     def take_jobs(self, page: store.Page, complete: bool) -> None:
-        """Takes in jobs that entries kept without telling."""
+        """Takes in jobs that entries kept without telling.
+
+        While there are such jobs, the watch goes on without a pause.
+        """
+        untold = False
         for item in page.items:
             job_id = item.key.removeprefix(records.JOBS_PREFIX)
             if item.data is None or job_id in self.visible:
                 continue
             job = restoring.decode_item(item)
             if job is not None:
+                untold = True
                 self.submit(job)
+        if untold:
+            self.untold_at = time.monotonic()
+        calm = time.monotonic() - self.untold_at > UNTOLD_S
+        self.jobs_watcher.pause_s = JOBS_PAUSE_S if calm else 0.0
 
     def query(self, query: frames.Query) -> frames.JobReport:
         """Returns what a caller may be told of a job."""
--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -17,7 +17,7 @@
 
 WRITES_AT_ONCE = 2
 GATHER_S = 0.008
-ROWS_LIMIT = 2_000
+STATES_LIMIT = store.TRANSACTION_LIMIT - 4
 RETRY_S = 0.1
 
 
@@ -28,12 +28,15 @@
     Attributes:
         number: Number of the part in its epoch.
         rows: The rows.
+        states: Final states of jobs, by id, which are written beside the rows
+            for entries that can't ask an owner.
         kept: Called once they are kept.
         begun_at: When the first row came, on the steady clock in s.
     """
 
     number: int
     rows: list[records.Row] = dataclasses.field(default_factory=list)
+    states: dict[str, str] = dataclasses.field(default_factory=dict)
     kept: list[Callable[[], None]] = dataclasses.field(default_factory=list)
     begun_at: float = 0.0
 
@@ -83,8 +86,15 @@
         self,
         row: records.Row | None,
         kept: Callable[[], None] | None = None,
+        states: dict[str, str] | None = None,
     ) -> None:
-        """Adds a row, or just a callback that follows the rows before it."""
+        """Adds a row, or just a callback that follows the rows before it.
+
+        Args:
+            row: The row, or None.
+            kept: Called once the row, and all before it, are kept.
+            states: Final states that the rows so far bring about.
+        """
         if row is None and kept is not None and self.is_empty():
             kept()
             return
@@ -94,6 +104,8 @@
             self.open.rows.append(row)
         if kept is not None:
             self.open.kept.append(kept)
+        if states and len(self.open.states) < STATES_LIMIT:
+            self.open.states |= states
         self.pending.set()
 
     def is_empty(self) -> bool:
@@ -123,7 +135,16 @@
         if part.rows:
             key = records.name_progress(self.epoch, part.number)
             data = records.encode_rows(part.rows)
-            while not self.write_once(key, data):
+            puts = (
+                store.Put(key=key, data=data),
+                *(
+                    store.Put(
+                        key=records.name_state(job_id), data=each.encode()
+                    )
+                    for job_id, each in part.states.items()
+                ),
+            )
+            while not self.write_once(puts):
                 if self.stopped:
                     return
                 gevent.sleep(RETRY_S)
@@ -138,10 +159,11 @@
             for kept in done.kept:
                 kept()
 
-    def write_once(self, key: str, data: bytes) -> bool:
+    def write_once(self, puts: tuple[store.Put, ...]) -> bool:
         """Tries to write one part; returns whether it is kept."""
+        key = puts[0].key
         written = self.client.write(
-            puts=(store.Put(key=key, data=data),),
+            puts=puts,
             expected=((records.OWNER_KEY, self.revision), (key, 0)),
         )
         if isinstance(written, result.Success):
@@ -154,7 +176,7 @@
         self.note_health(None)
         found = {item.key: item for item in failure.conflict}
         mine = found.get(key)
-        if mine is not None and mine.data == data:
+        if mine is not None and mine.data == puts[0].data:
             return True
         owner = found.get(records.OWNER_KEY)
         if owner is None or owner.revision != self.revision:
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -14,6 +14,7 @@
 OWNER_KEY = "hickoryreach/owner"
 JOBS_PREFIX = "hickoryreach/jobs/"
 PROGRESS_PREFIX = "hickoryreach/progress/"
+STATES_PREFIX = "hickoryreach/states/"
 END = "end"
 CANCELLED = "cancelled"
 
@@ -86,6 +87,11 @@
     return JOBS_PREFIX + job_id
 
 
+def name_state(job_id: str) -> str:
+    """Returns the key of a job's final state."""
+    return STATES_PREFIX + job_id
+
+
 def name_progress(epoch: int, number: int) -> str:
     """Returns the key of a part of the progress."""
     return f"{PROGRESS_PREFIX}{epoch:08d}/{number:08d}"
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -21,7 +21,6 @@
 LOOKS_LIMIT_S = 0.6
 LOOKS_POLL_S = 0.01
 LAPSE_SLACK_MS = 1_500
-HEX = "0123456789abcdef"
 
 
 def restore(owner) -> None:
@@ -36,14 +35,13 @@
         read_until_done, owner.client, documents.MINIONS_PREFIX
     )
     fleet.link_value(lambda done: owner.fleet.watcher.take(done.value))
-    reads = [
-        gevent.spawn(read_until_done, owner.client, records.JOBS_PREFIX + digit)
-        for digit in HEX
-    ]
-    kept = read_until_done(owner.client, records.PROGRESS_PREFIX).unwrap()
-    gevent.joinall([fleet, *reads])
-    jobs = [each.value.unwrap() for each in reads]
-    owner.jobs_watcher.revision = min(page.revision for page in jobs)
+    progress = gevent.spawn(
+        read_until_done, owner.client, records.PROGRESS_PREFIX
+    )
+    jobs = read_until_done(owner.client, records.JOBS_PREFIX).unwrap()
+    gevent.joinall([fleet, progress])
+    kept = progress.value.unwrap()
+    owner.jobs_watcher.revision = jobs.revision
     deadline = time.monotonic() + LOOKS_LIMIT_S
     wait_for(lambda: has_asked_all(owner), deadline)
     doubtful_until_ms = get_doubt_end_ms(owner)
@@ -91,7 +89,7 @@
 
 def restore_jobs(
     owner,
-    jobs: list[store.Page],
+    jobs: store.Page,
     kept: store.Page,
     doubtful_until_ms: int,
 ) -> None:
@@ -112,19 +110,18 @@
                 cancelled.add(row.job_id)
             else:
                 ends.setdefault(row.job_id, []).append(row.end)
-    for page in jobs:
-        for item in page.items:
-            job = decode_item(item)
-            if job is None:
-                continue
-            owner.note_job(job)
-            event = events.JobRestored(
-                job=job,
-                ends=tuple(ends.get(job.job_id, ())),
-                cancelled=job.job_id in cancelled,
-                doubtful_until_ms=doubtful_until_ms,
-            )
-            owner.carry(reducer.reduce(owner.state, event, clock.now_ms()))
+    for item in jobs.items:
+        job = decode_item(item)
+        if job is None:
+            continue
+        owner.note_job(job)
+        event = events.JobRestored(
+            job=job,
+            ends=tuple(ends.get(job.job_id, ())),
+            cancelled=job.job_id in cancelled,
+            doubtful_until_ms=doubtful_until_ms,
+        )
+        owner.carry(reducer.reduce(owner.state, event, clock.now_ms()))
 
 
 def decode_item(item: store.Item) -> steps.Job | None:
--- a/packages/entry/hickoryreach_entry/cell/retention.py
+++ b/packages/entry/hickoryreach_entry/cell/retention.py
@@ -14,7 +14,7 @@
 log = logging.getLogger(__name__)
 
 MARGIN_S = 10
-PARTS_AT_ONCE = store.TRANSACTION_LIMIT
+KEYS_AT_ONCE = store.TRANSACTION_LIMIT - 2
 
 
 class Retention:
@@ -79,6 +79,7 @@
         cell.jobs.pop(job_id, None)
         visible.pop(job_id, None)
         self.removable.append(records.name_job(job_id))
+        self.removable.append(records.name_state(job_id))
         for key in self.by_job.pop(job_id, set()):
             left = self.parts.get(key)
             if left is not None:
@@ -90,7 +91,7 @@
     def remove(self) -> None:
         """Removes keys from the store, jobs before their progress."""
         try:
-            batch = self.removable[:PARTS_AT_ONCE]
+            batch = self.removable[:KEYS_AT_ONCE]
             written = self.client.write(
                 removed=tuple(batch),
                 expected=((records.OWNER_KEY, self.progress.revision),),
--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -144,6 +144,7 @@
             self.get_checkpoint(run),
         ]
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
+        self.lapses_at[self.number] = self.lapses
         self.note("end", run, how)
         self.ended.set()
         self.ended = gevent_event.Event()
