--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -7,6 +7,7 @@
 import time
 
 import gevent
+from gevent import pool
 
 from soak import faults
 from standins import proxy
@@ -45,6 +46,7 @@
         self.cancelled: list[str] = []
         self.refused: list[str] = []
         self.struck: list[str] = []
+        self.callers = pool.Group()
         self.stopping = False
 
     def run(self, seconds: float) -> list[str]:
@@ -59,6 +61,7 @@
         gevent.sleep(seconds)
         self.stopping = True
         gevent.joinall([callers, *strikes])
+        self.callers.join()
         self.network.set_rules([])
         return [*self.find_unfinished(), *self.find_faults()]
 
@@ -82,7 +85,7 @@
             if self.stopping:
                 return
             entry = self.cell.entries[number % len(self.cell.entries)]
-            gevent.spawn(self.hand_one_in, entry, number)
+            self.callers.spawn(self.hand_one_in, entry, number)
             gevent.sleep(HAND_IN_GAP_S)
 
     def hand_one_in(self, entry: cell.Entry, number: int) -> None:
