Wait for leases that an earlier owner may have given, and renew none in doubt

Tests: ForeignLeaseTest, test_no_lease_is_renewed_by_an_owner_that_may_be_deposed (both fail on the code before).

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -40,6 +40,9 @@
     if plan is None:
         yield from _keep_room(cell, step, rooms, usable, terms)
         return
+    if not rooms_module.may_start(cell, step, rooms, step.step.count):
+        _keep_plan(step, rooms, plan)
+        return
     names = [minion_id for minion_id, _ in plan]
     if terms is not None and not all(
         advising.has_ticket(cell, step, minion_id) for minion_id in names
@@ -47,9 +50,6 @@
         yield from advising.refresh(cell, step, names)
         _keep_plan(step, rooms, plan)
         return
-    if not rooms_module.may_start(cell, step, rooms, step.step.count):
-        _keep_plan(step, rooms, plan)
-        return
     yield from _launch(cell, step, rooms, plan)
 
 
--- a/packages/core/hickoryreach/scheduling/placing.py
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -62,7 +62,8 @@
 ) -> Iterator[effects.Effect]:
     terms = advising.get_terms(cell, step)
     if terms is not None and step.allowed is None:
-        yield from advising.ask_first(cell, step, rooms)
+        if _may_use_advice(cell, step, rooms):
+            yield from advising.ask_first(cell, step, rooms)
         return
     if not step.job.kept:
         return
@@ -78,6 +79,22 @@
     yield from _place_tasks(cell, step, rooms, usable, terms)
 
 
+def _may_use_advice(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> bool:
+    """Returns whether tickets could be used soon.
+
+    The first rank and gangs may have room made for them; the others ask once
+    some minion has room.
+    """
+    if step.rank == rooms_module.FIRST_RANK or step.step.gang:
+        return True
+    return any(
+        rooms_module.count_slots(rooms, step, minion_id, 1)
+        for minion_id in advising.list_minions(cell, step)
+    )
+
+
 def _place_tasks(
     cell: state.CellState,
     step: state.StepRecord,
@@ -85,6 +102,8 @@
     usable: list[str],
     terms: cells.AdviceTerms | None,
 ) -> Iterator[effects.Effect]:
+    if not rooms_module.may_start(cell, step, rooms):
+        return
     expired = []
     for minion_id in _sort_tightest(rooms, step, usable):
         slots = rooms_module.count_slots(
@@ -105,6 +124,18 @@
             rooms.take(minion_id, step.need)
         if not step.waiting:
             return
+    yield from _seek_room(cell, step, rooms, usable, expired, terms)
+
+
+def _seek_room(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+    expired: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Iterator[effects.Effect]:
+    """Asks for further tickets, or has room made for the first rank."""
     if expired:
         yield from advising.refresh(cell, step, expired)
         return
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -22,6 +22,7 @@
 BOOT_DELAY_S = 0.25
 POLL_S = 0.05
 SILENT_FRESH_S = 2.5
+AFTERLIFE_MS = 1_500
 
 
 class Election:
@@ -254,6 +255,7 @@
     ) -> None:
         """Becomes the owner under an epoch and a token."""
         self.drop_upstream("took_over")
+        silent = self.get_silent(ownership)
         self.ownership = ownership
         self.suspicion.clear()
         log.info(
@@ -268,7 +270,7 @@
             configuration=self.member.configuration,
             local_advisor=self.member.advisor,
             get_channels=lambda: self.member.downstream,
-            silent=self.get_silent(ownership),
+            silent=silent,
             on_deposed=lambda reason: gevent.spawn(
                 self.member.end_ownership, reason
             ),
@@ -278,10 +280,17 @@
     def get_silent(self, ownership: records.Ownership) -> dict[str, int]:
         """Returns what the last owner told of minions that do not answer.
 
-        Empty if that was long ago, or told by an owner before the last.
+        Empty if that was long ago, or told by an owner before the last. An
+        owner that may live on may reach some of them again and renew their
+        leases until it knows that it is deposed.
         """
         status = self.status
         fresh = time.monotonic() - self.status_at < SILENT_FRESH_S
         if status is None or not fresh or status.epoch != ownership.epoch - 1:
             return {}
-        return dict(status.silent or {})
+        ended = status.leaving or self.suspicion.refused
+        slack_ms = 0 if ended else AFTERLIFE_MS
+        return {
+            name: left_ms + slack_ms
+            for name, left_ms in (status.silent or {}).items()
+        }
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -17,6 +17,8 @@
 
 log = logging.getLogger(__name__)
 
+LEASE_MS = 4_000
+FOREIGN_LEASE_MS = LEASE_MS  # an earlier owner's last lease
 LOOK_WAIT_MS = 1_000
 LOOKS_IN_LEASE = 4
 SETTLE_WAIT_S = 0.1
@@ -32,7 +34,7 @@
 
     Attributes:
         token: Fencing token.
-        lease_ms: Length of a minion's lease.
+        lease_ms: Length of a minion's lease; 0 while none is renewed.
     """
 
     token: int
@@ -98,7 +100,7 @@
         while not self.stopped:
             terms = self.get_terms()
             deadline_ms = None
-            if self.clock_read_ms and not self.silent:
+            if self.clock_read_ms and not self.silent and terms.lease_ms:
                 deadline_ms = self.estimate_clock() + terms.lease_ms
                 self.deadline_ms = max(self.deadline_ms, deadline_ms)
             quick = self.silent
@@ -120,7 +122,7 @@
 
     def get_wait_ms(self, lease_ms: int) -> int:
         """Returns how long a look may wait for an end."""
-        return min(LOOK_WAIT_MS, lease_ms // LOOKS_IN_LEASE)
+        return min(LOOK_WAIT_MS, (lease_ms or LEASE_MS) // LOOKS_IN_LEASE)
 
     def take_look(self, look: minions.Look, sent_ms: int) -> None:
         """Hands on what is new in a minion's lists."""
@@ -131,7 +133,8 @@
             )
         if look.life != self.life:
             self.life = look.life
-            self.passed = self.settled = self.deadline_ms = 0
+            self.passed = self.settled = 0
+            self.deadline_ms = look.clock_ms + FOREIGN_LEASE_MS
             self.unsettled.clear()
         self.silent = self.lapsed = False
         self.clock_ms = look.clock_ms
@@ -192,7 +195,7 @@
             return 0
         if not self.clock_read_ms:
             age_ms = clock.now_ms() - self.begun_ms
-            return max(0, self.get_terms().lease_ms + UNSEEN_MS - age_ms)
+            return max(0, FOREIGN_LEASE_MS + UNSEEN_MS - age_ms)
         left_ms = self.deadline_ms + LAPSE_MARGIN_MS - self.estimate_clock()
         return max(0, int(left_ms / (1 - CLOCK_DRIFT)))
 
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -36,7 +36,6 @@
 
 TICK_S = 0.1
 BATCH_LIMIT = 200
-LEASE_MS = 4_000
 CONFIRM_S = 0.5
 CONFIRM_LIMIT_S = 1.5
 HEARD_S = 1.0
@@ -136,8 +135,14 @@
         self.greenlets: list[gevent.Greenlet] = []
 
     def get_terms(self) -> links.Terms:
-        """Returns the terms under which orders are given."""
-        lease_ms = min(LEASE_MS, self.settings.bounds.hold_limit_ms)
+        """Returns the terms under which orders are given.
+
+        Leases are renewed only by an owner that may still be one, so that
+        they run out in time for its successor.
+        """
+        lease_ms = min(links.LEASE_MS, self.settings.bounds.hold_limit_ms)
+        if not self.may_place(time.monotonic()):
+            lease_ms = 0
         return links.Terms(token=self.revision, lease_ms=lease_ms)
 
     def start(self) -> None:
@@ -163,6 +168,8 @@
             },
         )
         self.jobs_watcher.start()
+        while not self.inbox.empty():
+            self.apply(self.inbox.get_nowait())
         ticked_at = 0.0
         while not self.stopped:
             ticked_at = self.take_batch(ticked_at)
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -13,6 +13,7 @@
 from hickoryreach.scheduling import reducer
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import records
 
 log = logging.getLogger(__name__)
@@ -31,10 +32,7 @@
         owner.apply(
             events.ConfigurationChanged(configuration=owner.configuration)
         )
-    fleet = gevent.spawn(
-        read_until_done, owner.client, documents.MINIONS_PREFIX
-    )
-    fleet.link_value(lambda done: owner.fleet.watcher.take(done.value))
+    fleet = gevent.spawn(read_fleet, owner)
     progress = gevent.spawn(
         read_until_done, owner.client, records.PROGRESS_PREFIX
     )
@@ -67,11 +65,17 @@
     silent = list_silent(owner)
     if owner.epoch == 1 or not silent:
         return 0
-    whole_ms = owner.get_terms().lease_ms + LAPSE_SLACK_MS
+    whole_ms = links.FOREIGN_LEASE_MS + LAPSE_SLACK_MS
     left_ms = max(owner.silent.get(name, whole_ms) for name in silent)
     return clock.now_ms() + left_ms if left_ms else 0
 
 
+def read_fleet(owner) -> None:
+    """Reads the registrations and makes a link to each minion."""
+    read = read_until_done(owner.client, documents.MINIONS_PREFIX)
+    owner.fleet.watcher.accept(read.unwrap())
+
+
 def read_until_done(
     client: store.Store, prefix: str
 ) -> result.Result[store.Page, store.StoreFailure]:
--- a/packages/entry/hickoryreach_entry/cell/watching.py
+++ b/packages/entry/hickoryreach_entry/cell/watching.py
@@ -76,13 +76,16 @@
             gevent.sleep(RETRY_S)
             return
         self.note_health(healthy=True, reason="")
-        page = read.unwrap()
+        self.accept(read.unwrap())
+        if self.pause_s:
+            gevent.sleep(self.pause_s)
+
+    def accept(self, page: store.Page) -> None:
+        """Hands on a page; the first one is all there is."""
         complete = self.revision < 0
         if page.items or complete:
             self.on_page(page, complete)
         self.revision = max(self.revision, page.revision)
-        if self.pause_s:
-            gevent.sleep(self.pause_s)
 
     def note_health(self, *, healthy: bool, reason: str) -> None:
         """Logs when the store is lost or regained."""
--- a/tests/core/scheduling/test_placing.py
+++ b/tests/core/scheduling/test_placing.py
@@ -193,6 +193,16 @@
         self.advise(again, "m0")
         self.assertEqual(len(self.get_starts()), 1)
 
+    def test_a_lower_rank_asks_once_there_is_room(self) -> None:
+        self.submit(cases.build_step(count=2, cpu=4_000), queue="checks")
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.advise(call, "m0", "m1")
+        start, _ = self.run_all()
+        self.submit(cases.build_step())
+        self.assertEqual(self.get_effects(effects.AskAdvice), [])
+        self.end(start)
+        self.assertEqual(len(self.get_effects(effects.AskAdvice)), 1)
+
     def test_failed_advice_is_asked_again(self) -> None:
         call = self.ask()
         self.apply(
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -16,17 +16,23 @@
 LEASE_MS = 800
 
 
-class LinkTest(unittest.TestCase):
-    """Leases, lists and orders."""
+class LinkCase(unittest.TestCase):
+    """A link to the stand-in of one minion."""
+
+    mute_next = False
 
     def setUp(self) -> None:
         """Serves one minion and follows it."""
         self.model = standin.Minion(minion_id="i-1")
 
+        self.lease_ms = LEASE_MS
+
         def answer(method, path, words, body, environ):
-            return self.model.answer(
+            answered = self.model.answer(
                 path, body, environ.get("HTTP_EXPECT_INSTANCE", "")
             )
+            self.model.silent = self.model.silent or self.mute_next
+            return answered
 
         self.server = servers.serve("127.0.0.1:0", answer)
         self.addCleanup(self.server.stop, 0)
@@ -40,7 +46,7 @@
                 failure_domain="z",
                 capacity=resources.NOTHING,
             ),
-            get_terms=lambda: links.Terms(token=5, lease_ms=LEASE_MS),
+            get_terms=lambda: links.Terms(token=5, lease_ms=self.lease_ms),
             emit=self.events.append,
             on_fenced=self.fenced.append,
         )
@@ -80,6 +86,10 @@
             for end in event.look.ends
         ]
 
+
+class LinkTest(LinkCase):
+    """Leases, lists and orders."""
+
     def test_an_end_is_handed_on_once_and_kept_until_settled(self) -> None:
         self.start('{"work_ms": 50}')
         self.wait(self.list_ends)
@@ -102,6 +112,13 @@
         self.assertEqual(self.count(events.LeaseLapsed), 1)
         self.assertGreater(self.model.get_clock(), self.model.lease_ms)
 
+    def test_no_lease_is_renewed_by_an_owner_that_may_be_deposed(self) -> None:
+        self.lease_ms = 0
+        gevent.sleep(0.6)
+        lease_ms = self.model.lease_ms
+        gevent.sleep(0.6)
+        self.assertLessEqual(self.model.lease_ms, lease_ms)
+
     def test_a_fence_is_reported(self) -> None:
         self.model.token = 9
         self.wait(lambda: self.fenced)
@@ -125,3 +142,17 @@
         self.wait(lambda: self.link.life == self.model.life)
         self.start('{"work_ms": 20}', number=2)
         self.wait(lambda: len(self.list_ends()) == 2)
+
+
+class ForeignLeaseTest(LinkCase):
+    """A minion that an earlier owner held, and that answers just once."""
+
+    mute_next = True
+
+    def test_its_lease_is_given_the_time_of_an_earlier_owners(self) -> None:
+        gevent.sleep(2.5)
+        self.assertEqual(self.count(events.LeaseLapsed), 0)
+        self.wait(lambda: self.count(events.LeaseLapsed), limit_s=6.0)
+
+
+del LinkCase
