--- a/packages/core/hickoryreach/scheduling/advising.py
+++ b/packages/core/hickoryreach/scheduling/advising.py
@@ -34,15 +34,17 @@
     return cell.configuration.queues.get(stored.name, stored).service
 
 
-def list_minions(cell: state.CellState, step: state.StepRecord) -> list[str]:
+def list_minions(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> list[str]:
     """Returns the minions that may run a step, whether there is room or not."""
-    service = get_service(cell, step)
+    open_ids = rooms.open_ids.get(get_service(cell, step), [])
+    if not step.step.label:
+        return open_ids
     return [
         minion_id
-        for minion_id, minion in cell.minions.items()
-        if minion.minion.service == service
-        and minion.is_open
-        and rooms_module.is_fit(minion, step)
+        for minion_id in open_ids
+        if rooms_module.is_fit(cell.minions[minion_id], step)
     ]
 
 
@@ -68,10 +70,12 @@
     NAMED_COST_PART of the call itself, and always as many as the step is
     likely to need, going by the part that the queue's steps were allowed.
     """
+    if not _may_ask(cell, step):
+        return
     terms = get_terms(cell, step)
     unknown = [
         minion_id
-        for minion_id in list_minions(cell, step)
+        for minion_id in list_minions(cell, step, rooms)
         if minion_id not in step.denied
         and not (step.allowed and minion_id in step.allowed)
     ]
@@ -81,23 +85,22 @@
     most = cell.settings.advice_limit
     if terms.minion_ms > 0:
         cheap = int(NAMED_COST_PART * terms.call_ms / terms.minion_ms)
-        needed = _count_needed(cell, step)
+        needed = _count_needed(cell, step, rooms)
         most = min(most, max(MINIONS_AT_LEAST, cheap, needed))
     yield from _ask(cell, step, unknown[:most])
 
 
-def _count_needed(cell: state.CellState, step: state.StepRecord) -> int:
+def _count_needed(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> int:
     """Returns how many minions to name so that the step fits on those left."""
-    sizes = [
-        runs.count_fitting(
-            minion.minion.capacity, step.need, max(1, len(step.waiting))
-        )
-        for minion in cell.minions.values()
-        if minion.is_open
-    ]
-    slots = max(1.0, sum(sizes) / max(1, len(sizes)))
+    size = rooms.sizes.get(get_service(cell, step))
+    count = len(step.waiting)
+    if size is None or not count:
+        return 0
+    slots = max(1, runs.count_fitting(size, step.need, count))
     part = cell.allowed_parts.get(step.job.job.queue.name, ALLOWED_PART)
-    return math.ceil(len(step.waiting) / slots / part * SPARE)
+    return math.ceil(count / slots / part * SPARE)
 
 
 def refresh(
@@ -112,12 +115,17 @@
     return room.cpu_millis if room else 0
 
 
+def _may_ask(cell: state.CellState, step: state.StepRecord) -> bool:
+    """Returns whether no call for a step is under way or has just ended."""
+    if step.asking:
+        return False
+    return step.asked_ms < 0 or cell.now_ms >= step.asked_ms + RETRY_MS
+
+
 def _ask(
     cell: state.CellState, step: state.StepRecord, minion_ids: list[str]
 ) -> Iterator[effects.Effect]:
-    if step.asking or not minion_ids:
-        return
-    if step.asked_ms >= 0 and cell.now_ms < step.asked_ms + RETRY_MS:
+    if not minion_ids or not _may_ask(cell, step):
         return
     terms = get_terms(cell, step)
     step.asking = True
--- a/packages/core/hickoryreach/scheduling/pace.py
+++ b/packages/core/hickoryreach/scheduling/pace.py
@@ -44,10 +44,13 @@
 
 def is_slow(cell: state.CellState, minion: state.MinionRecord) -> bool:
     """Returns whether a minion works much more slowly than the others."""
-    usual = statistics.median(
-        [each.speed for each in cell.minions.values() if each.is_open] or [1.0]
-    )
-    return minion.speed < cell.settings.slow_part * usual
+    return minion.speed < cell.settings.slow_part * cell.usual_speed
+
+
+def measure_usual(cell: state.CellState) -> None:
+    """Takes the median speed of the minions as the usual one."""
+    speeds = [each.speed for each in cell.minions.values() if each.is_open]
+    cell.usual_speed = statistics.median(speeds or [1.0])
 
 
 def move_stalled(cell: state.CellState) -> Iterator[effects.Effect]:
--- a/packages/core/hickoryreach/scheduling/placing.py
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -68,7 +68,7 @@
     if not step.job.kept:
         return
     if terms is None:
-        usable = advising.list_minions(cell, step)
+        usable = advising.list_minions(cell, step, rooms)
     else:
         usable = [
             minion_id for minion_id in step.allowed if minion_id in rooms.free
@@ -89,9 +89,11 @@
     """
     if step.rank == rooms_module.FIRST_RANK or step.step.gang:
         return True
+    if step.need.cpu_millis > rooms.most_cpu:
+        return False
     return any(
         rooms_module.count_slots(rooms, step, minion_id, 1)
-        for minion_id in advising.list_minions(cell, step)
+        for minion_id in advising.list_minions(cell, step, rooms)
     )
 
 
@@ -105,7 +107,11 @@
     if not rooms_module.may_start(cell, step, rooms):
         return
     expired = []
-    for minion_id in _sort_tightest(rooms, step, usable):
+    if step.need.cpu_millis > rooms.most_cpu:
+        usable_now = []
+    else:
+        usable_now = _sort_tightest(rooms, step, usable)
+    for minion_id in usable_now:
         slots = rooms_module.count_slots(
             rooms, step, minion_id, len(step.waiting)
         )
@@ -139,7 +145,7 @@
     if expired:
         yield from advising.refresh(cell, step, expired)
         return
-    if terms is not None and _lacks_minions(cell, step):
+    if terms is not None and _lacks_minions(cell, step, rooms):
         yield from advising.ask_first(cell, step, rooms)
     if step.rank == rooms_module.FIRST_RANK:
         yield from preempting.make_room(
@@ -159,7 +165,9 @@
     )
 
 
-def _lacks_minions(cell: state.CellState, step: state.StepRecord) -> bool:
+def _lacks_minions(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> bool:
     """Returns whether asking about more minions may find room."""
     known = len(step.allowed or ()) + len(step.denied)
-    return known < len(advising.list_minions(cell, step))
+    return known < len(advising.list_minions(cell, step, rooms))
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -141,4 +141,5 @@
     yield from lifecycle.begin_timed(cell)
     yield from orders.repeat_stops(cell)
     yield from gangs.review(cell)
+    pace.measure_usual(cell)
     yield from pace.move_stalled(cell)
--- a/packages/core/hickoryreach/scheduling/rooms.py
+++ b/packages/core/hickoryreach/scheduling/rooms.py
@@ -19,6 +19,10 @@
         free_cpu: Processor room of all open minions.
         claimed_cpu: Processor room that gangs keep for themselves.
         claims: Gangs that keep room for themselves.
+        open_ids: Minions that tasks may be placed on, by service, also those
+            that are avoided at present.
+        sizes: Capacity of one minion of each service.
+        most_cpu: Most processor room on one minion at the start of the pass.
     """
 
     free: dict[str, resources.Resources]
@@ -26,6 +30,11 @@
     free_cpu: int
     claimed_cpu: int = 0
     claims: int = 0
+    open_ids: dict[str, list[str]] = dataclasses.field(default_factory=dict)
+    sizes: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
+    most_cpu: int = 0
 
     def take(self, minion_id: str, need: resources.Resources) -> None:
         """Counts room as filled."""
@@ -40,19 +49,22 @@
 
 def measure(cell: state.CellState) -> Rooms:
     """Returns the room of every minion that tasks may be placed on."""
-    free = {}
-    total = 0
-    free_cpu = 0
+    rooms = Rooms(free={}, total_cpu=0, free_cpu=0)
     for minion_id, minion in cell.minions.items():
         if not minion.is_open:
             continue
-        total += minion.minion.capacity.cpu_millis
+        size = minion.minion.capacity
+        service = minion.minion.service
+        rooms.total_cpu += size.cpu_millis
+        rooms.open_ids.setdefault(service, []).append(minion_id)
+        rooms.sizes.setdefault(service, size)
         if minion.blamed_until_ms > cell.now_ms:
             continue
-        room = minion.minion.capacity - minion.used
-        free[minion_id] = room
-        free_cpu += max(0, room.cpu_millis)
-    return Rooms(free=free, total_cpu=total, free_cpu=free_cpu)
+        room = size - minion.used
+        rooms.free[minion_id] = room
+        rooms.free_cpu += max(0, room.cpu_millis)
+        rooms.most_cpu = max(rooms.most_cpu, room.cpu_millis)
+    return rooms
 
 
 def is_fit(minion: state.MinionRecord, step: state.StepRecord) -> bool:
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -281,6 +281,7 @@
         unclear: Runs that need a stop sent again until it is confirmed.
         timed: Jobs with repeats that are not due yet.
         offered: Jobs that are not kept yet.
+        usual_speed: Median of the minions' speeds.
         allowed_parts: Part of the minions that steps were allowed, by queue.
         allowances: Jobs that each workspace may hand in within its share.
         dirty: Whether something changed that may let a task start.
@@ -300,6 +301,7 @@
     unclear: dict[int, Run] = dataclasses.field(default_factory=dict)
     timed: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     offered: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
+    usual_speed: float = 1.0
     allowed_parts: dict[str, float] = dataclasses.field(default_factory=dict)
     allowances: dict[str, Allowance] = dataclasses.field(default_factory=dict)
     dirty: bool = False
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -42,6 +42,7 @@
 JOBS_PAUSE_S = 0.5
 JOBS_WAIT_S = 0.5
 UNTOLD_S = 5.0
+PASS_GAP_LIMIT_S = 0.05
 HANDOVER_WAIT_S = 0.8
 HANDOVER_POLL_S = 0.02
 
@@ -57,6 +58,7 @@
             until nothing that it started can run there.
         visible: State of each job as callers may be told.
         untold_at: When a job was last found that no entry had told of, in s.
+        next_pass_at: When the next pass over what waits may begin, in s.
         serving: Whether decisions are being made.
         leaving: Whether the ownership is being handed over.
         confirmed_at: When the ownership was last certain, in s.
@@ -91,6 +93,7 @@
         self.unbegun: dict[str, str] = {}
         self.cancel_waiters: dict[str, gevent_event.Event] = {}
         self.untold_at = -UNTOLD_S
+        self.next_pass_at = 0.0
         self.serving = False
         self.leaving = False
         self.stopped = False
@@ -176,7 +179,10 @@
 
     def take_batch(self, ticked_at: float) -> float:
         """Takes what waits, then places; returns when it last ticked."""
-        timeout = max(0.0, ticked_at + TICK_S - time.monotonic())
+        due_at = ticked_at + TICK_S
+        if self.state.dirty:
+            due_at = min(due_at, self.next_pass_at)
+        timeout = max(0.0, due_at - time.monotonic())
         try:
             event = self.inbox.get(timeout=timeout)
             self.apply(event)
@@ -191,12 +197,18 @@
             self.apply(events.Ticked(wall_ms=clock.wall_ms()))
             self.retention.run(self.state, self.visible, now)
             ticked_at = now
-        if self.may_place(now):
-            begun = time.perf_counter()
-            self.carry(reducer.advance(self.state, clock.now_ms()))
-            metrics.advance_seconds.observe(time.perf_counter() - begun)
+        if self.may_place(now) and now >= self.next_pass_at:
+            self.place()
         return ticked_at
 
+    def place(self) -> None:
+        """Runs a pass over what waits; long ones are kept apart."""
+        begun = time.monotonic()
+        self.carry(reducer.advance(self.state, clock.now_ms()))
+        ended = time.monotonic()
+        metrics.advance_seconds.observe(ended - begun)
+        self.next_pass_at = ended + min(ended - begun, PASS_GAP_LIMIT_S)
+
     def may_place(self, now: float) -> bool:
         """Returns whether this is certain enough to be the owner to start."""
         return (
