Tell followers only the first six of the succession

A status named every follower with its address: about 2 KB to each of 42 followers every 150 ms, 590 KB a second, by calculation, of a link that may have 5 Mbit/s.

--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -21,7 +21,7 @@
   1: i64 epoch,
   // Jobs by queue none of whose tasks has started.
   2: map<string, i32> pending,
-  // Entries in the order in which they should take over.
+  // The first entries in the order in which they should take over.
   3: list<PeerInfo> succession,
   // The owner is stopping; the first of the succession takes over at once.
   4: bool leaving = 0,
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -22,6 +22,7 @@
 log = logging.getLogger(__name__)
 
 STATUS_S = 0.15
+SUCCESSION_LIMIT = 6
 CALL_TIMEOUT_S = 1.0
 DECLINE_S = 5.0
 STORE_FAILING_S = 0.3
@@ -216,7 +217,7 @@
         return frames.Status(
             epoch=owner.epoch if owner else 0,
             pending=owner.count_pending() if owner and owner.serving else {},
-            succession=self.list_succession(),
+            succession=self.list_succession()[:SUCCESSION_LIMIT],
             leaving=bool(owner and owner.leaving),
             silent=owner.fleet.list_silent() if owner else {},
         )
