Keep room only for gangs that can still be in time

Late gangs now keep none, and a gang asks about as many minions again as it plans for, since room changes meanwhile. Ruled out: room that was never given back (each start of the owner had its end).

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -4,6 +4,7 @@
 
 from hickoryreach.scheduling import advising
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import orders
 from hickoryreach.scheduling import preempting
 from hickoryreach.scheduling import rooms as rooms_module
@@ -21,7 +22,11 @@
     usable: list[str],
     terms: cells.AdviceTerms | None,
 ) -> Iterator[effects.Effect]:
-    """Starts a gang if all of it fits, else keeps room for it."""
+    """Starts a gang if all of it fits, else keeps room for it.
+
+    Room is only kept for a gang that can still be in time: among late ones it
+    would stand empty while each of them waits for its tickets.
+    """
     if step.runs:
         return
     if not runs.is_within_limit(
@@ -40,19 +45,40 @@
     if plan is None:
         yield from _keep_room(cell, step, rooms, usable, terms)
         return
+    keeps = ordering.is_in_time(cell, step)
     if not rooms_module.may_start(cell, step, rooms, step.step.count):
-        _keep_plan(step, rooms, plan)
+        if keeps:
+            _keep_plan(step, rooms, plan)
         return
     names = [minion_id for minion_id, _ in plan]
     if terms is not None and not all(
         advising.has_ticket(cell, step, minion_id) for minion_id in names
     ):
-        yield from advising.refresh(cell, step, names)
-        _keep_plan(step, rooms, plan)
+        spare = _list_spare(step, rooms, usable, names)
+        yield from advising.refresh(cell, step, names + spare)
+        if keeps:
+            _keep_plan(step, rooms, plan)
         return
     yield from _launch(cell, step, rooms, plan)
 
 
+def _list_spare(
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+    names: list[str],
+) -> list[str]:
+    """Returns minions to ask about besides, as room changes meanwhile."""
+    planned = set(names)
+    spare = [
+        minion_id
+        for minion_id in usable
+        if minion_id not in planned
+        and rooms_module.count_slots(rooms, step, minion_id, 1)
+    ]
+    return spare[: len(names)]
+
+
 def _launch(
     cell: state.CellState,
     step: state.StepRecord,
@@ -129,6 +155,8 @@
         if terms is not None:
             yield from advising.ask_first(cell, step, rooms)
         return
+    if not ordering.is_in_time(cell, step):
+        return
     size_cpu = step.need.cpu_millis * step.step.count
     share = settings.claims_part * rooms.total_cpu
     if (
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/ordering.py
@@ -0,0 +1,49 @@
+"""The order in which steps that wait are considered."""
+
+from hickoryreach.scheduling import state
+
+IN_TIME = 0
+LATE = 1
+WORTHLESS = 2
+LATE_FACTOR = 3
+FINISH_MS = 100
+DOUBT_PART = 0.25
+
+
+def get_order(
+    cell: state.CellState, step: state.StepRecord
+) -> tuple[bool, int, int, float]:
+    """Returns the place of a step among those that wait.
+
+    Jobs beyond their workspace's share go last. What can still be in time
+    goes before what will be late, and that before what is worth nothing any
+    more; then the lower rank; then the least slack.
+    """
+    latest_ms = get_latest_ms(step)
+    return (
+        step.job.excess,
+        _get_group(cell, step.job, latest_ms),
+        step.rank,
+        latest_ms,
+    )
+
+
+def get_latest_ms(step: state.StepRecord) -> float:
+    """Returns when a step must start for its job to be in time."""
+    needed_ms = step.step.estimate_ms * (1 + DOUBT_PART) + FINISH_MS
+    return step.job.due_ms - needed_ms
+
+
+def is_in_time(cell: state.CellState, step: state.StepRecord) -> bool:
+    """Returns whether a step's job can still be in time."""
+    return cell.now_ms <= get_latest_ms(step)
+
+
+def _get_group(
+    cell: state.CellState, job: state.JobRecord, latest_ms: float
+) -> int:
+    if cell.now_ms <= latest_ms:
+        return IN_TIME
+    allowed_ms = job.due_ms - job.accepted_ms
+    worthless_ms = latest_ms + (LATE_FACTOR - 1) * allowed_ms
+    return LATE if cell.now_ms <= worthless_ms else WORTHLESS
--- a/packages/core/hickoryreach/scheduling/placing.py
+++ b/packages/core/hickoryreach/scheduling/placing.py
@@ -5,6 +5,7 @@
 from hickoryreach.scheduling import advising
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import gangs
+from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import orders
 from hickoryreach.scheduling import preempting
 from hickoryreach.scheduling import rooms as rooms_module
@@ -12,13 +13,6 @@
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 
-IN_TIME = 0
-LATE = 1
-WORTHLESS = 2
-LATE_FACTOR = 3
-FINISH_MS = 100
-DOUBT_PART = 0.25
-
 
 def advance(cell: state.CellState) -> Iterator[effects.Effect]:
     """Starts what can start, if something has changed."""
@@ -28,7 +22,7 @@
     rooms = rooms_module.measure(cell)
     waiting = sorted(
         (step for step in cell.ready.values() if step.waiting),
-        key=lambda step: get_order(cell, step),
+        key=lambda step: ordering.get_order(cell, step),
     )
     for step in waiting[: cell.settings.waiting_limit]:
         if step.job.doubtful_until_ms > cell.now_ms:
@@ -36,27 +30,6 @@
         yield from _place(cell, step, rooms)
 
 
-def get_order(
-    cell: state.CellState, step: state.StepRecord
-) -> tuple[bool, int, int, float]:
-    """Returns the place of a step among those that wait.
-
-    Jobs beyond their workspace's share go last. What can still be in time
-    goes before what will be late, and that before what is worth nothing any
-    more; then the lower rank; then the least slack.
-    """
-    job = step.job
-    needed_ms = step.step.estimate_ms * (1 + DOUBT_PART) + FINISH_MS
-    latest_ms = job.due_ms - needed_ms
-    if cell.now_ms <= latest_ms:
-        group = IN_TIME
-    else:
-        allowed_ms = job.due_ms - job.accepted_ms
-        worthless_ms = latest_ms + (LATE_FACTOR - 1) * allowed_ms
-        group = LATE if cell.now_ms <= worthless_ms else WORTHLESS
-    return (job.excess, group, step.rank, latest_ms)
-
-
 def _place(
     cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
 ) -> Iterator[effects.Effect]:
--- a/tests/core/scheduling/test_placing.py
+++ b/tests/core/scheduling/test_placing.py
@@ -116,6 +116,14 @@
         self.submit(cases.build_step(count=1, cpu=1_000, estimate_ms=1_500))
         self.assertEqual(self.get_starts(), [])
 
+    def test_no_room_is_kept_for_a_late_gang(self) -> None:
+        self.submit(cases.build_step(count=1, cpu=3_000), queue="checks")
+        self.run_all()
+        self.submit(cases.build_step(count=4, cpu=2_000, gang=True))
+        self.now_ms += 10_000
+        self.submit(cases.build_step(count=1, cpu=1_000, estimate_ms=1_500))
+        self.assertEqual(len(self.get_starts()), 1)
+
     def test_one_done_member_stands_for_all(self) -> None:
         job_id = self.submit(cases.build_step(count=2, gang=True))
         first, _ = self.run_all()
