--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -123,19 +123,9 @@
     def change_job(self, effect: effects.JobChanged) -> None:
         """Shows a state of a job once what led to it is kept."""
         owner = self.owner
-        metrics.jobs.labels(str(effect.state)).inc()
-        record = owner.state.jobs.get(effect.job_id)
-        age_ms = clock.now_ms() - record.accepted_ms if record else 0
-        log.info(
-            "job_state",
-            extra={
-                "job": effect.job_id,
-                "state": str(effect.state),
-                "cause": effect.reason,
-                "age_ms": age_ms,
-                "slack_ms": record.due_ms - clock.now_ms() if record else 0,
-            },
-        )
+        if owner.serving:
+            metrics.jobs.labels(str(effect.state)).inc()
+            self._log_job(effect)
         if not effect.state.is_final:
             owner.show(effect.job_id, effect.state)
             return
@@ -148,6 +138,21 @@
             {effect.job_id: str(effect.state)},
         )
 
+    def _log_job(self, effect: effects.JobChanged) -> None:
+        """Logs a job's state, with the time that it took and has left."""
+        record = self.owner.state.jobs.get(effect.job_id)
+        now_ms = clock.now_ms()
+        log.info(
+            "job_state",
+            extra={
+                "job": effect.job_id,
+                "state": str(effect.state),
+                "cause": effect.reason,
+                "age_ms": now_ms - record.accepted_ms if record else 0,
+                "slack_ms": record.due_ms - now_ms if record else 0,
+            },
+        )
+
     @handlers.register(effects.Noted)
     def note(self, effect: effects.Noted) -> None:
         """Logs a decision."""
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -26,7 +26,7 @@
 CALL_TIMEOUT_S = 1.0
 DECLINE_S = 5.0
 STORE_FAILING_S = 0.3
-STORE_LAG_S = 0.3
+STORE_LAG_S = 0.1
 STORE_AGE_S = 1.5
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -238,6 +238,8 @@
             return
         self.visible[job.job_id] = state.JobState.QUEUED
         self.unbegun[job.job_id] = job.queue.name
+        if not self.serving:
+            return
         log.info(
             "job_accepted",
             extra={
--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -52,7 +52,8 @@
         epoch: Number of the ownership.
         revision: Revision of the owner's key, which guards each write.
         healthy: Whether the last write was carried out.
-        failing_since: When writes began to fail, in s; 0 while they don't.
+        failing_since: When the first write that failed was sent, in s; 0
+            while none fails.
     """
 
     def __init__(
@@ -162,6 +163,7 @@
     def write_once(self, puts: tuple[store.Put, ...]) -> bool:
         """Tries to write one part; returns whether it is kept."""
         key = puts[0].key
+        begun_at = time.monotonic()
         written = self.client.write(
             puts=puts,
             expected=((records.OWNER_KEY, self.revision), (key, 0)),
@@ -171,7 +173,7 @@
             return True
         failure = written.failure()
         if failure.conflict is None:
-            self.note_health(failure)
+            self.note_health(failure, begun_at)
             return False
         self.note_health(None)
         found = {item.key: item for item in failure.conflict}
@@ -184,8 +186,10 @@
             self.on_deposed("progress_conflict")
         return False
 
-    def note_health(self, failure: store.StoreFailure | None) -> None:
-        """Notes whether the store carries out writes."""
+    def note_health(
+        self, failure: store.StoreFailure | None, begun_at: float = 0.0
+    ) -> None:
+        """Notes whether the store carries out writes, and since when not."""
         healthy = failure is None
         if healthy != self.healthy:
             log.warning(
@@ -199,7 +203,7 @@
         if healthy:
             self.failing_since = 0.0
         elif not self.failing_since:
-            self.failing_since = time.monotonic()
+            self.failing_since = begun_at
 
     def close(self) -> None:
         """Stops writing; what is not kept is listed again by minions."""
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -114,6 +114,14 @@
                 cancelled.add(row.job_id)
             else:
                 ends.setdefault(row.job_id, []).append(row.end)
+    log.info(
+        "jobs_restored",
+        extra={
+            "jobs": len(jobs.items),
+            "parts": len(kept.items),
+            "revision": jobs.revision,
+        },
+    )
     for item in jobs.items:
         job = decode_item(item)
         if job is None:
