--- /dev/null
+++ b/soak/trial.py
@@ -0,0 +1,147 @@
+"""One seed of the soak: a cell, callers and faults that overlap."""
+
+import itertools
+import random
+import time
+
+import gevent
+from gevent import pool
+
+from soak import faults
+from standins import proxy
+from standins.users import cell
+from standins.users import checker
+
+TASKS = 2
+TASK_CPU = 1_000
+SETTLE_S = 40.0
+HAND_IN_GAP_S = 0.08
+CANCEL_EACH = 9
+STRIKES_AT_ONCE = 2
+
+
+class Soak:
+    """One seed: a cell, callers, and faults that overlap.
+
+    Attributes:
+        accepted: Ids of accepted jobs that nobody cancels.
+        cancelled: Ids of jobs that were cancelled.
+        refused: Ids of jobs of which each hand-in was refused.
+        seed: Seed of what is drawn.
+        struck: Faults in the order in which they began.
+    """
+
+    def __init__(self, *, seed: int, entries: int, minions: int) -> None:
+        """Starts a cell."""
+        self.seed = seed
+        self.generator = random.Random(seed)
+        self.network = proxy.Network()
+        self.cell = cell.Cell(
+            entry_count=entries, minion_count=minions, network=self.network
+        )
+        self.accepted: list[str] = []
+        self.cancelled: list[str] = []
+        self.refused: list[str] = []
+        self.struck: list[str] = []
+        self.callers = pool.Group()
+        self.stopping = False
+
+    def run(self, seconds: float) -> list[str]:
+        """Runs callers and faults, waits for calm; returns what is wrong."""
+        self.cell.wait_ready()
+        callers = gevent.spawn(self.hand_in)
+        struck: set[str] = set()
+        strikes = [
+            gevent.spawn(self.strike, number, struck)
+            for number in range(STRIKES_AT_ONCE)
+        ]
+        gevent.sleep(seconds)
+        self.stopping = True
+        gevent.joinall([callers, *strikes])
+        self.callers.join()
+        self.network.set_rules([])
+        return [*self.find_unfinished(), *self.find_faults()]
+
+    def strike(self, number: int, struck: set[str]) -> None:
+        """Brings about one fault after another."""
+        trouble = faults.Trouble(
+            whole=self.cell,
+            network=self.network,
+            generator=random.Random(f"{self.seed}/{number}"),
+            struck=struck,
+        )
+        while not self.stopping:
+            trouble.wait(0.1, 1.5)
+            name = trouble.generator.choice(sorted(faults.faults))
+            self.struck.append(name)
+            faults.faults[name](trouble)
+
+    def hand_in(self) -> None:
+        """Hands jobs in at every entry in turn; cancels some."""
+        for number in itertools.count():
+            if self.stopping:
+                return
+            entry = self.cell.entries[number % len(self.cell.entries)]
+            self.callers.spawn(self.hand_one_in, entry, number)
+            gevent.sleep(HAND_IN_GAP_S)
+
+    def hand_one_in(self, entry: cell.Entry, number: int) -> None:
+        """Hands one job in."""
+        job_id = f"{self.generator.getrandbits(64):016x}"
+        work_ms = self.generator.choice([50, 300, 1_500])
+        try:
+            status = self.cell.submit_as(
+                entry, job_id, {"work_ms": work_ms}, count=TASKS, cpu=TASK_CPU
+            )
+        except OSError:
+            return
+        if status in (429, 503):
+            self.refused.append(job_id)
+        if status != 200:
+            return
+        if number % CANCEL_EACH:
+            self.accepted.append(job_id)
+            return
+        self.cancelled.append(job_id)
+        try:
+            entry.call("DELETE", f"/runs/{job_id}")
+        except OSError:
+            return
+
+    def find_unfinished(self) -> list[str]:
+        """Returns the accepted jobs that are not completed in time."""
+        deadline = time.monotonic() + SETTLE_S
+        left = list(self.accepted)
+        while left and time.monotonic() < deadline:
+            left = [
+                job_id
+                for job_id in left
+                if self.cell.get_state(job_id) != "completed"
+            ]
+            gevent.sleep(0.2)
+        return [
+            f"{job_id} is {self.cell.get_state(job_id) or 'unknown'}"
+            for job_id in left
+        ]
+
+    def find_faults(self) -> list[str]:
+        """Returns what minions have run and must not have."""
+        seen = self.cell.users.seen
+        begun = {each.task.split(".", 1)[0] for each in seen}
+        completed = dict.fromkeys(self.accepted, TASKS)
+        capacity = next(iter(self.cell.users.minions.values())).cpu
+        return [
+            *checker.find_faults(seen, completed),
+            *checker.find_overcommits(seen, TASK_CPU, capacity),
+            *(
+                f"{job_id} ran though its hand-in was refused"
+                for job_id in self.refused
+                if job_id in begun
+            ),
+        ]
+
+    def show_logs(self) -> None:
+        """Prints every entry's log."""
+        for entry in self.cell.entries:
+            print(f"--- {entry.name}")
+            print(entry.log_path.read_text(encoding="utf-8"))
--- a/tests/core/scheduling/cases.py
+++ b/tests/core/scheduling/cases.py
@@ -30,6 +30,21 @@
     )
 
 
+def build_listed(
+    key: steps.TaskKey, number: int, minion_id: str = "m0"
+) -> effects.StartTask:
+    """Returns a run that a minion lists."""
+    return effects.StartTask(
+        key=key,
+        number=number,
+        minion_id=minion_id,
+        payload="",
+        checkpoint="",
+        ticket="",
+        valid_ms=0,
+    )
+
+
 class CellCase(unittest.TestCase):
     """Drives the reducer as an owner does.
 
--- a/tests/core/scheduling/test_lifecycle.py
+++ b/tests/core/scheduling/test_lifecycle.py
@@ -1,7 +1,6 @@
 """Tests of jobs from their acceptance to their final state."""
 
 from hickoryreach.platform import minions
-from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
@@ -175,15 +174,7 @@
     def test_runs_that_a_minion_lists_are_adopted(self) -> None:
         job_id = self.restore(doubtful_until_ms=self.now_ms + 5_000)
         key = self.cell.jobs[job_id].steps[(0, 0)].get_key(0)
-        start = effects.StartTask(
-            key=key,
-            number=7,
-            minion_id="m0",
-            payload="",
-            checkpoint="",
-            ticket="",
-            valid_ms=0,
-        )
+        start = cases.build_listed(key, 7)
         self.look("m0", running=(start,))
         self.apply(events.DoubtEnded())
         self.assertEqual([each.key.index for each in self.get_starts()], [1])
--- a/tests/core/scheduling/test_looks.py
+++ b/tests/core/scheduling/test_looks.py
@@ -117,15 +117,7 @@
     def list_stray(self, job_id: str, index: int = 0) -> None:
         """Lets the minion list a run."""
         key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=index)
-        start = effects.StartTask(
-            key=key,
-            number=9,
-            minion_id="m0",
-            payload="",
-            checkpoint="",
-            ticket="",
-            valid_ms=0,
-        )
+        start = cases.build_listed(key, 9)
         self.look("m0", running=(start,))
 
     def test_run_of_an_unknown_job_is_stopped(self) -> None:
@@ -142,15 +134,7 @@
     def test_second_run_of_a_task_is_stopped_and_counts(self) -> None:
         job_id = self.submit(cases.build_step(cpu=3_000))
         (start,) = self.run_all()
-        other = effects.StartTask(
-            key=start.key,
-            number=9,
-            minion_id="m0",
-            payload="",
-            checkpoint="",
-            ticket="",
-            valid_ms=0,
-        )
+        other = cases.build_listed(start.key, 9)
         self.look("m0", running=(start, other))
         self.assertEqual([each.number for each in self.get_stops()], [9])
         self.assertEqual(self.cell.minions["m0"].used.cpu_millis, 6_000)
