Keep the room of the first late gangs while they ask for tickets

The first eight late gangs of a pass now keep the room that they fit into; room that must empty first is still kept only for those that can be in time.

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -24,8 +24,9 @@
 ) -> Iterator[effects.Effect]:
     """Starts a gang if all of it fits, else keeps room for it.
 
-    Room is only kept for a gang that can still be in time: among late ones it
-    would stand empty while each of them waits for its tickets.
+    Only a gang that can still be in time keeps room that must empty first;
+    room that it fits into now is also kept for the first few late ones, while
+    they ask for their tickets.
     """
     if step.runs:
         return
@@ -45,7 +46,7 @@
     if plan is None:
         yield from _keep_room(cell, step, rooms, usable, terms)
         return
-    keeps = ordering.is_in_time(cell, step)
+    keeps = _may_keep(cell, step, rooms)
     if not rooms_module.may_start(cell, step, rooms, step.step.count):
         if keeps:
             _keep_plan(step, rooms, plan)
@@ -62,6 +63,16 @@
     yield from _launch(cell, step, rooms, plan)
 
 
+def _may_keep(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> bool:
+    """Returns whether a gang may keep the room that it fits into."""
+    if ordering.is_in_time(cell, step):
+        return True
+    rooms.late_keeps += 1
+    return rooms.late_keeps <= cell.settings.late_keeps
+
+
 def _list_spare(
     step: state.StepRecord,
     rooms: rooms_module.Rooms,
--- a/packages/core/hickoryreach/scheduling/rooms.py
+++ b/packages/core/hickoryreach/scheduling/rooms.py
@@ -19,6 +19,7 @@
         free_cpu: Processor room of all open minions.
         claimed_cpu: Processor room that gangs keep for themselves.
         claims: Gangs that keep room for themselves.
+        late_keeps: Late gangs that keep room while they ask for tickets.
         open_ids: Minions that tasks may be placed on, by service, also those
             that are avoided at present.
         sizes: Capacity of one minion of each service.
@@ -30,6 +31,7 @@
     free_cpu: int
     claimed_cpu: int = 0
     claims: int = 0
+    late_keeps: int = 0
     open_ids: dict[str, list[str]] = dataclasses.field(default_factory=dict)
     sizes: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -21,6 +21,7 @@
         waiting_limit: Steps considered in one pass over what waits.
         claims_limit: Gangs that may keep room for themselves at once.
         claims_part: Part of the cell that gangs may keep for themselves.
+        late_keeps: Late gangs that may keep room while they ask for tickets.
         urgent_part: Part of the cell that only the first rank may fill.
         advice_limit: Most minions named in one call for advice.
         blame_ms: How long a minion that fails its tasks is avoided.
@@ -44,6 +45,7 @@
     waiting_limit: int = 60
     claims_limit: int = 3
     claims_part: float = 0.5
+    late_keeps: int = 8
     urgent_part: float = 0.04
     advice_limit: int = 100
     blame_ms: int = 4_000
--- a/tests/core/scheduling/test_placing.py
+++ b/tests/core/scheduling/test_placing.py
@@ -211,6 +211,25 @@
         self.end(start)
         self.assertEqual(len(self.get_effects(effects.AskAdvice)), 1)
 
+    def test_a_late_gang_keeps_its_room_while_it_asks(self) -> None:
+        self.submit(cases.build_step(count=2, cpu=4_000, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.now_ms += 30_000
+        later = self.submit(cases.build_step(count=2, cpu=4_000))
+        (other,) = self.get_effects(effects.AskAdvice)
+        self.now_ms += 30_000
+        self.advise(call)
+        record = self.cell.jobs[call.job_id].steps[(0, 0)]
+        record.allowed = {"m0", "m1"}
+        self.cell.dirty = True
+        self.advise(other, "m0", "m1")
+        self.assertEqual(self.get_starts(), [])
+        self.cell.settings = settings.Settings(urgent_part=0.0, late_keeps=0)
+        self.tick()
+        self.assertEqual(
+            {each.key.job_id for each in self.get_starts()}, {later}
+        )
+
     def test_failed_advice_is_asked_again(self) -> None:
         call = self.ask()
         self.apply(
