--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -24,7 +24,6 @@
 
     cpu_share: float = 1.0
     cores: float = 1.0
-    memory_mb: float = 0.0
 
 
 class BoundsRow(pydantic.BaseModel):
@@ -32,24 +31,15 @@
 
     model_config = pydantic.ConfigDict(extra="ignore", populate_by_name=True)
 
-    drain_ms: int = pydantic.Field(2_000, alias="drainMs")
     grace_s: float = pydantic.Field(6.0, alias="graceS")
     hold_limit_ms: int = pydantic.Field(6_000, alias="holdMaxMs")
-    stop_ms: int = pydantic.Field(1_000, alias="stopGraceMs")
-    gang_wait_ms: int = pydantic.Field(3_000, alias="gangWaitMs")
-    restore_ms: int = pydantic.Field(250, alias="restoreMs")
     keep_state_s: int = pydantic.Field(120, alias="status_s")
-    spread_factor: float = pydantic.Field(1.5, alias="spreadFactor")
 
 
 class PlatformRow(documents.Document):
-    """Where the platform's store is and what it takes."""
+    """Where the platform's store is."""
 
     address: str
-    writes_per_s: float = 400.0
-    reads_per_s: float = 2_000.0
-    value_bytes: int = 1_048_576
-    ttl_min_ms: int = 1_000
 
 
 class NodeSettings(documents.Document):
@@ -57,9 +47,7 @@
 
     node: str
     zone: str
-    region: str = ""
     listen: ListenRow
-    port_range: list[int] = []
     limits: LimitsRow = LimitsRow()
     heartbeat_ms: int = 1_500
     bounds: BoundsRow = BoundsRow()
--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -22,13 +22,11 @@
         key: The key.
         data: Its value; None when the key was removed.
         revision: Revision of its last change; 0 when it does not exist.
-        lease: Lease that it is bound to, or 0.
     """
 
     key: str
     data: bytes | None
     revision: int
-    lease: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,12 +49,10 @@
     Attributes:
         key: The key.
         data: Its new value.
-        lease: Lease to bind it to, or 0.
     """
 
     key: str
     data: bytes
-    lease: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -67,14 +63,12 @@
         reason: What went wrong, for logs.
         effect_unknown: Whether a write may have taken effect, or still may.
         history_gone: Whether a watch asked for history that was discarded.
-        lease_gone: Whether the lease named does not exist.
         conflict: Present state of the keys whose condition did not hold.
     """
 
     reason: str
     effect_unknown: bool = False
     history_gone: bool = False
-    lease_gone: bool = False
     conflict: tuple[Item, ...] | None = None
 
 
@@ -203,36 +197,9 @@
             .bind(_parse_write)
         )
 
-    def create_lease(self, ttl_ms: int) -> result.Result[int, StoreFailure]:
-        """Creates a lease and returns its number."""
-        return (
-            self.quick.call("POST", "/kv-lease", {"ttlMs": ttl_ms})
-            .lash(_fail)
-            .bind(_parse_lease)
-        )
-
-    def renew_lease(self, lease: int) -> result.Result[None, StoreFailure]:
-        """Renews a lease."""
-        return (
-            self.quick.call("POST", f"/kv-keep/{lease}")
-            .lash(_fail)
-            .bind(_parse_done)
-        )
-
-    def end_lease(self, lease: int) -> result.Result[None, StoreFailure]:
-        """Ends a lease and removes its keys."""
-        return (
-            self.quick.call("DELETE", f"/kv-lease-end/{lease}")
-            .lash(_fail)
-            .bind(_parse_done)
-        )
-
 
 def _build_put(put: Put) -> dict:
-    row = {"key": put.key, "value": base64.b64encode(put.data).decode()}
-    if put.lease:
-        row["lease"] = put.lease
-    return row
+    return {"key": put.key, "value": base64.b64encode(put.data).decode()}
 
 
 def _fail(failure: http.CallFailure) -> result.Result:
@@ -248,7 +215,6 @@
         StoreFailure(
             reason=f"status {answer.status}",
             history_gone=answer.status == http.GONE,
-            lease_gone=answer.status == http.NOT_FOUND,
         )
     )
 
@@ -271,7 +237,6 @@
         key=row["key"],
         data=base64.b64decode(row.get("value") or ""),
         revision=row["revision"],
-        lease=row.get("lease") or 0,
     )
 
 
@@ -332,18 +297,3 @@
     except (KeyError, TypeError, AttributeError, binascii.Error) as error:
         return _malformed(error)
     return result.Failure(StoreFailure(reason="conflict", conflict=items))
-
-
-def _parse_lease(answer: http.Answer) -> result.Result[int, StoreFailure]:
-    if answer.status != http.OK:
-        return _refuse(answer)
-    try:
-        return result.Success(int(answer.body["lease"]))
-    except (KeyError, TypeError, ValueError) as error:
-        return _malformed(error)
-
-
-def _parse_done(answer: http.Answer) -> result.Result[None, StoreFailure]:
-    if answer.status != http.OK:
-        return _refuse(answer)
-    return result.Success(None)
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from hickoryreach.platform import advice
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Settings:
@@ -9,9 +11,6 @@
 
     Attributes:
         start_ms: How long a start that is under way may still be carried out.
-        stop_ms: Longest time that a minion takes to stop a task.
-        gang_wait_ms: How long the first member of a gang waits for the last.
-        spread_factor: How much slower a task runs away from its data.
         drift: Part by which a minion's clock may be slow.
         offer_ms: Time after which an offered job that is not kept is dropped.
         return_ms: How long nothing is placed on a minion that answers again;
@@ -34,9 +33,6 @@
     """
 
     start_ms: int = 2_000
-    stop_ms: int = 1_000
-    gang_wait_ms: int = 3_000
-    spread_factor: float = 1.5
     drift: float = 0.02
     offer_ms: int = 5_000
     return_ms: int = 400
@@ -47,7 +43,7 @@
     claims_part: float = 0.5
     late_keeps: int = 8
     urgent_part: float = 0.04
-    advice_limit: int = 100
+    advice_limit: int = advice.NAMES_LIMIT
     blame_ms: int = 4_000
     blame_failures: int = 2
     slow_part: float = 0.45
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -97,14 +97,8 @@
         self.serving = False
         self.leaving = False
         self.stopped = False
-        bounds = settings.bounds
         self.state = state.CellState(
-            settings=scheduling_settings.Settings(
-                stop_ms=bounds.stop_ms,
-                gang_wait_ms=bounds.gang_wait_ms,
-                spread_factor=bounds.spread_factor,
-            ),
-            epoch=epoch,
+            settings=scheduling_settings.Settings(), epoch=epoch
         )
         self.progress = progress.Progress(
             client=client,
