Leave a run that is called old to the next list, and count pending jobs truly

By the code: a start that is repeated over a reset connection after its task has ended is answered 'old', which was taken for a start that never ran. Its end is now awaited in the next list.

--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -62,6 +62,9 @@
     failure: minions.OrderFailure,
 ) -> Iterator[effects.Effect]:
     step = run.step
+    if failure.refusal is minions.Refusal.OLD:
+        _await_end(cell, run)
+        return
     if failure.refusal in (
         minions.Refusal.UNHEALTHY,
         minions.Refusal.FULL,
@@ -76,6 +79,16 @@
     )
 
 
+def _await_end(cell: state.CellState, run: state.Run) -> None:
+    """Leaves a run that the minion calls old to the next list.
+
+    A start that was sent twice over a broken connection may have run to its
+    end in between; the list tells, and the run can't begin any more.
+    """
+    run.phase = state.Phase.UNCLEAR
+    run.stopped_ms = cell.now_ms
+
+
 def take_stop(
     cell: state.CellState, event: events.StopAnswered
 ) -> Iterator[effects.Effect]:
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -28,6 +28,8 @@
   // Minions that do not answer, with the time in ms until nothing that the
   // owner started can run there.
   5: map<string, i32> silent,
+  // False while the owner is still taking over and has no counts.
+  6: bool serving = 0,
 }
 
 // entry -> owner, several times a second.
--- a/packages/entry/hickoryreach_entry/cell/desk.py
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -101,11 +101,8 @@
         """
         if self.member.owner is not None and self.member.owner.serving:
             counts = self.member.owner.count_pending()
-        elif (
-            self.election.status is not None
-            and now - self.election.status_at <= limit_s
-        ):
-            counts = self.election.status.pending or {}
+        elif now - self.election.pending_at <= limit_s:
+            counts = self.election.pending
         else:
             return None
         return counts.get(queue, 0)
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -1,6 +1,7 @@
 """Who owns the cell: follows the owner, or takes over where there is none."""
 
 import logging
+import math
 import time
 
 import gevent
@@ -39,6 +40,8 @@
         revision: Revision of the owner's key when it was last read.
         status: Latest status of the owner, or None.
         status_at: When it came, in s.
+        pending: Jobs by queue none of whose tasks has started, as last told.
+        pending_at: When they were told, in s.
         declined_until: Until when this entry does not take over, in s.
         invited: Set when the owner hands its ownership over.
     """
@@ -51,6 +54,8 @@
         self.revision = 0
         self.status: frames.Status | None = None
         self.status_at = 0.0
+        self.pending: dict[str, int] = {}
+        self.pending_at = -math.inf
         self.declined_until = 0.0
         self.invited = gevent_event.Event()
         self.suspicion = suspicion.Suspicion(election=self)
@@ -66,6 +71,9 @@
             return
         self.status = message
         self.status_at = time.monotonic()
+        if message.serving:
+            self.pending = dict(message.pending or {})
+            self.pending_at = self.status_at
         if message.leaving:
             self.invited.set()
 
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -220,6 +220,7 @@
             succession=self.list_succession()[:SUCCESSION_LIMIT],
             leaving=bool(owner and owner.leaving),
             silent=owner.fleet.list_silent() if owner else {},
+            serving=bool(owner and owner.serving),
         )
 
     def list_succession(self) -> list[frames.PeerInfo]:
--- a/tests/core/scheduling/test_looks.py
+++ b/tests/core/scheduling/test_looks.py
@@ -7,6 +7,7 @@
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
 
+OLD = minions.OrderFailure(reason="old", refusal=minions.Refusal.OLD)
 LOST = minions.OrderFailure(reason="timeout", effect_unknown=True)
 
 
@@ -59,6 +60,23 @@
         self.look("m0")
         self.assertEqual(len(self.get_starts()), 1)
 
+    def test_a_run_called_old_may_have_ended(self) -> None:
+        job_id = self.submit()
+        (start,) = self.get_starts()
+        self.answer(start, OLD)
+        self.assertEqual(self.get_starts(), [])
+        self.end(start)
+        self.assertEqual(self.get_state(job_id).value, "completed")
+
+    def test_a_run_called_old_that_has_not_ended_is_given_up(self) -> None:
+        self.submit()
+        (start,) = self.get_starts()
+        self.answer(start, OLD)
+        self.now_ms += 10
+        self.look("m0")
+        (again,) = self.get_starts()
+        self.assertGreater(again.number, start.number)
+
     def test_an_unconfirmed_stop_is_sent_again(self) -> None:
         self.submit()
         (start,) = self.get_starts()
