Ask the store for jobs that minions list and nobody told of

An earlier owner that does not know yet that it is deposed may start a job that was kept after that reading. Its ends were acknowledged unrecorded, and the job was started again when the watch brought it; its runs were stopped, and the task could start beside them. The same held for a job that was only offered, with other hand-in time than the kept one, and ends of runs that were given up without a lapsed lease were acknowledged without counting, so that failures were missed (BUDGET).

Now ends and runs of such jobs are held until the store has told whether the job is kept; only runs whose lease is over are void.

Ruled out: resent calls (geventhttpclient 2.6.1 resends no POST).

--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -87,6 +87,13 @@
     rank: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SeekJob:
+    """Ask the store for a job that a minion lists and nobody told of."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EndSeen:
     """An end was taken into account; record it, then acknowledge it.
@@ -135,5 +142,12 @@
 
 
 Effect = (
-    StartTask | StopTask | PaceTask | AskAdvice | EndSeen | JobChanged | Noted
+    StartTask
+    | StopTask
+    | PaceTask
+    | AskAdvice
+    | SeekJob
+    | EndSeen
+    | JobChanged
+    | Noted
 )
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -105,6 +105,13 @@
     job: steps.Job
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobAbsent:
+    """The store holds no job of an id that was sought."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobCancelled:
     """A caller cancelled a job."""
@@ -195,6 +202,7 @@
     | StopAnswered
     | JobOffered
     | JobAccepted
+    | JobAbsent
     | JobCancelled
     | JobRestored
     | DoubtEnded
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -305,9 +305,17 @@
 
 
 def give_up_run(
-    cell: state.CellState, run: state.Run, reason: str
+    cell: state.CellState, run: state.Run, reason: str, *, void: bool = False
 ) -> Iterator[effects.Effect]:
-    """Frees a run that is certain not to run, and lets its task wait."""
+    """Frees a run that is certain not to run, and lets its task wait.
+
+    Args:
+        cell: The cell.
+        run: The run.
+        reason: Why it can't run, for logs.
+        void: Whether a later end of the run does not count, as its lease is
+            over or its minion's life has ended.
+    """
     runs.free(cell, run)
     yield effects.Noted(
         what="run_gone",
@@ -316,7 +324,8 @@
     )
     if run.step is None:
         return
-    run.step.void.add((run.key.index, run.number))
+    if void:
+        run.step.void.add((run.key.index, run.number))
     requeue(cell, run.step, run.key.index)
     yield from break_gang(cell, run.step, "member_gone")
 
--- a/packages/core/hickoryreach/scheduling/looks.py
+++ b/packages/core/hickoryreach/scheduling/looks.py
@@ -10,6 +10,7 @@
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import sharing
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import strays
 from hickoryreach.structure import resources
 
 ENDS_LIMIT = 500
@@ -51,7 +52,7 @@
             continue
         reason = _explain_absence(cell, run, event, reborn=reborn)
         if reason:
-            yield from lifecycle.give_up_run(cell, run, reason)
+            yield from lifecycle.give_up_run(cell, run, reason, void=reborn)
 
 
 def _take_end(
@@ -61,6 +62,9 @@
     step = runs.find_step(cell, end.key)
     if run is not None:
         runs.free(cell, run)
+    if strays.is_unknown(cell, end.key.job_id):
+        yield from strays.hold(cell, minion, end)
+        return
     counts = (
         step is not None
         and not step.job.state.is_final
@@ -85,15 +89,24 @@
         record=_must_record(end),
     )
     yield from lifecycle.note_begun(step.job)
-    if end.key.index in step.runs:
-        return
     yield from lifecycle.take_outcome(
         cell, step, end.key.index, end.run, end.kind
     )
-    if end.kind is not minions.EndKind.DONE:
+    if end.kind is minions.EndKind.DONE:
+        yield from _stop_others(cell, step, end)
+    elif run is not None:
         yield from lifecycle.break_gang(cell, step, "member_ended")
 
 
+def _stop_others(
+    cell: state.CellState, step: state.StepRecord, end: minions.TaskEnd
+) -> Iterator[effects.Effect]:
+    """Stops later runs of a task whose end was learned of late."""
+    for run in list(step.runs.values()):
+        if run.number != end.run and run.key.index in step.done:
+            yield from lifecycle.stop(cell, run, "done_elsewhere")
+
+
 def _must_record(end: minions.TaskEnd) -> bool:
     return bool(end.checkpoint) or end.kind in (
         minions.EndKind.DONE,
@@ -175,10 +188,29 @@
     if wanted:
         lifecycle.note_checkpoint(step, row.key.index, row.checkpoint)
         yield from lifecycle.note_begun(step.job)
+    elif strays.is_unknown(cell, row.key.job_id):
+        yield from strays.seek(cell, row.key.job_id)
     else:
         yield from lifecycle.stop(cell, run, "unwanted")
 
 
+def take_found(cell: state.CellState, job_id: str) -> Iterator[effects.Effect]:
+    """Takes what minions listed of a job before it was known."""
+    for held in cell.sought.pop(job_id, ()):
+        minion = cell.minions.get(held.minion_id)
+        if minion is not None and minion.life == held.life:
+            yield from _take_end(cell, minion, held.end)
+    for minion, run in strays.list_runs(cell, job_id):
+        runs.free(cell, run)
+        row = minions.RunningTask(
+            key=run.key,
+            run=run.number,
+            checkpoint=run.checkpoint,
+            percent=run.percent,
+        )
+        yield from _adopt(cell, minion, row)
+
+
 def _explain_absence(
     cell: state.CellState,
     run: state.Run,
@@ -216,6 +248,6 @@
         return
     minion.looked = False
     for run in list(minion.runs.values()):
-        yield from lifecycle.give_up_run(cell, run, "lease_lapsed")
+        yield from lifecycle.give_up_run(cell, run, "lease_lapsed", void=True)
     if minion.gone:
         del cell.minions[event.minion_id]
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -14,6 +14,7 @@
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import placing
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import strays
 
 Handler = Callable[[state.CellState, object], Iterator[effects.Effect]]
 
@@ -27,6 +28,7 @@
 handlers.register(events.StopAnswered)(orders.take_stop)
 handlers.register(events.JobRestored)(lifecycle.restore)
 handlers.register(events.Advised)(advising.take)
+handlers.register(events.JobAbsent)(strays.take_absent)
 
 
 def reduce(
@@ -105,8 +107,9 @@
 def accept_job(
     cell: state.CellState, event: events.JobAccepted
 ) -> Iterator[effects.Effect]:
-    """Takes in a job."""
+    """Takes in a job, and what minions have listed of it."""
     yield from lifecycle.accept(cell, event.job)
+    yield from looks.take_found(cell, event.job.job_id)
 
 
 @handlers.register(events.JobCancelled)
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -81,9 +81,9 @@
 def find_step(
     cell: state.CellState, key: steps.TaskKey
 ) -> state.StepRecord | None:
-    """Returns the step of a task whose job is known."""
+    """Returns the step of a task whose job is known to be kept."""
     record = cell.jobs.get(key.job_id)
-    if record is None:
+    if record is None or not record.kept:
         return None
     step = record.steps.get((key.repeat, key.step))
     if step is None or key.index >= step.step.count:
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -6,6 +6,7 @@
 import dataclasses
 import enum
 
+from hickoryreach.platform import minions
 from hickoryreach.scheduling import settings as settings_module
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
@@ -123,7 +124,8 @@
         asking: Whether advice is being asked.
         asked_ms: When advice was last asked.
         shunned: Minions on which one of its runs failed or stood still.
-        void: Runs, by position and number, that were given up for lost.
+        void: Runs, by position and number, whose lease was over; an end of
+            one of them does not count.
     """
 
     job: JobRecord
@@ -264,6 +266,21 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HeldEnd:
+    """An end of a job that is being sought in the store.
+
+    Attributes:
+        minion_id: The minion that listed it.
+        life: Life of the minion.
+        end: The end.
+    """
+
+    minion_id: str
+    life: int
+    end: minions.TaskEnd
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class CellState:
     """The state that the reducer works on.
@@ -284,6 +301,7 @@
         usual_speed: Median of the minions' speeds.
         allowed_parts: Part of the minions that steps were allowed, by queue.
         allowances: Jobs that each workspace may hand in within its share.
+        sought: Ends that wait for their job to be found in the store, by job.
         dirty: Whether something changed that may let a task start.
     """
 
@@ -304,4 +322,5 @@
     usual_speed: float = 1.0
     allowed_parts: dict[str, float] = dataclasses.field(default_factory=dict)
     allowances: dict[str, Allowance] = dataclasses.field(default_factory=dict)
+    sought: dict[str, list[HeldEnd]] = dataclasses.field(default_factory=dict)
     dirty: bool = False
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/strays.py
@@ -0,0 +1,68 @@
+"""What minions list of jobs that the owner has not been told of.
+
+Such a job may be kept all the same: an earlier owner may have started it
+after this one had read the jobs. The store is asked before anything of it
+is stopped or acknowledged.
+"""
+
+from collections.abc import Iterator
+
+from hickoryreach.platform import minions
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import state
+
+
+def is_unknown(cell: state.CellState, job_id: str) -> bool:
+    """Returns whether a job is not known to be kept."""
+    record = cell.jobs.get(job_id)
+    return record is None or not record.kept
+
+
+def seek(cell: state.CellState, job_id: str) -> Iterator[effects.Effect]:
+    """Asks the store for a job, once."""
+    if job_id not in cell.sought:
+        cell.sought[job_id] = []
+        yield effects.SeekJob(job_id=job_id)
+
+
+def hold(
+    cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
+) -> Iterator[effects.Effect]:
+    """Leaves an end unacknowledged until its job is found or absent."""
+    yield from seek(cell, end.key.job_id)
+    cell.sought[end.key.job_id].append(
+        state.HeldEnd(
+            minion_id=minion.minion.minion_id, life=minion.life, end=end
+        )
+    )
+
+
+def list_runs(
+    cell: state.CellState, job_id: str
+) -> list[tuple[state.MinionRecord, state.Run]]:
+    """Returns the runs of a job that belong to no step."""
+    return [
+        (minion, run)
+        for minion in cell.minions.values()
+        for run in minion.runs.values()
+        if run.step is None and run.key.job_id == job_id
+    ]
+
+
+def take_absent(
+    cell: state.CellState, event: events.JobAbsent
+) -> Iterator[effects.Effect]:
+    """Stops and acknowledges what is listed of a job that is not kept."""
+    if not is_unknown(cell, event.job_id):
+        return
+    for held in cell.sought.pop(event.job_id, ()):
+        yield effects.EndSeen(
+            minion_id=held.minion_id,
+            life=held.life,
+            end=held.end,
+            record=False,
+        )
+    for _, run in list_runs(cell, event.job_id):
+        yield from lifecycle.stop(cell, run, "unwanted")
--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -84,6 +84,11 @@
         """Asks for advice."""
         self.owner.advisors.ask(effect)
 
+    @handlers.register(effects.SeekJob)
+    def seek_job(self, effect: effects.SeekJob) -> None:
+        """Asks the store for a job that a minion lists."""
+        gevent.spawn(self.owner.seek_job, effect.job_id)
+
     @handlers.register(effects.EndSeen)
     def record_end(self, effect: effects.EndSeen) -> None:
         """Keeps an end, then lets the minion forget it."""
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -7,6 +7,7 @@
 import gevent
 from gevent import event as gevent_event
 from gevent import queue as gevent_queue
+from returns import result
 
 from hickoryreach.platform import node as node_module
 from hickoryreach.platform import store
@@ -45,6 +46,7 @@
 PASS_GAP_LIMIT_S = 0.05
 HANDOVER_WAIT_S = 0.8
 HANDOVER_POLL_S = 0.02
+SEEK_RETRY_S = 0.1
 
 
 class Owner:
@@ -274,6 +276,30 @@
         calm = time.monotonic() - self.untold_at > UNTOLD_S
         self.jobs_watcher.pause_s = JOBS_PAUSE_S if calm else 0.0
 
+    def seek_job(self, job_id: str) -> None:
+        """Finds out whether a job that a minion lists is kept."""
+        while not self.stopped:
+            read = self.client.get(records.name_job(job_id))
+            if isinstance(read, result.Success):
+                break
+            gevent.sleep(SEEK_RETRY_S)
+        else:
+            return
+        item = read.unwrap()
+        job = restoring.decode_item(item) if item.data else None
+        log.info(
+            "job_sought",
+            extra={
+                "job": job_id,
+                "found": job is not None,
+                "revision": item.revision,
+            },
+        )
+        if job is None:
+            self.emit(events.JobAbsent(job_id=job_id))
+        else:
+            self.emit(events.JobAccepted(job=job))
+
     def query(self, query: frames.Query) -> frames.JobReport:
         """Returns what a caller may be told of a job."""
         if not self.is_theirs(query.job_id, query.workspace):
