Acknowledge ends of a cancelled job only once its cancellation is kept

The next owner restored the job as running and started both tasks again.

Ruled out: a job unknown to the new owner (it was in jobs_restored), a resent call, a lapsed lease (the ends count as noted).

--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -91,7 +91,12 @@
 
     @handlers.register(effects.EndSeen)
     def record_end(self, effect: effects.EndSeen) -> None:
-        """Keeps an end, then lets the minion forget it."""
+        """Keeps an end, then lets the minion forget it.
+
+        One that is not recorded is forgotten once all that was decided before
+        is kept: its job's cancellation may be, without which the next owner
+        would start its tasks again.
+        """
         end = effect.end
         link = self.owner.fleet.links.get(effect.minion_id)
         log.info(
@@ -110,7 +115,7 @@
                 link.settle(effect.life, end.number)
 
         if not effect.record:
-            settle()
+            self.owner.progress.append(None, settle)
             return
         row = records.Row(
             kind=records.END,
--- /dev/null
+++ b/tests/entry/cell/test_effects.py
@@ -0,0 +1,80 @@
+"""Tests of how what the reducer asks for is carried out."""
+
+import types
+import unittest
+from unittest import mock
+
+import gevent
+
+from hickoryreach.platform import minions
+from hickoryreach.platform import store
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import state
+from hickoryreach.structure import steps
+from hickoryreach_entry.cell import effects as effects_module
+from hickoryreach_entry.cell import progress
+from hickoryreach_entry.cell import records
+from standins.users import servers
+from standins.users import store as standin
+
+JOB = "a072a0f6de83e5b3"
+
+
+class CarrierTest(unittest.TestCase):
+    """Effects of an owner whose store may be away."""
+
+    def setUp(self) -> None:
+        """Serves a store, and creates what an owner has."""
+        self.model = standin.KeyValueStore()
+
+        def answer(method, path, words, body, environ):
+            return self.model.answer(method, path, words, body, "me")
+
+        server = servers.serve("127.0.0.1:0", answer)
+        self.addCleanup(server.stop, 0)
+        self.progress = progress.Progress(
+            client=store.Store(address=f"127.0.0.1:{server.server_port}"),
+            epoch=1,
+            revision=self.model.put(records.OWNER_KEY, b"{}"),
+            on_deposed=lambda reason: None,
+        )
+        self.addCleanup(self.progress.close)
+        self.link = mock.Mock()
+        self.owner = types.SimpleNamespace(
+            progress=self.progress,
+            serving=False,
+            show=mock.Mock(),
+            fleet=types.SimpleNamespace(links={"m0": self.link}),
+        )
+        self.carrier = effects_module.Carrier(owner=self.owner)
+
+    def see_end(self) -> None:
+        """Lets a minion list an end that need not be recorded."""
+        end = minions.TaskEnd(
+            number=1,
+            key=steps.TaskKey(job_id=JOB, repeat=0, step=0, index=0),
+            run=1,
+            kind=minions.EndKind.DONE,
+            checkpoint="",
+        )
+        self.carrier.carry(
+            effects.EndSeen(minion_id="m0", life=1, end=end, record=False)
+        )
+
+    def test_end_of_a_cancelled_job_waits_for_the_cancellation(self) -> None:
+        self.model.faults.busy.add("*")
+        self.carrier.carry(
+            effects.JobChanged(job_id=JOB, state=state.JobState.CANCELLED)
+        )
+        self.see_end()
+        gevent.sleep(0.2)
+        self.link.settle.assert_not_called()
+        self.model.faults.busy.clear()
+        with gevent.Timeout(5.0):
+            while not self.link.settle.called:
+                gevent.sleep(0.01)
+        self.owner.show.assert_called_once_with(JOB, state.JobState.CANCELLED)
+
+    def test_end_is_acknowledged_at_once_if_all_is_kept(self) -> None:
+        self.see_end()
+        self.link.settle.assert_called_once_with(1, 1)
