Open the socket for callers before the rest of the program is loaded

Cause: after a loss of every machine callers were turned away until the libraries were loaded: 1.0 s after the machines were back (import of 0.55 s of processor time, cleo 0.09 s).

--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -5,6 +5,7 @@
 
 import falcon
 import gevent
+from gevent import event as gevent_event
 from returns import result
 
 from hickoryreach.platform import callers
@@ -26,6 +27,7 @@
 PENDING_LIMIT_S = 2.0
 RETRY_AFTER_S = 1
 KEEP_RETRY_S = 0.05
+CONFIGURATION_WAIT_S = 0.5
 
 
 class Callers:
@@ -34,6 +36,7 @@
     Attributes:
         desk: The way to the owner.
         client: The store.
+        configured: Set once there is a configuration.
         queues: Queues by host, the longest prefix first.
         keys: Workspace of each key.
     """
@@ -45,6 +48,7 @@
         self.desk = member.desk
         self.client = client
         self.configuration: cells.Configuration | None = None
+        self.configured = gevent_event.Event()
         self.queues: dict[str, list[cells.Queue]] = {}
         self.keys: dict[str, str] = {}
 
@@ -62,6 +66,7 @@
             for key in workspace.keys
         }
         self.configuration = configuration
+        self.configured.set()
 
     def __call__(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Answers one request."""
@@ -73,7 +78,7 @@
         self, req: falcon.Request, resp: falcon.Response, begun: float
     ) -> None:
         """Routes one request to what it asks for."""
-        if self.configuration is None:
+        if not self.configured.wait(CONFIGURATION_WAIT_S):
             refuse(resp, "no configuration yet")
             return
         queue = self.find_queue(req)
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -2,6 +2,7 @@
 
 import logging
 import os
+import socket
 import time
 
 import gevent
@@ -37,9 +38,19 @@
     """
 
     def __init__(
-        self, *, settings: node_module.NodeSettings, path: str
+        self,
+        *,
+        settings: node_module.NodeSettings,
+        path: str,
+        front: socket.socket | None = None,
     ) -> None:
-        """Creates a server that is not started yet."""
+        """Creates a server that is not started yet.
+
+        Args:
+            settings: The platform's settings file, decoded.
+            path: Where the file is.
+            front: Open socket for callers, or None to open one.
+        """
         self.settings = settings
         self.path = path
         self.draining = False
@@ -54,7 +65,7 @@
             on_page=self.take_configuration,
         )
         self.front = build_http_server(
-            settings.listen.front, callers.build_app(self.callers)
+            settings.listen.front, callers.build_app(self.callers), front
         )
         self.ready = build_http_server(settings.listen.ready, self.answer_ready)
         host = settings.listen.front.rsplit(":", 1)[0]
@@ -164,10 +175,18 @@
         self.stopped.set()
 
 
-def build_http_server(address: str, app) -> http_server.HttpServer:
-    """Returns a server on one address that is not started yet."""
+def build_http_server(
+    address: str, app, listener: socket.socket | None = None
+) -> http_server.HttpServer:
+    """Returns a server on one address that is not started yet.
+
+    Args:
+        address: `host:port` to listen at.
+        app: The WSGI application.
+        listener: Socket that listens there already, or None.
+    """
     host, port = address.rsplit(":", 1)
-    return http_server.HttpServer((host, int(port)), app, log=None)
+    return http_server.HttpServer(listener or (host, int(port)), app, log=None)
 
 
 def get_change_time(path: str) -> float:
--- a/packages/entry/hickoryreach_entry/commands/cell.py
+++ b/packages/entry/hickoryreach_entry/commands/cell.py
@@ -1,6 +1,7 @@
 """Serves one entry on the users' platform."""
 
 import signal
+import socket
 
 import gevent
 from returns import result
@@ -10,12 +11,19 @@
 from hickoryreach_entry.cell import server
 
 
-def serve(path: str) -> result.Result[None, str]:
-    """Serves until a SIGTERM has been drained, or returns what is wrong."""
+def serve(
+    path: str, front: socket.socket | None = None
+) -> result.Result[None, str]:
+    """Serves until a SIGTERM has been drained, or returns what is wrong.
+
+    Args:
+        path: The platform's settings file.
+        front: Open socket for callers, or None to open one.
+    """
     loaded = node.load(path)
     if isinstance(loaded, result.Failure):
         return loaded
-    entry = server.CellServer(settings=loaded.unwrap(), path=path)
+    entry = server.CellServer(settings=loaded.unwrap(), path=path, front=front)
     gevent.signal_handler(signal.SIGTERM, gevent.spawn, entry.drain)
     gevent.signal_handler(signal.SIGINT, gevent.spawn, entry.drain)
     gevent.signal_handler(signal.SIGHUP, gevent.spawn, entry.reload)
