Answer at once where an entry is cut off, and find the owner through peers

Entries ask their peers and the seeds for the owner while the store fails here, try the invited successor of a stopping owner, have the owner keep a job that the store has not answered within 0.3 s, refuse at once and are not ready while neither store nor owner serves them.

--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -61,13 +61,38 @@
 Called = result.Result[Answer, CallFailure]
 
 
+class Health:
+    """Whether the other side serves this machine; several clients may share it.
+
+    Attributes:
+        answered_at: When it last answered a call, on the steady clock in s.
+        failing_since: When the first of the calls that failed since then was
+            sent, in s; 0 while none has.
+    """
+
+    def __init__(self) -> None:
+        """Creates the health of a side that was not called yet."""
+        self.answered_at = 0.0
+        self.failing_since = 0.0
+
+    def note_answer(self) -> None:
+        """Notes that a call was answered."""
+        self.answered_at = time.monotonic()
+        self.failing_since = 0.0
+
+    def note_failure(self, sent_at: float) -> None:
+        """Notes that a call failed or was turned away."""
+        if not self.failing_since:
+            self.failing_since = max(sent_at, self.answered_at)
+
+
 class Client:
     """Calls to one address.
 
     Attributes:
         address: `host:port` of the other side.
         kind: What the other side is, for metrics.
-        answered_at: When it last answered a call, on the steady clock in s.
+        health: Whether the other side serves this machine.
     """
 
     def __init__(
@@ -78,6 +103,7 @@
         timeout_s: float,
         connections: int,
         headers: dict[str, str] | None = None,
+        health: Health | None = None,
     ) -> None:
         """Creates a client; opens no connection yet.
 
@@ -87,11 +113,12 @@
             timeout_s: Longest silence of the other side within a call.
             connections: Most calls at once; more wait for a connection.
             headers: Sent with each call.
+            health: Health that this client shares with others, or None.
         """
         host, port = address.rsplit(":", 1)
         self.address = address
         self.kind = kind
-        self.answered_at = 0.0
+        self.health = health or Health()
         self.http = geventhttpclient.HTTPClient(
             host,
             port=int(port),
@@ -106,6 +133,7 @@
         """Makes one call and reads its answer whole."""
         payload = b"" if body is None else orjson.dumps(body)
         headers = {"Content-Type": "application/json"} if payload else {}
+        sent_at = time.monotonic()
         try:
             response = self.http.request(
                 method, path, body=payload, headers=headers
@@ -113,10 +141,13 @@
             status = response.status_code
             data = bytes(response.read())
         except (OSError, ValueError, http.client.HTTPException) as error:
+            self.health.note_failure(sent_at)
             return self._fail(error)
         calls.labels(self.kind, str(status)).inc()
-        if status not in (TOO_MANY, UNAVAILABLE):
-            self.answered_at = time.monotonic()
+        if status in (TOO_MANY, UNAVAILABLE):
+            self.health.note_failure(sent_at)
+        else:
+            self.health.note_answer()
         return result.Success(Answer(status=status, body=_decode(data)))
 
     def _fail(self, error: Exception) -> Called:
--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -52,6 +52,7 @@
     heartbeat_ms: int = 1_500
     bounds: BoundsRow = BoundsRow()
     orders: str = "call"
+    seeds: list[str] = []
     advice: str | None = None
     platform: PlatformRow
 
--- a/packages/core/hickoryreach/platform/store.py
+++ b/packages/core/hickoryreach/platform/store.py
@@ -77,24 +77,22 @@
 
     Attributes:
         address: `host:port` of the store.
+        health: Whether the store serves this machine.
     """
 
     def __init__(self, *, address: str, connections: int = 24) -> None:
         """Creates a client; opens no connection yet."""
         self.address = address
+        self.health = http.Health()
         self.quick = http.Client(
             address=address,
             kind="store",
             timeout_s=CALL_TIMEOUT_S,
             connections=connections,
+            health=self.health,
         )
         self.watchers: dict[float, http.Client] = {}
 
-    def get_answered_at(self) -> float:
-        """Returns when the store last served a call, in s of the clock."""
-        clients = [self.quick, *self.watchers.values()]
-        return max(client.answered_at for client in clients)
-
     def get(self, key: str) -> result.Result[Item, StoreFailure]:
         """Reads one key; an absent one has the revision 0."""
         query = urllib.parse.urlencode({"key": key})
@@ -151,6 +149,7 @@
                 kind="store_watch",
                 timeout_s=wait_s + WATCH_MARGIN_S,
                 connections=8,
+                health=self.health,
             )
             self.watchers[wait_s] = client
         query = urllib.parse.urlencode(
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -86,6 +86,8 @@
 struct OwnerReport {
   1: bool heard = 0,
   2: i64 epoch = 0,
+  // The owner that is heard.
+  3: optional PeerInfo owner,
 }
 
 struct Frame {
--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -27,6 +27,8 @@
 PENDING_LIMIT_S = 2.0
 RETRY_AFTER_S = 1
 KEEP_RETRY_S = 0.05
+HEDGE_S = 0.3
+OWNER_KEEP_S = 1.0
 CONFIGURATION_WAIT_S = 0.5
 
 
@@ -152,7 +154,9 @@
             accepted_ms=clock.wall_ms(),
         )
         begun = time.monotonic()
-        outcome = self.keep(job, deadline)
+        outcome = "not_kept"
+        if not self.desk.is_cut_off():
+            outcome = self.keep(job, deadline)
         log.info(
             "job_hand_in",
             extra={
@@ -182,13 +186,20 @@
             the id belongs to another workspace; `unclear`.
         """
         data = records.encode_job(job)
-        key = records.name_job(job.job_id)
         doubtful = False
         self.desk.offer(data)
         while True:
-            written = self.client.write(
-                puts=(store.Put(key=key, data=data),), expected=((key, 0),)
-            )
+            writing = gevent.spawn(self.write, job.job_id, data)
+            writing.join(HEDGE_S)
+            if not is_settled(writing.value) and self.desk.has_owner():
+                elsewhere = gevent.spawn(self.keep_elsewhere, data, deadline)
+                for done in gevent.iwait([writing, elsewhere]):
+                    if done is elsewhere and done.value:
+                        return "kept"
+                    if done is writing and is_settled(done.value):
+                        break
+                doubtful = True
+            written = writing.get()
             if isinstance(written, result.Success):
                 self.desk.announce(job.job_id, data)
                 return "kept"
@@ -196,18 +207,31 @@
             if failure.conflict:
                 return self.take_existing(job, failure.conflict[0])
             doubtful = doubtful or failure.effect_unknown
-            if time.monotonic() + KEEP_RETRY_S >= deadline:
+            if (
+                time.monotonic() + KEEP_RETRY_S >= deadline
+                or self.desk.is_cut_off()
+            ):
                 return "unclear" if doubtful else "not_kept"
-            report = self.desk.ask_once(
-                max(0.1, deadline - time.monotonic()),
-                "submission",
-                frames.Submission(job=data, kept=False),
-            )
-            if report is not None and report.kept and report.known:
-                return "kept"
-            doubtful = doubtful or self.desk.has_owner()
             gevent.sleep(KEEP_RETRY_S)
 
+    def write(
+        self, job_id: str, data: bytes
+    ) -> result.Result[int, store.StoreFailure]:
+        """Tries once to keep a job that is not kept yet."""
+        key = records.name_job(job_id)
+        return self.client.write(
+            puts=(store.Put(key=key, data=data),), expected=((key, 0),)
+        )
+
+    def keep_elsewhere(self, data: bytes, deadline: float) -> bool:
+        """Has the owner keep a job that the store has not answered here."""
+        report = self.desk.ask_once(
+            min(OWNER_KEEP_S, max(0.1, deadline - time.monotonic())),
+            "submission",
+            frames.Submission(job=data, kept=False),
+        )
+        return report is not None and report.kept and report.known
+
     def take_existing(self, job: steps.Job, item: store.Item) -> str:
         """Takes a job that is kept already as this one, if it is its own."""
         decoded = records.decode_job(item.data or b"")
@@ -230,6 +254,9 @@
         deadline: float,
     ) -> None:
         """Answers the state of a job."""
+        if self.desk.is_cut_off():
+            refuse(resp, "this entry is cut off from the cell")
+            return
         report = None
         if self.desk.has_owner():
             report = self.desk.ask(
@@ -276,6 +303,9 @@
         deadline: float,
     ) -> None:
         """Cancels a job."""
+        if self.desk.is_cut_off():
+            refuse(resp, "this entry is cut off; the job is not cancelled")
+            return
         message = frames.Cancellation(job_id=job_id, workspace=workspace)
         report = self.desk.ask(deadline, "cancellation", message)
         if report is not None and not report.known:
@@ -311,6 +341,17 @@
         return self.desk.ask(deadline, "cancellation", message)
 
 
+def is_settled(
+    written: result.Result[int, store.StoreFailure] | None,
+) -> bool:
+    """Returns whether a write was carried out or met an existing key."""
+    if written is None:
+        return False
+    return isinstance(written, result.Success) or bool(
+        written.failure().conflict
+    )
+
+
 def get_deadline_s(req: falcon.Request) -> float:
     """Returns how long the caller waits, in s."""
     text = req.get_header(DEADLINE_HEADER) or ""
--- a/packages/entry/hickoryreach_entry/cell/desk.py
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -8,6 +8,7 @@
 from hickoryreach_entry.cell import election as election_module
 
 CALL_TIMEOUT_S = 1.0
+CUT_OFF_S = 0.25
 CALL_RETRY_S = 0.05
 ANNOUNCE_S = 0.1
 
@@ -60,6 +61,21 @@
         """Returns whether there is an owner to speak to."""
         return self.member.owner is not None or self.election.is_following()
 
+    def is_cut_off(self) -> bool:
+        """Returns whether neither the store nor an owner serves this entry.
+
+        While the store is away for all, entries still hear an owner, and an
+        owner its followers.
+        """
+        now = time.monotonic()
+        since = self.member.client.health.failing_since
+        if not since or now - since < CUT_OFF_S:
+            return False
+        owner = self.member.owner
+        if owner is not None:
+            return not owner.is_heard(now)
+        return not self.election.is_following()
+
     def ask_once(
         self, timeout_s: float, field: str, message: object
     ) -> frames.JobReport | None:
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -1,5 +1,6 @@
 """Who owns the cell: follows the owner, or takes over where there is none."""
 
+import dataclasses
 import logging
 import math
 import time
@@ -11,6 +12,7 @@
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import inquiry
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import suspicion
@@ -20,6 +22,7 @@
 SILENT_S = 0.7
 GREETING_TIMEOUT_S = 0.6
 RANK_DELAY_S = 0.12
+SUCCESSOR_POLL_S = 0.1
 BOOT_DELAY_S = 0.25
 POLL_S = 0.05
 SILENT_FRESH_S = 2.5
@@ -59,6 +62,7 @@
         self.declined_until = 0.0
         self.invited = gevent_event.Event()
         self.suspicion = suspicion.Suspicion(election=self)
+        self.inquiry = inquiry.Inquiry(member=member)
 
     def take_status(
         self, peer: channel.Channel, message: frames.Status
@@ -71,6 +75,7 @@
             return
         self.status = message
         self.status_at = time.monotonic()
+        self.inquiry.note_peers(message.succession or [])
         if message.serving:
             self.pending = dict(message.pending or {})
             self.pending_at = self.status_at
@@ -83,7 +88,15 @@
         heard = (
             self.is_following() and time.monotonic() - self.status_at < SILENT_S
         )
-        return frames.OwnerReport(heard=heard, epoch=epoch)
+        if not heard:
+            return frames.OwnerReport(epoch=epoch)
+        return frames.OwnerReport(
+            heard=True,
+            epoch=epoch,
+            owner=frames.PeerInfo(
+                name=self.ownership.name, address=self.ownership.address
+            ),
+        )
 
     def follow_forever(self) -> None:
         """Keeps a way to the owner, or takes over where there is none."""
@@ -123,6 +136,8 @@
             self.drop_upstream("lost")
             if self.succeed():
                 return True
+        if self.member.client.health.failing_since and self.rejoin():
+            return True
         read = self.member.client.get(records.OWNER_KEY)
         if isinstance(read, result.Failure):
             return self.rejoin()
@@ -161,10 +176,19 @@
         return self.take_over(item, known)
 
     def rejoin(self) -> bool:
-        """Follows the last known owner again while the store is away."""
-        if self.ownership is None or self.ownership.name == self.member.me.name:
+        """Follows the owner that peers hear, while the store is away here.
+
+        Without such a peer it tries the last known owner again.
+        """
+        if self.is_following():
+            return True
+        known = self.ownership
+        named = self.inquiry.find_owner()
+        if named is not None and (known is None or named.epoch >= known.epoch):
+            return self.join(named)
+        if known is None or known.name == self.member.me.name:
             return False
-        return self.is_following() or self.join(self.ownership)
+        return self.suspicion.refused != known.epoch and self.join(known)
 
     def must_wait(self, invited: bool, item: store.Item) -> bool:
         """Waits for those that go first; returns whether one took over."""
@@ -174,10 +198,27 @@
         rank = self.get_rank()
         if rank == 0:
             return False
-        gevent.sleep(rank * RANK_DELAY_S * (2 if invited else 1))
+        if invited and self.await_successor(2 * rank * RANK_DELAY_S):
+            return True
+        if not invited:
+            gevent.sleep(rank * RANK_DELAY_S)
         again = self.member.client.get(records.OWNER_KEY).value_or(None)
         return again is None or again.revision != item.revision
 
+    def await_successor(self, limit_s: float) -> bool:
+        """Tries to follow the invited successor; returns whether it owns."""
+        first = self.status.succession[0]
+        known = self.ownership
+        deadline = time.monotonic() + limit_s
+        while time.monotonic() < deadline:
+            gevent.sleep(SUCCESSOR_POLL_S)
+            named = records.Ownership(
+                name=first.name, address=first.address, epoch=known.epoch + 1
+            )
+            if self.join(named, certain=False):
+                return True
+        return False
+
     def get_rank(self) -> int:
         """Returns this entry's place in the succession."""
         if self.status is None:
@@ -187,8 +228,14 @@
             return len(names)
         return names.index(self.member.me.name)
 
-    def join(self, found: records.Ownership) -> bool:
-        """Connects to an owner; returns whether it answered as one."""
+    def join(self, found: records.Ownership, certain: bool = True) -> bool:
+        """Connects to an owner; returns whether it answered as one.
+
+        Args:
+            found: The owner.
+            certain: Whether it is known to have become the owner; if not, its
+                refusal tells nothing.
+        """
         self.drop_upstream("owner_changed")
         self.status_at = 0.0
         try:
@@ -202,22 +249,25 @@
                     "reason": str(error),
                 },
             )
-            self.suspicion.note_connect(found, error)
+            if certain:
+                self.suspicion.note_connect(found, error)
             return False
         self.upstream = upstream
         upstream.send(greeting=frames.Greeting(peer=self.member.me))
         deadline = time.monotonic() + GREETING_TIMEOUT_S
         while time.monotonic() < deadline and not upstream.closed.is_set():
             if self.status_at:
-                self.ownership = found
+                self.ownership = dataclasses.replace(
+                    found, epoch=self.status.epoch
+                )
                 self.suspicion.clear()
                 log.info(
                     "owner_followed",
-                    extra={"owner": found.name, "epoch": found.epoch},
+                    extra={"owner": found.name, "epoch": self.status.epoch},
                 )
                 return True
             gevent.sleep(0.01)
-        if upstream.reason == "not_owner":
+        if certain and upstream.reason == "not_owner":
             self.suspicion.refused = found.epoch
         self.drop_upstream("no_greeting")
         return False
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -196,7 +196,11 @@
     ) -> frames.OwnerReport:
         """Tells a peer whether this entry hears the owner."""
         if self.owner is not None:
-            return frames.OwnerReport(heard=True, epoch=self.owner.epoch)
+            return frames.OwnerReport(
+                heard=not self.owner.leaving,
+                epoch=self.owner.epoch,
+                owner=self.me,
+            )
         return self.election.report()
 
     def forget_channel(self, peer: channel.Channel) -> None:
@@ -253,7 +257,7 @@
                 for peer in list(self.downstream.values()):
                     peer.send(status=status)
             elif self.election.upstream is not None:
-                age_s = time.monotonic() - self.client.get_answered_at()
+                age_s = time.monotonic() - self.client.health.answered_at
                 self.election.upstream.send(
                     pulse=frames.Pulse(store_age_ms=int(age_s * 1000))
                 )
@@ -283,6 +287,7 @@
             return
         owner.leaving = True
         status = self.build_status()
+        self.election.inquiry.note_peers(status.succession)
         for peer in list(self.downstream.values()):
             peer.send(status=status)
         log.info(
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -79,6 +79,7 @@
             not self.draining
             and self.callers.configuration is not None
             and self.member.desk.has_owner()
+            and not self.member.desk.is_cut_off()
         )
 
     def answer_ready(self, environ: dict, start_response) -> list[bytes]:
--- a/packages/entry/hickoryreach_entry/cell/suspicion.py
+++ b/packages/entry/hickoryreach_entry/cell/suspicion.py
@@ -3,15 +3,10 @@
 import logging
 import time
 
-import gevent
-
-from hickoryreach.wire import frames
-from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import records
 
 log = logging.getLogger(__name__)
 
-ASK_TIMEOUT_S = 0.4
 ALONE_S = 2.0
 
 
@@ -56,7 +51,7 @@
             return True
         now = time.monotonic()
         self.since = self.since or now
-        reports = self.ask_peers(found)
+        reports = self.election.inquiry.ask_about(found)
         heard = sum(report.heard for report in reports)
         log.info(
             "owner_suspected",
@@ -73,36 +68,3 @@
         if reports:
             return 2 * heard < len(reports)
         return now - self.since > ALONE_S
-
-    def ask_peers(self, found: records.Ownership) -> list[frames.OwnerReport]:
-        """Asks the other entries whether they hear the owner."""
-        status = self.election.status
-        peers = [
-            peer
-            for peer in (status.succession if status else [])
-            if peer.name not in (self.election.member.me.name, found.name)
-        ]
-        asked = [
-            gevent.spawn(self.ask_peer, peer.address, found.epoch)
-            for peer in peers
-        ]
-        gevent.joinall(asked, timeout=ASK_TIMEOUT_S)
-        return [each.value for each in asked if each.value is not None]
-
-    def ask_peer(self, address: str, epoch: int) -> frames.OwnerReport | None:
-        """Asks one entry; None without an answer."""
-        try:
-            peer = channel.connect(address, self.election.member.handle)
-        except OSError as error:
-            log.info(
-                "peer_unreachable",
-                extra={"address": address, "reason": str(error)},
-            )
-            return None
-        try:
-            return peer.call(
-                ASK_TIMEOUT_S,
-                owner_question=frames.OwnerQuestion(epoch=epoch),
-            )
-        finally:
-            peer.close("asked")
--- a/tests/integration/test_users_cell.py
+++ b/tests/integration/test_users_cell.py
@@ -157,6 +157,55 @@
         self.assertLess(gap_s, 0.5)
 
 
+class CutOffTest(UsersCellCase):
+    """Single entries lose the store."""
+
+    def list_others(self, *entries: cell.Entry) -> list[cell.Entry]:
+        """Returns the other entries."""
+        return [each for each in self.cell.entries if each not in entries]
+
+    def test_an_entry_that_the_store_turns_away_finds_the_next_owner(
+        self,
+    ) -> None:
+        self.hand_in(0.7)
+        owner = self.cell.find_owner()
+        entry = self.list_others(owner)[0]
+        self.cell.users.store.faults.busy.add(entry.name)
+        owner.kill()
+        self.cell.wait_for(
+            lambda: self.cell.find_owner().process.poll() is None, 5.0
+        )
+        self.cell.wait_for(entry.is_ready, 3.0)
+        job_id = self.cell.submit(entry, count=TASKS)
+        self.cell.wait_state(job_id, "completed")
+        self.cell.users.store.faults.busy.clear()
+        self.check()
+
+    def test_an_entry_without_store_and_owner_refuses_at_once(self) -> None:
+        entry = self.cell.entries[0]
+        others = self.list_others(entry)
+        self.cell.users.store.faults.busy.add(entry.name)
+        for each in others:
+            each.kill()
+        self.cell.wait_for(lambda: not entry.is_ready(), 3.0)
+        begun_at = time.monotonic()
+        status = self.cell.submit_as(entry, "00000000000000ab", {})
+        self.assertEqual(status, 503)
+        self.assertLess(time.monotonic() - begun_at, 0.5)
+        self.cell.users.store.faults.busy.clear()
+        for each in others:
+            each.start()
+        self.cell.wait_ready()
+        self.hand_in(1.5)
+        self.check()
+        self.assertFalse(
+            any(
+                each.task.startswith("00000000000000ab")
+                for each in self.cell.users.seen
+            )
+        )
+
+
 class StoreTest(UsersCellCase):
     """The store is down, slow or forgetful for all."""
 
