Keep a short final record in place of a finished job

The write that brings a job to its end replaces its key by state and workspace; the parts of the progress that concern only such jobs are removed within seconds. The separate keys of final states are gone.

--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -234,16 +234,18 @@
 
     def take_existing(self, job: steps.Job, item: store.Item) -> str:
         """Takes a job that is kept already as this one, if it is its own."""
-        decoded = records.decode_job(item.data or b"")
+        decoded = records.decode_kept(item.data or b"")
         if isinstance(decoded, result.Failure):
             log.error(
                 "job_unreadable",
                 extra={"job": job.job_id, "reason": decoded.failure()},
             )
             return "unclear"
-        if decoded.unwrap().workspace != job.workspace:
+        kept = decoded.unwrap()
+        if kept.workspace != job.workspace:
             return "other"
-        self.desk.announce(job.job_id, item.data)
+        if isinstance(kept, steps.Job):
+            self.desk.announce(job.job_id, item.data)
         return "kept"
 
     def show(
@@ -279,20 +281,19 @@
         self, resp: falcon.Response, item: store.Item, workspace: str
     ) -> None:
         """Answers for a job that is kept but that no owner has told of."""
-        decoded = records.decode_job(item.data or b"")
+        decoded = records.decode_kept(item.data or b"")
         if isinstance(decoded, result.Failure):
             refuse(resp, "the job can't be read")
             return
-        job = decoded.unwrap()
-        if workspace and job.workspace != workspace:
+        kept = decoded.unwrap()
+        if workspace and kept.workspace != workspace:
             resp.status = falcon.HTTP_410
             return
-        final = self.client.get(records.name_state(job.job_id)).value_or(None)
-        if final is not None and final.data is not None:
-            state = callers.State(final.data.decode())
+        if isinstance(kept, records.Final):
+            state = callers.State(str(kept.final))
         else:
             state = callers.State.QUEUED
-            self.desk.announce(job.job_id, item.data)
+            self.desk.announce(kept.job_id, item.data)
         resp.media = callers.format_state(state)
 
     def cancel(
@@ -333,9 +334,12 @@
         item = self.client.get(records.name_job(job_id)).value_or(None)
         if item is None:
             return None
-        if item.data is None:
+        kept = item.data and records.decode_kept(item.data).value_or(None)
+        if not kept or kept.workspace != message.workspace:
             resp.status = falcon.HTTP_410
             return None
+        if isinstance(kept, records.Final):
+            return frames.JobReport(known=True, state=str(kept.final))
         self.desk.announce(job_id, item.data)
         gevent.sleep(KEEP_RETRY_S)
         return self.desk.ask(deadline, "cancellation", message)
--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -145,7 +145,15 @@
         owner.progress.append(
             row,
             lambda: owner.show(effect.job_id, effect.state),
-            {effect.job_id: str(effect.state)},
+            {effect.job_id: self._build_final(effect)},
+        )
+
+    def _build_final(self, effect: effects.JobChanged) -> bytes:
+        return records.encode_final(
+            records.Final(
+                final=effect.state,
+                workspace=self.owner.workspaces.get(effect.job_id, ""),
+            )
         )
 
     def _log_job(self, effect: effects.JobChanged) -> None:
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -59,6 +59,7 @@
         silent: Minions that the last owner found silent, with the time in ms
             until nothing that it started can run there.
         visible: State of each job as callers may be told.
+        workspaces: Workspace of each of these jobs.
         untold_at: When a job was last found that no entry had told of, in s.
         next_pass_at: When the next pass over what waits may begin, in s.
         serving: Whether decisions are being made.
@@ -92,6 +93,7 @@
         self.confirmed_at = self.begun_at
         self.inbox: gevent_queue.Queue = gevent_queue.Queue()
         self.visible: dict[str, state.JobState] = {}
+        self.workspaces: dict[str, str] = {}
         self.unbegun: dict[str, str] = {}
         self.cancel_waiters: dict[str, gevent_event.Event] = {}
         self.untold_at = -UNTOLD_S
@@ -123,6 +125,7 @@
             client=client,
             progress=self.progress,
             keep_s=settings.bounds.keep_state_s,
+            on_forgotten=self.forget,
         )
         self.jobs_watcher = watching.Watcher(
             client=client,
@@ -191,7 +194,7 @@
         now = time.monotonic()
         if now >= ticked_at + TICK_S:
             self.apply(events.Ticked(wall_ms=clock.wall_ms()))
-            self.retention.run(self.state, self.visible, now)
+            self.retention.run(now)
             ticked_at = now
         if self.may_place(now) and now >= self.next_pass_at:
             self.place()
@@ -233,6 +236,7 @@
         if job.job_id in self.visible:
             return
         self.visible[job.job_id] = state.JobState.QUEUED
+        self.workspaces[job.job_id] = job.workspace
         self.unbegun[job.job_id] = job.queue.name
         if not self.serving:
             return
@@ -268,7 +272,7 @@
             if item.data is None or job_id in self.visible:
                 continue
             job = restoring.decode_item(item)
-            if job is not None:
+            if isinstance(job, steps.Job):
                 untold = True
                 self.submit(job)
         if untold:
@@ -287,18 +291,15 @@
             return
         item = read.unwrap()
         job = restoring.decode_item(item) if item.data else None
+        found = isinstance(job, steps.Job)
         log.info(
             "job_sought",
-            extra={
-                "job": job_id,
-                "found": job is not None,
-                "revision": item.revision,
-            },
+            extra={"job": job_id, "found": found, "revision": item.revision},
         )
-        if job is None:
-            self.emit(events.JobAbsent(job_id=job_id))
-        else:
+        if found:
             self.emit(events.JobAccepted(job=job))
+        else:
+            self.emit(events.JobAbsent(job_id=job_id))
 
     def query(self, query: frames.Query) -> frames.JobReport:
         """Returns what a caller may be told of a job."""
@@ -312,10 +313,7 @@
         """Returns whether a job is known and belongs to a workspace."""
         if job_id not in self.visible:
             return False
-        record = self.state.jobs.get(job_id)
-        if record is None or not workspace:
-            return True
-        return record.job.workspace == workspace
+        return not workspace or self.workspaces[job_id] == workspace
 
     def cancel(
         self, cancellation: frames.Cancellation, timeout_s: float
@@ -333,6 +331,18 @@
             known=True, state=str(self.visible[job_id]), kept=bool(kept)
         )
 
+    def note_final(self, job_id: str, final: records.Final) -> None:
+        """Notes a job that an earlier owner has brought to an end."""
+        self.visible[job_id] = final.final
+        self.workspaces[job_id] = final.workspace
+        self.retention.note_final(job_id, time.monotonic())
+
+    def forget(self, job_id: str) -> None:
+        """Forgets a job whose state need not be told any more."""
+        self.state.jobs.pop(job_id, None)
+        self.visible.pop(job_id, None)
+        self.workspaces.pop(job_id, None)
+
     def show(self, job_id: str, shown: state.JobState) -> None:
         """Lets callers see a state of a job."""
         if job_id in self.visible and self.visible[job_id].is_final:
--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -17,7 +17,7 @@
 
 WRITES_AT_ONCE = 2
 GATHER_S = 0.008
-STATES_LIMIT = store.TRANSACTION_LIMIT - 4
+FINALS_LIMIT = store.TRANSACTION_LIMIT - 4
 RETRY_S = 0.1
 
 
@@ -28,18 +28,23 @@
     Attributes:
         number: Number of the part in its epoch.
         rows: The rows.
-        states: Final states of jobs, by id, which are written beside the rows
-            for entries that can't ask an owner.
+        finals: What takes the place of jobs that the rows bring to an end,
+            by id; written in the same call.
         kept: Called once they are kept.
         begun_at: When the first row came, on the steady clock in s.
     """
 
     number: int
     rows: list[records.Row] = dataclasses.field(default_factory=list)
-    states: dict[str, str] = dataclasses.field(default_factory=dict)
+    finals: dict[str, bytes] = dataclasses.field(default_factory=dict)
     kept: list[Callable[[], None]] = dataclasses.field(default_factory=list)
     begun_at: float = 0.0
 
+    @property
+    def is_empty(self) -> bool:
+        """Returns whether nothing was added to it."""
+        return not (self.rows or self.finals or self.kept)
+
 
 class Progress:
     """Appends to the progress of one ownership.
@@ -79,6 +84,7 @@
         self.finished: dict[int, Part] = {}
         self.next_kept = 1
         self.on_part: Callable[[str, list[records.Row]], None] | None = None
+        self.on_final: Callable[[str], None] | None = None
         self.greenlets = [
             gevent.spawn(self.write_forever) for _ in range(WRITES_AT_ONCE)
         ]
@@ -87,16 +93,17 @@
         self,
         row: records.Row | None,
         kept: Callable[[], None] | None = None,
-        states: dict[str, str] | None = None,
+        finals: dict[str, bytes] | None = None,
     ) -> None:
         """Adds a row, or just a callback that follows the rows before it.
 
         Args:
             row: The row, or None.
             kept: Called once the row, and all before it, are kept.
-            states: Final states that the rows so far bring about.
+            finals: What takes the place of jobs that the rows so far bring
+                to an end.
         """
-        if row is None and kept is not None and self.is_empty():
+        if row is None and not finals and kept is not None and self.is_empty():
             kept()
             return
         if not self.open.begun_at:
@@ -105,44 +112,48 @@
             self.open.rows.append(row)
         if kept is not None:
             self.open.kept.append(kept)
-        if states and len(self.open.states) < STATES_LIMIT:
-            self.open.states |= states
+        if finals:
+            self.open.finals |= finals
         self.pending.set()
 
     def is_empty(self) -> bool:
         """Returns whether everything that was added is kept."""
-        return not (self.open.rows or self.open.kept or self.unkept)
+        return self.open.is_empty and not self.unkept
+
+    def take_open(self) -> Part:
+        """Closes the open part; finals beyond the limit go to the next."""
+        part = self.open
+        self.number += 1
+        part.number = self.number
+        self.open = Part(number=0)
+        for job_id in list(part.finals)[FINALS_LIMIT:]:
+            self.open.finals[job_id] = part.finals.pop(job_id)
+        if self.open.finals:
+            self.open.begun_at = part.begun_at
+        self.unkept[part.number] = part
+        return part
 
     def write_forever(self) -> None:
         """Writes what waits, part by part."""
         while not self.stopped:
             self.pending.wait()
-            part = self.open
-            if not part.rows and not part.kept:
+            if self.open.is_empty:
                 self.pending.clear()
                 continue
             gevent.sleep(GATHER_S)
-            part = self.open
-            if not part.rows and not part.kept:
-                continue
-            self.number += 1
-            part.number = self.number
-            self.open = Part(number=0)
-            self.unkept[part.number] = part
-            self.write(part)
+            if not self.open.is_empty:
+                self.write(self.take_open())
 
     def write(self, part: Part) -> None:
         """Writes one part until it is kept or the ownership is lost."""
-        if part.rows:
+        if part.rows or part.finals:
             key = records.name_progress(self.epoch, part.number)
             data = records.encode_rows(part.rows)
             puts = (
                 store.Put(key=key, data=data),
                 *(
-                    store.Put(
-                        key=records.name_state(job_id), data=each.encode()
-                    )
-                    for job_id, each in part.states.items()
+                    store.Put(key=records.name_job(job_id), data=each)
+                    for job_id, each in part.finals.items()
                 ),
             )
             while not self.write_once(puts):
@@ -152,6 +163,9 @@
             metrics.record_seconds.observe(time.monotonic() - part.begun_at)
             if self.on_part is not None:
                 self.on_part(key, part.rows)
+            for job_id in part.finals:
+                if self.on_final is not None:
+                    self.on_final(job_id)
         self.finished[part.number] = part
         while self.next_kept in self.finished:
             done = self.finished.pop(self.next_kept)
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -9,15 +9,31 @@
 
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
 
 OWNER_KEY = "hickoryreach/owner"
 JOBS_PREFIX = "hickoryreach/jobs/"
 PROGRESS_PREFIX = "hickoryreach/progress/"
-STATES_PREFIX = "hickoryreach/states/"
+FINAL_START = b'{"final":'
 END = "end"
 CANCELLED = "cancelled"
 
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Final:
+    """What is left of a job in its final state.
+
+    Attributes:
+        final: The state.
+        workspace: Whose job it was.
+    """
+
+    final: state.JobState
+    workspace: str
+
+
+_finals = pydantic.TypeAdapter(Final)
 _jobs = pydantic.TypeAdapter(steps.Job)
 
 
@@ -67,6 +83,21 @@
         return result.Failure(str(error.errors(include_input=False)[:2]))
 
 
+def encode_final(final: Final) -> bytes:
+    """Returns the value that takes the place of a job's in a final state."""
+    return orjson.dumps(final)
+
+
+def decode_kept(data: bytes) -> result.Result[steps.Job | Final, str]:
+    """Returns the job in a value, or what is left of it in a final state."""
+    if not data.startswith(FINAL_START):
+        return decode_job(data)
+    try:
+        return result.Success(_finals.validate_json(data))
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error.errors(include_input=False)[:2]))
+
+
 def encode_ownership(ownership: Ownership) -> bytes:
     """Returns the value that names the owner."""
     return orjson.dumps(ownership)
@@ -87,11 +118,6 @@
     return JOBS_PREFIX + job_id
 
 
-def name_state(job_id: str) -> str:
-    """Returns the key of a job's final state."""
-    return STATES_PREFIX + job_id
-
-
 def name_progress(epoch: int, number: int) -> str:
     """Returns the key of a part of the progress."""
     return f"{PROGRESS_PREFIX}{epoch:08d}/{number:08d}"
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -1,6 +1,7 @@
 """Takes a cell over: reads what is kept, and asks every minion."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
 import logging
 import time
 
@@ -98,6 +99,7 @@
     doubtful_until_ms: int,
 ) -> None:
     """Applies what was kept of each job."""
+    wanted = list(decode_jobs(owner, jobs))
     ends: dict[str, list[events.PastEnd]] = {}
     cancelled: set[str] = set()
     for item in kept.items:
@@ -118,14 +120,12 @@
         "jobs_restored",
         extra={
             "jobs": len(jobs.items),
+            "unfinished": len(wanted),
             "parts": len(kept.items),
             "revision": jobs.revision,
         },
     )
-    for item in jobs.items:
-        job = decode_item(item)
-        if job is None:
-            continue
+    for job in wanted:
         owner.note_job(job)
         event = events.JobRestored(
             job=job,
@@ -136,9 +136,21 @@
         owner.carry(reducer.reduce(owner.state, event, clock.now_ms()))
 
 
-def decode_item(item: store.Item) -> steps.Job | None:
+def decode_jobs(owner, jobs: store.Page) -> Iterator[steps.Job]:
+    """Yields the unfinished jobs; notes the others as they ended."""
+    for item in jobs.items:
+        kept = decode_item(item)
+        if isinstance(kept, records.Final):
+            job_id = item.key.removeprefix(records.JOBS_PREFIX)
+            owner.note_final(job_id, kept)
+            owner.retention.settle(job_id)
+        elif kept is not None:
+            yield kept
+
+
+def decode_item(item: store.Item) -> steps.Job | records.Final | None:
     """Returns the job that an item holds, or None if it can't be read."""
-    decoded = records.decode_job(item.data or b"")
+    decoded = records.decode_kept(item.data or b"")
     if isinstance(decoded, result.Failure):
         log.error(
             "job_unreadable",
--- a/packages/entry/hickoryreach_entry/cell/retention.py
+++ b/packages/entry/hickoryreach_entry/cell/retention.py
@@ -1,13 +1,14 @@
-"""Forgets finished jobs, here and in the store, when their time is over."""
+"""Removes from the store what no longer has to be kept there."""
 
 import collections
+from collections.abc import Callable
 import logging
+import time
 
 import gevent
 from returns import result
 
 from hickoryreach.platform import store
-from hickoryreach.scheduling import state
 from hickoryreach_entry.cell import progress as progress_module
 from hickoryreach_entry.cell import records
 
@@ -15,15 +16,23 @@
 
 MARGIN_S = 10
 KEYS_AT_ONCE = store.TRANSACTION_LIMIT - 2
+REMOVE_EACH_S = 2.0
+RETRY_S = 1.0
 
 
 class Retention:
-    """Removes jobs and the progress that only concerns removed ones.
+    """Removes progress of finished jobs, and jobs whose time is over.
+
+    A part of the progress is needed for as long as one of its jobs is not
+    kept in its final state.
 
     Attributes:
         finals: When each final job became final, in s.
+        settled: Jobs that are kept in their final state.
         parts: Jobs that each part of the progress still concerns.
+        by_job: Parts that concern each of these jobs.
         removable: Keys to remove from the store.
+        removed_at: When keys were last removed, in s.
     """
 
     def __init__(
@@ -32,64 +41,66 @@
         client: store.Store,
         progress: progress_module.Progress,
         keep_s: int,
+        on_forgotten: Callable[[str], None],
     ) -> None:
         """Creates a retention that has nothing to remove."""
         self.client = client
         self.progress = progress
         self.keep_s = keep_s
+        self.on_forgotten = on_forgotten
         self.finals: collections.deque[tuple[float, str]] = collections.deque()
+        self.settled: set[str] = set()
         self.parts: dict[str, set[str]] = {}
         self.by_job: dict[str, set[str]] = {}
         self.removable: list[str] = []
+        self.removed_at = 0.0
         self.removing = False
         progress.on_part = self.note_part
+        progress.on_final = self.settle
 
     def note_part(self, key: str, rows: list[records.Row]) -> None:
         """Notes which jobs a part of the progress concerns."""
-        self.parts[key] = {row.job_id for row in rows}
-        for row in rows:
-            self.by_job.setdefault(row.job_id, set()).add(key)
+        concerned = {row.job_id for row in rows} - self.settled
+        if not concerned:
+            self.removable.append(key)
+            return
+        self.parts[key] = concerned
+        for job_id in concerned:
+            self.by_job.setdefault(job_id, set()).add(key)
+
+    def settle(self, job_id: str) -> None:
+        """Notes that a job is kept in its final state."""
+        self.settled.add(job_id)
+        for key in self.by_job.pop(job_id, set()):
+            left = self.parts[key]
+            left.discard(job_id)
+            if not left:
+                del self.parts[key]
+                self.removable.append(key)
 
     def note_final(self, job_id: str, now: float) -> None:
-        """Notes that a job has become final."""
+        """Notes that callers may be told of a job's final state."""
         self.finals.append((now, job_id))
 
-    def run(
-        self,
-        cell: state.CellState,
-        visible: dict[str, state.JobState],
-        now: float,
-    ) -> None:
+    def run(self, now: float) -> None:
         """Forgets what is due, and removes it in the background."""
         horizon = now - self.keep_s - MARGIN_S
         while self.finals and self.finals[0][0] < horizon:
             _, job_id = self.finals.popleft()
-            self.forget(cell, visible, job_id)
-        if self.removable and not self.removing:
+            self.settle(job_id)
+            self.settled.discard(job_id)
+            self.on_forgotten(job_id)
+            self.removable.append(records.name_job(job_id))
+        due = (
+            len(self.removable) >= KEYS_AT_ONCE
+            or now - self.removed_at > REMOVE_EACH_S
+        )
+        if self.removable and due and not self.removing:
             self.removing = True
             gevent.spawn(self.remove)
 
-    def forget(
-        self,
-        cell: state.CellState,
-        visible: dict[str, state.JobState],
-        job_id: str,
-    ) -> None:
-        """Forgets one job and the parts that concerned only it."""
-        cell.jobs.pop(job_id, None)
-        visible.pop(job_id, None)
-        self.removable.append(records.name_job(job_id))
-        self.removable.append(records.name_state(job_id))
-        for key in self.by_job.pop(job_id, set()):
-            left = self.parts.get(key)
-            if left is not None:
-                left.discard(job_id)
-                if not left:
-                    del self.parts[key]
-                    self.removable.append(key)
-
     def remove(self) -> None:
-        """Removes keys from the store, jobs before their progress."""
+        """Removes keys from the store."""
         try:
             batch = self.removable[:KEYS_AT_ONCE]
             written = self.client.write(
@@ -98,11 +109,12 @@
             )
             if isinstance(written, result.Success):
                 del self.removable[: len(batch)]
+                self.removed_at = time.monotonic()
             else:
                 log.warning(
                     "removal_failed",
                     extra={"reason": written.failure().reason},
                 )
-                gevent.sleep(1.0)
+                gevent.sleep(RETRY_S)
         finally:
             self.removing = False
--- a/tests/entry/cell/test_effects.py
+++ b/tests/entry/cell/test_effects.py
@@ -43,6 +43,7 @@
         self.owner = types.SimpleNamespace(
             progress=self.progress,
             serving=False,
+            workspaces={JOB: "hydro"},
             show=mock.Mock(),
             fleet=types.SimpleNamespace(links={"m0": self.link}),
         )
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -5,6 +5,7 @@
 import gevent
 
 from hickoryreach.platform import store
+from hickoryreach.scheduling import state
 from hickoryreach_entry.cell import progress
 from hickoryreach_entry.cell import records
 from standins.users import servers
@@ -89,3 +90,26 @@
         self.assertEqual(self.deposed, ["progress_conflict"])
         self.assertEqual(self.list_rows(), [])
         self.assertEqual(self.kept, [])
+
+    def test_finals_take_the_place_of_jobs(self) -> None:
+        final = records.encode_final(
+            records.Final(final=state.JobState.COMPLETED, workspace="hydro")
+        )
+        settled: list[str] = []
+        self.progress.on_final = settled.append
+        count = 2 * progress.FINALS_LIMIT + 1
+        for number in range(count):
+            self.progress.append(
+                None,
+                lambda number=number: self.kept.append(number),
+                {f"{number:016x}": final},
+            )
+        self.wait(count)
+        with gevent.Timeout(5.0):
+            while len(settled) < count:
+                gevent.sleep(0.01)
+        page = self.progress.client.get_prefix(records.JOBS_PREFIX).unwrap()
+        self.assertEqual(len(page.items), count)
+        for item in page.items:
+            kept = records.decode_kept(item.data).unwrap()
+            self.assertEqual(kept.final, state.JobState.COMPLETED)
