Replace an owner that hands over once, and keep advice over a takeover

Entries keep the answers they had and tell a new owner of those still valid.

The owner's certainty is a class of its own.

--- a/packages/core/hickoryreach/scheduling/advising.py
+++ b/packages/core/hickoryreach/scheduling/advising.py
@@ -70,7 +70,7 @@
     NAMED_COST_PART of the call itself, and always as many as the step is
     likely to need, going by the part that the queue's steps were allowed.
     """
-    if not _may_ask(cell, step):
+    if not _may_ask(cell, step) or _may_be_recalled(cell, step):
         return
     terms = get_terms(cell, step)
     unknown = [
@@ -122,6 +122,11 @@
     return step.asked_ms < 0 or cell.now_ms >= step.asked_ms + RETRY_MS
 
 
+def _may_be_recalled(cell: state.CellState, step: state.StepRecord) -> bool:
+    """Returns whether an earlier owner's advice may still be told."""
+    return step.job.restored and cell.now_ms < cell.recall_until_ms
+
+
 def _ask(
     cell: state.CellState, step: state.StepRecord, minion_ids: list[str]
 ) -> Iterator[effects.Effect]:
@@ -149,7 +154,8 @@
     step = record and record.steps.get((event.repeat, event.position))
     if step is None:
         return
-    step.asking = False
+    if not event.recalled:
+        step.asking = False
     cell.dirty = True
     if event.tickets is None:
         return
@@ -163,16 +169,26 @@
         text = event.tickets.get(minion_id)
         if text is None:
             step.denied.add(minion_id)
-        elif minion is not None:
-            step.allowed.add(minion_id)
-            step.tickets[minion_id] = state.Ticket(
-                text=text,
-                until_ms=cell.now_ms + event.valid_ms,
-                life=minion.life,
-            )
+            continue
+        step.allowed.add(minion_id)
+        if minion is not None:
+            _note_ticket(step, minion, text, cell.now_ms + event.valid_ms)
     yield from ()
 
 
+def _note_ticket(
+    step: state.StepRecord, minion: state.MinionRecord, text: str, until_ms: int
+) -> None:
+    """Notes a ticket unless a later one for the minion's life is known."""
+    minion_id = minion.minion.minion_id
+    known = step.tickets.get(minion_id)
+    if known and known.life == minion.life and known.until_ms >= until_ms:
+        return
+    step.tickets[minion_id] = state.Ticket(
+        text=text, until_ms=until_ms, life=minion.life
+    )
+
+
 def _learn_part(
     cell: state.CellState, step: state.StepRecord, part: float
 ) -> None:
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -154,6 +154,13 @@
     doubtful_until_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class JobOver:
+    """A job that an earlier owner brought to its final state."""
+
+    job_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DoubtEnded:
     """Every run of an earlier owner is accounted for."""
@@ -170,6 +177,7 @@
         asked: Minions asked about.
         tickets: Tickets by minion; None if the call failed.
         valid_ms: How long the tickets may be used from now on.
+        recalled: Whether an earlier owner asked for it.
     """
 
     job_id: str
@@ -178,6 +186,7 @@
     asked: tuple[str, ...]
     tickets: dict[str, str] | None
     valid_ms: int = 0
+    recalled: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -205,6 +214,7 @@
     | JobAbsent
     | JobCancelled
     | JobRestored
+    | JobOver
     | DoubtEnded
     | Advised
     | Ticked
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -15,7 +15,7 @@
 
 def offer(cell: state.CellState, job: steps.Job) -> Iterator[effects.Effect]:
     """Takes in a job that is not kept yet, so that advice may be asked."""
-    if job.job_id in cell.jobs:
+    if job.job_id in cell.jobs or job.job_id in cell.over:
         return
     record = _add(cell, job, cell.now_ms)
     record.excess = not shares.take(cell, job.workspace)
@@ -26,6 +26,8 @@
 
 def accept(cell: state.CellState, job: steps.Job) -> Iterator[effects.Effect]:
     """Takes in a job that is kept; one that is known changes nothing."""
+    if job.job_id in cell.over:
+        return
     record = cell.jobs.get(job.job_id)
     if record is not None and not record.kept:
         if record.job == job:
@@ -69,6 +71,7 @@
     age_ms = max(0, cell.wall_ms - job.accepted_ms)
     record = _add(cell, job, cell.now_ms - age_ms)
     record.doubtful_until_ms = event.doubtful_until_ms
+    record.restored = True
     if event.cancelled:
         yield from finish(cell, record, state.JobState.CANCELLED, "restored")
         return
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -122,6 +122,15 @@
         yield from lifecycle.cancel(cell, record)
 
 
+@handlers.register(events.JobOver)
+def note_over(
+    cell: state.CellState, event: events.JobOver
+) -> Iterator[effects.Effect]:
+    """Notes a job of which nothing is to start any more."""
+    cell.over.add(event.job_id)
+    yield from ()
+
+
 @handlers.register(events.DoubtEnded)
 def end_doubt(
     cell: state.CellState, event: events.DoubtEnded
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -193,6 +193,7 @@
         excess: Whether its workspace had handed in more than its share of
             jobs; such jobs wait for the others.
         doubtful_until_ms: Start none of its tasks that may run unseen before.
+        restored: Whether it was taken over from an earlier owner.
     """
 
     job: steps.Job
@@ -207,6 +208,7 @@
     kept: bool = True
     excess: bool = False
     doubtful_until_ms: int = 0
+    restored: bool = False
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -301,6 +303,10 @@
         usual_speed: Median of the minions' speeds.
         allowed_parts: Part of the minions that steps were allowed, by queue.
         allowances: Jobs that each workspace may hand in within its share.
+        over: Jobs that an earlier owner brought to an end, which have no
+            record.
+        recall_until_ms: Until when entries may tell of advice that an earlier
+            owner asked for; none is asked for restored jobs before.
         sought: Ends that wait for their job to be found in the store, by job.
         dirty: Whether something changed that may let a task start.
     """
@@ -322,5 +328,7 @@
     usual_speed: float = 1.0
     allowed_parts: dict[str, float] = dataclasses.field(default_factory=dict)
     allowances: dict[str, Allowance] = dataclasses.field(default_factory=dict)
+    over: set[str] = dataclasses.field(default_factory=set)
+    recall_until_ms: int = 0
     sought: dict[str, list[HeldEnd]] = dataclasses.field(default_factory=dict)
     dirty: bool = False
--- a/packages/core/hickoryreach/scheduling/strays.py
+++ b/packages/core/hickoryreach/scheduling/strays.py
@@ -15,7 +15,9 @@
 
 
 def is_unknown(cell: state.CellState, job_id: str) -> bool:
-    """Returns whether a job is not known to be kept."""
+    """Returns whether a job is not known to be kept or over."""
+    if job_id in cell.over:
+        return False
     record = cell.jobs.get(job_id)
     return record is None or not record.kept
 
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -70,6 +70,7 @@
   1: string step,
   2: list<string> minions,
   3: double cost_ms = 0,
+  4: i64 valid_ms = 0,
 }
 
 struct AdviceReport {
@@ -78,6 +79,19 @@
   3: i64 valid_ms = 0,
 }
 
+// An answer of the advice service that is still valid.
+struct PastAdvice {
+  1: string step,
+  2: list<string> minions,
+  3: map<string, string> tickets,
+  4: i64 left_ms = 0,
+}
+
+// entry -> a new owner: answers that the entry had for an earlier one.
+struct AdviceNews {
+  1: list<PastAdvice> answers,
+}
+
 // entry -> entry: have you heard the owner lately?
 struct OwnerQuestion {
   1: i64 epoch,
@@ -104,4 +118,5 @@
   11: optional AdviceReport advice_report,
   12: optional OwnerQuestion owner_question,
   13: optional OwnerReport owner_report,
+  14: optional AdviceNews advice_news,
 }
--- a/packages/core/hickoryreach/wire/frames.py
+++ b/packages/core/hickoryreach/wire/frames.py
@@ -12,6 +12,7 @@
 cell = thriftpy2.load(str(_PATH), module_name="cell_thrift")
 
 AdviceCall = cell.AdviceCall
+AdviceNews = cell.AdviceNews
 AdviceReport = cell.AdviceReport
 Cancellation = cell.Cancellation
 Frame = cell.Frame
@@ -19,6 +20,7 @@
 JobReport = cell.JobReport
 OwnerQuestion = cell.OwnerQuestion
 OwnerReport = cell.OwnerReport
+PastAdvice = cell.PastAdvice
 PeerInfo = cell.PeerInfo
 Pulse = cell.Pulse
 Query = cell.Query
@@ -35,6 +37,7 @@
     "job_report",
     "advice_call",
     "advice_report",
+    "advice_news",
     "owner_question",
     "owner_report",
 )
--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -1,5 +1,6 @@
 """Calls for advice, spread over the entries of the cell."""
 
+import collections
 from collections.abc import Callable
 import logging
 import time
@@ -21,6 +22,7 @@
 SLOW_MS = 150.0
 MARGIN_S = 1.0
 LOCAL = ""
+ANSWERS_LIMIT = 500
 
 
 class LocalAdvisor:
@@ -28,6 +30,8 @@
 
     Attributes:
         address: `host:port` of the service, or None without one.
+        answers: Its latest answers, with the time in s until which each is
+            valid.
     """
 
     def __init__(self, *, address: str | None) -> None:
@@ -35,6 +39,9 @@
         self.address = address
         self.turn = lock.BoundedSemaphore(1)
         self.clients: dict[float, advice.AdviceClient] = {}
+        self.answers: collections.deque[tuple[float, frames.PastAdvice]] = (
+            collections.deque(maxlen=ANSWERS_LIMIT)
+        )
 
     def ask(self, call: frames.AdviceCall) -> frames.AdviceReport:
         """Asks which minions may run a step."""
@@ -56,10 +63,25 @@
             )
             return frames.AdviceReport(failed=True, tickets={})
         found = asked.unwrap()
+        valid_s = (found.valid_ms or call.valid_ms) / 1000
+        past = frames.PastAdvice(
+            step=call.step, minions=call.minions, tickets=found.tickets
+        )
+        self.answers.append((time.monotonic() + valid_s, past))
         return frames.AdviceReport(
             tickets=found.tickets, valid_ms=found.valid_ms
         )
 
+    def recall(self) -> frames.AdviceNews:
+        """Returns the answers that are still valid."""
+        now = time.monotonic()
+        recalled = []
+        for until, past in self.answers:
+            past.left_ms = int((until - now) * 1000)
+            if past.left_ms > 0:
+                recalled.append(past)
+        return frames.AdviceNews(answers=recalled)
+
 
 class Advisors:
     """Chooses who asks for each step's advice.
@@ -155,6 +177,7 @@
             ),
             minions=list(effect.minion_ids),
             cost_ms=effect.cost_ms,
+            valid_ms=effect.valid_ms,
         )
         if name == LOCAL:
             return self.local.ask(call)
--- a/packages/entry/hickoryreach_entry/cell/desk.py
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -73,7 +73,7 @@
             return False
         owner = self.member.owner
         if owner is not None:
-            return not owner.is_heard(now)
+            return not owner.certainty.is_heard(now)
         return not self.election.is_following()
 
     def ask_once(
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -6,7 +6,6 @@
 import time
 
 import gevent
-from gevent import event as gevent_event
 from returns import result
 
 from hickoryreach.platform import store
@@ -46,7 +45,7 @@
         pending: Jobs by queue none of whose tasks has started, as last told.
         pending_at: When they were told, in s.
         declined_until: Until when this entry does not take over, in s.
-        invited: Set when the owner hands its ownership over.
+        leaving_epoch: Epoch of the owner that last handed its ownership over.
     """
 
     def __init__(self, *, member) -> None:
@@ -60,7 +59,7 @@
         self.pending: dict[str, int] = {}
         self.pending_at = -math.inf
         self.declined_until = 0.0
-        self.invited = gevent_event.Event()
+        self.leaving_epoch = 0
         self.suspicion = suspicion.Suspicion(election=self)
         self.inquiry = inquiry.Inquiry(member=member)
 
@@ -80,7 +79,7 @@
             self.pending = dict(message.pending or {})
             self.pending_at = self.status_at
         if message.leaving:
-            self.invited.set()
+            self.leaving_epoch = message.epoch
 
     def report(self) -> frames.OwnerReport:
         """Returns whether this entry has heard the owner lately."""
@@ -106,7 +105,7 @@
             if self.member.owner is not None:
                 gevent.sleep(POLL_S)
                 continue
-            if self.is_following() and not self.invited.is_set():
+            if self.is_following() and not self.is_invited():
                 self.upstream.closed.wait(POLL_S)
                 continue
             if not self.seek():
@@ -118,6 +117,11 @@
         if found is None or found.data is None:
             gevent.sleep(BOOT_DELAY_S / max(self.member.me.processor, 0.2))
 
+    def is_invited(self) -> bool:
+        """Returns whether the present owner hands its ownership over."""
+        known = self.ownership
+        return known is not None and known.epoch == self.leaving_epoch
+
     def is_following(self) -> bool:
         """Returns whether the owner has been heard lately."""
         upstream = self.upstream
@@ -129,8 +133,7 @@
 
     def seek(self) -> bool:
         """Finds the owner or takes over; returns whether there is one."""
-        invited = self.invited.is_set()
-        self.invited.clear()
+        invited = self.is_invited()
         silent = self.upstream is not None and not self.upstream.closed.is_set()
         if not invited and not silent:
             self.drop_upstream("lost")
@@ -153,7 +156,7 @@
                 return True
             if not invited and not self.suspicion.is_dead(found, silent):
                 return self.join(found)
-        if self.must_wait(invited, item):
+        if self.must_wait(invited, item, found):
             return False
         return self.take_over(item, found)
 
@@ -164,7 +167,7 @@
         makes the store refuse it if another has taken over.
         """
         known = self.ownership
-        if known is None or not self.revision or self.get_rank():
+        if known is None or not self.revision or self.list_before(known):
             return False
         if self.status is None or time.monotonic() < self.declined_until:
             return False
@@ -190,44 +193,56 @@
             return False
         return self.suspicion.refused != known.epoch and self.join(known)
 
-    def must_wait(self, invited: bool, item: store.Item) -> bool:
+    def must_wait(
+        self,
+        invited: bool,
+        item: store.Item,
+        found: records.Ownership | None,
+    ) -> bool:
         """Waits for those that go first; returns whether one took over."""
         if time.monotonic() < self.declined_until:
             gevent.sleep(RANK_DELAY_S)
             return True
-        rank = self.get_rank()
-        if rank == 0:
+        before = self.list_before(found)
+        if not before:
             return False
-        if invited and self.await_successor(2 * rank * RANK_DELAY_S):
+        limit_s = len(before) * RANK_DELAY_S * (2 if invited else 1)
+        if self.await_successor(before[0], found, limit_s):
             return True
-        if not invited:
-            gevent.sleep(rank * RANK_DELAY_S)
         again = self.member.client.get(records.OWNER_KEY).value_or(None)
         return again is None or again.revision != item.revision
 
-    def await_successor(self, limit_s: float) -> bool:
-        """Tries to follow the invited successor; returns whether it owns."""
-        first = self.status.succession[0]
-        known = self.ownership
+    def list_before(
+        self, found: records.Ownership | None
+    ) -> list[frames.PeerInfo]:
+        """Returns those that take over sooner from an owner that has failed."""
+        if self.status is None or found is None:
+            return []
+        before = []
+        for peer in self.status.succession:
+            if peer.name == self.member.me.name:
+                break
+            if peer.name != found.name:
+                before.append(peer)
+        return before
+
+    def await_successor(
+        self,
+        first: frames.PeerInfo,
+        found: records.Ownership,
+        limit_s: float,
+    ) -> bool:
+        """Tries to follow the first successor; returns whether it owns."""
+        named = records.Ownership(
+            name=first.name, address=first.address, epoch=found.epoch + 1
+        )
         deadline = time.monotonic() + limit_s
         while time.monotonic() < deadline:
             gevent.sleep(SUCCESSOR_POLL_S)
-            named = records.Ownership(
-                name=first.name, address=first.address, epoch=known.epoch + 1
-            )
             if self.join(named, certain=False):
                 return True
         return False
 
-    def get_rank(self) -> int:
-        """Returns this entry's place in the succession."""
-        if self.status is None:
-            return 0
-        names = [peer.name for peer in self.status.succession]
-        if self.member.me.name not in names:
-            return len(names)
-        return names.index(self.member.me.name)
-
     def join(self, found: records.Ownership, certain: bool = True) -> bool:
         """Connects to an owner; returns whether it answered as one.
 
@@ -265,6 +280,7 @@
                     "owner_followed",
                     extra={"owner": found.name, "epoch": self.status.epoch},
                 )
+                self.member.tell_advice()
                 return True
             gevent.sleep(0.01)
         if certain and upstream.reason == "not_owner":
@@ -314,6 +330,9 @@
         """Becomes the owner under an epoch and a token."""
         self.drop_upstream("took_over")
         silent = self.get_silent(ownership)
+        followed = self.status is not None and (
+            self.status.epoch == ownership.epoch - 1
+        )
         self.ownership = ownership
         self.suspicion.clear()
         log.info(
@@ -329,11 +348,13 @@
             local_advisor=self.member.advisor,
             get_channels=lambda: self.member.downstream,
             silent=silent,
+            recalls=followed,
             on_deposed=lambda reason: gevent.spawn(
                 self.member.end_ownership, reason
             ),
         )
         self.member.owner.start()
+        self.member.tell_advice()
 
     def get_silent(self, ownership: records.Ownership) -> dict[str, int]:
         """Returns what the last owner told of minions that do not answer.
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -187,8 +187,32 @@
     def take_advice_call(
         self, peer: channel.Channel, message: frames.AdviceCall
     ) -> frames.AdviceReport:
-        """Asks the advice service for the owner."""
-        return self.advisor.ask(message)
+        """Asks the advice service for the owner.
+
+        If that owner is gone meanwhile, the next one is told.
+        """
+        report = self.advisor.ask(message)
+        if peer.closed.is_set():
+            self.tell_advice()
+        return report
+
+    @handlers.register("advice_news")
+    def take_advice_news(
+        self, peer: channel.Channel, message: frames.AdviceNews
+    ) -> None:
+        """Takes in advice that an earlier owner asked for."""
+        if self.owner is not None:
+            self.owner.recall_advice(message)
+
+    def tell_advice(self) -> None:
+        """Tells the owner of advice that is still valid."""
+        news = self.advisor.recall()
+        if not news.answers:
+            return
+        if self.owner is not None:
+            self.owner.recall_advice(news)
+        elif self.election.upstream is not None:
+            self.election.upstream.send(advice_news=news)
 
     @handlers.register("owner_question")
     def take_owner_question(
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -9,6 +9,7 @@
 from gevent import queue as gevent_queue
 from returns import result
 
+from hickoryreach.platform import minions
 from hickoryreach.platform import node as node_module
 from hickoryreach.platform import store
 from hickoryreach.scheduling import effects
@@ -21,6 +22,7 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import certainty
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import effects as effects_module
@@ -37,9 +39,6 @@
 
 TICK_S = 0.1
 BATCH_LIMIT = 200
-CONFIRM_S = 0.5
-CONFIRM_LIMIT_S = 1.5
-HEARD_S = 1.0
 JOBS_PAUSE_S = 0.5
 JOBS_WAIT_S = 0.5
 UNTOLD_S = 5.0
@@ -58,13 +57,15 @@
         state: What the reducer works on.
         silent: Minions that the last owner found silent, with the time in ms
             until nothing that it started can run there.
+        recalls: Whether entries may know advice that the last owner asked for.
         visible: State of each job as callers may be told.
         workspaces: Workspace of each of these jobs.
         untold_at: When a job was last found that no entry had told of, in s.
         next_pass_at: When the next pass over what waits may begin, in s.
         serving: Whether decisions are being made.
         leaving: Whether the ownership is being handed over.
-        confirmed_at: When the ownership was last certain, in s.
+        certainty: Whether this is still the owner.
+        news: Advice of an earlier owner that was told of while taking over.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         local_advisor: advisors.LocalAdvisor,
         get_channels: Callable[[], dict[str, channel.Channel]],
         silent: dict[str, int],
+        recalls: bool,
         on_deposed: Callable[[str], None],
     ) -> None:
         """Creates an owner that decides nothing yet."""
@@ -88,9 +90,16 @@
         self.configuration = configuration
         self.get_channels = get_channels
         self.silent = silent
+        self.recalls = recalls
         self.on_deposed = on_deposed
         self.begun_at = time.monotonic()
-        self.confirmed_at = self.begun_at
+        self.certainty = certainty.Certainty(
+            client=client,
+            revision=revision,
+            get_channels=get_channels,
+            on_deposed=on_deposed,
+        )
+        self.news: list[frames.AdviceNews] = []
         self.inbox: gevent_queue.Queue = gevent_queue.Queue()
         self.visible: dict[str, state.JobState] = {}
         self.workspaces: dict[str, str] = {}
@@ -150,7 +159,9 @@
     def start(self) -> None:
         """Takes the cell over and begins to decide."""
         self.greenlets.append(greenlets.spawn_vital(self.run))
-        self.greenlets.append(greenlets.spawn_vital(self.confirm_forever))
+        self.greenlets.append(
+            greenlets.spawn_vital(self.certainty.confirm_forever)
+        )
 
     def run(self) -> None:
         """Takes over, then decides until stopped."""
@@ -172,6 +183,8 @@
         self.jobs_watcher.start()
         while not self.inbox.empty():
             self.apply(self.inbox.get_nowait())
+        for news in self.news:
+            self.recall_advice(news)
         ticked_at = 0.0
         while not self.stopped:
             ticked_at = self.take_batch(ticked_at)
@@ -213,7 +226,7 @@
         return (
             not self.leaving
             and not self.stopped
-            and now - self.confirmed_at < CONFIRM_LIMIT_S
+            and self.certainty.is_certain(now)
         )
 
     def emit(self, event: events.Event) -> None:
@@ -301,6 +314,25 @@
         else:
             self.emit(events.JobAbsent(job_id=job_id))
 
+    def recall_advice(self, news: frames.AdviceNews) -> None:
+        """Takes in advice that an earlier owner asked for."""
+        if not self.serving:
+            self.news.append(news)
+            return
+        for past in news.answers:
+            key = minions.parse_task(f"{past.step}.0")
+            self.emit(
+                events.Advised(
+                    job_id=key.job_id,
+                    repeat=key.repeat,
+                    position=key.step,
+                    asked=tuple(past.minions),
+                    tickets=dict(past.tickets or {}),
+                    valid_ms=past.left_ms,
+                    recalled=True,
+                )
+            )
+
     def query(self, query: frames.Query) -> frames.JobReport:
         """Returns what a caller may be told of a job."""
         if not self.is_theirs(query.job_id, query.workspace):
@@ -333,6 +365,7 @@
 
     def note_final(self, job_id: str, final: records.Final) -> None:
         """Notes a job that an earlier owner has brought to an end."""
+        self.apply(events.JobOver(job_id=job_id))
         self.visible[job_id] = final.final
         self.workspaces[job_id] = final.workspace
         self.retention.note_final(job_id, time.monotonic())
@@ -340,6 +373,7 @@
     def forget(self, job_id: str) -> None:
         """Forgets a job whose state need not be told any more."""
         self.state.jobs.pop(job_id, None)
+        self.state.over.discard(job_id)
         self.visible.pop(job_id, None)
         self.workspaces.pop(job_id, None)
 
@@ -368,36 +402,12 @@
         self.configuration = configuration
         self.emit(events.ConfigurationChanged(configuration=configuration))
 
-    def confirm_forever(self) -> None:
-        """Makes sure from time to time that nobody else has taken over."""
-        while not self.stopped:
-            self.confirm()
-            gevent.sleep(CONFIRM_S)
-
-    def confirm(self) -> None:
-        """Asks the store who the owner is, or the peers while it is away."""
-        asked_at = time.monotonic()
-        found = self.client.get(records.OWNER_KEY).value_or(None)
-        if found is None:
-            if self.is_heard(time.monotonic()):
-                self.confirmed_at = asked_at
-        elif found.revision == self.revision:
-            self.confirmed_at = asked_at
-        else:
-            self.on_deposed("owner_key_changed")
-
-    def is_heard(self, now: float) -> bool:
-        """Returns whether most of the entries still follow this one."""
-        peers = list(self.get_channels().values())
-        heard = sum(now - peer.heard_at < HEARD_S for peer in peers)
-        return bool(peers) and 2 * heard >= len(peers)
-
     def note_fenced(self, minion_id: str) -> None:
         """Notes that a minion knows a later owner."""
         log.warning(
             "order_fenced", extra={"minion": minion_id, "token": self.revision}
         )
-        gevent.spawn(self.confirm)
+        gevent.spawn(self.certainty.confirm)
 
     def hand_over(self) -> None:
         """Waits until what has been decided is kept, or a successor acts.
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -23,6 +23,7 @@
 LOOKS_LIMIT_S = 0.6
 LOOKS_POLL_S = 0.01
 LAPSE_SLACK_MS = 1_500
+RECALL_MS = 150
 
 
 def restore(owner) -> None:
@@ -44,6 +45,8 @@
     deadline = time.monotonic() + LOOKS_LIMIT_S
     wait_for(lambda: has_asked_all(owner), deadline)
     doubtful_until_ms = get_doubt_end_ms(owner)
+    if owner.recalls:
+        owner.state.recall_until_ms = clock.now_ms() + RECALL_MS
     restore_jobs(owner, jobs, kept, doubtful_until_ms)
     owner.fleet.watcher.start()
     if doubtful_until_ms:
--- a/tests/core/scheduling/test_placing.py
+++ b/tests/core/scheduling/test_placing.py
@@ -188,6 +188,35 @@
         self.assertEqual({each.minion_id for each in starts}, {"m1"})
         self.assertEqual({each.ticket for each in starts}, {"t-m1"})
 
+    def restore(self) -> str:
+        """Takes a job over from an earlier owner; returns its id."""
+        self.cell.recall_until_ms = self.now_ms + 150
+        job = self.build_job(cases.build_step(count=2))
+        self.apply(events.JobRestored(job=job))
+        self.assertEqual(self.get_effects(effects.AskAdvice), [])
+        return job.job_id
+
+    def test_advice_of_an_earlier_owner_is_used(self) -> None:
+        job_id = self.restore()
+        self.apply(
+            events.Advised(
+                job_id=job_id,
+                repeat=0,
+                position=0,
+                asked=("m0", "m1"),
+                tickets={"m1": "t-m1"},
+                valid_ms=900,
+                recalled=True,
+            )
+        )
+        self.assertEqual({each.ticket for each in self.get_starts()}, {"t-m1"})
+        self.assertEqual(self.get_effects(effects.AskAdvice), [])
+
+    def test_advice_that_nobody_tells_of_is_asked_for(self) -> None:
+        self.restore()
+        self.tick(151)
+        self.assertEqual(len(self.get_effects(effects.AskAdvice)), 1)
+
     def test_expired_tickets_are_asked_for_again(self) -> None:
         self.submit(cases.build_step(count=2, cpu=4_000))
         (call,) = self.get_effects(effects.AskAdvice)
--- a/tests/core/scheduling/test_strays.py
+++ b/tests/core/scheduling/test_strays.py
@@ -65,6 +65,18 @@
         self.assertEqual(self.get_starts(), [])
         self.assertEqual(self.get_state(kept.job_id), state.JobState.COMPLETED)
 
+    def test_a_job_that_is_over_is_not_started_again(self) -> None:
+        job = self.build_job()
+        self.apply(events.JobOver(job_id=job.job_id))
+        self.apply(events.JobOffered(job=job))
+        self.apply(events.JobAccepted(job=job))
+        self.assertEqual(self.get_starts(), [])
+        self.list_end(job.job_id)
+        (seen,) = self.get_effects(effects.EndSeen)
+        self.assertFalse(seen.record)
+        self.list_run(job.job_id)
+        self.assertEqual([each.number for each in self.get_stops()], [9])
+
     def test_run_of_an_unknown_job_goes_on_until_the_store_is_asked(
         self,
     ) -> None:
--- a/tests/entry/cell/test_desk.py
+++ b/tests/entry/cell/test_desk.py
@@ -6,6 +6,7 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import desk
 from hickoryreach_entry.cell import election
+from hickoryreach_entry.cell import records
 
 
 class PendingTest(unittest.TestCase):
@@ -37,3 +38,19 @@
         self.take(pending={}, serving=False)
         self.assertEqual(self.get(), 8)
         self.assertIsNone(self.get(after_s=2.5))
+
+
+class InvitationTest(unittest.TestCase):
+    """An owner that hands over is replaced once."""
+
+    def test_an_invitation_ends_with_the_next_owner(self) -> None:
+        found = election.Election(member=types.SimpleNamespace(owner=None))
+        found.inquiry.note_peers = lambda peers: None
+        found.upstream = types.SimpleNamespace()
+        found.ownership = records.Ownership(name="a", address="", epoch=2)
+        status = frames.Status(epoch=2, succession=[], leaving=True)
+        found.take_status(found.upstream, status)
+        self.assertTrue(found.is_invited())
+        found.ownership = records.Ownership(name="b", address="", epoch=3)
+        found.take_status(found.upstream, status)
+        self.assertFalse(found.is_invited())
