Queue advice calls at the owner, and know an entry that is claiming

Calls now wait at the owner, the lower rank first; long ones use at most half of the machines. * A follower that read the new owner's key before that owner had its answer took it for failed and replaced it (epoch 6 over 5 at 13.31 s). An entry now says that it is claiming, and an invitation ends where another epoch is read.

--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -30,6 +30,8 @@
   5: map<string, i32> silent,
   // False while the owner is still taking over and has no counts.
   6: bool serving = 0,
+  // An entry that is not the owner yet is writing the owner's key.
+  7: bool claiming = 0,
 }
 
 // entry -> owner, several times a second.
--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -1,7 +1,9 @@
 """Calls for advice, spread over the entries of the cell."""
 
+import bisect
 import collections
 from collections.abc import Callable
+import itertools
 import logging
 import time
 
@@ -20,6 +22,8 @@
 log = logging.getLogger(__name__)
 
 SLOW_MS = 150.0
+SLOW_PART = 0.5  # of the machines, for long calls
+QUEUED_MS = 20.0  # work that a machine may have before it gets a short call
 MARGIN_S = 1.0
 LOCAL = ""
 ANSWERS_LIMIT = 500
@@ -84,15 +88,17 @@
 
 
 class Advisors:
-    """Chooses who asks for each step's advice.
+    """Chooses who asks for each step's advice, and when.
 
-    The service handles one call at a time for each machine, so that short
-    calls must not wait behind long ones: a long call goes to the machine
-    with the least long work, a short one to that with the least work.
+    The service handles one call at a time for each machine, and calls differ by
+    fifty times. Calls wait here, the lower rank first, until a machine is free;
+    long ones only use a part of the machines, so that short ones never wait
+    behind them.
 
     Attributes:
         load_ms: Work under way, by name of the entry.
-        slow: Long calls under way, by name of the entry.
+        slow: Entries with a long call under way.
+        waiting: Calls that wait for a machine, by rank and order.
     """
 
     def __init__(
@@ -107,26 +113,68 @@
         self.get_channels = get_channels
         self.emit = emit
         self.load_ms: dict[str, float] = {}
-        self.slow: dict[str, int] = {}
+        self.slow: set[str] = set()
+        self.waiting: list[tuple[int, int, effects.AskAdvice, float]] = []
+        self.numbers = itertools.count()
 
     def ask(self, effect: effects.AskAdvice) -> None:
-        """Asks for a step's advice and hands on the answer."""
-        gevent.spawn(self._ask, effect)
-
-    def _ask(self, effect: effects.AskAdvice) -> None:
-        name = self.choose(effect.cost_ms)
-        slow = int(effect.cost_ms > SLOW_MS)
-        self.load_ms[name] = self.load_ms.get(name, 0.0) + effect.cost_ms
-        self.slow[name] = self.slow.get(name, 0) + slow
-        waiting_s = self.load_ms[name] / 1000
+        """Asks for a step's advice, now or later, and hands on the answer."""
+        bisect.insort(
+            self.waiting,
+            (effect.rank, next(self.numbers), effect, time.monotonic()),
+        )
+        self.dispatch()
+
+    def dispatch(self) -> None:
+        """Makes the calls that wait and for which a machine is free."""
+        kept = []
+        blocked: set[bool] = set()
+        for call in self.waiting:
+            effect, asked_at = call[2:]
+            slow = effect.cost_ms > SLOW_MS
+            name = None if slow in blocked else self.choose(slow=slow)
+            if name is None:
+                blocked.add(slow)
+                kept.append(call)
+                continue
+            self.load_ms[name] = self.load_ms.get(name, 0.0) + effect.cost_ms
+            if slow:
+                self.slow.add(name)
+            gevent.spawn(self._ask, name, effect, asked_at)
+        self.waiting = kept
+
+    def choose(self, *, slow: bool) -> str | None:
+        """Returns the entry that is to make a call, or None if none is free."""
+        names = [LOCAL, *self.get_channels()]
+        if slow:
+            most = max(1, int(len(names) * SLOW_PART))
+            free = [each for each in names if not self.load_ms.get(each)]
+            if len(self.slow & set(names)) >= most or not free:
+                return None
+            return min(free, key=lambda name: name == LOCAL)
+        free = [
+            name
+            for name in names
+            if self.load_ms.get(name, 0.0) < QUEUED_MS
+            and (name not in self.slow or len(names) == 1)
+        ]
+        if not free:
+            return None
+        return min(free, key=lambda name: self.load_ms.get(name, 0.0))
+
+    def _ask(
+        self, name: str, effect: effects.AskAdvice, asked_at: float
+    ) -> None:
         begun = time.monotonic()
         try:
-            report = self.call(name, effect, waiting_s)
+            report = self.call(name, effect, self.load_ms[name] / 1000)
         finally:
             self.load_ms[name] -= effect.cost_ms
-            self.slow[name] -= slow
-        took_s = time.monotonic() - begun
-        metrics.advice_seconds.observe(took_s)
+            if effect.cost_ms > SLOW_MS:
+                self.slow.discard(name)
+        self.dispatch()
+        ended = time.monotonic()
+        metrics.advice_seconds.observe(ended - asked_at)
         failed = report is None or report.failed
         log.info(
             "advice_taken",
@@ -137,7 +185,8 @@
                 "asked": len(effect.minion_ids),
                 "allowed": -1 if failed else len(report.tickets),
                 "by": name or "owner",
-                "took_ms": int(took_s * 1000),
+                "waited_ms": int((begun - asked_at) * 1000),
+                "took_ms": int((ended - begun) * 1000),
             },
         )
         self.emit(
@@ -153,20 +202,6 @@
             )
         )
 
-    def choose(self, cost_ms: float) -> str:
-        """Returns the name of the entry that is to ask."""
-        names = [LOCAL, *self.get_channels()]
-        if cost_ms > SLOW_MS:
-            return min(
-                names,
-                key=lambda name: (
-                    self.slow.get(name, 0),
-                    name == LOCAL,
-                    self.load_ms.get(name, 0.0),
-                ),
-            )
-        return min(names, key=lambda name: self.load_ms.get(name, 0.0))
-
     def call(
         self, name: str, effect: effects.AskAdvice, waiting_s: float
     ) -> frames.AdviceReport | None:
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -25,6 +25,7 @@
 BOOT_DELAY_S = 0.25
 POLL_S = 0.05
 SILENT_FRESH_S = 2.5
+CLAIM_LIMIT_S = 0.2
 AFTERLIFE_MS = 1_500
 
 
@@ -45,6 +46,8 @@
         pending: Jobs by queue none of whose tasks has started, as last told.
         pending_at: When they were told, in s.
         declined_until: Until when this entry does not take over, in s.
+        claiming: Whether this entry is writing the owner's key.
+        claimed_at: When another entry was last found to do so, in s.
         leaving_epoch: Epoch of the owner that last handed its ownership over.
     """
 
@@ -60,6 +63,8 @@
         self.pending_at = -math.inf
         self.declined_until = 0.0
         self.leaving_epoch = 0
+        self.claiming = False
+        self.claimed_at = -math.inf
         self.suspicion = suspicion.Suspicion(election=self)
         self.inquiry = inquiry.Inquiry(member=member)
 
@@ -70,7 +75,7 @@
         if peer is not self.upstream:
             return
         if not message.epoch:
-            peer.close("not_owner")
+            peer.close("claiming" if message.claiming else "not_owner")
             return
         self.status = message
         self.status_at = time.monotonic()
@@ -154,6 +159,9 @@
         if found is not None and found.name != self.member.me.name:
             if changed and self.join(found):
                 return True
+            if time.monotonic() - self.claimed_at < CLAIM_LIMIT_S:
+                return False
+            invited = invited and found.epoch == self.leaving_epoch
             if not invited and not self.suspicion.is_dead(found, silent):
                 return self.join(found)
         if self.must_wait(invited, item, found):
@@ -283,7 +291,9 @@
                 self.member.tell_advice()
                 return True
             gevent.sleep(0.01)
-        if certain and upstream.reason == "not_owner":
+        if upstream.reason == "claiming":
+            self.claimed_at = time.monotonic()
+        elif certain and upstream.reason == "not_owner":
             self.suspicion.refused = found.epoch
         self.drop_upstream("no_greeting")
         return False
@@ -305,10 +315,14 @@
             epoch=found.epoch + 1 if found else 1,
         )
         data = records.encode_ownership(wanted)
-        written = self.member.client.write(
-            puts=(store.Put(key=records.OWNER_KEY, data=data),),
-            expected=((records.OWNER_KEY, item.revision),),
-        )
+        self.claiming = True
+        try:
+            written = self.member.client.write(
+                puts=(store.Put(key=records.OWNER_KEY, data=data),),
+                expected=((records.OWNER_KEY, item.revision),),
+            )
+        finally:
+            self.claiming = False
         if isinstance(written, result.Success):
             self.begin_ownership(wanted, written.unwrap())
             return True
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -96,10 +96,13 @@
         """Takes in an entry that follows this one."""
         peer.peer = message.peer
         if self.owner is None:
-            peer.send(status=frames.Status(epoch=0, leaving=True))
+            peer.send(
+                status=frames.Status(epoch=0, claiming=self.election.claiming)
+            )
             return
         self.downstream[message.peer.name] = peer
         self.served_at[message.peer.name] = time.monotonic()
+        self.owner.advisors.dispatch()
         log.info("peer_follows", extra={"peer": message.peer.name})
         peer.send(status=self.build_status())
 
