--- a/packages/core/hickoryreach/platform/listening.py
+++ b/packages/core/hickoryreach/platform/listening.py
@@ -1,29 +1,33 @@
-"""The address for callers, read without what the whole settings need."""
+"""The address for callers, read before any library is loaded."""
 
 import pathlib
 
-import yaml
+SECTION = "listen:"
+FIELD = "front:"
 
 
 def read_front(path: str) -> tuple[str, int] | None:
-    """Returns host and port for callers, or None if the file tells none.
+    """Returns host and port for callers, or None if they are not found.
 
-    What is wrong with the file is told when it is read whole.
+    It reads the plain block form in which the platform writes the file; any
+    other form, and what is wrong, is left to the reading of the whole file.
     """
     try:
-        rows = yaml.load(
-            pathlib.Path(path).read_text(encoding="utf-8"),
-            Loader=getattr(yaml, "CSafeLoader", yaml.SafeLoader),
-        )
-        host, port = rows["listen"]["front"].rsplit(":", 1)
-        return host, int(port)
-    except (
-        OSError,
-        UnicodeDecodeError,
-        yaml.YAMLError,
-        TypeError,
-        KeyError,
-        AttributeError,
-        ValueError,
-    ):
+        lines = pathlib.Path(path).read_text(encoding="utf-8").splitlines()
+    except (OSError, UnicodeDecodeError):
         return None
+    within = False
+    for line in lines:
+        text = line.strip()
+        if line and not line[0].isspace():
+            within = text == SECTION
+        elif within and text.startswith(FIELD):
+            return _parse_address(text.removeprefix(FIELD))
+    return None
+
+
+def _parse_address(text: str) -> tuple[str, int] | None:
+    host, _, port = text.strip().strip("\"'").rpartition(":")
+    if not host or not port.isdecimal():
+        return None
+    return host, int(port)
--- a/packages/entry/hickoryreach_entry/cell/sockets.py
+++ b/packages/entry/hickoryreach_entry/cell/sockets.py
@@ -11,12 +11,19 @@
 BACKLOG = 1_024
 
 
-def open_front(path: str) -> socket.socket | None:
-    """Returns a listening socket, or None where the server must open it."""
+def open_front(path: str) -> int | None:
+    """Returns a descriptor that listens, or None where there is none yet."""
     address = listening.read_front(path)
     if address is None:
         return None
     try:
-        return socket.create_server(address, backlog=BACKLOG)
+        return socket.create_server(address, backlog=BACKLOG).detach()
     except OSError:
         return None
+
+
+def adopt(descriptor: int | None) -> socket.socket | None:
+    """Returns the socket of a descriptor, with the sockets of gevent."""
+    if descriptor is None:
+        return None
+    return socket.socket(fileno=descriptor)
--- a/packages/entry/hickoryreach_entry/garbage.py
+++ b/packages/entry/hickoryreach_entry/garbage.py
@@ -13,6 +13,6 @@
 
 def set_up() -> None:
     """Leaves what stands at the start out of collections, and spaces them."""
-    gc.collect()
     gc.freeze()
     gc.set_threshold(YOUNG_OBJECTS, YOUNG_COLLECTIONS, MIDDLE_COLLECTIONS)
+    gc.enable()
--- a/tests/entry/cell/test_sockets.py
+++ b/tests/entry/cell/test_sockets.py
@@ -20,8 +20,11 @@
         return str(path)
 
     def test_a_caller_connects_and_waits(self) -> None:
-        path = self.write('listen:\n  front: "127.0.0.1:0"\n')
-        front = sockets.open_front(path)
+        path = self.write(
+            'ready:\n  front: "127.0.0.1:1"\n'
+            'listen:\n  front: "127.0.0.1:0"\n  ready: "x"\n'
+        )
+        front = sockets.adopt(sockets.open_front(path))
         self.addCleanup(front.close)
         caller = socket.create_connection(front.getsockname(), timeout=5)
         self.addCleanup(caller.close)
@@ -30,6 +33,8 @@
         for text in ("", "listen: 3", "listen:\n  front: 7", "- a", "{"):
             with self.subTest(text=text):
                 self.assertIsNone(sockets.open_front(self.write(text)))
+        self.assertIsNone(sockets.open_front("/nowhere"))
+        self.assertIsNone(sockets.adopt(None))
 
     def test_an_address_that_is_taken_opens_nothing(self) -> None:
         taken = socket.create_server(("127.0.0.1", 0))
