Notice lost looks sooner, and send a start again that was not answered

Of 49 late previews in one window most had met one of the two.

A look waits 0.6 s and is given up after 0.95 s; a second one that does not wait decides whether the minion is silent. A start is sent up to three times within 0.4 s each, under the same run number. After the stop of an unclear run the lists are read at once. Lists older than the last, by the minion's clock, are left out.

--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -8,9 +8,8 @@
 from hickoryreach.platform import http
 from hickoryreach.structure import steps
 
-ORDER_TIMEOUT_S = 0.7
-LOOK_MARGIN_S = 0.7
-WAIT_LIMIT_MS = 2_000
+ORDER_TIMEOUT_S = 0.4
+LOOK_MARGIN_S = 0.35
 FIGURE = 4
 
 
@@ -164,9 +163,21 @@
     """
 
     def __init__(
-        self, *, minion_id: str, address: str, connections: int = 4
+        self,
+        *,
+        minion_id: str,
+        address: str,
+        look_wait_ms: int,
+        connections: int = 4,
     ) -> None:
-        """Creates a client; opens no connection yet."""
+        """Creates a client; opens no connection yet.
+
+        Args:
+            minion_id: Id of the minion.
+            address: `host:port` of the minion.
+            look_wait_ms: Longest wait of a look; at most 2,000.
+            connections: Most orders at once.
+        """
         self.minion_id = minion_id
         headers = {"Expect-Instance": minion_id}
         self.orders = http.Client(
@@ -179,7 +190,7 @@
         self.looks = http.Client(
             address=address,
             kind="minion_look",
-            timeout_s=WAIT_LIMIT_MS / 1000 + LOOK_MARGIN_S,
+            timeout_s=look_wait_ms / 1000 + LOOK_MARGIN_S,
             connections=1,
             headers=headers,
         )
@@ -231,7 +242,7 @@
             token: Fencing token.
             acknowledged: Ends up to this number may be forgotten.
             deadline_ms: New end of the lease on the minion's clock, or None.
-            wait_ms: Wait this long for an end, at most WAIT_LIMIT_MS.
+            wait_ms: Wait this long for an end, at most `look_wait_ms`.
             quick: Whether to give up after ORDER_TIMEOUT_S.
         """
         body: dict[str, int] = {"fencingToken": token, "lastSeen": acknowledged}
--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -87,6 +87,13 @@
     rank: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LookNow:
+    """Read a minion's lists at once; they decide whether a run exists."""
+
+    minion_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class SeekJob:
     """Ask the store for a job that a minion lists and nobody told of."""
@@ -146,6 +153,7 @@
     | StopTask
     | PaceTask
     | AskAdvice
+    | LookNow
     | SeekJob
     | EndSeen
     | JobChanged
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -63,7 +63,7 @@
 ) -> Iterator[effects.Effect]:
     step = run.step
     if failure.refusal is minions.Refusal.OLD:
-        _await_end(cell, run)
+        yield from _await_end(cell, run)
         return
     if failure.refusal in (
         minions.Refusal.UNHEALTHY,
@@ -79,7 +79,9 @@
     )
 
 
-def _await_end(cell: state.CellState, run: state.Run) -> None:
+def _await_end(
+    cell: state.CellState, run: state.Run
+) -> Iterator[effects.Effect]:
     """Leaves a run that the minion calls old to the next list.
 
     A start that was sent twice over a broken connection may have run to its
@@ -87,6 +89,7 @@
     """
     run.phase = state.Phase.UNCLEAR
     run.stopped_ms = cell.now_ms
+    yield effects.LookNow(minion_id=run.minion_id)
 
 
 def take_stop(
@@ -99,7 +102,8 @@
         return
     run.stopped_ms = cell.now_ms
     cell.unclear.pop(id(run), None)
-    yield from ()
+    if run.phase is state.Phase.UNCLEAR:
+        yield effects.LookNow(minion_id=run.minion_id)
 
 
 def repeat_stops(cell: state.CellState) -> Iterator[effects.Effect]:
--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -84,6 +84,13 @@
         """Asks for advice."""
         self.owner.advisors.ask(effect)
 
+    @handlers.register(effects.LookNow)
+    def look_now(self, effect: effects.LookNow) -> None:
+        """Reads a minion's lists at once."""
+        link = self.owner.fleet.links.get(effect.minion_id)
+        if link is not None:
+            link.look_now()
+
     @handlers.register(effects.SeekJob)
     def seek_job(self, effect: effects.SeekJob) -> None:
         """Asks the store for a job that a minion lists."""
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -19,7 +19,8 @@
 
 LEASE_MS = 4_000
 FOREIGN_LEASE_MS = LEASE_MS  # an earlier owner's last lease
-LOOK_WAIT_MS = 1_000
+LOOK_WAIT_MS = 600
+START_TRIES = 3
 LOOKS_IN_LEASE = 4
 SETTLE_WAIT_S = 0.1
 RETRY_S = 0.2
@@ -71,7 +72,9 @@
         self.emit = emit
         self.on_fenced = on_fenced
         self.client = minions.MinionClient(
-            minion_id=minion.minion_id, address=minion.address
+            minion_id=minion.minion_id,
+            address=minion.address,
+            look_wait_ms=LOOK_WAIT_MS,
         )
         self.begun_ms = clock.now_ms()
         self.life = 0
@@ -88,6 +91,7 @@
         self.lapsed = False
         self.removed = False
         self.stopped = False
+        self.looking_now = False
         self.greenlet = gevent.spawn(self.look_forever)
 
     def estimate_clock(self) -> int:
@@ -96,36 +100,74 @@
         return self.clock_ms + int(elapsed_ms * (1 - CLOCK_DRIFT))
 
     def look_forever(self) -> None:
-        """Renews the lease and hands on what the minion lists."""
+        """Renews the lease and hands on what the minion lists.
+
+        A minion is silent when a second look that does not wait is not
+        answered either: single answers are lost.
+        """
         while not self.stopped:
-            terms = self.get_terms()
-            deadline_ms = None
-            if self.clock_read_ms and not self.silent and terms.lease_ms:
-                deadline_ms = self.estimate_clock() + terms.lease_ms
-                self.deadline_ms = max(self.deadline_ms, deadline_ms)
-            quick = self.silent
-            sent_ms = clock.now_ms()
-            looked = self.client.look(
-                token=terms.token,
-                acknowledged=self.settled,
-                deadline_ms=deadline_ms,
-                wait_ms=0 if quick else self.get_wait_ms(terms.lease_ms),
-                quick=quick,
-            )
+            looked, sent_ms = self.look(quick=self.silent)
+            if not self.silent and is_unanswered(looked):
+                looked, sent_ms = self.look(quick=True)
             if self.stopped:
                 return
             if isinstance(looked, result.Success):
-                self.take_look(looked.unwrap(), sent_ms)
+                look = looked.unwrap()
+                self.take_look(look, sent_ms)
+                if look.ends:
+                    self.settling.wait(SETTLE_WAIT_S)
             else:
                 self.take_failure(looked.failure())
             self.tried.set()
 
+    def look(
+        self, *, quick: bool
+    ) -> tuple[result.Result[minions.Look, minions.OrderFailure], int]:
+        """Asks once for the lists; returns them and when they were asked for.
+
+        Args:
+            quick: Whether not to wait for an end.
+        """
+        terms = self.get_terms()
+        deadline_ms = None
+        if self.clock_read_ms and not self.silent and terms.lease_ms:
+            deadline_ms = self.estimate_clock() + terms.lease_ms
+            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        sent_ms = clock.now_ms()
+        looked = self.client.look(
+            token=terms.token,
+            acknowledged=self.settled,
+            deadline_ms=deadline_ms,
+            wait_ms=0 if quick else self.get_wait_ms(terms.lease_ms),
+            quick=quick,
+        )
+        return looked, sent_ms
+
+    def look_now(self) -> None:
+        """Asks for the lists beside a look that waits for an end."""
+        if not self.looking_now and not self.silent:
+            self.looking_now = True
+            gevent.spawn(self._look_now)
+
+    def _look_now(self) -> None:
+        try:
+            looked, sent_ms = self.look(quick=True)
+            if isinstance(looked, result.Success) and not self.stopped:
+                self.take_look(looked.unwrap(), sent_ms)
+        finally:
+            self.looking_now = False
+
     def get_wait_ms(self, lease_ms: int) -> int:
         """Returns how long a look may wait for an end."""
         return min(LOOK_WAIT_MS, (lease_ms or LEASE_MS) // LOOKS_IN_LEASE)
 
     def take_look(self, look: minions.Look, sent_ms: int) -> None:
-        """Hands on what is new in a minion's lists."""
+        """Hands on what is new in a minion's lists.
+
+        Lists older than the last, by the minion's clock, are left out.
+        """
+        if look.life == self.life and look.clock_ms < self.clock_ms:
+            return
         if self.silent:
             log.info(
                 "minion_reached",
@@ -153,8 +195,6 @@
             )
         )
         self.looked.set()
-        if look.ends:
-            self.settling.wait(SETTLE_WAIT_S)
 
     def take_failure(self, failure: minions.OrderFailure) -> None:
         """Notes that the minion did not answer as it should."""
@@ -230,7 +270,7 @@
         """Sends a start and hands on its answer."""
         deadline_ms = self.estimate_clock() + effect.valid_ms
         self.deadline_ms = max(self.deadline_ms, deadline_ms)
-        ordered = self.client.start(
+        failure = self.try_start(
             minions.StartOrder(
                 key=effect.key,
                 run=effect.number,
@@ -241,7 +281,6 @@
                 ticket=effect.ticket,
             )
         )
-        failure = self.get_failure(ordered)
         outcome = "confirmed"
         if failure is not None:
             outcome = str(failure.refusal or "unclear")
@@ -264,6 +303,28 @@
             )
         )
 
+    def try_start(
+        self, order: minions.StartOrder
+    ) -> minions.OrderFailure | None:
+        """Sends a start until it is answered; returns why it failed.
+
+        A minion takes the same run once. After a try without an answer, a
+        refusal of the next one does not tell that the run can't begin.
+        """
+        unclear = False
+        for _ in range(START_TRIES):
+            failure = self.get_failure(self.client.start(order))
+            if failure is None or failure.refusal is minions.Refusal.OLD:
+                return failure
+            if not failure.effect_unknown:
+                break
+            unclear = True
+        if unclear:
+            return dataclasses.replace(
+                failure, refusal=None, effect_unknown=True
+            )
+        return failure
+
     def stop_task(self, effect: effects.StopTask) -> None:
         """Sends a stop and hands on its answer."""
         ordered = self.client.stop(
@@ -321,3 +382,12 @@
         self.stopped = True
         self.greenlet.kill(block=False)
         self.client.close()
+
+
+def is_unanswered(
+    looked: result.Result[minions.Look, minions.OrderFailure],
+) -> bool:
+    """Returns whether a look had no answer at all."""
+    return (
+        isinstance(looked, result.Failure) and looked.failure().refusal is None
+    )
--- a/tests/core/scheduling/test_looks.py
+++ b/tests/core/scheduling/test_looks.py
@@ -46,6 +46,8 @@
             )
         )
         self.assertEqual(self.get_starts(), [])
+        (look,) = self.get_effects(effects.LookNow)
+        self.assertEqual(look.minion_id, "m0")
         self.now_ms += 1
         self.look("m0")
         (again,) = self.get_starts()
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -133,6 +133,29 @@
         ]
         self.assertTrue(answer.failure.effect_unknown)
 
+    def test_a_start_without_an_answer_is_sent_again(self) -> None:
+        self.model.late_s = 0.1
+        gevent.spawn_later(0.2, setattr, self.model, "late_s", 0.0)
+        self.start('{"work_ms": 2000}')
+        (answer,) = [
+            event
+            for event in self.events
+            if isinstance(event, events.StartAnswered)
+        ]
+        self.assertIsNone(answer.failure)
+        self.assertEqual(
+            [each.what for each in self.model.seen if each.what == "start"],
+            ["start"],
+        )
+
+    def test_one_lost_look_does_not_make_a_minion_silent(self) -> None:
+        self.model.silent = True
+        gevent.spawn_later(
+            (links.LOOK_WAIT_MS + 350) / 1000, setattr, self.model, "silent", 0
+        )
+        gevent.sleep(2.0)
+        self.assertEqual(self.count(events.MinionSilent), 0)
+
     def test_numbers_of_ends_begin_anew_with_a_new_life(self) -> None:
         self.start('{"work_ms": 20}')
         self.wait(self.list_ends)
