Count with the longest lease where a minion has begun a new life

Found by reading. Deadlines are times on the minion's clock, which begins anew with each life. The new test failed before.

--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -36,10 +36,12 @@
     Attributes:
         token: Fencing token.
         lease_ms: Length of a minion's lease; 0 while none is renewed.
+        hold_limit_ms: Longest lease that a minion takes.
     """
 
     token: int
     lease_ms: int
+    hold_limit_ms: int
 
 
 class MinionLink:
@@ -176,7 +178,7 @@
         if look.life != self.life:
             self.life = look.life
             self.passed = self.settled = 0
-            self.deadline_ms = look.clock_ms + FOREIGN_LEASE_MS
+            self.deadline_ms = look.clock_ms + self.get_foreign_ms(look)
             self.unsettled.clear()
         self.silent = self.lapsed = False
         self.clock_ms = look.clock_ms
@@ -196,6 +198,15 @@
         )
         self.looked.set()
 
+    def get_foreign_ms(self, look: minions.Look) -> int:
+        """Returns how long orders unknown to this link may have leased.
+
+        A deadline that was meant for the life before lies far ahead of a
+        young clock, and is cut to the longest lease.
+        """
+        limit_ms = self.get_terms().hold_limit_ms
+        return limit_ms if look.clock_ms < limit_ms else FOREIGN_LEASE_MS
+
     def take_failure(self, failure: minions.OrderFailure) -> None:
         """Notes that the minion did not answer as it should."""
         if failure.refusal is minions.Refusal.FENCED:
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -151,10 +151,13 @@
         Leases are renewed only by an owner that may still be one, so that
         they run out in time for its successor.
         """
-        lease_ms = min(links.LEASE_MS, self.settings.bounds.hold_limit_ms)
+        hold_limit_ms = self.settings.bounds.hold_limit_ms
+        lease_ms = min(links.LEASE_MS, hold_limit_ms)
         if not self.may_place(time.monotonic()):
             lease_ms = 0
-        return links.Terms(token=self.revision, lease_ms=lease_ms)
+        return links.Terms(
+            token=self.revision, lease_ms=lease_ms, hold_limit_ms=hold_limit_ms
+        )
 
     def start(self) -> None:
         """Takes the cell over and begins to decide."""
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -14,16 +14,19 @@
 from standins.users import servers
 
 LEASE_MS = 800
+HOLD_LIMIT_MS = 6_000
 
 
 class LinkCase(unittest.TestCase):
     """A link to the stand-in of one minion."""
 
     mute_next = False
+    age_s = 0
 
     def setUp(self) -> None:
         """Serves one minion and follows it."""
         self.model = standin.Minion(minion_id="i-1")
+        self.model.born_at -= self.age_s
 
         self.lease_ms = LEASE_MS
 
@@ -46,7 +49,9 @@
                 failure_domain="z",
                 capacity=resources.NOTHING,
             ),
-            get_terms=lambda: links.Terms(token=5, lease_ms=self.lease_ms),
+            get_terms=lambda: links.Terms(
+                token=5, lease_ms=self.lease_ms, hold_limit_ms=HOLD_LIMIT_MS
+            ),
             emit=self.events.append,
             on_fenced=self.fenced.append,
         )
@@ -167,10 +172,25 @@
         self.wait(lambda: len(self.list_ends()) == 2)
 
 
+class RebornTest(LinkCase):
+    """A minion that crashes and starts again under its id."""
+
+    age_s = 60
+
+    def test_deadlines_of_the_life_before_may_have_leased_it(self) -> None:
+        self.wait(lambda: self.link.deadline_ms > 60_000)
+        self.model.be_reborn()
+        self.wait(lambda: self.link.life == self.model.life)
+        self.assertGreaterEqual(
+            self.link.deadline_ms, self.link.clock_ms + HOLD_LIMIT_MS - 100
+        )
+
+
 class ForeignLeaseTest(LinkCase):
     """A minion that an earlier owner held, and that answers just once."""
 
     mute_next = True
+    age_s = 60
 
     def test_its_lease_is_given_the_time_of_an_earlier_owners(self) -> None:
         gevent.sleep(2.5)
