--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -23,7 +23,7 @@
 
 SLOW_MS = 150.0
 SLOW_PART = 0.5  # of the machines, for long calls
-QUEUED_MS = 20.0  # work that a machine may have before it gets a short call
+QUEUED_US = 20_000  # work that a machine may have before it gets a short call
 MARGIN_S = 1.0
 LOCAL = ""
 ANSWERS_LIMIT = 500
@@ -96,7 +96,8 @@
     behind them.
 
     Attributes:
-        load_ms: Work under way, by name of the entry.
+        load_us: Work under way, by name of the entry, in whole microseconds so
+            that it comes back to nothing.
         slow: Entries with a long call under way.
         waiting: Calls that wait for a machine, by rank and order.
     """
@@ -112,7 +113,7 @@
         self.local = local
         self.get_channels = get_channels
         self.emit = emit
-        self.load_ms: dict[str, float] = {}
+        self.load_us: dict[str, int] = {}
         self.slow: set[str] = set()
         self.waiting: list[tuple[int, int, effects.AskAdvice, float]] = []
         self.numbers = itertools.count()
@@ -137,7 +138,7 @@
                 blocked.add(slow)
                 kept.append(call)
                 continue
-            self.load_ms[name] = self.load_ms.get(name, 0.0) + effect.cost_ms
+            self.load_us[name] = self.load_us.get(name, 0) + get_cost_us(effect)
             if slow:
                 self.slow.add(name)
             gevent.spawn(self._ask, name, effect, asked_at)
@@ -148,28 +149,28 @@
         names = [LOCAL, *self.get_channels()]
         if slow:
             most = max(1, int(len(names) * SLOW_PART))
-            free = [each for each in names if not self.load_ms.get(each)]
+            free = [each for each in names if not self.load_us.get(each)]
             if len(self.slow & set(names)) >= most or not free:
                 return None
             return min(free, key=lambda name: name == LOCAL)
         free = [
             name
             for name in names
-            if self.load_ms.get(name, 0.0) < QUEUED_MS
+            if self.load_us.get(name, 0) < QUEUED_US
             and (name not in self.slow or len(names) == 1)
         ]
         if not free:
             return None
-        return min(free, key=lambda name: self.load_ms.get(name, 0.0))
+        return min(free, key=lambda name: self.load_us.get(name, 0))
 
     def _ask(
         self, name: str, effect: effects.AskAdvice, asked_at: float
     ) -> None:
         begun = time.monotonic()
         try:
-            report = self.call(name, effect, self.load_ms[name] / 1000)
+            report = self.call(name, effect, self.load_us[name] / 1_000_000)
         finally:
-            self.load_ms[name] -= effect.cost_ms
+            self.load_us[name] -= get_cost_us(effect)
             if effect.cost_ms > SLOW_MS:
                 self.slow.discard(name)
         self.dispatch()
@@ -220,3 +221,8 @@
         if peer is None:
             return None
         return peer.call(2 * waiting_s + MARGIN_S, advice_call=call)
+
+
+def get_cost_us(effect: effects.AskAdvice) -> int:
+    """Returns how long the service will work on a call, in microseconds."""
+    return int(effect.cost_ms * 1_000)
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -95,3 +95,13 @@
             asker.go.set()
         gevent.sleep(0.01)
         self.assertEqual(self.list_jobs()[made], "urgent")
+
+    def test_a_machine_is_free_again_after_costs_of_any_size(self) -> None:
+        for asker in (*self.askers.values(), self.local):
+            asker.go.set()
+        for number in range(60):
+            self.ask(f"short{number}", 10.1 + 0.7 * (number % 7))
+        self.ask("long", 482.4)
+        gevent.sleep(0.01)
+        self.assertEqual(self.list_jobs()[-1], "long")
+        self.assertEqual(set(self.advisors.load_us.values()), {0})
