--- a/packages/entry/hickoryreach_entry/cell/desk.py
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -116,7 +116,7 @@
         None when nothing as young as `limit_s` is known.
         """
         if self.member.owner is not None and self.member.owner.serving:
-            counts = self.member.owner.count_pending()
+            counts = self.member.owner.showing.count_pending()
         elif now - self.election.pending_at <= limit_s:
             counts = self.election.pending
         else:
--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -144,14 +144,14 @@
             metrics.jobs.labels(str(effect.state)).inc()
             self._log_job(effect)
         if not effect.state.is_final:
-            owner.show(effect.job_id, effect.state)
+            owner.showing.show(effect.job_id, effect.state)
             return
         row = None
         if effect.state is state.JobState.CANCELLED:
             row = records.Row(kind=records.CANCELLED, job_id=effect.job_id)
         owner.progress.append(
             row,
-            lambda: owner.show(effect.job_id, effect.state),
+            lambda: owner.showing.show(effect.job_id, effect.state),
             {effect.job_id: self._build_final(effect)},
         )
 
@@ -159,7 +159,7 @@
         return records.encode_final(
             records.Final(
                 final=effect.state,
-                workspace=self.owner.workspaces.get(effect.job_id, ""),
+                workspace=self.owner.showing.workspaces.get(effect.job_id, ""),
             )
         )
 
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -170,7 +170,7 @@
         """Returns what the ownership of this entry knows of a job."""
         if self.owner is None or not self.owner.serving:
             return frames.JobReport(kept=False)
-        return self.owner.query(message)
+        return self.owner.showing.query(message)
 
     @handlers.register("cancellation")
     def take_cancellation(
@@ -247,7 +247,9 @@
         owner = self.owner
         return frames.Status(
             epoch=owner.epoch if owner else 0,
-            pending=owner.count_pending() if owner and owner.serving else {},
+            pending=owner.showing.count_pending()
+            if owner and owner.serving
+            else {},
             succession=self.list_succession()[:SUCCESSION_LIMIT],
             leaving=bool(owner and owner.leaving),
             silent=owner.fleet.list_silent() if owner else {},
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -5,7 +5,6 @@
 import time
 
 import gevent
-from gevent import event as gevent_event
 from gevent import queue as gevent_queue
 from returns import result
 
@@ -33,6 +32,7 @@
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import restoring
 from hickoryreach_entry.cell import retention
+from hickoryreach_entry.cell import showing
 from hickoryreach_entry.cell import watching
 
 log = logging.getLogger(__name__)
@@ -58,8 +58,7 @@
         silent: Minions that the last owner found silent, with the time in ms
             until nothing that it started can run there.
         recalls: Whether entries may know advice that the last owner asked for.
-        visible: State of each job as callers may be told.
-        workspaces: Workspace of each of these jobs.
+        showing: What callers may be told of jobs.
         untold_at: When a job was last found that no entry had told of, in s.
         next_pass_at: When the next pass over what waits may begin, in s.
         serving: Whether decisions are being made.
@@ -101,10 +100,6 @@
         )
         self.news: list[frames.AdviceNews] = []
         self.inbox: gevent_queue.Queue = gevent_queue.Queue()
-        self.visible: dict[str, state.JobState] = {}
-        self.workspaces: dict[str, str] = {}
-        self.unbegun: dict[str, str] = {}
-        self.cancel_waiters: dict[str, gevent_event.Event] = {}
         self.untold_at = -UNTOLD_S
         self.next_pass_at = 0.0
         self.serving = False
@@ -136,6 +131,7 @@
             keep_s=settings.bounds.keep_state_s,
             on_forgotten=self.forget,
         )
+        self.showing = showing.Showing(on_final=self.retention.note_final)
         self.jobs_watcher = watching.Watcher(
             client=client,
             prefix=records.JOBS_PREFIX,
@@ -239,7 +235,7 @@
     def apply(self, event: events.Event) -> None:
         """Applies one event and carries out what follows."""
         if isinstance(event, events.JobAccepted):
-            self.note_job(event.job)
+            self.showing.note_job(event.job)
         self.carry(reducer.reduce(self.state, event, clock.now_ms()))
 
     def carry(self, wanted: list[effects.Effect]) -> None:
@@ -247,34 +243,14 @@
         for effect in wanted:
             self.effects.carry(effect)
 
-    def note_job(self, job: steps.Job) -> None:
-        """Notes a job that callers may ask about from now on."""
-        if job.job_id in self.visible:
-            return
-        self.visible[job.job_id] = state.JobState.QUEUED
-        self.workspaces[job.job_id] = job.workspace
-        self.unbegun[job.job_id] = job.queue.name
-        if not self.serving:
-            return
-        log.info(
-            "job_accepted",
-            extra={
-                "job": job.job_id,
-                "workspace": job.workspace,
-                "queue": job.queue.name,
-                "steps": len(job.steps),
-                "tasks": sum(step.count for step in job.steps),
-            },
-        )
-
     def submit(self, job: steps.Job) -> None:
         """Takes in a job that an entry has kept."""
-        if job.job_id not in self.visible:
+        if job.job_id not in self.showing:
             self.emit(events.JobAccepted(job=job))
 
     def offer(self, job: steps.Job) -> None:
         """Takes in a job that an entry is about to keep."""
-        if job.job_id not in self.visible:
+        if job.job_id not in self.showing:
             self.emit(events.JobOffered(job=job))
 
     def take_jobs(self, page: store.Page, complete: bool) -> None:
@@ -285,7 +261,7 @@
         untold = False
         for item in page.items:
             job_id = item.key.removeprefix(records.JOBS_PREFIX)
-            if item.data is None or job_id in self.visible:
+            if item.data is None or job_id in self.showing:
                 continue
             job = restoring.decode_item(item)
             if isinstance(job, steps.Job):
@@ -336,69 +312,31 @@
                 )
             )
 
-    def query(self, query: frames.Query) -> frames.JobReport:
-        """Returns what a caller may be told of a job."""
-        if not self.is_theirs(query.job_id, query.workspace):
-            return frames.JobReport(known=False)
-        return frames.JobReport(
-            known=True, state=str(self.visible[query.job_id])
-        )
-
-    def is_theirs(self, job_id: str, workspace: str) -> bool:
-        """Returns whether a job is known and belongs to a workspace."""
-        if job_id not in self.visible:
-            return False
-        return not workspace or self.workspaces[job_id] == workspace
-
     def cancel(
         self, cancellation: frames.Cancellation, timeout_s: float
     ) -> frames.JobReport:
         """Cancels a job and waits until that is kept."""
         job_id = cancellation.job_id
-        if not self.is_theirs(job_id, cancellation.workspace):
-            return frames.JobReport(known=False)
-        if self.visible[job_id].is_final:
-            return frames.JobReport(known=True, state=str(self.visible[job_id]))
-        waiter = self.cancel_waiters.setdefault(job_id, gevent_event.Event())
+        query = frames.Query(job_id=job_id, workspace=cancellation.workspace)
+        report = self.showing.query(query)
+        if not report.known or state.JobState(report.state).is_final:
+            return report
         self.emit(events.JobCancelled(job_id=job_id))
-        kept = waiter.wait(timeout_s)
-        return frames.JobReport(
-            known=True, state=str(self.visible[job_id]), kept=bool(kept)
-        )
+        kept = self.showing.wait_final(job_id, timeout_s)
+        report = self.showing.query(query)
+        report.kept = kept
+        return report
 
     def note_final(self, job_id: str, final: records.Final) -> None:
         """Notes a job that an earlier owner has brought to an end."""
         self.apply(events.JobOver(job_id=job_id))
-        self.visible[job_id] = final.final
-        self.workspaces[job_id] = final.workspace
-        self.retention.note_final(job_id, time.monotonic())
+        self.showing.note_final(job_id, final)
 
     def forget(self, job_id: str) -> None:
         """Forgets a job whose state need not be told any more."""
         self.state.jobs.pop(job_id, None)
         self.state.over.discard(job_id)
-        self.visible.pop(job_id, None)
-        self.workspaces.pop(job_id, None)
-
-    def show(self, job_id: str, shown: state.JobState) -> None:
-        """Lets callers see a state of a job."""
-        if job_id in self.visible and self.visible[job_id].is_final:
-            return
-        self.visible[job_id] = shown
-        if shown is not state.JobState.QUEUED:
-            self.unbegun.pop(job_id, None)
-        if shown.is_final:
-            self.retention.note_final(job_id, time.monotonic())
-            waiter = self.cancel_waiters.pop(job_id, None)
-            if waiter is not None:
-                waiter.set()
-
-    def count_pending(self) -> dict[str, int]:
-        """Returns the jobs by queue none of whose tasks has started."""
-        counts: dict[str, int] = {}
-        for queue in self.unbegun.values():
-            counts[queue] = counts.get(queue, 0) + 1
-        return counts
+        self.showing.forget(job_id)
 
     def change_configuration(self, configuration: cells.Configuration) -> None:
         """Puts a configuration in force."""
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -129,7 +129,7 @@
         },
     )
     for job in wanted:
-        owner.note_job(job)
+        owner.showing.note_job(job, quiet=True)
         event = events.JobRestored(
             job=job,
             ends=tuple(ends.get(job.job_id, ())),
--- a/tests/entry/cell/test_effects.py
+++ b/tests/entry/cell/test_effects.py
@@ -43,8 +43,7 @@
         self.owner = types.SimpleNamespace(
             progress=self.progress,
             serving=False,
-            workspaces={JOB: "hydro"},
-            show=mock.Mock(),
+            showing=mock.Mock(workspaces={JOB: "hydro"}),
             fleet=types.SimpleNamespace(links={"m0": self.link}),
         )
         self.carrier = effects_module.Carrier(owner=self.owner)
@@ -74,7 +73,9 @@
         with gevent.Timeout(5.0):
             while not self.link.settle.called:
                 gevent.sleep(0.01)
-        self.owner.show.assert_called_once_with(JOB, state.JobState.CANCELLED)
+        self.owner.showing.show.assert_called_once_with(
+            JOB, state.JobState.CANCELLED
+        )
 
     def test_end_is_acknowledged_at_once_if_all_is_kept(self) -> None:
         self.see_end()
