Heed signals that come while an entry is being loaded

Found by reading. Since callers may connect before the program is loaded, a SIGTERM in that half second reset connections whose request was sent (LOST), and a SIGHUP ended the process, as it had before. The start script now notes a SIGTERM and drains once it serves; a SIGHUP changes nothing as the settings are read later.

--- a/deploy/entry.py
+++ b/deploy/entry.py
@@ -6,6 +6,7 @@
 
 import gc
 import os
+import signal
 import sys
 
 gc.disable()  # nothing that is loaded here is garbage
@@ -14,6 +15,9 @@
 
 from hickoryreach_entry.cell import sockets  # noqa: E402
 
+TERMINATED = []
+signal.signal(signal.SIGTERM, lambda number, frame: TERMINATED.append(number))
+signal.signal(signal.SIGHUP, signal.SIG_IGN)  # the settings are read later
 PATH = os.environ.get("HICKORYREACH_CONFIG", "")
 FRONT = sockets.open_front(PATH)
 
@@ -32,7 +36,11 @@
 def main() -> int:
     """Serves one entry until SIGTERM."""
     logs.set_up("INFO")
-    served = cell.serve(PATH, front=sockets.adopt(FRONT))
+    served = cell.serve(
+        PATH,
+        front=sockets.adopt(FRONT),
+        is_terminated=lambda: bool(TERMINATED),
+    )
     if isinstance(served, result.Failure):
         print(f"HICKORYREACH_CONFIG: {served.failure()}", file=sys.stderr)
         return USAGE_ERROR
