--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -28,9 +28,15 @@
 RETRY_AFTER_S = 1
 KEEP_RETRY_S = 0.05
 HEDGE_S = 0.3
+HOLD_PART = 0.4  # of a caller's time; then it should ask another entry
 OWNER_KEEP_S = 1.0
 CONFIGURATION_WAIT_S = 0.5
 
+KEPT = "kept"
+NOT_KEPT = "not_kept"
+OTHER = "other"
+UNCLEAR = "unclear"
+
 
 class Callers:
     """Answers callers' requests.
@@ -154,9 +160,9 @@
             accepted_ms=clock.wall_ms(),
         )
         begun = time.monotonic()
-        outcome = "not_kept"
+        outcome = NOT_KEPT
         if not self.desk.is_cut_off():
-            outcome = self.keep(job, deadline)
+            outcome = self.keep(job, begun + HOLD_PART * (deadline - begun))
         log.info(
             "job_hand_in",
             extra={
@@ -168,12 +174,12 @@
                 "took_ms": int((time.monotonic() - begun) * 1000),
             },
         )
-        if outcome == "kept":
+        if outcome == KEPT:
             metrics.keep_seconds.observe(time.monotonic() - begun)
             resp.media = {}
-        elif outcome == "not_kept":
+        elif outcome == NOT_KEPT:
             refuse(resp, "the job could not be kept and does not run")
-        elif outcome == "other":
+        elif outcome == OTHER:
             fail(resp, falcon.HTTP_409, "the id belongs to another job")
         else:
             resp.status = falcon.HTTP_504
@@ -182,8 +188,8 @@
         """Keeps a job in the store.
 
         Returns:
-            `kept`; `not_kept` when it is certain never to run; `other` when
-            the id belongs to another workspace; `unclear`.
+            KEPT; NOT_KEPT when it is certain never to run; OTHER when the id
+            belongs to another workspace; UNCLEAR.
         """
         data = records.encode_job(job)
         doubtful = False
@@ -194,15 +200,15 @@
             if not is_settled(writing.value) and self.desk.has_owner():
                 elsewhere = gevent.spawn(self.keep_elsewhere, data, deadline)
                 for done in gevent.iwait([writing, elsewhere]):
-                    if done is elsewhere and done.value:
-                        return "kept"
                     if done is writing and is_settled(done.value):
                         break
-                doubtful = True
+                    if done is elsewhere and done.value == KEPT:
+                        return KEPT
+                doubtful = doubtful or elsewhere.value != NOT_KEPT
             written = writing.get()
             if isinstance(written, result.Success):
                 self.desk.announce(job.job_id, data)
-                return "kept"
+                return KEPT
             failure = written.failure()
             if failure.conflict:
                 return self.take_existing(job, failure.conflict[0])
@@ -211,7 +217,7 @@
                 time.monotonic() + KEEP_RETRY_S >= deadline
                 or self.desk.is_cut_off()
             ):
-                return "unclear" if doubtful else "not_kept"
+                return UNCLEAR if doubtful else NOT_KEPT
             gevent.sleep(KEEP_RETRY_S)
 
     def write(
@@ -223,14 +229,20 @@
             puts=(store.Put(key=key, data=data),), expected=((key, 0),)
         )
 
-    def keep_elsewhere(self, data: bytes, deadline: float) -> bool:
-        """Has the owner keep a job that the store has not answered here."""
+    def keep_elsewhere(self, data: bytes, deadline: float) -> str:
+        """Has the owner keep a job that the store has not answered here.
+
+        Returns:
+            KEPT, NOT_KEPT when it is certain that it did not, or UNCLEAR.
+        """
         report = self.desk.ask_once(
             min(OWNER_KEEP_S, max(0.1, deadline - time.monotonic())),
             "submission",
             frames.Submission(job=data, kept=False),
         )
-        return report is not None and report.kept and report.known
+        if report is None or report.unclear:
+            return UNCLEAR
+        return KEPT if report.kept and report.known else NOT_KEPT
 
     def take_existing(self, job: steps.Job, item: store.Item) -> str:
         """Takes a job that is kept already as this one, if it is its own."""
@@ -240,13 +252,13 @@
                 "job_unreadable",
                 extra={"job": job.job_id, "reason": decoded.failure()},
             )
-            return "unclear"
+            return UNCLEAR
         kept = decoded.unwrap()
         if kept.workspace != job.workspace:
-            return "other"
+            return OTHER
         if isinstance(kept, steps.Job):
             self.desk.announce(job.job_id, item.data)
-        return "kept"
+        return KEPT
 
     def show(
         self,
--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -111,6 +111,7 @@
         port: int = FRONT_PORT,
         key: str = platform.KEY,
         timeout_s: float = CALL_TIMEOUT_S,
+        deadline_ms: int = 3_000,
     ) -> tuple[int, object]:
         """Makes one call; returns its status and decoded body."""
         client = geventhttpclient.HTTPClient(
@@ -127,7 +128,7 @@
                 headers={
                     "Host": platform.HOST,
                     "Authorization": f"Token {key}",
-                    "Request-Deadline-Ms": "3000",
+                    "Request-Deadline-Ms": str(deadline_ms),
                 },
             )
             status = response.status_code
