--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -65,8 +65,6 @@
   2: string state = "",
   // False when the owner could not keep what was asked.
   3: bool kept = 1,
-  // Whether what was not kept may be kept all the same, now or later.
-  4: bool unclear = 0,
 }
 
 // owner -> entry: ask the advice service.
--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -28,15 +28,9 @@
 RETRY_AFTER_S = 1
 KEEP_RETRY_S = 0.05
 HEDGE_S = 0.3
-HOLD_PART = 0.4  # of a caller's time; then it should ask another entry
 OWNER_KEEP_S = 1.0
 CONFIGURATION_WAIT_S = 0.5
 
-KEPT = "kept"
-NOT_KEPT = "not_kept"
-OTHER = "other"
-UNCLEAR = "unclear"
-
 
 class Callers:
     """Answers callers' requests.
@@ -160,9 +154,9 @@
             accepted_ms=clock.wall_ms(),
         )
         begun = time.monotonic()
-        outcome = NOT_KEPT
+        outcome = "not_kept"
         if not self.desk.is_cut_off():
-            outcome = self.keep(job, begun + HOLD_PART * (deadline - begun))
+            outcome = self.keep(job, deadline)
         log.info(
             "job_hand_in",
             extra={
@@ -174,12 +168,12 @@
                 "took_ms": int((time.monotonic() - begun) * 1000),
             },
         )
-        if outcome == KEPT:
+        if outcome == "kept":
             metrics.keep_seconds.observe(time.monotonic() - begun)
             resp.media = {}
-        elif outcome == NOT_KEPT:
+        elif outcome == "not_kept":
             refuse(resp, "the job could not be kept and does not run")
-        elif outcome == OTHER:
+        elif outcome == "other":
             fail(resp, falcon.HTTP_409, "the id belongs to another job")
         else:
             resp.status = falcon.HTTP_504
@@ -188,8 +182,8 @@
         """Keeps a job in the store.
 
         Returns:
-            KEPT; NOT_KEPT when it is certain never to run; OTHER when the id
-            belongs to another workspace; UNCLEAR.
+            `kept`; `not_kept` when it is certain never to run; `other` when
+            the id belongs to another workspace; `unclear`.
         """
         data = records.encode_job(job)
         doubtful = False
@@ -200,15 +194,15 @@
             if not is_settled(writing.value) and self.desk.has_owner():
                 elsewhere = gevent.spawn(self.keep_elsewhere, data, deadline)
                 for done in gevent.iwait([writing, elsewhere]):
+                    if done is elsewhere and done.value:
+                        return "kept"
                     if done is writing and is_settled(done.value):
                         break
-                    if done is elsewhere and done.value == KEPT:
-                        return KEPT
-                doubtful = doubtful or elsewhere.value != NOT_KEPT
+                doubtful = True
             written = writing.get()
             if isinstance(written, result.Success):
                 self.desk.announce(job.job_id, data)
-                return KEPT
+                return "kept"
             failure = written.failure()
             if failure.conflict:
                 return self.take_existing(job, failure.conflict[0])
@@ -217,7 +211,7 @@
                 time.monotonic() + KEEP_RETRY_S >= deadline
                 or self.desk.is_cut_off()
             ):
-                return UNCLEAR if doubtful else NOT_KEPT
+                return "unclear" if doubtful else "not_kept"
             gevent.sleep(KEEP_RETRY_S)
 
     def write(
@@ -229,20 +223,14 @@
             puts=(store.Put(key=key, data=data),), expected=((key, 0),)
         )
 
-    def keep_elsewhere(self, data: bytes, deadline: float) -> str:
-        """Has the owner keep a job that the store has not answered here.
-
-        Returns:
-            KEPT, NOT_KEPT when it is certain that it did not, or UNCLEAR.
-        """
+    def keep_elsewhere(self, data: bytes, deadline: float) -> bool:
+        """Has the owner keep a job that the store has not answered here."""
         report = self.desk.ask_once(
             min(OWNER_KEEP_S, max(0.1, deadline - time.monotonic())),
             "submission",
             frames.Submission(job=data, kept=False),
         )
-        if report is None or report.unclear:
-            return UNCLEAR
-        return KEPT if report.kept and report.known else NOT_KEPT
+        return report is not None and report.kept and report.known
 
     def take_existing(self, job: steps.Job, item: store.Item) -> str:
         """Takes a job that is kept already as this one, if it is its own."""
@@ -252,13 +240,13 @@
                 "job_unreadable",
                 extra={"job": job.job_id, "reason": decoded.failure()},
             )
-            return UNCLEAR
+            return "unclear"
         kept = decoded.unwrap()
         if kept.workspace != job.workspace:
-            return OTHER
+            return "other"
         if isinstance(kept, steps.Job):
             self.desk.announce(job.job_id, item.data)
-        return KEPT
+        return "kept"
 
     def show(
         self,
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -143,25 +143,21 @@
         if message.offered:
             owner.offer(job)
             return frames.JobReport(known=True)
-        if not message.kept:
-            report = self.keep(job.job_id, message.job)
-            if not report.kept:
-                return report
+        if not message.kept and not self.keep(job.job_id, message.job):
+            return frames.JobReport(kept=False)
         owner.submit(job)
         return frames.JobReport(known=True)
 
-    def keep(self, job_id: str, data: bytes) -> frames.JobReport:
+    def keep(self, job_id: str, data: bytes) -> bool:
         """Writes a job for an entry that the store turns away."""
         key = records.name_job(job_id)
         written = self.client.write(
             puts=(store.Put(key=key, data=data),), expected=((key, 0),)
         )
         if isinstance(written, result.Success):
-            return frames.JobReport(known=True)
-        failure = written.failure()
-        if failure.conflict and failure.conflict[0].data == data:
-            return frames.JobReport(known=True)
-        return frames.JobReport(kept=False, unclear=failure.effect_unknown)
+            return True
+        conflict = written.failure().conflict
+        return bool(conflict) and conflict[0].data == data
 
     @handlers.register("query")
     def take_query(
