Let a lease lapse also where a minion's new address never answers

A minion that registered under another address got a new link that knew nothing; if nobody ever answered there, the lease of what had run at the old address was never found to be over, and its tasks counted as running for good. The new link takes over what was known.

--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -113,6 +113,7 @@
             get_terms=self.get_terms,
             emit=self.emit,
             on_fenced=self.on_fenced,
+            previous=known,
         )
 
     def remove(self, minion_id: str, reason: str) -> None:
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -1,5 +1,7 @@
 """The way to one minion: its lease, its lists and orders to it."""
 
+from __future__ import annotations
+
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -67,8 +69,18 @@
         get_terms: Callable[[], Terms],
         emit: Callable[[events.Event], None],
         on_fenced: Callable[[str], None],
+        previous: MinionLink | None = None,
     ) -> None:
-        """Begins to look after a minion."""
+        """Begins to look after a minion.
+
+        Args:
+            minion: The minion.
+            get_terms: Returns the terms of orders.
+            emit: Takes what is learned.
+            on_fenced: Told of a later owner's token.
+            previous: Link to the address that the minion had before; what ran
+                there is over by its lease also if nobody answers here.
+        """
         self.minion = minion
         self.get_terms = get_terms
         self.emit = emit
@@ -94,6 +106,12 @@
         self.removed = False
         self.stopped = False
         self.looking_now = False
+        if previous is not None:
+            self.life = previous.life
+            self.clock_ms = previous.clock_ms
+            self.clock_read_ms = previous.clock_read_ms
+            self.deadline_ms = previous.deadline_ms
+            self.lapsed = previous.lapsed
         self.greenlet = gevent.spawn(self.look_forever)
 
     def estimate_clock(self) -> int:
