--- a/packages/entry/hickoryreach_entry/cell/effects.py
+++ b/packages/entry/hickoryreach_entry/cell/effects.py
@@ -55,7 +55,7 @@
 
     def _start(self, link, effect: effects.StartTask) -> None:
         try:
-            link.start(effect)
+            link.orders.start(effect)
         finally:
             self.starts_under_way -= 1
 
@@ -70,14 +70,14 @@
         """Sends a stop."""
         link = self.owner.fleet.links.get(effect.minion_id)
         if link is not None:
-            gevent.spawn(link.stop_task, effect)
+            gevent.spawn(link.orders.stop, effect)
 
     @handlers.register(effects.PaceTask)
     def pace_task(self, effect: effects.PaceTask) -> None:
         """Sends a share to work at."""
         link = self.owner.fleet.links.get(effect.minion_id)
         if link is not None:
-            gevent.spawn(link.pace, effect)
+            gevent.spawn(link.orders.pace, effect)
 
     @handlers.register(effects.AskAdvice)
     def ask_advice(self, effect: effects.AskAdvice) -> None:
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -11,18 +11,17 @@
 from returns import result
 
 from hickoryreach.platform import minions
-from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import orders
 
 log = logging.getLogger(__name__)
 
 LEASE_MS = 4_000
 FOREIGN_LEASE_MS = LEASE_MS  # an earlier owner's last lease
 LOOK_WAIT_MS = 600
-START_TRIES = 3
 LOOKS_IN_LEASE = 4
 SETTLE_WAIT_S = 0.1
 RETRY_S = 0.2
@@ -57,6 +56,7 @@
         deadline_ms: Latest deadline sent, on the minion's clock.
         looked: Set once it has listed what runs.
         tried: Set once it was asked.
+        orders: Orders to it.
         silent: Whether its last call was not answered.
         lapsed: Whether nothing can run there until it answers.
         removed: Whether its registration is gone.
@@ -106,6 +106,7 @@
         self.removed = False
         self.stopped = False
         self.looking_now = False
+        self.orders = orders.Orders(link=self)
         if previous is not None:
             self.life = previous.life
             self.clock_ms = previous.clock_ms
@@ -295,117 +296,6 @@
             self.settled = self.passed
             self.settling.set()
 
-    def start(self, effect: effects.StartTask) -> None:
-        """Sends a start and hands on its answer."""
-        deadline_ms = self.estimate_clock() + effect.valid_ms
-        self.deadline_ms = max(self.deadline_ms, deadline_ms)
-        failure = self.try_start(
-            minions.StartOrder(
-                key=effect.key,
-                run=effect.number,
-                payload=effect.payload,
-                deadline_ms=deadline_ms,
-                token=self.get_terms().token,
-                checkpoint=effect.checkpoint,
-                ticket=effect.ticket,
-            )
-        )
-        outcome = "confirmed"
-        if failure is not None:
-            outcome = str(failure.refusal or "unclear")
-        metrics.starts.labels(outcome).inc()
-        log.info(
-            "task_start",
-            extra={
-                "task": minions.format_task(effect.key),
-                "run": effect.number,
-                "minion": self.minion.minion_id,
-                "outcome": outcome,
-            },
-        )
-        self.emit(
-            events.StartAnswered(
-                key=effect.key,
-                number=effect.number,
-                minion_id=self.minion.minion_id,
-                failure=failure,
-            )
-        )
-
-    def try_start(
-        self, order: minions.StartOrder
-    ) -> minions.OrderFailure | None:
-        """Sends a start until it is answered; returns why it failed.
-
-        A minion takes the same run once. After a try without an answer, a
-        refusal of the next one does not tell that the run can't begin.
-        """
-        unclear = False
-        for _ in range(START_TRIES):
-            failure = self.get_failure(self.client.start(order))
-            if failure is None or failure.refusal is minions.Refusal.OLD:
-                return failure
-            if not failure.effect_unknown:
-                break
-            unclear = True
-        if unclear:
-            return dataclasses.replace(
-                failure, refusal=None, effect_unknown=True
-            )
-        return failure
-
-    def stop_task(self, effect: effects.StopTask) -> None:
-        """Sends a stop and hands on its answer."""
-        ordered = self.client.stop(
-            effect.key, effect.number, self.get_terms().token
-        )
-        failure = self.get_failure(ordered)
-        log.info(
-            "task_stop",
-            extra={
-                "task": minions.format_task(effect.key),
-                "run": effect.number,
-                "minion": self.minion.minion_id,
-                "cause": effect.reason,
-                "outcome": failure.reason if failure else "confirmed",
-            },
-        )
-        self.emit(
-            events.StopAnswered(
-                key=effect.key,
-                number=effect.number,
-                minion_id=self.minion.minion_id,
-                confirmed=failure is None,
-            )
-        )
-
-    def pace(self, effect: effects.PaceTask) -> None:
-        """Sends a share to work at; the next look tells whether it helps."""
-        ordered = self.client.pace(
-            effect.key, effect.number, effect.share, self.get_terms().token
-        )
-        failure = self.get_failure(ordered)
-        log.info(
-            "task_pace",
-            extra={
-                "task": minions.format_task(effect.key),
-                "minion": self.minion.minion_id,
-                "share": effect.share,
-                "outcome": failure.reason if failure else "confirmed",
-            },
-        )
-
-    def get_failure(
-        self, ordered: minions.Ordered
-    ) -> minions.OrderFailure | None:
-        """Returns why an order was not confirmed; reports a fence."""
-        if isinstance(ordered, result.Success):
-            return None
-        failure = ordered.failure()
-        if failure.refusal is minions.Refusal.FENCED:
-            self.on_fenced(self.minion.minion_id)
-        return failure
-
     def close(self) -> None:
         """Stops looking after the minion."""
         self.stopped = True
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -70,7 +70,7 @@
 
     def start(self, payload: str = "{}", number: int = 1) -> None:
         """Starts a task."""
-        self.link.start(
+        self.link.orders.start(
             effects.StartTask(
                 key=steps.TaskKey(job_id="j", repeat=0, step=0, index=0),
                 number=number,
