Let a gang ask about further minions while those it was allowed are busy

It asked again only if the minions it knew could not hold it even when empty.

Now it asks further when those it knows nothing of are likely to hold the rest.

--- a/packages/core/hickoryreach/scheduling/advising.py
+++ b/packages/core/hickoryreach/scheduling/advising.py
@@ -73,12 +73,7 @@
     if not _may_ask(cell, step) or _may_be_recalled(cell, step):
         return
     terms = get_terms(cell, step)
-    unknown = [
-        minion_id
-        for minion_id in list_minions(cell, step, rooms)
-        if minion_id not in step.denied
-        and not (step.allowed and minion_id in step.allowed)
-    ]
+    unknown = list_unknown(cell, step, rooms)
     unknown.sort(
         key=lambda minion_id: -_get_free_cpu(rooms, minion_id),
     )
@@ -90,6 +85,23 @@
     yield from _ask(cell, step, unknown[:most])
 
 
+def list_unknown(
+    cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
+) -> list[str]:
+    """Returns the minions that a step was neither allowed nor denied."""
+    return [
+        minion_id
+        for minion_id in list_minions(cell, step, rooms)
+        if minion_id not in step.denied
+        and not (step.allowed and minion_id in step.allowed)
+    ]
+
+
+def get_allowed_part(cell: state.CellState, step: state.StepRecord) -> float:
+    """Returns which part of the minions a step is likely to be allowed."""
+    return cell.allowed_parts.get(step.job.job.queue.name, ALLOWED_PART)
+
+
 def _count_needed(
     cell: state.CellState, step: state.StepRecord, rooms: rooms_module.Rooms
 ) -> int:
@@ -99,7 +111,7 @@
     if size is None or not count:
         return 0
     slots = max(1, runs.count_fitting(size, step.need, count))
-    part = cell.allowed_parts.get(step.job.job.queue.name, ALLOWED_PART)
+    part = get_allowed_part(cell, step)
     return math.ceil(count / slots / part * SPARE)
 
 
--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -162,11 +162,11 @@
     """Keeps minions from filling up until the gang fits on them."""
     settings = cell.settings
     plan = _plan_emptied(cell, step, rooms, usable)
-    if plan is None:
-        if terms is not None:
-            yield from advising.ask_first(cell, step, rooms)
-        return
-    if not ordering.is_in_time(cell, step):
+    if terms is not None and (
+        plan is None or _has_room_elsewhere(cell, step, rooms, usable)
+    ):
+        yield from advising.ask_first(cell, step, rooms)
+    if plan is None or not ordering.is_in_time(cell, step):
         return
     size_cpu = step.need.cpu_millis * step.step.count
     share = settings.claims_part * rooms.total_cpu
@@ -180,6 +180,29 @@
     yield from preempting.clear(cell, step, plan)
 
 
+def _has_room_elsewhere(
+    cell: state.CellState,
+    step: state.StepRecord,
+    rooms: rooms_module.Rooms,
+    usable: list[str],
+) -> bool:
+    """Returns whether minions that it knows nothing of may hold the rest now.
+
+    Without that a gang waits for the few minions that it was allowed, however
+    many others are free.
+    """
+    count = step.step.count
+    unknown = advising.list_unknown(cell, step, rooms)
+    part = advising.get_allowed_part(cell, step)
+    here = sum(
+        rooms_module.count_slots(rooms, step, each, count) for each in usable
+    )
+    there = sum(
+        rooms_module.count_slots(rooms, step, each, count) for each in unknown
+    )
+    return here + part * there >= count
+
+
 def _plan_emptied(
     cell: state.CellState,
     step: state.StepRecord,
--- a/tests/core/scheduling/test_placing.py
+++ b/tests/core/scheduling/test_placing.py
@@ -155,7 +155,7 @@
         self.assertTrue(self.list_running("m0") or self.list_running("m1"))
 
 
-class AdviceTest(cases.CellCase):
+class AdviceCase(cases.CellCase):
     """Queues whose steps need advice."""
 
     advice = cells.AdviceTerms(call_ms=100, minion_ms=1, valid_ms=2_500)
@@ -173,6 +173,10 @@
             )
         )
 
+
+class AdviceTest(AdviceCase):
+    """Calls for advice, and what is done with the answers."""
+
     def ask(self) -> effects.AskAdvice:
         """Hands a job in; returns its call for advice."""
         self.submit(cases.build_step(count=2))
@@ -281,3 +285,31 @@
         self.assertEqual(self.get_starts(), [])
         self.apply(events.JobAccepted(job=job))
         self.assertEqual(len(self.get_starts()), 1)
+
+
+class GangAdviceTest(AdviceCase):
+    """A gang whose allowed minions are busy while others are free."""
+
+    minion_count = 8
+
+    def build_settings(self) -> settings.Settings:
+        """Returns figures by which a call names two minions."""
+        return settings.Settings(
+            urgent_part=0.0, claims_part=1.0, advice_limit=2
+        )
+
+    def test_it_asks_about_further_minions(self) -> None:
+        self.submit(cases.build_step(count=2, cpu=4_000, gang=True))
+        (gang,) = self.get_effects(effects.AskAdvice)
+        self.submit(cases.build_step(cpu=4_000))
+        (other,) = self.get_effects(effects.AskAdvice)
+        self.assertEqual(set(gang.minion_ids), set(other.minion_ids))
+        self.advise(other, other.minion_ids[0])
+        self.run_all()
+        self.now_ms += 200
+        self.advise(gang, *gang.minion_ids)
+        self.assertEqual(self.get_starts(), [])
+        (more,) = self.get_effects(effects.AskAdvice)
+        self.assertFalse(set(more.minion_ids) & set(gang.minion_ids))
+        self.advise(more, *more.minion_ids)
+        self.assertEqual(len(self.get_starts()), 2)
