--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -189,7 +189,7 @@
         doubtful = False
         self.desk.offer(data)
         while True:
-            writing = gevent.spawn(self.write, job.job_id, data)
+            writing = gevent.spawn(self.desk.write_job, job.job_id, data)
             writing.join(HEDGE_S)
             if not is_settled(writing.value) and self.desk.has_owner():
                 elsewhere = gevent.spawn(self.keep_elsewhere, data, deadline)
@@ -214,15 +214,6 @@
                 return "unclear" if doubtful else "not_kept"
             gevent.sleep(KEEP_RETRY_S)
 
-    def write(
-        self, job_id: str, data: bytes
-    ) -> result.Result[int, store.StoreFailure]:
-        """Tries once to keep a job that is not kept yet."""
-        key = records.name_job(job_id)
-        return self.client.write(
-            puts=(store.Put(key=key, data=data),), expected=((key, 0),)
-        )
-
     def keep_elsewhere(self, data: bytes, deadline: float) -> bool:
         """Has the owner keep a job that the store has not answered here."""
         report = self.desk.ask_once(
--- a/packages/entry/hickoryreach_entry/cell/desk.py
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -3,9 +3,12 @@
 import time
 
 import gevent
+from returns import result
 
+from hickoryreach.platform import store
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import election as election_module
+from hickoryreach_entry.cell import records
 
 CALL_TIMEOUT_S = 1.0
 CUT_OFF_S = 0.25
@@ -61,6 +64,15 @@
         """Returns whether there is an owner to speak to."""
         return self.member.owner is not None or self.election.is_following()
 
+    def write_job(
+        self, job_id: str, data: bytes
+    ) -> result.Result[int, store.StoreFailure]:
+        """Tries once to keep a job that is not kept yet."""
+        key = records.name_job(job_id)
+        return self.member.client.write(
+            puts=(store.Put(key=key, data=data),), expected=((key, 0),)
+        )
+
     def is_cut_off(self) -> bool:
         """Returns whether neither the store nor an owner serves this entry.
 
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -150,10 +150,7 @@
 
     def keep(self, job_id: str, data: bytes) -> bool:
         """Writes a job for an entry that the store turns away."""
-        key = records.name_job(job_id)
-        written = self.client.write(
-            puts=(store.Put(key=key, data=data),), expected=((key, 0),)
-        )
+        written = self.desk.write_job(job_id, data)
         if isinstance(written, result.Success):
             return True
         conflict = written.failure().conflict
