--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -325,8 +325,18 @@
         item = self.client.get(records.name_job(job_id)).value_or(None)
         if item is None:
             return None
-        kept = item.data and records.decode_kept(item.data).value_or(None)
-        if not kept or kept.workspace != message.workspace:
+        if item.data is None:
+            resp.status = falcon.HTTP_410
+            return None
+        decoded = records.decode_kept(item.data)
+        if isinstance(decoded, result.Failure):
+            log.error(
+                "job_unreadable",
+                extra={"job": job_id, "reason": decoded.failure()},
+            )
+            return None
+        kept = decoded.unwrap()
+        if message.workspace and kept.workspace != message.workspace:
             resp.status = falcon.HTTP_410
             return None
         if isinstance(kept, records.Final):
--- /dev/null
+++ b/tests/entry/cell/test_callers.py
@@ -0,0 +1,59 @@
+"""Tests of cancelling a job that the owner has not been told of."""
+
+import types
+import unittest
+from unittest import mock
+
+import falcon
+from returns import result
+
+from hickoryreach.platform import store
+from hickoryreach.scheduling import state
+from hickoryreach.wire import frames
+from hickoryreach_entry.cell import callers
+from hickoryreach_entry.cell import records
+
+JOB = "a072a0f6de83e5b3"
+
+
+class CancelUntoldTest(unittest.TestCase):
+    """What the store holds of the job decides the answer."""
+
+    def cancel(
+        self, data: bytes | None, workspace: str = ""
+    ) -> tuple[falcon.Response, frames.JobReport | None]:
+        """Cancels a job of which the store holds some data."""
+        client = mock.Mock()
+        client.get.return_value = result.Success(
+            store.Item(key=records.name_job(JOB), data=data, revision=3)
+        )
+        desk = mock.Mock()
+        desk.ask.return_value = None
+        interface = callers.Callers(
+            member=types.SimpleNamespace(desk=desk), client=client
+        )
+        resp = falcon.Response()
+        message = frames.Cancellation(job_id=JOB, workspace=workspace)
+        return resp, interface.cancel_untold(resp, JOB, message, 0.0)
+
+    def build_final(self) -> bytes:
+        """Returns what is left of a completed job of one workspace."""
+        return records.encode_final(
+            records.Final(final=state.JobState.COMPLETED, workspace="hydro")
+        )
+
+    def test_a_job_that_cannot_be_read_is_not_called_absent(self) -> None:
+        resp, report = self.cancel(b"{")
+        self.assertIsNone(report)
+        self.assertFalse(resp.status.startswith("410"))
+
+    def test_a_queue_open_to_all_tells_of_any_job(self) -> None:
+        resp, report = self.cancel(self.build_final())
+        self.assertEqual(report.state, "completed")
+        self.assertFalse(resp.status.startswith("410"))
+
+    def test_another_workspace_and_no_job_are_told_alike(self) -> None:
+        for data in (None, self.build_final()):
+            resp, report = self.cancel(data, workspace="wind")
+            self.assertIsNone(report)
+            self.assertTrue(resp.status.startswith("410"))
