Wait for the first count of waiting jobs

Ruled out: a count that is never told (the next ones in the same run were). The count is now waited for, as states are, at most 1.5 s and never by an entry that is cut off. The desk's clock is its own; its tests move the time of the last count instead.

--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -24,6 +24,7 @@
 DEADLINE_DEFAULT_MS = 3_000
 ANSWER_MARGIN_S = 0.15
 OWNER_WAIT_S = 1.5
+OWNER_RETRY_S = 0.05
 PENDING_LIMIT_S = 2.0
 RETRY_AFTER_S = 1
 KEEP_RETRY_S = 0.05
@@ -95,7 +96,7 @@
         job_id = req.path[len(queue.prefix) :]
         deadline = begun + get_deadline_s(req) - ANSWER_MARGIN_S
         if not job_id and req.method == "GET":
-            self.count(resp, queue, begun)
+            self.count(resp, queue, deadline)
         elif not callers.is_job_id(job_id):
             fail(resp, falcon.HTTP_400, "the path must end with a job's id")
         elif req.method == "POST":
@@ -119,10 +120,16 @@
         return None
 
     def count(
-        self, resp: falcon.Response, queue: cells.Queue, now: float
+        self, resp: falcon.Response, queue: cells.Queue, deadline: float
     ) -> None:
-        """Answers how many jobs of a queue wait."""
-        pending = self.desk.get_pending(queue.name, now, PENDING_LIMIT_S)
+        """Answers how many jobs of a queue wait, once that is known."""
+        deadline = min(deadline, time.monotonic() + OWNER_WAIT_S)
+        pending = self.desk.get_pending(queue.name, PENDING_LIMIT_S)
+        while pending is None and time.monotonic() < deadline:
+            if self.desk.is_cut_off():
+                break
+            gevent.sleep(OWNER_RETRY_S)
+            pending = self.desk.get_pending(queue.name, PENDING_LIMIT_S)
         if pending is None:
             refuse(resp, "the number is not known at present")
             return
--- a/packages/entry/hickoryreach_entry/cell/desk.py
+++ b/packages/entry/hickoryreach_entry/cell/desk.py
@@ -122,14 +122,14 @@
                 return report
             gevent.sleep(min(CALL_RETRY_S, left_s))
 
-    def get_pending(self, queue: str, now: float, limit_s: float) -> int | None:
+    def get_pending(self, queue: str, limit_s: float) -> int | None:
         """Returns the jobs of a queue none of whose tasks has started.
 
         None when nothing as young as `limit_s` is known.
         """
         if self.member.owner is not None and self.member.owner.serving:
             counts = self.member.owner.showing.count_pending()
-        elif now - self.election.pending_at <= limit_s:
+        elif time.monotonic() - self.election.pending_at <= limit_s:
             counts = self.election.pending
         else:
             return None
--- a/tests/entry/cell/test_callers.py
+++ b/tests/entry/cell/test_callers.py
@@ -1,5 +1,6 @@
-"""Tests of cancelling a job that the owner has not been told of."""
+"""Tests of what callers are answered while the owner has told little."""
 
+import time
 import types
 import unittest
 from unittest import mock
@@ -57,3 +58,29 @@
             resp, report = self.cancel(data, workspace="wind")
             self.assertIsNone(report)
             self.assertTrue(resp.status.startswith("410"))
+
+
+class CountTest(unittest.TestCase):
+    """How many jobs wait is answered once an owner has told."""
+
+    def count(self, known: list[int | None], left_s: float) -> falcon.Response:
+        """Asks a desk that gives these numbers one after the other."""
+        desk = mock.Mock(unannounced={})
+        desk.get_pending.side_effect = known + [known[-1]] * 100
+        desk.is_cut_off.return_value = False
+        interface = callers.Callers(
+            member=types.SimpleNamespace(desk=desk), client=mock.Mock()
+        )
+        resp = falcon.Response()
+        queue = types.SimpleNamespace(name="runs")
+        interface.count(resp, queue, time.monotonic() + left_s)
+        return resp
+
+    def test_a_number_not_told_yet_is_waited_for(self) -> None:
+        resp = self.count([None, None, 7], 1.0)
+        self.assertEqual(resp.media, {"pending": 7})
+
+    def test_a_number_not_told_in_time_is_refused(self) -> None:
+        resp = self.count([None], 0.1)
+        self.assertTrue(resp.status.startswith("503"))
+        self.assertIsNotNone(resp.get_header("Retry-After"))
--- a/tests/entry/cell/test_desk.py
+++ b/tests/entry/cell/test_desk.py
@@ -27,8 +27,8 @@
 
     def get(self, after_s: float = 0.0) -> int | None:
         """Returns the count of one queue."""
-        now = self.election.status_at + after_s
-        return self.desk.get_pending("runs", now, 2.0)
+        self.election.pending_at -= after_s
+        return self.desk.get_pending("runs", 2.0)
 
     def test_an_owner_that_takes_over_has_no_counts(self) -> None:
         self.take(pending={}, serving=False)
