Ask what runs on minions whose registration is gone at a takeover

A registration is removed after three heartbeats of silence, also while the store is away, though the minion works on under its lease; its tasks were started again at once. Shown by a test: an owner killed while a registration is gone, and all four tasks of a job ran twice. The owner now keeps the ids of its minions in the store. What the next one does not find registered is taken as silent until its lease is over or it is back. Beside it: ends that a minion listed while its registration was gone were dropped if the owner knew no run there; the minion is now known until its link is dropped.

--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -52,7 +52,10 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseLapsed:
-    """A silent minion's lease is over by any clock: nothing runs there."""
+    """A minion's lease is over by any clock, or it is dropped.
+
+    Nothing that this owner started runs there.
+    """
 
     minion_id: str
 
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -74,13 +74,13 @@
 def unregister_minion(
     cell: state.CellState, event: events.MinionUnregistered
 ) -> Iterator[effects.Effect]:
-    """Places nothing more on a minion; what runs there may go on."""
+    """Places nothing more on a minion; what runs there may go on.
+
+    It is forgotten when its lease is over: until then it may list ends.
+    """
     known = cell.minions.get(event.minion_id)
-    if known is None:
-        return
-    known.gone = True
-    if not known.runs:
-        del cell.minions[event.minion_id]
+    if known is not None:
+        known.gone = True
     yield from ()
 
 
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -21,6 +21,7 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import census
 from hickoryreach_entry.cell import certainty
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import clock
@@ -124,6 +125,9 @@
             on_fenced=self.note_fenced,
             heartbeat_ms=settings.heartbeat_ms,
         )
+        self.census = census.Census(
+            client=client, revision=revision, get_names=self.fleet.links.keys
+        )
         self.effects = effects_module.Carrier(owner=self)
         self.retention = retention.Retention(
             client=client,
@@ -179,6 +183,7 @@
                 "took_ms": int(took_s * 1000),
             },
         )
+        self.greenlets.append(greenlets.spawn_vital(self.census.keep_forever))
         self.jobs_watcher.start()
         while not self.inbox.empty():
             self.apply(self.inbox.get_nowait())
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -15,6 +15,7 @@
 OWNER_KEY = "hickoryreach/owner"
 JOBS_PREFIX = "hickoryreach/jobs/"
 PROGRESS_PREFIX = "hickoryreach/progress/"
+MINIONS_KEY = "hickoryreach/minions"
 FINAL_START = b'{"final":'
 END = "end"
 CANCELLED = "cancelled"
@@ -35,6 +36,7 @@
 
 _finals = pydantic.TypeAdapter(Final)
 _jobs = pydantic.TypeAdapter(steps.Job)
+_names = pydantic.TypeAdapter(list[str])
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -113,6 +115,21 @@
         return None
 
 
+def encode_names(names: Iterable[str]) -> bytes:
+    """Returns the value that lists minions."""
+    return orjson.dumps(sorted(names))
+
+
+def decode_names(data: bytes | None) -> result.Result[list[str], str]:
+    """Returns the minions in a value; none if there is no value."""
+    if not data:
+        return result.Success([])
+    try:
+        return result.Success(_names.validate_json(data))
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error.errors(include_input=False)[:2]))
+
+
 def name_job(job_id: str) -> str:
     """Returns the key of a job."""
     return JOBS_PREFIX + job_id
--- a/packages/entry/hickoryreach_entry/cell/restoring.py
+++ b/packages/entry/hickoryreach_entry/cell/restoring.py
@@ -35,11 +35,12 @@
             events.ConfigurationChanged(configuration=owner.configuration)
         )
     fleet = gevent.spawn(read_fleet, owner)
+    census = gevent.spawn(owner.census.read)
     progress = gevent.spawn(
         read_until_done, owner.client, records.PROGRESS_PREFIX
     )
     jobs = read_until_done(owner.client, records.JOBS_PREFIX).unwrap()
-    gevent.joinall([fleet, progress])
+    gevent.joinall([fleet, progress, census])
     kept = progress.value.unwrap()
     owner.jobs_watcher.revision = jobs.revision
     deadline = time.monotonic() + LOOKS_LIMIT_S
@@ -58,6 +59,8 @@
             },
         )
         gevent.spawn(end_doubt, owner, doubtful_until_ms)
+    else:
+        owner.census.forget()
 
 
 def get_doubt_end_ms(owner) -> int:
@@ -174,8 +177,11 @@
 
 
 def list_silent(owner) -> list[str]:
-    """Returns the minions that have not listed what runs on them."""
-    return [
+    """Returns the minions that have not listed what runs on them.
+
+    One whose registration is gone may still run what it was given.
+    """
+    return owner.census.list_missing() + [
         name
         for name, link in owner.fleet.links.items()
         if not link.looked.is_set()
@@ -192,6 +198,7 @@
     """Ends the doubt once no run of an earlier owner can be unknown."""
     while not owner.stopped:
         if clock.now_ms() >= until_ms or has_heard_all(owner):
+            owner.census.forget()
             owner.emit(events.DoubtEnded())
             return
         gevent.sleep(RETRY_S)
--- a/tests/core/scheduling/test_looks.py
+++ b/tests/core/scheduling/test_looks.py
@@ -4,6 +4,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
+from hickoryreach.structure import steps
 from tests.core.scheduling import cases
 
 OLD = minions.OrderFailure(reason="old", refusal=minions.Refusal.OLD)
@@ -122,6 +123,21 @@
         self.submit(cases.build_step(count=3))
         self.assertEqual({each.minion_id for each in self.get_starts()}, {"m1"})
 
+    def test_an_end_counts_though_the_registration_is_gone(self) -> None:
+        for name in ("m0", "m1"):
+            self.apply(events.MinionUnregistered(minion_id=name))
+        job_id = self.submit(cases.build_step())
+        self.assertEqual(self.get_starts(), [])
+        key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=0)
+        self.end(cases.build_listed(key, 1))
+        self.assertEqual(self.get_state(job_id), state.JobState.COMPLETED)
+
+    def test_a_minion_that_is_gone_is_forgotten_with_its_lease(self) -> None:
+        self.apply(events.MinionUnregistered(minion_id="m0"))
+        self.assertIn("m0", self.cell.minions)
+        self.apply(events.LeaseLapsed(minion_id="m0"))
+        self.assertNotIn("m0", self.cell.minions)
+
     def test_draining_minion_receives_nothing(self) -> None:
         self.add_minion("m0", draining=True)
         self.submit(cases.build_step(count=3))
--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -18,7 +18,7 @@
 
 
 class FleetTest(unittest.TestCase):
-    """Minions that come at another address under their id."""
+    """Minions that come at another address under their id, or are gone."""
 
     def setUp(self) -> None:
         """Follows one minion."""
@@ -61,6 +61,14 @@
             isinstance(event, events.LeaseLapsed) for event in self.events
         )
 
+    def test_a_minion_that_never_answers_is_dropped_when_gone(self) -> None:
+        self.fleet.connect(
+            dataclasses.replace(self.minion, address="127.0.0.1:1")
+        )
+        self.fleet.remove("i-1", "unregistered")
+        self.wait(lambda: not self.fleet.links, 4.0)
+        self.assertTrue(self.has_lapsed())
+
     def test_a_lease_lapses_though_the_new_address_never_answers(self) -> None:
         self.fleet.connect(self.minion)
         self.wait(lambda: self.fleet.links["i-1"].looked.is_set(), 5.0)
--- a/tests/integration/test_users_cell.py
+++ b/tests/integration/test_users_cell.py
@@ -248,6 +248,40 @@
         self.hand_in(0.7)
         self.check()
 
+    def test_owner_is_killed_while_a_registration_is_gone(self) -> None:
+        self.hand_in(1.5)
+        users = self.cell.users
+        job_id = self.cell.submit(
+            self.cell.entries[0], count=4, payload={"work_ms": 2_500}
+        )
+        key = f"{job_id}.0.0.0"
+        self.cell.wait_for(lambda: self.find_minion(key), 2.0)
+        minion_id = self.find_minion(key)
+        users.gone.add(minion_id)
+        users.store.delete(f"servers/{minion_id}")
+        self.cell.find_owner().kill()
+        gevent.sleep(2.0)
+        users.gone.discard(minion_id)
+        self.cell.wait_state(job_id, "completed")
+        self.check()
+        starts = [
+            each
+            for each in users.seen
+            if each.what == "start" and each.task.startswith(job_id)
+        ]
+        self.assertEqual(len(starts), 4)
+
+    def find_minion(self, key: str) -> str:
+        """Returns the minion that runs a task, or an empty text."""
+        return next(
+            (
+                minion_id
+                for minion_id, minion in self.cell.users.minions.items()
+                if any(run.task == key for run in minion.runs.values())
+            ),
+            "",
+        )
+
     def test_minion_is_lost_for_good(self) -> None:
         self.hand_in(0.7)
         self.cell.users.remove("i-01")
