Take over without reading only under the revision of the owner that is known

Cause, by reading: an entry that had read the key of a new owner, but could not greet it yet, kept the number of the ownership before. As the first of the succession it then took over under the new revision with the new owner's own number: two ownerships with one epoch, whose run numbers and parts of the progress collide. The revision is now used only with the epoch that was read with it.

--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -41,6 +41,7 @@
         upstream: Channel to the owner, or None.
         ownership: Latest ownership known.
         revision: Revision of the owner's key when it was last read.
+        revision_epoch: Epoch of the owner that the key named then; 0 for none.
         status: Latest status of the owner, or None.
         status_at: When it came, in s.
         pending: Jobs by queue none of whose tasks has started, as last told.
@@ -57,6 +58,7 @@
         self.upstream: channel.Channel | None = None
         self.ownership: records.Ownership | None = None
         self.revision = 0
+        self.revision_epoch = 0
         self.status: frames.Status | None = None
         self.status_at = 0.0
         self.pending: dict[str, int] = {}
@@ -150,8 +152,9 @@
         if isinstance(read, result.Failure):
             return self.rejoin()
         item = read.unwrap()
-        self.revision = item.revision
         found = records.decode_ownership(item.data)
+        self.revision = item.revision
+        self.revision_epoch = found.epoch if found else 0
         known = self.ownership
         changed = found is not None and (
             known is None or found.epoch != known.epoch
@@ -175,7 +178,9 @@
         makes the store refuse it if another has taken over.
         """
         known = self.ownership
-        if known is None or not self.revision or self.list_before(known):
+        if known is None or self.revision_epoch != known.epoch:
+            return False
+        if self.list_before(known):
             return False
         if self.status is None or time.monotonic() < self.declined_until:
             return False
