Write progress again when the store's answer is late

A part is now written again after 0.2 s, by up to three calls at once; its own key tells whether an earlier one was carried out. A failure of a call whose part is kept meanwhile counts for nothing.

--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -19,6 +19,8 @@
 GATHER_S = 0.008
 FINALS_LIMIT = store.TRANSACTION_LIMIT - 4
 RETRY_S = 0.1
+HEDGE_S = 0.2
+TRIES_AT_ONCE = 3
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -32,6 +34,7 @@
             by id; written in the same call.
         kept: Called once they are kept.
         begun_at: When the first row came, on the steady clock in s.
+        written: Whether the store is known to hold it.
     """
 
     number: int
@@ -39,6 +42,7 @@
     finals: dict[str, bytes] = dataclasses.field(default_factory=dict)
     kept: list[Callable[[], None]] = dataclasses.field(default_factory=list)
     begun_at: float = 0.0
+    written: bool = False
 
     @property
     def is_empty(self) -> bool:
@@ -156,7 +160,7 @@
                     for job_id, each in part.finals.items()
                 ),
             )
-            while not self.write_once(puts):
+            while not self.write_hedged(part, puts):
                 if self.stopped:
                     return
                 gevent.sleep(RETRY_S)
@@ -174,8 +178,27 @@
             for kept in done.kept:
                 kept()
 
-    def write_once(self, puts: tuple[store.Put, ...]) -> bool:
-        """Tries to write one part; returns whether it is kept."""
+    def write_hedged(self, part: Part, puts: tuple[store.Put, ...]) -> bool:
+        """Tries to write one part; returns whether it is kept.
+
+        A try that is not answered soon is joined by others, the condition of
+        which tells whether it was carried out.
+        """
+        tries: list[gevent.Greenlet] = []
+        while len(tries) < TRIES_AT_ONCE and not part.written:
+            tries.append(gevent.spawn(self.write_once, part, puts))
+            for done in gevent.wait(tries, timeout=HEDGE_S, count=1):
+                return bool(done.value)
+        return any(done.value for done in gevent.iwait(tries)) or part.written
+
+    def write_once(self, part: Part, puts: tuple[store.Put, ...]) -> bool:
+        """Tries once to write one part; returns whether it is kept."""
+        if self.try_write(part, puts):
+            part.written = True
+        return part.written
+
+    def try_write(self, part: Part, puts: tuple[store.Put, ...]) -> bool:
+        """Makes one call; a failure counts until the part is written."""
         key = puts[0].key
         begun_at = time.monotonic()
         written = self.client.write(
@@ -185,6 +208,8 @@
         if isinstance(written, result.Success):
             self.note_health(None)
             return True
+        if part.written:
+            return True
         failure = written.failure()
         if failure.conflict is None:
             self.note_health(failure, begun_at)
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -73,6 +73,16 @@
         self.wait(1)
         self.assertEqual(self.list_rows(), ["1"])
 
+    def test_a_lost_answer_does_not_hold_up_what_follows(self) -> None:
+        self.model.faults.lost_share = 1.0
+        self.append(1)
+        gevent.sleep(0.1)
+        self.model.faults.lost_share = 0.0
+        self.wait(1, limit_s=0.4)
+        self.assertEqual(self.list_rows(), ["1"])
+        gevent.sleep(1.0)
+        self.assertTrue(self.progress.healthy)
+
     def test_nothing_is_told_while_the_store_is_away(self) -> None:
         self.model.faults.busy.add("*")
         self.append(1)
