Read the owner's key while the answer to a claim is late

Cause: an entry whose claim was carried out without an answer waited 0.8 s before it read the key, and nobody owned the cell meanwhile.

--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -11,6 +11,7 @@
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import claim
 from hickoryreach_entry.cell import inquiry
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import records
@@ -319,28 +320,18 @@
             address=self.member.me.address,
             epoch=found.epoch + 1 if found else 1,
         )
-        data = records.encode_ownership(wanted)
         self.claiming = True
         try:
-            written = self.member.client.write(
-                puts=(store.Put(key=records.OWNER_KEY, data=data),),
-                expected=((records.OWNER_KEY, item.revision),),
-            )
+            claimed = claim.claim(self.member.client, wanted, item.revision)
         finally:
             self.claiming = False
-        if isinstance(written, result.Success):
-            self.begin_ownership(wanted, written.unwrap())
+        if isinstance(claimed, result.Success):
+            self.begin_ownership(wanted, claimed.unwrap())
             return True
-        failure = written.failure()
         log.info(
             "takeover_refused",
-            extra={"epoch": wanted.epoch, "reason": failure.reason},
+            extra={"epoch": wanted.epoch, "reason": claimed.failure().reason},
         )
-        if failure.effect_unknown:
-            again = self.member.client.get(records.OWNER_KEY).value_or(None)
-            if again is not None and again.data == data:
-                self.begin_ownership(wanted, again.revision)
-                return True
         return False
 
     def begin_ownership(
