Keep the ownership while the store answers readings

Cause: an owner handed over as soon as one write had failed for 0.3 s while the store served a follower. Where answers of writes are lost for all, that is any lost answer: 3 to 5 changes of the owner in 14 s, each with 0.3 to 1 s without starts. The owner now asks the store once more and stays if it is answered within 0.5 s.

--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -27,6 +27,7 @@
 DECLINE_S = 5.0
 STORE_FAILING_S = 0.3
 STORE_LAG_S = 0.1
+STORE_ANSWER_S = 0.5
 STORE_AGE_S = 1.5
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
@@ -292,7 +293,8 @@
         """Hands the ownership over if only this entry is turned away.
 
         That is shown by a follower that the store has served since it began
-        to fail here; while it is away for all there is none.
+        to fail here; while it is away for all there is none. A store that
+        still answers a reading here has only lost answers.
         """
         owner = self.owner
         since = owner.progress.failing_since
@@ -301,11 +303,17 @@
         if time.monotonic() - since < STORE_FAILING_S:
             return
         served_at = max(self.served_at.values(), default=0.0)
-        if served_at > since + STORE_LAG_S:
+        if served_at > since + STORE_LAG_S and not self.is_answered():
             log.warning("ownership_store_lost", extra={"epoch": owner.epoch})
             self.election.declined_until = time.monotonic() + DECLINE_S
             gevent.spawn(self.release)
 
+    def is_answered(self) -> bool:
+        """Returns whether the store answers a reading soon."""
+        reading = gevent.spawn(self.client.get, records.OWNER_KEY)
+        reading.join(STORE_ANSWER_S)
+        return reading.ready() and isinstance(reading.value, result.Success)
+
     def release(self) -> None:
         """Hands the ownership over to the first of the succession."""
         owner = self.owner
--- /dev/null
+++ b/tests/entry/cell/test_member.py
@@ -0,0 +1,53 @@
+"""Tests of when an owner gives the cell up."""
+
+import time
+import types
+import unittest
+from unittest import mock
+
+import gevent
+from returns import result
+
+from hickoryreach.platform import store
+from hickoryreach_entry.cell import member as member_module
+from hickoryreach_entry.cell import records
+
+
+class StoreLostTest(unittest.TestCase):
+    """The store serves a follower while writes of the owner fail."""
+
+    def setUp(self) -> None:
+        """Lets the writes fail for a second."""
+        now = time.monotonic()
+        self.member = member_module.Member.__new__(member_module.Member)
+        self.member.owner = types.SimpleNamespace(
+            epoch=3,
+            leaving=False,
+            progress=types.SimpleNamespace(failing_since=now - 1.0),
+        )
+        self.member.election = types.SimpleNamespace(declined_until=0.0)
+        self.member.served_at = {"other": now}
+        self.answer = result.Failure(store.StoreFailure(reason="busy"))
+        self.member.client = types.SimpleNamespace(get=lambda key: self.answer)
+        self.member.release = mock.Mock()
+
+    def review(self) -> bool:
+        """Returns whether the ownership is handed over."""
+        self.member.review_store()
+        return bool(self.member.election.declined_until)
+
+    def test_an_owner_that_is_turned_away_hands_over(self) -> None:
+        self.assertTrue(self.review())
+
+    def test_an_owner_that_the_store_answers_stays(self) -> None:
+        item = store.Item(key=records.OWNER_KEY, data=b"{}", revision=3)
+        self.answer = result.Success(item)
+        self.assertFalse(self.review())
+
+    def test_an_owner_that_hears_nothing_hands_over(self) -> None:
+        self.member.client.get = lambda key: gevent.sleep(5.0)
+        self.assertTrue(self.review())
+
+    def test_an_owner_stays_while_the_store_serves_nobody(self) -> None:
+        self.member.served_at = {"other": time.monotonic() - 2.0}
+        self.assertFalse(self.review())
