Keep placing on minions whose registration expired during a store outage

A minion that answers its looks keeps its place for 2.2 s after the store is back; one that is silent, draining or whose entry can't be read does not. Ruled out: that they were lost; all of them registered again.

--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -20,6 +20,7 @@
 WATCH_PAUSE_S = 0.3
 UNREGISTERED_GRACE_S = 2.5
 LEFT_HEARTBEATS = 2
+RETURN_S = 2.2
 
 
 class Fleet:
@@ -81,7 +82,9 @@
                     "reason": parsed.failure(),
                 },
             )
-            self.remove(minion_id, "registration_unusable")
+            link = self.links.get(minion_id)
+            if link is not None:
+                self.unregister(link, "registration_unusable")
             return
         minion = parsed.unwrap()
         self.seen_at[minion_id] = time.monotonic()
@@ -117,13 +120,46 @@
         )
 
     def remove(self, minion_id: str, reason: str) -> None:
-        """Notes that a minion's registration is gone.
-
-        Its link stays for as long as something may run there.
-        """
+        """Notes that a minion's registration was removed."""
         link = self.links.get(minion_id)
         if link is None:
             return
+        if self.may_return(link):
+            seen_at = self.seen_at.get(minion_id)
+            gevent.spawn_later(
+                RETURN_S, self.remove_missing, link, seen_at, reason
+            )
+            return
+        self.unregister(link, reason)
+
+    def may_return(self, link: links.MinionLink) -> bool:
+        """Returns whether a registration may only have expired for a while.
+
+        They do while the store is away, and come back soon after it.
+        """
+        regained_s = time.monotonic() - self.watcher.regained_at
+        return (
+            regained_s < RETURN_S
+            and not link.silent
+            and not link.minion.draining
+        )
+
+    def remove_missing(
+        self, link: links.MinionLink, seen_at: float | None, reason: str
+    ) -> None:
+        """Removes a minion whose registration has not come back."""
+        minion_id = link.minion.minion_id
+        if self.links.get(minion_id) is not link or link.removed:
+            return
+        if self.seen_at.get(minion_id) == seen_at:
+            self.unregister(link, reason)
+
+    def unregister(self, link: links.MinionLink, reason: str) -> None:
+        """Has nothing more placed on a minion.
+
+        Its link stays for as long as something may run there.
+        """
+        minion_id = link.minion.minion_id
         log.info("minion_gone", extra={"minion": minion_id, "cause": reason})
         self.emit(events.MinionUnregistered(minion_id=minion_id))
         link.removed = True
--- a/packages/entry/hickoryreach_entry/cell/watching.py
+++ b/packages/entry/hickoryreach_entry/cell/watching.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 import logging
+import math
+import time
 
 import gevent
 from returns import result
@@ -21,6 +23,7 @@
         revision: Revision up to which changes were handed on; -1 before the
             first reading.
         healthy: Whether the last call was answered.
+        regained_at: When a call was last answered after others were not, in s.
     """
 
     def __init__(
@@ -48,6 +51,7 @@
         self.pause_s = pause_s
         self.revision = -1
         self.healthy = True
+        self.regained_at = -math.inf
         self.greenlet: gevent.Greenlet | None = None
 
     def start(self) -> None:
@@ -89,6 +93,8 @@
 
     def note_health(self, *, healthy: bool, reason: str) -> None:
         """Logs when the store is lost or regained."""
+        if healthy and not self.healthy:
+            self.regained_at = time.monotonic()
         if healthy != self.healthy:
             log.warning(
                 "watch_health",
--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of the links to registered minions."""
 
 import dataclasses
+import time
 import unittest
 from unittest import mock
 
@@ -61,6 +62,43 @@
             isinstance(event, events.LeaseLapsed) for event in self.events
         )
 
+    def is_unregistered(self) -> bool:
+        """Returns whether nothing more is placed on the minion."""
+        return any(
+            isinstance(event, events.MinionUnregistered)
+            for event in self.events
+        )
+
+    def test_a_registration_may_come_back_after_a_store_outage(self) -> None:
+        self.fleet.connect(self.minion)
+        self.wait(lambda: self.fleet.links["i-1"].looked.is_set(), 5.0)
+        self.fleet.watcher.note_health(healthy=False, reason="")
+        self.fleet.watcher.note_health(healthy=True, reason="")
+        self.fleet.remove("i-1", "unregistered")
+        gevent.sleep(1.0)
+        self.assertFalse(self.is_unregistered())
+        self.wait(self.is_unregistered, fleet.RETURN_S)
+
+    def test_a_registration_that_came_back_stays(self) -> None:
+        self.fleet.connect(self.minion)
+        self.wait(lambda: self.fleet.links["i-1"].looked.is_set(), 5.0)
+        self.fleet.watcher.note_health(healthy=False, reason="")
+        self.fleet.watcher.note_health(healthy=True, reason="")
+        self.fleet.remove("i-1", "unregistered")
+        gevent.sleep(0.1)
+        self.fleet.seen_at["i-1"] = time.monotonic()
+        gevent.sleep(fleet.RETURN_S + 0.3)
+        self.assertFalse(self.is_unregistered())
+
+    def test_a_silent_minion_does_not_come_back(self) -> None:
+        self.fleet.connect(
+            dataclasses.replace(self.minion, address="127.0.0.1:1")
+        )
+        self.fleet.watcher.note_health(healthy=False, reason="")
+        self.fleet.watcher.note_health(healthy=True, reason="")
+        self.fleet.remove("i-1", "unregistered")
+        self.assertTrue(self.is_unregistered())
+
     def test_a_minion_that_never_answers_is_dropped_when_gone(self) -> None:
         self.fleet.connect(
             dataclasses.replace(self.minion, address="127.0.0.1:1")
