Tell callers that a job is not kept when the owner is certain of it too

Cause: where the store turned a hand-in away (503: nothing done), the entry had the owner try, and took any answer but success as a write that may still be carried out: callers were answered 504 and waited, though the job was certain not to run. The owner now tells whether its own write is unclear; a certain failure ends in 503 with the time to come back. A key that another hand-in has written counts as unclear.

--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -65,6 +65,8 @@
   2: string state = "",
   // False when the owner could not keep what was asked.
   3: bool kept = 1,
+  // A write that was tried without an answer may still be carried out.
+  4: bool unclear = 0,
 }
 
 // owner -> entry: ask the advice service.
--- a/packages/entry/hickoryreach_entry/cell/callers.py
+++ b/packages/entry/hickoryreach_entry/cell/callers.py
@@ -201,11 +201,11 @@
             if not is_settled(writing.value) and self.desk.has_owner():
                 elsewhere = gevent.spawn(self.keep_elsewhere, data, deadline)
                 for done in gevent.iwait([writing, elsewhere]):
-                    if done is elsewhere and done.value:
+                    if done is elsewhere and done.value == "kept":
                         return "kept"
                     if done is writing and is_settled(done.value):
                         break
-                doubtful = True
+                doubtful = doubtful or elsewhere.value != "not_kept"
             written = writing.get()
             if isinstance(written, result.Success):
                 self.desk.announce(job.job_id, data)
@@ -221,14 +221,21 @@
                 return "unclear" if doubtful else "not_kept"
             gevent.sleep(KEEP_RETRY_S)
 
-    def keep_elsewhere(self, data: bytes, deadline: float) -> bool:
-        """Has the owner keep a job that the store has not answered here."""
+    def keep_elsewhere(self, data: bytes, deadline: float) -> str:
+        """Has the owner keep a job that the store has not answered here.
+
+        Returns:
+            `kept`; `not_kept` when the owner has done nothing that may still
+            keep it; `unclear`.
+        """
         report = self.desk.ask_once(
             min(OWNER_KEEP_S, max(0.1, deadline - time.monotonic())),
             "submission",
             frames.Submission(job=data, kept=False),
         )
-        return report is not None and report.kept and report.known
+        if report is None or report.unclear:
+            return "unclear"
+        return "kept" if report.kept and report.known else "not_kept"
 
     def take_existing(self, job: steps.Job, item: store.Item) -> str:
         """Takes a job that is kept already as this one, if it is its own."""
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -144,18 +144,29 @@
         if message.offered:
             owner.offer(job)
             return frames.JobReport(known=True)
-        if not message.kept and not self.keep(job.job_id, message.job):
-            return frames.JobReport(kept=False)
+        if not message.kept:
+            failure = self.keep(job.job_id, message.job)
+            if failure is not None:
+                return frames.JobReport(
+                    kept=False,
+                    unclear=failure.effect_unknown or bool(failure.conflict),
+                )
         owner.submit(job)
         return frames.JobReport(known=True)
 
-    def keep(self, job_id: str, data: bytes) -> bool:
-        """Writes a job for an entry that the store turns away."""
+    def keep(self, job_id: str, data: bytes) -> store.StoreFailure | None:
+        """Writes a job for an entry that the store turns away.
+
+        Returns:
+            Why it is not kept, or None if it is.
+        """
         written = self.desk.write_job(job_id, data)
         if isinstance(written, result.Success):
-            return True
-        conflict = written.failure().conflict
-        return bool(conflict) and conflict[0].data == data
+            return None
+        failure = written.failure()
+        if failure.conflict and failure.conflict[0].data == data:
+            return None
+        return failure
 
     @handlers.register("query")
     def take_query(
--- a/tests/entry/cell/test_callers.py
+++ b/tests/entry/cell/test_callers.py
@@ -10,6 +10,8 @@
 
 from hickoryreach.platform import store
 from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+from hickoryreach.structure import steps
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import callers
 from hickoryreach_entry.cell import records
@@ -60,6 +62,52 @@
             self.assertTrue(resp.status.startswith("410"))
 
 
+class KeepTest(unittest.TestCase):
+    """A hand-in while the store turns everybody away."""
+
+    def keep(self, report: frames.JobReport | None) -> str:
+        """Hands a job in; the owner gives this answer to each request."""
+        busy = store.StoreFailure(reason="status 503")
+        desk = mock.Mock()
+        desk.write_job.return_value = result.Failure(busy)
+        desk.ask_once.return_value = report
+        desk.is_cut_off.return_value = False
+        interface = callers.Callers(
+            member=types.SimpleNamespace(desk=desk), client=mock.Mock()
+        )
+        job = steps.Job(
+            job_id=JOB,
+            workspace="hydro",
+            queue=cells.Queue(
+                name="runs",
+                host="h",
+                prefix="/runs/",
+                service="ledger",
+                rank=0,
+                attempts=2,
+                stretch=2.0,
+                objective_ms=1_000,
+            ),
+            accepted_ms=0,
+            payload="",
+            steps=(),
+        )
+        return interface.keep(job, time.monotonic() + 0.2)
+
+    def test_it_is_certain_that_the_job_is_not_kept(self) -> None:
+        report = frames.JobReport(kept=False)
+        self.assertEqual(self.keep(report), "not_kept")
+
+    def test_the_owner_may_have_kept_it(self) -> None:
+        report = frames.JobReport(kept=False, unclear=True)
+        self.assertEqual(self.keep(report), "unclear")
+        self.assertEqual(self.keep(None), "unclear")
+
+    def test_the_owner_has_kept_it(self) -> None:
+        report = frames.JobReport(kept=True, known=True)
+        self.assertEqual(self.keep(report), "kept")
+
+
 class CountTest(unittest.TestCase):
     """How many jobs wait is answered once an owner has told."""
 
--- a/tests/entry/cell/test_member.py
+++ b/tests/entry/cell/test_member.py
@@ -9,10 +9,38 @@
 from returns import result
 
 from hickoryreach.platform import store
+from hickoryreach.wire import frames
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import records
 
 
+class KeepTest(unittest.TestCase):
+    """A follower has the owner write a job."""
+
+    def keep(self, failure: store.StoreFailure) -> frames.JobReport:
+        """Returns what the follower is told when the write fails."""
+        member = member_module.Member.__new__(member_module.Member)
+        member.owner = mock.Mock(leaving=False)
+        member.desk = mock.Mock()
+        member.desk.write_job.return_value = result.Failure(failure)
+        with mock.patch.object(records, "decode_job") as decode:
+            decode.return_value = result.Success(mock.Mock(job_id="a"))
+            return member.submit_here(frames.Submission(job=b"1", kept=False))
+
+    def test_a_write_that_was_refused_keeps_nothing(self) -> None:
+        report = self.keep(store.StoreFailure(reason="status 503"))
+        self.assertEqual((report.kept, report.unclear), (False, False))
+
+    def test_a_write_without_an_answer_may_keep_it(self) -> None:
+        failure = store.StoreFailure(reason="lost", effect_unknown=True)
+        self.assertTrue(self.keep(failure).unclear)
+
+    def test_an_earlier_hand_in_may_have_kept_it(self) -> None:
+        item = store.Item(key="jobs/a", data=b"2", revision=1)
+        failure = store.StoreFailure(reason="conflict", conflict=(item,))
+        self.assertTrue(self.keep(failure).unclear)
+
+
 class StoreLostTest(unittest.TestCase):
     """The store serves a follower while writes of the owner fail."""
 
