--- a/packages/entry/hickoryreach_entry/cell/channel.py
+++ b/packages/entry/hickoryreach_entry/cell/channel.py
@@ -29,7 +29,8 @@
 
     Attributes:
         peer: What the other side said of itself, or None.
-        heard_at: When it was last heard, on the steady clock in s.
+        opened_at: When it was opened, on the steady clock in s.
+        heard_at: When it was last heard, in s.
         closed: Set once the connection has ended.
         reason: Why it ended.
     """
@@ -47,7 +48,7 @@
         self.handle = handle
         self.on_closed = on_closed
         self.peer: frames.PeerInfo | None = None
-        self.heard_at = time.monotonic()
+        self.opened_at = self.heard_at = time.monotonic()
         self.closed = gevent_event.Event()
         self.reason = ""
         self.number = 0
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -28,6 +28,8 @@
 STORE_FAILING_S = 0.3
 STORE_LAG_S = 0.1
 STORE_ANSWER_S = 0.5
+STRONGER = 1.5
+STEADY_S = 2.0
 STORE_AGE_S = 1.5
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
@@ -291,6 +293,7 @@
             gevent.sleep(STATUS_S)
             if self.owner is not None:
                 self.review_store()
+                self.review_processor()
                 status = self.build_status()
                 for peer in list(self.downstream.values()):
                     peer.send(status=status)
@@ -319,6 +322,35 @@
             self.election.declined_until = time.monotonic() + DECLINE_S
             gevent.spawn(self.release)
 
+    def review_processor(self) -> None:
+        """Hands the ownership over to a much stronger follower.
+
+        A weak entry owns the cell when the strong ones were lost or cut off.
+        """
+        owner = self.owner
+        first = next(iter(self.list_succession()), None)
+        if owner is None or not owner.serving or owner.leaving or not first:
+            return
+        if first.processor < STRONGER * self.me.processor:
+            return
+        now = time.monotonic()
+        steady_s = now - max(
+            owner.begun_at, self.downstream[first.name].opened_at
+        )
+        if steady_s < STEADY_S or self.client.health.failing_since:
+            return
+        log.info(
+            "ownership_passed_on",
+            extra={
+                "epoch": owner.epoch,
+                "processor": self.me.processor,
+                "to": first.name,
+                "their_processor": first.processor,
+            },
+        )
+        self.election.declined_until = now + DECLINE_S
+        gevent.spawn(self.release)
+
     def is_answered(self) -> bool:
         """Returns whether the store answers a reading soon."""
         reading = gevent.spawn(self.client.get, records.OWNER_KEY)
--- a/tests/entry/cell/test_member.py
+++ b/tests/entry/cell/test_member.py
@@ -79,3 +79,64 @@
     def test_an_owner_stays_while_the_store_serves_nobody(self) -> None:
         self.member.served_at = {"other": time.monotonic() - 2.0}
         self.assertFalse(self.review())
+
+
+class StrengthTest(unittest.TestCase):
+    """A weak owner that a stronger entry follows."""
+
+    def setUp(self) -> None:
+        """Owns the cell for ten seconds."""
+        self.now = time.monotonic()
+        self.member = member_module.Member.__new__(member_module.Member)
+        self.member.me = frames.PeerInfo(name="me", processor=0.5)
+        self.member.owner = mock.Mock(
+            epoch=3, serving=True, leaving=False, begun_at=self.now - 10.0
+        )
+        self.member.election = types.SimpleNamespace(declined_until=0.0)
+        self.member.served_at = {}
+        self.member.downstream = {}
+        self.member.client = mock.Mock()
+        self.member.client.health.failing_since = 0.0
+        self.member.release = mock.Mock()
+
+    def follow(self, name: str, processor: float, since_s: float) -> None:
+        """Lets an entry follow that the store serves."""
+        self.member.served_at[name] = self.now
+        self.member.downstream[name] = mock.Mock(
+            peer=frames.PeerInfo(name=name, processor=processor),
+            heard_at=self.now,
+            opened_at=self.now - since_s,
+        )
+
+    def review(self) -> bool:
+        """Returns whether the ownership is handed over."""
+        self.member.review_processor()
+        return bool(self.member.election.declined_until)
+
+    def test_the_stronger_one_takes_over(self) -> None:
+        self.follow("strong", 2.0, since_s=5.0)
+        self.assertTrue(self.review())
+
+    def test_one_that_is_as_strong_does_not(self) -> None:
+        self.follow("equal", 0.5, since_s=5.0)
+        self.assertFalse(self.review())
+
+    def test_one_that_has_just_come_does_not_yet(self) -> None:
+        self.follow("strong", 2.0, since_s=0.5)
+        self.assertFalse(self.review())
+
+    def test_one_that_the_store_turns_away_does_not(self) -> None:
+        self.follow("equal", 0.5, since_s=5.0)
+        self.follow("strong", 2.0, since_s=5.0)
+        self.member.served_at["strong"] = self.now - 5.0
+        self.assertFalse(self.review())
+
+    def test_nothing_changes_while_the_store_is_away(self) -> None:
+        self.follow("strong", 2.0, since_s=5.0)
+        self.member.client.health.failing_since = self.now
+        self.assertFalse(self.review())
+
+    def test_an_owner_that_takes_over_goes_on(self) -> None:
+        self.follow("strong", 2.0, since_s=5.0)
+        self.member.owner.serving = False
+        self.assertFalse(self.review())
