Let strong entries that call the store rarely go first

An entry of 2.15 cores was there, but had last been answered by the store 1.8 s before, the length of its watch of the configuration, as no caller had come to it; after 1.5 s it counted as turned away and went behind every weak one. Now it counts so after 2.2 s, and a greeting alone no longer counts as an answer of the store.

--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -29,8 +29,8 @@
 STORE_LAG_S = 0.1
 STORE_ANSWER_S = 0.5
 STRONGER = 1.5
-STEADY_S = 2.0
-STORE_AGE_S = 1.5
+STEADY_S = 1.0
+STORE_AGE_S = 2.2  # longer than an idle entry's watch of the store
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
 
@@ -104,7 +104,6 @@
             )
             return
         self.downstream[message.peer.name] = peer
-        self.served_at[message.peer.name] = time.monotonic()
         self.owner.advisors.dispatch()
         log.info("peer_follows", extra={"peer": message.peer.name})
         peer.send(status=self.build_status())
@@ -337,7 +336,10 @@
         steady_s = now - max(
             owner.begun_at, self.downstream[first.name].opened_at
         )
-        if steady_s < STEADY_S or self.client.health.failing_since:
+        served_s = now - self.served_at.get(first.name, 0.0)
+        if steady_s < STEADY_S or served_s > STORE_AGE_S:
+            return
+        if self.client.health.failing_since:
             return
         log.info(
             "ownership_passed_on",
