Show the soak finding three protections of the cell that are taken out

The soak also lets registrations expire. Seeds that failed earlier draw from the faults of their time.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -199,6 +199,17 @@
     users.register(minion)
 
 
+@register
+def lose_registration(trouble: Trouble) -> None:
+    """Lets a minion's registration expire while the minion works on."""
+    users = trouble.cell.users
+    minion_id = trouble.pick_minion()
+    users.gone.add(minion_id)
+    users.store.delete(f"servers/{minion_id}")
+    trouble.wait(0.5, 4.0)
+    users.gone.discard(minion_id)
+
+
 @register
 def change_configuration(trouble: Trouble) -> None:
     """Puts a new configuration in force."""
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -1,5 +1,6 @@
 """One seed of the soak: a cell, callers and faults that overlap."""
 
+from collections.abc import Iterable
 import itertools
 import random
 import time
@@ -31,14 +32,34 @@
         struck: Faults in the order in which they began.
     """
 
-    def __init__(self, *, seed: int, entries: int, minions: int) -> None:
-        """Starts a cell."""
+    def __init__(
+        self,
+        *,
+        seed: int,
+        entries: int,
+        minions: int,
+        names: Iterable[str] = tuple(faults.faults),
+        module: str = cell.MODULE,
+    ) -> None:
+        """Starts a cell.
+
+        Args:
+            seed: Seed of what is drawn.
+            entries: Number of entries.
+            minions: Number of minions.
+            names: Faults to draw from.
+            module: What each entry runs.
+        """
         self.seed = seed
         self.generator = random.Random(seed)
         self.network = proxy.Network()
         self.cell = cell.Cell(
-            entry_count=entries, minion_count=minions, network=self.network
+            entry_count=entries,
+            minion_count=minions,
+            network=self.network,
+            module=module,
         )
+        self.names = sorted(names)
         self.accepted: list[str] = []
         self.cancelled: list[str] = []
         self.refused: list[str] = []
@@ -72,7 +93,7 @@
         )
         while not self.stopping:
             trouble.wait(0.1, 1.5)
-            name = trouble.generator.choice(sorted(faults.faults))
+            name = trouble.generator.choice(self.names)
             self.struck.append(name)
             faults.faults[name](trouble)
 
--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -26,6 +26,7 @@
 CONTROL_PORT = 8180
 START_LIMIT_S = 30.0
 POLL_S = 0.05
+MODULE = "hickoryreach_entry"
 CALL_TIMEOUT_S = 4.0
 
 
@@ -40,9 +41,22 @@
     """
 
     def __init__(
-        self, *, users: platform.Platform, index: int, folder: pathlib.Path
+        self,
+        *,
+        users: platform.Platform,
+        index: int,
+        folder: pathlib.Path,
+        module: str = MODULE,
     ) -> None:
-        """Writes the entry's settings; starts nothing."""
+        """Writes the entry's settings; starts nothing.
+
+        Args:
+            users: The platform.
+            index: Number of the entry.
+            folder: Where its settings and its log go.
+            module: What is run, with words that go before the command.
+        """
+        self.module = module.split()
         self.name = f"entry-{index}"
         self.host = f"127.{users.block}.1.{index + 1}"
         self.settings_path = folder / f"{self.name}.yaml"
@@ -72,7 +86,7 @@
         """Starts the process."""
         with self.log_path.open("ab") as log:
             self.process = subprocess.Popen(
-                [sys.executable, "-m", "hickoryreach_entry", "cell"],
+                [sys.executable, "-m", *self.module, "cell"],
                 env=os.environ
                 | {"HICKORYREACH_CONFIG": str(self.settings_path)},
                 stdout=log,
@@ -153,6 +167,7 @@
         entry_count: int = 3,
         minion_count: int = 4,
         network: proxy.Network | None = None,
+        module: str = MODULE,
     ) -> None:
         """Starts a cell, behind a proxy if one is given."""
         self.users = platform.Platform(
@@ -165,6 +180,7 @@
                 users=self.users,
                 index=index,
                 folder=pathlib.Path(self.folder.name),
+                module=module,
             )
             for index in range(entry_count)
         ]
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -2,9 +2,11 @@
 
 import unittest
 
+from soak import faults
 from soak import trial
 
 SECONDS = 10.0
+LATER = {"lose_registration"}  # drawn since these seeds failed
 
 
 class SoakTest(unittest.TestCase):
@@ -12,7 +14,12 @@
 
     def run_seed(self, seed: int) -> None:
         """Runs one seed."""
-        soak = trial.Soak(seed=seed, entries=4, minions=6)
+        soak = trial.Soak(
+            seed=seed,
+            entries=4,
+            minions=6,
+            names=set(faults.faults) - LATER,
+        )
         self.addCleanup(soak.cell.close)
         found = soak.run(SECONDS)
         self.assertEqual(found, [], ",".join(soak.struck))
--- /dev/null
+++ b/tests/integration/test_soak_removed.py
@@ -0,0 +1,41 @@
+"""The soak finds each protection that is taken out."""
+
+import unittest
+
+from soak import trial
+from tests.integration import cases
+
+MODULE = "tests.integration.broken_cell"
+SECONDS = 10.0
+SEEDS = range(1, 7)
+
+
+@cases.long_only
+class SoakRemovedTest(unittest.TestCase):
+    """One test for each of three protections of the users' cell."""
+
+    def find_without(self, protection: str, words: str) -> None:
+        """Runs seeds until one finds faults that hold some words."""
+        for seed in SEEDS:
+            soak = trial.Soak(
+                seed=seed,
+                entries=4,
+                minions=6,
+                module=f"{MODULE} {protection}",
+            )
+            try:
+                found = soak.run(SECONDS)
+            finally:
+                soak.cell.close()
+            if any(words in line for line in found):
+                return
+        self.fail(f"no seed of {list(SEEDS)} found {words!r}")
+
+    def test_ends_acknowledged_before_they_are_kept(self) -> None:
+        self.find_without("kept", "started again after it was done")
+
+    def test_a_takeover_that_asks_no_minion(self) -> None:
+        self.find_without("looks", "runs twice")
+
+    def test_runs_that_take_no_room(self) -> None:
+        self.find_without("room", " tasks")
