Hand jobs in until a test of the users' cell has enough of them

Cause: jobs are handed in one after the other for 1.7 s of the clock. The check still asks for more than ten accepted jobs, and the cell has to accept the rest after the fault, within 20 s.

--- a/tests/integration/test_users_cell.py
+++ b/tests/integration/test_users_cell.py
@@ -13,6 +13,7 @@
 
 TASKS = 2
 JOB_LIMIT_S = 20.0
+LEAST_JOBS = 11
 
 
 class UsersCellCase(unittest.TestCase):
@@ -56,7 +57,14 @@
             gevent.sleep(gap_s)
 
     def check(self) -> None:
-        """Waits for every accepted job; checks what has run."""
+        """Waits for every accepted job; checks what has run.
+
+        Jobs are handed in until enough were accepted, as a busy machine may
+        not come to that many in a test's time.
+        """
+        deadline = time.monotonic() + JOB_LIMIT_S
+        while len(self.accepted) < LEAST_JOBS and time.monotonic() < deadline:
+            self.hand_in(0.2)
         for job_id in self.accepted:
             self.cell.wait_for(
                 lambda job_id=job_id: (
@@ -68,7 +76,7 @@
             self.cell.users.seen, dict.fromkeys(self.accepted, TASKS)
         )
         self.assertEqual(faults, [])
-        self.assertGreater(len(self.accepted), 10)
+        self.assertGreaterEqual(len(self.accepted), LEAST_JOBS)
 
     def get_longest_gap_s(self, begun_at: float) -> float:
         """Returns the longest time without a start since a moment."""
