Serve the store of the entry's tests, and strike the soak's, in one place

Four tests of the cell each served the stand-in of the store with the same lines; they share tests/entry/cell/cases.StoreCase. Assertions and the product are as they were.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -127,20 +127,23 @@
             entry.start()
 
 
+def strike_store(trouble: Trouble, **way: bool) -> None:
+    """Puts a rule between the store and one entry, or all, in force."""
+    source = trouble.generator.choice(["*", trouble.pick_entry().name])
+    rule = proxy.Rule(source=source, target="store", **way)
+    trouble.apply_rule(rule, 0.5, 3.0)
+
+
 @register
 def cut_store(trouble: Trouble) -> None:
     """Cuts one entry, or all, from the store."""
-    source = trouble.generator.choice(["*", trouble.pick_entry().name])
-    rule = proxy.Rule(source=source, target="store", cut=True)
-    trouble.apply_rule(rule, 0.5, 3.0)
+    strike_store(trouble, cut=True)
 
 
 @register
 def silence_store(trouble: Trouble) -> None:
     """Holds the store's answers to one entry, or to all."""
-    source = trouble.generator.choice(["*", trouble.pick_entry().name])
-    rule = proxy.Rule(source=source, target="store", hold_down=True)
-    trouble.apply_rule(rule, 0.5, 3.0)
+    strike_store(trouble, hold_down=True)
 
 
 @register
--- /dev/null
+++ b/tests/entry/cell/cases.py
@@ -0,0 +1,27 @@
+"""A store for tests of what an entry keeps."""
+
+import unittest
+
+from hickoryreach.platform import store
+from standins.users import servers
+from standins.users import store as standin
+
+
+class StoreCase(unittest.TestCase):
+    """Serves the stand-in of the store.
+
+    Attributes:
+        model: The stand-in.
+        client: A client of it.
+    """
+
+    def setUp(self) -> None:
+        """Serves an empty store."""
+        self.model = standin.KeyValueStore()
+
+        def answer(method, path, words, body, environ):
+            return self.model.answer(method, path, words, body, "me")
+
+        server = servers.serve("127.0.0.1:0", answer)
+        self.addCleanup(server.stop, 0)
+        self.client = store.Store(address=f"127.0.0.1:{server.server_port}")
--- a/tests/entry/cell/test_census.py
+++ b/tests/entry/cell/test_census.py
@@ -1,34 +1,24 @@
 """Tests of what a new owner knows of minions whose registration is gone."""
 
 import types
-import unittest
 from unittest import mock
 
 import gevent
 from gevent import event as gevent_event
 
-from hickoryreach.platform import store
 from hickoryreach.scheduling import events
 from hickoryreach_entry.cell import census
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import restoring
-from standins.users import servers
-from standins.users import store as standin
+from tests.entry.cell import cases
 
 
-class CensusTest(unittest.TestCase):
+class CensusTest(cases.StoreCase):
     """Two owners, one after the other."""
 
     def setUp(self) -> None:
         """Serves a store in which an owner has kept two minions."""
-        self.model = standin.KeyValueStore()
-
-        def answer(method, path, words, body, environ):
-            return self.model.answer(method, path, words, body, "me")
-
-        server = servers.serve("127.0.0.1:0", answer)
-        self.addCleanup(server.stop, 0)
-        self.client = store.Store(address=f"127.0.0.1:{server.server_port}")
+        super().setUp()
         self.build(["i-1", "i-2"]).keep()
 
     def build(self, names: list[str]) -> census.Census:
--- a/tests/entry/cell/test_claim.py
+++ b/tests/entry/cell/test_claim.py
@@ -1,7 +1,6 @@
 """Tests of how an entry names itself the owner."""
 
 import time
-import unittest
 
 import gevent
 from returns import result
@@ -9,23 +8,15 @@
 from hickoryreach.platform import store
 from hickoryreach_entry.cell import claim
 from hickoryreach_entry.cell import records
-from standins.users import servers
-from standins.users import store as standin
+from tests.entry.cell import cases
 
 
-class ClaimTest(unittest.TestCase):
+class ClaimTest(cases.StoreCase):
     """One entry names itself, while answers may be lost."""
 
     def setUp(self) -> None:
         """Serves a store that names another owner."""
-        self.model = standin.KeyValueStore()
-
-        def answer(method, path, words, body, environ):
-            return self.model.answer(method, path, words, body, "me")
-
-        server = servers.serve("127.0.0.1:0", answer)
-        self.addCleanup(server.stop, 0)
-        self.client = store.Store(address=f"127.0.0.1:{server.server_port}")
+        super().setUp()
         self.revision = self.model.put(records.OWNER_KEY, b"{}")
         self.wanted = records.Ownership(name="me", address="", epoch=2)
 
--- a/tests/entry/cell/test_effects.py
+++ b/tests/entry/cell/test_effects.py
@@ -1,39 +1,30 @@
 """Tests of how what the reducer asks for is carried out."""
 
 import types
-import unittest
 from unittest import mock
 
 import gevent
 
 from hickoryreach.platform import minions
-from hickoryreach.platform import store
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import effects as effects_module
 from hickoryreach_entry.cell import progress
 from hickoryreach_entry.cell import records
-from standins.users import servers
-from standins.users import store as standin
+from tests.entry.cell import cases
 
 JOB = "a072a0f6de83e5b3"
 
 
-class CarrierTest(unittest.TestCase):
+class CarrierTest(cases.StoreCase):
     """Effects of an owner whose store may be away."""
 
     def setUp(self) -> None:
         """Serves a store, and creates what an owner has."""
-        self.model = standin.KeyValueStore()
-
-        def answer(method, path, words, body, environ):
-            return self.model.answer(method, path, words, body, "me")
-
-        server = servers.serve("127.0.0.1:0", answer)
-        self.addCleanup(server.stop, 0)
+        super().setUp()
         self.progress = progress.Progress(
-            client=store.Store(address=f"127.0.0.1:{server.server_port}"),
+            client=self.client,
             epoch=1,
             revision=self.model.put(records.OWNER_KEY, b"{}"),
             on_deposed=lambda reason: None,
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -1,34 +1,24 @@
 """Tests of the progress that an owner keeps in the store."""
 
-import unittest
-
 import gevent
 
-from hickoryreach.platform import store
 from hickoryreach.scheduling import state
 from hickoryreach_entry.cell import progress
 from hickoryreach_entry.cell import records
-from standins.users import servers
-from standins.users import store as standin
+from tests.entry.cell import cases
 
 
-class ProgressTest(unittest.TestCase):
+class ProgressTest(cases.StoreCase):
     """Rows are kept once, in order, and only by the owner."""
 
     def setUp(self) -> None:
         """Serves a store that names an owner."""
-        self.model = standin.KeyValueStore()
-
-        def answer(method, path, words, body, environ):
-            return self.model.answer(method, path, words, body, "me")
-
-        self.server = servers.serve("127.0.0.1:0", answer)
-        self.addCleanup(self.server.stop, 0)
+        super().setUp()
         self.revision = self.model.put(records.OWNER_KEY, b"{}")
         self.deposed: list[str] = []
         self.kept: list[int] = []
         self.progress = progress.Progress(
-            client=store.Store(address=f"127.0.0.1:{self.server.server_port}"),
+            client=self.client,
             epoch=1,
             revision=self.revision,
             on_deposed=self.deposed.append,
