Age an owner's permission by the boot clock

Cause: a suspended machine's monotonic clock stands still, so that an owner that woke after seconds took its last confirmation, and the followers it had heard before, for fresh; it could place tasks and renew leases as a deposed owner until its next check. Minions that the new owner had reached refuse it by the token; one that only the old owner reached would not have. The status of an earlier owner aged by the same clock. It was also forgotten at a refused connection, so that the next owner waited out a whole lease for minions whose remaining time it had been told. Ruled out: clocks of minions and tickets, which err to the safe side.

--- a/packages/entry/hickoryreach_entry/cell/channel.py
+++ b/packages/entry/hickoryreach_entry/cell/channel.py
@@ -12,6 +12,7 @@
 import gevent.server
 
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import metrics
 
 log = logging.getLogger(__name__)
@@ -30,7 +31,7 @@
     Attributes:
         peer: Information from the other side's greeting, or None before it.
         opened_at: When the channel was opened, on the monotonic clock in s.
-        last_received_at: When the last frame arrived, on the same clock in s.
+        last_received_at: When the last frame arrived, on the boot clock in s.
         closed: Set once the connection has ended.
         reason: Why it ended.
         number: Number of the last call.
@@ -58,7 +59,8 @@
         self.handle = handle
         self.on_closed = on_closed
         self.peer: frames.PeerInfo | None = None
-        self.opened_at = self.last_received_at = time.monotonic()
+        self.opened_at = time.monotonic()
+        self.last_received_at = clock.boot_s()
         self.closed = gevent_event.Event()
         self.reason = ""
         self.number = 0
@@ -138,7 +140,7 @@
             self.close(f"undecodable frame: {error}")
 
     def _handle_frame(self, frame: frames.Frame) -> None:
-        self.last_received_at = time.monotonic()
+        self.last_received_at = clock.boot_s()
         name, message = frames.get_message(frame)
         if frame.answer:
             waiter = self.waiters.get(frame.number)
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -11,6 +11,7 @@
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import failure_detector
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_lookup
@@ -44,7 +45,8 @@
         revision: Revision of the owner's key when it was last read.
         revision_epoch: Epoch of the owner that the key named then; 0 for none.
         status: Latest status of the owner, or None.
-        status_received_at: When it arrived, in s.
+        status_received_at: When it arrived, on the boot clock in s.
+        greeted: Whether the owner's present channel has brought a status.
         pending: Last reported jobs by queue none of whose tasks has started.
         pending_received_at: When they were reported, in s.
         declined_until: Until when this entry does not take over, in s.
@@ -62,6 +64,7 @@
         self.revision_epoch = 0
         self.status: frames.Status | None = None
         self.status_received_at = 0.0
+        self.greeted = False
         self.pending: dict[str, int] = {}
         self.pending_received_at = -math.inf
         self.declined_until = 0.0
@@ -81,11 +84,12 @@
             peer.close("claiming" if message.claiming else "not_owner")
             return
         self.status = message
-        self.status_received_at = time.monotonic()
+        self.greeted = True
+        self.status_received_at = clock.boot_s()
         self.owner_lookup.record_peers(message.succession or [])
         if message.serving:
             self.pending = dict(message.pending or {})
-            self.pending_received_at = self.status_received_at
+            self.pending_received_at = time.monotonic()
         if message.leaving:
             self.leaving_epoch = message.epoch
 
@@ -93,8 +97,9 @@
         """Returns whether this entry hears the owner, and which one it is."""
         epoch = self.ownership.epoch if self.ownership else 0
         heard = (
-            self.is_following()
-            and time.monotonic() - self.status_received_at < SILENCE_LIMIT_S
+            self.greeted
+            and self.is_following()
+            and clock.boot_s() - self.status_received_at < SILENCE_LIMIT_S
         )
         if not heard:
             return frames.OwnerReport(epoch=epoch)
@@ -139,7 +144,7 @@
         return (
             peer is not None
             and not peer.closed.is_set()
-            and time.monotonic() - peer.last_received_at < SILENCE_LIMIT_S
+            and clock.boot_s() - peer.last_received_at < SILENCE_LIMIT_S
         )
 
     def find_or_replace_owner(self) -> bool:
@@ -275,7 +280,7 @@
                 not, its refusal does not show that an owner has failed.
         """
         self.close_owner_channel("owner_changed")
-        self.status_received_at = 0.0
+        self.greeted = False
         try:
             owner_channel = channel.connect(found.address, self.member.handle)
         except OSError as error:
@@ -294,7 +299,7 @@
         owner_channel.send(greeting=frames.Greeting(peer=self.member.own_info))
         deadline = time.monotonic() + GREETING_TIMEOUT_S
         while time.monotonic() < deadline and not owner_channel.closed.is_set():
-            if self.status_received_at:
+            if self.greeted:
                 self.ownership = dataclasses.replace(
                     found, epoch=self.status.epoch
                 )
@@ -388,7 +393,7 @@
         and renew its lease until it learns that it is deposed.
         """
         status = self.status
-        recent = time.monotonic() - self.status_received_at < STATUS_MAX_AGE_S
+        recent = clock.boot_s() - self.status_received_at < STATUS_MAX_AGE_S
         if status is None or not recent or status.epoch != ownership.epoch - 1:
             return {}
         ended = status.leaving or self.detector.refused
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -14,6 +14,7 @@
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
 from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import election
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_client
@@ -278,6 +279,7 @@
         among them those with the most processor time.
         """
         now = time.monotonic()
+        booted_s = clock.boot_s()
         return [
             peer.peer
             for peer in sorted(
@@ -285,7 +287,7 @@
                 key=lambda peer: (
                     now - self.store_served_at.get(peer.peer.name, 0.0)
                     > STORE_CONTACT_MAX_AGE_S,
-                    now - peer.last_received_at > election.SILENCE_LIMIT_S,
+                    booted_s - peer.last_received_at > election.SILENCE_LIMIT_S,
                     -peer.peer.processor,
                     peer.peer.name,
                 ),
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -159,7 +159,7 @@
         """
         hold_limit_ms = self.settings.bounds.hold_limit_ms
         lease_ms = min(links.LEASE_MS, hold_limit_ms)
-        if not self.may_place(time.monotonic()):
+        if not self.may_place():
             lease_ms = 0
         return links.Terms(
             token=self.revision, lease_ms=lease_ms, hold_limit_ms=hold_limit_ms
@@ -224,7 +224,7 @@
             self.apply(events.Ticked(wall_ms=clock.wall_ms()))
             self.retention.run(now)
             ticked_at = now
-        if self.may_place(now) and now >= self.next_pass_at:
+        if self.may_place() and now >= self.next_pass_at:
             self.run_placement_pass()
         return ticked_at
 
@@ -236,12 +236,12 @@
         metrics.advance_seconds.observe(ended - started_at)
         self.next_pass_at = ended + min(ended - started_at, MAX_PASS_GAP_S)
 
-    def may_place(self, now: float) -> bool:
+    def may_place(self) -> bool:
         """Returns whether the ownership is valid enough to start tasks."""
         return (
             not self.leaving
             and not self.stopped
-            and self.ownership_validity.is_confirmed(now)
+            and self.ownership_validity.is_confirmed()
         )
 
     def emit(self, event: events.Event) -> None:
--- a/packages/entry/hickoryreach_entry/cell/ownership_validity.py
+++ b/packages/entry/hickoryreach_entry/cell/ownership_validity.py
@@ -1,12 +1,11 @@
 """Confirmation that an owner is still the owner of the cell."""
 
 from collections.abc import Callable
-import time
-
 import gevent
 
 from hickoryreach.platform import store
 from hickoryreach_entry.cell import channel
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import records
 
 CONFIRM_INTERVAL_S = 0.5
@@ -17,10 +16,12 @@
 class OwnershipValidity:
     """Confirms the ownership by the store, or by followers without it.
 
+    Times are on the boot clock in s: an owner that was suspended must not act
+    on a confirmation from before.
+
     Attributes:
         revision: Revision of the owner's key that makes this the owner.
-        confirmed_at: Start of the last check that confirmed the ownership, on
-            the monotonic clock in s.
+        confirmed_at: Start of the last check that confirmed the ownership.
     """
 
     def __init__(
@@ -43,11 +44,11 @@
         self.revision = revision
         self.get_channels = get_channels
         self.on_deposed = on_deposed
-        self.confirmed_at = time.monotonic()
+        self.confirmed_at = clock.boot_s()
 
-    def is_confirmed(self, now: float) -> bool:
+    def is_confirmed(self) -> bool:
         """Returns whether the last confirmation is recent enough to act on."""
-        return now - self.confirmed_at < CONFIRMATION_MAX_AGE_S
+        return clock.boot_s() - self.confirmed_at < CONFIRMATION_MAX_AGE_S
 
     def confirm_forever(self) -> None:
         """Checks at regular intervals that no other entry has taken over."""
@@ -60,18 +61,19 @@
 
         While the store does not answer, a quorum of followers confirms it.
         """
-        asked_at = time.monotonic()
+        asked_at = clock.boot_s()
         found = self.client.get(records.OWNER_KEY).value_or(None)
         if found is None:
-            if self.has_follower_quorum(time.monotonic()):
+            if self.has_follower_quorum():
                 self.confirmed_at = asked_at
         elif found.revision == self.revision:
             self.confirmed_at = asked_at
         else:
             self.on_deposed("owner_key_changed")
 
-    def has_follower_quorum(self, now: float) -> bool:
+    def has_follower_quorum(self) -> bool:
         """Returns whether at least half of the followers were heard lately."""
+        now = clock.boot_s()
         peers = list(self.get_channels().values())
         heard = sum(
             now - peer.last_received_at < FOLLOWER_SILENCE_LIMIT_S
--- a/tests/entry/cell/test_election.py
+++ b/tests/entry/cell/test_election.py
@@ -106,3 +106,38 @@
         self.election.find_or_replace_owner()
         self.assertFalse(self.election.take_over_as_successor())
         self.election.take_over.assert_not_called()
+
+
+class SilentMinionsTest(unittest.TestCase):
+    """What the previous owner reported of its silent minions."""
+
+    def setUp(self) -> None:
+        """Hears a status of an owner whose process then ends."""
+        own_info = frames.PeerInfo(name="me", address="")
+        member = types.SimpleNamespace(
+            owner=None, own_info=own_info, handle=mock.Mock()
+        )
+        self.election = election.Election(member=member)
+        self.election.owner_channel = mock.Mock()
+        status = frames.Status(epoch=2, succession=[], silent={"m0": 900})
+        self.election.handle_status(self.election.owner_channel, status)
+        self.owner = records.Ownership(name="a", address="127.0.0.1:1", epoch=2)
+
+    def list_silent(self) -> dict[str, int]:
+        """Returns what this entry would assume as the next owner."""
+        return self.election.get_silent_minions(
+            records.Ownership(name="me", address="", epoch=3)
+        )
+
+    def test_known_after_a_refused_connection(self) -> None:
+        self.assertFalse(self.election.follow(self.owner))
+        self.assertEqual(self.list_silent(), {"m0": 900})
+
+    def test_not_reported_as_heard_after_a_refused_connection(self) -> None:
+        self.election.follow(self.owner)
+        self.assertFalse(self.election.report().heard)
+
+    def test_unknown_after_a_suspension(self) -> None:
+        resumed_at = self.election.status_received_at + 5.0
+        with mock.patch("time.clock_gettime", return_value=resumed_at):
+            self.assertEqual(self.list_silent(), {})
--- a/tests/entry/cell/test_member.py
+++ b/tests/entry/cell/test_member.py
@@ -10,6 +10,7 @@
 
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import server
@@ -107,7 +108,7 @@
         self.member.store_served_at[name] = self.now
         self.member.followers[name] = mock.Mock(
             peer=frames.PeerInfo(name=name, processor=processor),
-            last_received_at=self.now,
+            last_received_at=clock.boot_s(),
             opened_at=self.now - since_s,
         )
 
