Check the ownership again right before a start is sent

Cause: a start is sent by a greenlet of its own. A process paused between the decision and the call sent it with a fresh deadline whenever it woke. Now the order is not sent, and its task waits again, truly not started. Ruled out: polls, which take terms and deadline in one step before they are sent. Test fails first: test_a_start_is_not_sent_without_a_confirmed_ownership.

--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -27,23 +27,19 @@
         self.link = link
 
     def start(self, effect: effects.StartTask) -> None:
-        """Sends a start order and emits the result."""
-        deadline_ms = self.link.estimate_clock() + effect.valid_ms
-        self.link.deadline_ms = max(self.link.deadline_ms, deadline_ms)
-        failure = self.send_start(
-            minions.StartOrder(
-                key=effect.key,
-                run=effect.number,
-                payload=effect.payload,
-                deadline_ms=deadline_ms,
-                token=self.link.get_terms().token,
-                checkpoint=effect.checkpoint,
-                ticket=effect.ticket,
-            )
-        )
+        """Sends a start order and emits the result.
+
+        The order is not sent if the ownership was confirmed too long ago, as
+        after a pause of this process between the decision and the call.
+        """
+        terms = self.link.get_terms()
+        if terms.lease_ms:
+            failure = self.send_start(effect, terms.token)
+        else:
+            failure = minions.OrderFailure(reason="ownership_unconfirmed")
         outcome = "confirmed"
         if failure is not None:
-            outcome = str(failure.refusal or "unclear")
+            outcome = describe_failure(failure)
         metrics.task_starts.labels(outcome).inc()
         log.info(
             "task_start",
@@ -64,7 +60,7 @@
         )
 
     def send_start(
-        self, order: minions.StartOrder
+        self, effect: effects.StartTask, token: int
     ) -> minions.OrderFailure | None:
         """Sends a start order, again if there is no response.
 
@@ -75,6 +71,17 @@
         Returns:
             The failure, or None if the start was confirmed.
         """
+        deadline_ms = self.link.estimate_clock() + effect.valid_ms
+        self.link.deadline_ms = max(self.link.deadline_ms, deadline_ms)
+        order = minions.StartOrder(
+            key=effect.key,
+            run=effect.number,
+            payload=effect.payload,
+            deadline_ms=deadline_ms,
+            token=token,
+            checkpoint=effect.checkpoint,
+            ticket=effect.ticket,
+        )
         unclear = False
         for _ in range(START_ATTEMPTS):
             failure = self.extract_failure(self.link.client.start(order))
@@ -146,3 +153,10 @@
         if failure.refusal is minions.Refusal.FENCED:
             self.link.on_fenced(self.link.minion.minion_id)
         return failure
+
+
+def describe_failure(failure: minions.OrderFailure) -> str:
+    """Returns the outcome of an order that was not confirmed, for logs."""
+    if failure.refusal is not None:
+        return str(failure.refusal)
+    return "unclear" if failure.effect_unknown else "not_sent"
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -109,6 +109,18 @@
         self.link.acknowledge_end(self.model.incarnation, 1)
         self.wait(lambda: not self.model.ends)
 
+    def test_a_start_is_not_sent_without_a_confirmed_ownership(self) -> None:
+        self.lease_ms = 0
+        self.start('{"work_ms": 50}')
+        answers = [
+            event
+            for event in self.events
+            if isinstance(event, events.StartAnswered)
+        ]
+        self.assertEqual(answers[0].failure.reason, "ownership_unconfirmed")
+        self.assertFalse(answers[0].failure.effect_unknown)
+        self.assertFalse(self.model.runs)
+
     def test_a_long_task_outlives_its_first_lease(self) -> None:
         self.start('{"work_ms": 2500}')
         self.wait(self.list_ends)
