Reject malformed input at the border, and survive it in a watch

Cause, found by a fuzz of replies: a row of a minion's list whose run number is null or a text reached the reducer, whose TypeError ends the process; the next owner polls the same minion and ends too. A registration whose address has no port ended the watch of all registrations silently; so did any unexpected error in a page. A greeting without a name ended the owner when the succession was next sorted. A job with billions of tasks or repeats, or an infinite estimate, was accepted. Numbers are now checked where they are parsed, addresses and amounts by their models; a job has at most 100,000 tasks, repeats included; a watch logs an unexpected error and reads the whole prefix again. Advice of an earlier owner is parsed when it arrives, where an error closes only its channel. Ruled out: frames that can't be decoded, which close their channel already.

--- a/packages/core/hickoryreach/platform/callers.py
+++ b/packages/core/hickoryreach/platform/callers.py
@@ -13,6 +13,7 @@
 JOB_ID_LENGTH = 16
 AUTHORIZATION_SCHEME = "Token "
 PAYLOAD_LIMIT_BYTES = 4_000
+TASKS_LIMIT = 100_000  # starts of one job, those of all repeats included
 
 
 class State(enum.StrEnum):
@@ -28,24 +29,26 @@
 class StepRow(documents.Document):
     """A step of a submitted job; `fills` marks a filler step."""
 
-    count: int = pydantic.Field(default=1, ge=1, le=100_000)
-    cpu: int = pydantic.Field(default=0, ge=0)
-    mem_mb: int = pydantic.Field(default=0, ge=0)
-    gpu: int = pydantic.Field(default=0, ge=0)
-    estimate_ms: float = pydantic.Field(default=0, ge=0)
+    count: int = pydantic.Field(default=1, ge=1, le=TASKS_LIMIT)
+    cpu: documents.Count = 0
+    mem_mb: documents.Count = 0
+    gpu: documents.Count = 0
+    estimate_ms: float = pydantic.Field(
+        default=0, ge=0, le=documents.MAX_AMOUNT
+    )
     after: list[int] = []
     saves_progress: bool = False
     gang: bool = False
     same_rack: bool = False
     requires: str = ""
     affinity: str = ""
-    anti_affinity: int = pydantic.Field(default=0, ge=0)
+    anti_affinity: documents.Count = 0
     speculative: bool = False
     persistent: bool = False
     image: str = ""
-    target_ms: int = pydantic.Field(default=0, ge=0)
+    target_ms: documents.Count = 0
     fills: bool = False
-    may_miss: int = pydantic.Field(default=0, ge=0)
+    may_miss: documents.Count = 0
 
     def decode(self) -> steps.Step:
         """Returns the step as the scheduler represents it."""
@@ -78,18 +81,21 @@
 
     spec: str
     steps: list[StepRow] = pydantic.Field(min_length=1)
-    repeats: int = pydantic.Field(default=0, ge=0)
-    first_run_ms: int = 0
-    interval_ms: int = 0
+    repeats: documents.Count = 0
+    first_run_ms: documents.Count = 0
+    interval_ms: documents.Count = 0
 
     @pydantic.model_validator(mode="after")
     def check_order(self) -> "JobBody":
-        """Checks the order of the steps and the size of `spec`.
+        """Checks the order of the steps, and the size of the job.
 
         Raises:
-            ValueError: A step names a later step or itself in `after`, or
-                `spec` is too large.
+            ValueError: A step names a later step or itself in `after`, there
+                are too many tasks, or `spec` is too large.
         """
+        tasks = sum(row.count for row in self.steps) * max(1, self.repeats)
+        if tasks > TASKS_LIMIT:
+            raise ValueError(f"steps: must have at most {TASKS_LIMIT} tasks")
         for position, row in enumerate(self.steps):
             if any(not 0 <= each < position for each in row.after):
                 raise ValueError(
--- a/packages/core/hickoryreach/platform/documents.py
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -1,7 +1,9 @@
 """Documents that the operator and the minions write to the store."""
 
 from collections.abc import Iterable
+import ipaddress
 import logging
+from typing import Annotated
 
 import pydantic
 from pydantic import alias_generators
@@ -16,6 +18,10 @@
 MINIONS_PREFIX = "servers/"
 READY = "ready"
 DRAINING = "draining"
+MAX_PORT = 65_535
+MAX_AMOUNT = 2**53  # the largest whole number that JSON readers agree on
+
+Count = Annotated[int, pydantic.Field(ge=0, le=MAX_AMOUNT)]
 
 
 class Document(pydantic.BaseModel):
@@ -29,9 +35,9 @@
 class Amount(Document):
     """An amount of each resource; `cpu` is in thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: Count = 0
+    mem_mb: Count = 0
+    gpu: Count = 0
 
     def decode(self) -> resources.Resources:
         """Returns the amount as the scheduler represents it."""
@@ -136,6 +142,20 @@
     born: int = 0
     machine: str = ""
 
+    @pydantic.field_validator("address")
+    @classmethod
+    def check_address(cls, address: str) -> str:
+        """Checks that an address is an IP address and a port.
+
+        Raises:
+            ValueError: It is not.
+        """
+        host, _, port = address.rpartition(":")
+        ipaddress.ip_address(host)
+        if not 0 < int(port) <= MAX_PORT:
+            raise ValueError(f"port must be from 1 to {MAX_PORT}")
+        return address
+
 
 def parse_configuration(
     data: bytes,
--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -297,10 +297,11 @@
     Raises:
         ValueError: The name is not of the form job.repeat.step.index.
     """
-    job_id, repeat, step, index = name.split(".")
-    return steps.TaskKey(
-        job_id=job_id, repeat=int(repeat), step=int(step), index=int(index)
-    )
+    job_id, *numbers = name.split(".")
+    repeat, step, index = (int(number) for number in numbers)
+    if min(repeat, step, index) < 0:
+        raise ValueError(f"negative number in task {name!r}")
+    return steps.TaskKey(job_id=job_id, repeat=repeat, step=step, index=index)
 
 
 def _convert_failure(failure: http.CallFailure) -> result.Result:
@@ -365,22 +366,16 @@
                 ends=tuple(_parse_end(row) for row in body["finished"]),
             )
         )
-    except (
-        AttributeError,
-        IndexError,
-        KeyError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except (AttributeError, LookupError, TypeError, ValueError) as error:
         return _build_malformed_failure(error)
 
 
 def _parse_running(row: list) -> RunningTask:
     return RunningTask(
         key=parse_task(row[0]),
-        run=row[1],
-        checkpoint=row[2],
-        percent=row[3],
+        run=int(row[1]),
+        checkpoint=str(row[2] or ""),
+        percent=int(row[3]),
         measurement=float(row[4] or 0.0)
         if len(row) > MEASUREMENT_COLUMN
         else 0.0,
@@ -389,9 +384,9 @@
 
 def _parse_end(row: list) -> TaskEnd:
     return TaskEnd(
-        number=row[0],
+        number=int(row[0]),
         key=parse_task(row[1]),
-        run=row[2],
+        run=int(row[2]),
         kind=EndKind(row[3]),
-        checkpoint=row[4],
+        checkpoint=str(row[4] or ""),
     )
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -247,7 +247,7 @@
         if self.status is None or found is None:
             return []
         before = []
-        for peer in self.status.succession:
+        for peer in self.status.succession or ():
             if peer.name == self.member.own_info.name:
                 break
             if peer.name != found.name:
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -101,6 +101,9 @@
         self, peer: channel.Channel, message: frames.Greeting
     ) -> None:
         """Adds a follower, or answers that this entry is not the owner."""
+        if message.peer is None or not message.peer.name:
+            peer.close("greeting without a name")
+            return
         peer.peer = message.peer
         if self.owner is None:
             peer.send(
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -66,8 +66,6 @@
         serving: Whether the takeover is complete and decisions are made.
         leaving: Whether the ownership is being handed over.
         ownership_validity: Whether this may still act as the owner.
-        pending_advice: Advice of an earlier owner that arrived during the
-            takeover.
     """
 
     def __init__(
@@ -101,7 +99,6 @@
             get_channels=get_channels,
             on_deposed=on_deposed,
         )
-        self.pending_advice: list[frames.AdviceNews] = []
         self.inbox: gevent_queue.Queue = gevent_queue.Queue()
         self.unreported_at = -UNREPORTED_WINDOW_S
         self.next_pass_at = 0.0
@@ -195,8 +192,6 @@
         self.jobs_watcher.start()
         while not self.inbox.empty():
             self.apply(self.inbox.get_nowait())
-        for advice_news in self.pending_advice:
-            self.apply_past_advice(advice_news)
         ticked_at = 0.0
         while not self.stopped:
             ticked_at = self.process_batch(ticked_at)
@@ -313,18 +308,15 @@
             self.emit(events.JobNotFound(job_id=job_id))
 
     def apply_past_advice(self, advice_news: frames.AdviceNews) -> None:
-        """Applies advice that an earlier owner asked for."""
-        if not self.serving:
-            self.pending_advice.append(advice_news)
-            return
-        for past in advice_news.answers:
+        """Queues advice that an earlier owner asked for."""
+        for past in advice_news.answers or ():
             key = minions.parse_task(f"{past.step}.0")
             self.emit(
                 events.AdviceCallEnded(
                     job_id=key.job_id,
                     repeat=key.repeat,
                     position=key.step,
-                    asked=tuple(past.minions),
+                    asked=tuple(past.minions or ()),
                     tickets=dict(past.tickets or {}),
                     valid_ms=past.left_ms,
                     from_earlier_owner=True,
--- a/packages/entry/hickoryreach_entry/cell/ownership_validity.py
+++ b/packages/entry/hickoryreach_entry/cell/ownership_validity.py
@@ -1,6 +1,7 @@
 """Confirmation that an owner is still the owner of the cell."""
 
 from collections.abc import Callable
+
 import gevent
 
 from hickoryreach.platform import store
--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -60,15 +60,26 @@
         self.greenlet = gevent.spawn(self.watch_forever)
 
     def watch_forever(self) -> None:
-        """Reads the prefix, then watches it."""
+        """Reads the prefix, then watches it.
+
+        After an unexpected error it reads the whole prefix again, as changes
+        may have been missed.
+        """
         while True:
-            if self.revision < 0:
-                read = self.client.get_prefix(self.prefix)
-            else:
-                read = self.client.watch(
-                    self.prefix, revision=self.revision, wait_s=self.wait_s
-                )
-            self.handle_result(read)
+            try:
+                self.handle_result(self.read())
+            except Exception:
+                log.exception("watch_failed", extra={"prefix": self.prefix})
+                self.revision = -1
+                gevent.sleep(RETRY_DELAY_S)
+
+    def read(self) -> result.Result[store.Page, store.StoreFailure]:
+        """Reads the whole prefix, or waits for changes to it."""
+        if self.revision < 0:
+            return self.client.get_prefix(self.prefix)
+        return self.client.watch(
+            self.prefix, revision=self.revision, wait_s=self.wait_s
+        )
 
     def handle_result(
         self, read: result.Result[store.Page, store.StoreFailure]
--- a/tests/core/platform/test_documents.py
+++ b/tests/core/platform/test_documents.py
@@ -48,6 +48,11 @@
             {"state": "asleep"},
             {"state": None},
             {"address": 5},
+            {"address": "127.0.0.1"},
+            {"address": "127.0.0.1:"},
+            {"address": "127.0.0.1:99999"},
+            {"address": "minion:80"},
+            {"capacity": {"cpu": -1}},
             {"capacity": "much"},
             {"capacity": {"cpu": "4000"}},
             {"service": None},
@@ -116,6 +121,11 @@
             self.parse({"after": [0]}),
             self.parse({}, {"after": [1]}),
             self.parse({}, spec="x" * 5_000),
+            self.parse({"count": 60_000}, {"count": 60_000}),
+            self.parse({"count": 2}, repeats=60_000),
+            self.parse({"cpu": 10**30}),
+            self.parse({}, firstRunMs=10**30),
+            callers.parse_job(b'{"spec":"","steps":[{"estimateMs":1e999}]}'),
             callers.parse_job(b"\xff"),
         ):
             self.assertIsInstance(parsed, result.Failure)
--- a/tests/entry/cell/test_member.py
+++ b/tests/entry/cell/test_member.py
@@ -151,3 +151,16 @@
         self.add_follower("strong", 2.0, since_s=5.0)
         self.member.owner.serving = False
         self.assertFalse(self.check())
+
+
+class MalformedGreetingTest(unittest.TestCase):
+    """A peer that gives no name does not become a follower."""
+
+    def test_its_channel_is_closed(self) -> None:
+        member = member_module.Member.__new__(member_module.Member)
+        member.followers = {}
+        for info in (None, frames.PeerInfo()):
+            peer = mock.Mock()
+            member.handle(peer, "greeting", frames.Greeting(peer=info))
+            peer.close.assert_called_once()
+        self.assertFalse(member.followers)
