Split the owner's fitness review and its last status from member and election

FitnessReview decides whether a running owner releases the cell; OwnerStatus keeps what a follower was told. Tests move along; no behaviour changes.

--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -15,6 +15,7 @@
 from hickoryreach_entry.cell import failure_detector
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_lookup
+from hickoryreach_entry.cell import owner_status
 from hickoryreach_entry.cell import ownership_claim
 from hickoryreach_entry.cell import records
 
@@ -26,9 +27,7 @@
 SUCCESSOR_RETRY_DELAY_S = 0.1
 STARTUP_DELAY_S = 0.25
 CHECK_INTERVAL_S = 0.05
-STATUS_MAX_AGE_S = 2.5
 PEER_CLAIM_TIMEOUT_S = 0.2
-DEPOSED_OWNER_GRACE_MS = 1_500
 
 
 class Election:
@@ -44,11 +43,8 @@
         ownership: Latest known ownership, or None.
         revision: Revision of the owner's key when it was last read.
         revision_epoch: Epoch of the owner that the key named then; 0 for none.
-        status: Latest status of the owner, or None.
-        status_received_at: When it arrived, on the boot clock in s.
+        last_status: What the owner reported last.
         greeted: Whether the owner's present channel has brought a status.
-        pending: Last reported jobs by queue none of whose tasks has started.
-        pending_received_at: When they were reported, in s.
         declined_until: Until when this entry does not take over, in s.
         claiming: Whether this entry is writing the owner's key.
         peer_claiming_at: When another entry last reported to write it, in s.
@@ -62,11 +58,8 @@
         self.ownership: records.Ownership | None = None
         self.revision = 0
         self.revision_epoch = 0
-        self.status: frames.Status | None = None
-        self.status_received_at = 0.0
+        self.last_status = owner_status.OwnerStatus()
         self.greeted = False
-        self.pending: dict[str, int] = {}
-        self.pending_received_at = -math.inf
         self.declined_until = 0.0
         self.leaving_epoch = 0
         self.claiming = False
@@ -83,13 +76,9 @@
         if not message.epoch:
             peer.close("claiming" if message.claiming else "not_owner")
             return
-        self.status = message
         self.greeted = True
-        self.status_received_at = clock.boot_s()
+        self.last_status.record(message)
         self.owner_lookup.record_peers(message.succession or [])
-        if message.serving:
-            self.pending = dict(message.pending or {})
-            self.pending_received_at = time.monotonic()
         if message.leaving:
             self.leaving_epoch = message.epoch
 
@@ -99,7 +88,7 @@
         heard = (
             self.greeted
             and self.is_following()
-            and clock.boot_s() - self.status_received_at < SILENCE_LIMIT_S
+            and self.last_status.get_age_s() < SILENCE_LIMIT_S
         )
         if not heard:
             return frames.OwnerReport(epoch=epoch)
@@ -197,7 +186,7 @@
             return False
         if self.list_predecessors(known):
             return False
-        if self.status is None or time.monotonic() < self.declined_until:
+        if not self.last_status.epoch or time.monotonic() < self.declined_until:
             return False
         if self.follow(known) or self.detector.refused != known.epoch:
             return self.is_following()
@@ -244,10 +233,10 @@
         self, found: records.Ownership | None
     ) -> list[frames.PeerInfo]:
         """Returns the entries before this one in the succession."""
-        if self.status is None or found is None:
+        if found is None:
             return []
         before = []
-        for peer in self.status.succession or ():
+        for peer in self.last_status.succession:
             if peer.name == self.member.own_info.name:
                 break
             if peer.name != found.name:
@@ -301,12 +290,15 @@
         while time.monotonic() < deadline and not owner_channel.closed.is_set():
             if self.greeted:
                 self.ownership = dataclasses.replace(
-                    found, epoch=self.status.epoch
+                    found, epoch=self.last_status.epoch
                 )
                 self.detector.reset()
                 log.info(
                     "owner_followed",
-                    extra={"owner": found.name, "epoch": self.status.epoch},
+                    extra={
+                        "owner": found.name,
+                        "epoch": self.last_status.epoch,
+                    },
                 )
                 self.member.forward_advice()
                 return True
@@ -355,10 +347,10 @@
     ) -> None:
         """Starts the owner under its epoch and fencing token."""
         self.close_owner_channel("took_over")
-        silent = self.get_silent_minions(ownership)
-        followed = self.status is not None and (
-            self.status.epoch == ownership.epoch - 1
+        silent = self.last_status.get_silent_minions(
+            ownership.epoch, owner_ended=bool(self.detector.refused)
         )
+        followed = self.last_status.epoch == ownership.epoch - 1
         self.ownership = ownership
         self.detector.reset()
         log.info(
@@ -381,24 +373,3 @@
         )
         self.member.owner.start()
         self.member.forward_advice()
-
-    def get_silent_minions(
-        self, ownership: records.Ownership
-    ) -> dict[str, int]:
-        """Returns the silent minions that the previous owner reported.
-
-        Empty if the report is too old or from an earlier owner. Each has the
-        time in ms until no earlier run can exist there. That time is extended
-        for an owner that may still run, since it may reach the minion again
-        and renew its lease until it learns that it is deposed.
-        """
-        status = self.status
-        recent = clock.boot_s() - self.status_received_at < STATUS_MAX_AGE_S
-        if status is None or not recent or status.epoch != ownership.epoch - 1:
-            return {}
-        ended = status.leaving or self.detector.refused
-        slack_ms = 0 if ended else DEPOSED_OWNER_GRACE_MS
-        return {
-            name: left_ms + slack_ms
-            for name, left_ms in (status.silent or {}).items()
-        }
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -16,6 +16,7 @@
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import election
+from hickoryreach_entry.cell import fitness_review
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_client
 from hickoryreach_entry.cell import records
@@ -25,13 +26,6 @@
 STATUS_INTERVAL_S = 0.15
 MAX_SUCCESSORS = 6
 CALL_TIMEOUT_S = 1.0
-TAKEOVER_PAUSE_S = 5.0
-STORE_FAILURE_TIMEOUT_S = 0.3
-LAG_MARGIN_S = 0.1
-STORE_READ_TIMEOUT_S = 0.5
-STRONGER_FACTOR = 1.5
-MIN_STABLE_S = 1.0
-STORE_CONTACT_MAX_AGE_S = 2.2  # longer than one watch call of an idle entry
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
 
@@ -45,6 +39,7 @@
         followers: Channels of the entries that follow this one, by name.
         store_served_at: When the store last served each follower, in s.
         election: Election that follows the owner or takes over from it.
+        fitness_review: Review of whether this entry should go on as the owner.
         owner_client: Client of the owner for callers' requests.
         draining: Whether this entry is about to stop.
     """
@@ -70,6 +65,7 @@
         self.store_served_at: dict[str, float] = {}
         self.draining = False
         self.election = election.Election(member=self)
+        self.fitness_review = fitness_review.FitnessReview(member=self)
         self.owner_client = owner_client.OwnerClient(
             member=self, election=self.election
         )
@@ -289,7 +285,7 @@
                 self.followers.values(),
                 key=lambda peer: (
                     now - self.store_served_at.get(peer.peer.name, 0.0)
-                    > STORE_CONTACT_MAX_AGE_S,
+                    > fitness_review.STORE_CONTACT_MAX_AGE_S,
                     booted_s - peer.last_received_at > election.SILENCE_LIMIT_S,
                     -peer.peer.processor,
                     peer.peer.name,
@@ -302,8 +298,7 @@
         while True:
             gevent.sleep(STATUS_INTERVAL_S)
             if self.owner is not None:
-                self.check_store_access()
-                self.check_stronger_follower()
+                self.fitness_review.run()
                 status = self.build_status()
                 for peer in list(self.followers.values()):
                     peer.send(status=status)
@@ -313,63 +308,6 @@
                     pulse=frames.Pulse(store_age_ms=int(age_s * 1000))
                 )
 
-    def check_store_access(self) -> None:
-        """Releases the ownership if the store fails for this entry only.
-
-        A follower that the store has served since it began to fail here shows
-        that. While the store fails for all entries, there is no such follower.
-        A store that still answers a read here has only lost answers to writes.
-        """
-        owner = self.owner
-        since = owner.progress.failing_since
-        if not since or owner.leaving:
-            return
-        if time.monotonic() - since < STORE_FAILURE_TIMEOUT_S:
-            return
-        served_at = max(self.store_served_at.values(), default=0.0)
-        if served_at > since + LAG_MARGIN_S and not self.is_store_responding():
-            log.warning("ownership_store_lost", extra={"epoch": owner.epoch})
-            self.election.declined_until = time.monotonic() + TAKEOVER_PAUSE_S
-            gevent.spawn(self.release_ownership)
-
-    def check_stronger_follower(self) -> None:
-        """Releases the ownership to a follower with much more processor time.
-
-        Entries with less may take over while the others fail or are isolated.
-        """
-        owner = self.owner
-        first = next(iter(self.list_succession()), None)
-        if owner is None or not owner.serving or owner.leaving or not first:
-            return
-        if first.processor < STRONGER_FACTOR * self.own_info.processor:
-            return
-        now = time.monotonic()
-        stable_s = now - max(
-            owner.begun_at, self.followers[first.name].opened_at
-        )
-        served_s = now - self.store_served_at.get(first.name, 0.0)
-        if stable_s < MIN_STABLE_S or served_s > STORE_CONTACT_MAX_AGE_S:
-            return
-        if self.client.health.failing_since:
-            return
-        log.info(
-            "ownership_passed_on",
-            extra={
-                "epoch": owner.epoch,
-                "processor": self.own_info.processor,
-                "to": first.name,
-                "their_processor": first.processor,
-            },
-        )
-        self.election.declined_until = now + TAKEOVER_PAUSE_S
-        gevent.spawn(self.release_ownership)
-
-    def is_store_responding(self) -> bool:
-        """Returns whether the store answers a read within the timeout."""
-        reading = gevent.spawn(self.client.get, records.OWNER_KEY)
-        reading.join(STORE_READ_TIMEOUT_S)
-        return reading.ready() and isinstance(reading.value, result.Success)
-
     def release_ownership(self) -> None:
         """Releases the ownership to the first entry in the succession."""
         owner = self.owner
--- a/packages/entry/hickoryreach_entry/cell/owner_client.py
+++ b/packages/entry/hickoryreach_entry/cell/owner_client.py
@@ -147,8 +147,9 @@
         """
         if self.member.owner is not None and self.member.owner.serving:
             counts = self.member.owner.published_states.count_pending()
-        elif time.monotonic() - self.election.pending_received_at <= limit_s:
-            counts = self.election.pending
         else:
-            return None
+            last = self.election.last_status
+            if time.monotonic() - last.pending_received_at > limit_s:
+                return None
+            counts = last.pending
         return counts.get(queue, 0)
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/owner_status.py
@@ -0,0 +1,73 @@
+"""What the owner of the cell reported last."""
+
+import math
+import time
+
+from hickoryreach.wire import frames
+from hickoryreach_entry.cell import clock
+
+STATUS_MAX_AGE_S = 2.5
+DEPOSED_OWNER_GRACE_MS = 1_500
+
+
+class OwnerStatus:
+    """Latest status of an owner, as a follower keeps it.
+
+    Attributes:
+        epoch: Epoch of the owner; 0 before the first status.
+        succession: First entries in the order in which they take over.
+        leaving: Whether the owner was handing its ownership over.
+        silent: Minions that did not answer, with the time in ms after which
+            nothing that the owner started can run there.
+        received_at: When the status arrived, on the boot clock in s.
+        pending: Last reported jobs by queue none of whose tasks has started.
+        pending_received_at: When they were reported, on the monotonic clock in
+            s.
+    """
+
+    def __init__(self) -> None:
+        """Starts without any report."""
+        self.epoch = 0
+        self.succession: list[frames.PeerInfo] = []
+        self.leaving = False
+        self.silent: dict[str, int] = {}
+        self.received_at = -math.inf
+        self.pending: dict[str, int] = {}
+        self.pending_received_at = -math.inf
+
+    def record(self, message: frames.Status) -> None:
+        """Records a status; one sent during a takeover has no counts."""
+        self.epoch = message.epoch
+        self.succession = list(message.succession or ())
+        self.leaving = bool(message.leaving)
+        self.silent = dict(message.silent or {})
+        self.received_at = clock.boot_s()
+        if message.serving:
+            self.pending = dict(message.pending or {})
+            self.pending_received_at = time.monotonic()
+
+    def get_age_s(self) -> float:
+        """Returns the time since the status arrived, in s."""
+        return clock.boot_s() - self.received_at
+
+    def get_silent_minions(
+        self, next_epoch: int, *, owner_ended: bool
+    ) -> dict[str, int]:
+        """Returns the silent minions that the previous owner reported.
+
+        Empty if the report is too old or from an earlier owner. Each has the
+        time in ms until no earlier run can exist there. That time is extended
+        for an owner that may still run, since it may reach the minion again
+        and renew its lease until it learns that it is deposed.
+
+        Args:
+            next_epoch: Epoch of the ownership that follows.
+            owner_ended: Whether the previous owner is known to have ended.
+        """
+        if self.get_age_s() >= STATUS_MAX_AGE_S or self.epoch != next_epoch - 1:
+            return {}
+        ended = self.leaving or owner_ended
+        slack_ms = 0 if ended else DEPOSED_OWNER_GRACE_MS
+        return {
+            name: left_ms + slack_ms for name, left_ms in self.silent.items()
+        }
--- a/tests/entry/cell/test_election.py
+++ b/tests/entry/cell/test_election.py
@@ -75,7 +75,9 @@
             owner=None, own_info=own_info, client=client
         )
         self.election = election.Election(member=member)
-        self.election.status = frames.Status(epoch=1, succession=[own_info])
+        self.election.last_status.record(
+            frames.Status(epoch=1, succession=[own_info])
+        )
         self.election.ownership = self.name("a", 1)
         self.election.detector.refused = 1
         self.election.follow = mock.Mock(return_value=False)
@@ -125,8 +127,8 @@
 
     def list_silent(self) -> dict[str, int]:
         """Returns what this entry would assume as the next owner."""
-        return self.election.get_silent_minions(
-            records.Ownership(name="me", address="", epoch=3)
+        return self.election.last_status.get_silent_minions(
+            3, owner_ended=bool(self.election.detector.refused)
         )
 
     def test_known_after_a_refused_connection(self) -> None:
@@ -138,6 +140,6 @@
         self.assertFalse(self.election.report().heard)
 
     def test_unknown_after_a_suspension(self) -> None:
-        resumed_at = self.election.status_received_at + 5.0
+        resumed_at = self.election.last_status.received_at + 5.0
         with mock.patch("time.clock_gettime", return_value=resumed_at):
             self.assertEqual(self.list_silent(), {})
--- a/tests/entry/cell/test_owner_client.py
+++ b/tests/entry/cell/test_owner_client.py
@@ -27,7 +27,7 @@
 
     def get_pending(self, after_s: float = 0.0) -> int | None:
         """Returns the count of one queue after some time."""
-        self.election.pending_received_at -= after_s
+        self.election.last_status.pending_received_at -= after_s
         return self.owner_client.get_pending("runs", 2.0)
 
     def test_an_owner_in_takeover_has_no_counts(self) -> None:
