--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -30,6 +30,8 @@
         minion_capacities: Capacity of one minion of each service.
         largest_free_cpu: Largest free processor capacity of one minion at the
             start of the pass, in thousandths of a core.
+        reserved_headroom: Part of its limit that is reserved for steps that
+            wait for it, by workspace.
     """
 
     free: dict[str, resources.Resources]
@@ -45,6 +47,9 @@
         default_factory=dict
     )
     largest_free_cpu: int = 0
+    reserved_headroom: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
 
     def allocate(self, minion_id: str, need: resources.Resources) -> None:
         """Allocates capacity of a minion to a started task."""
@@ -56,6 +61,21 @@
         self.free[minion_id] = self.free[minion_id] - need
         self.reserved_cpu += need.cpu_millis
 
+    def get_headroom(
+        self, cell: state.CellState, workspace: str
+    ) -> resources.Resources:
+        """Returns what a workspace may still start within its limit."""
+        used = cell.usage.get(workspace, resources.ZERO)
+        reserved = self.reserved_headroom.get(workspace, resources.ZERO)
+        return runs.get_limit(cell, workspace) - used - reserved
+
+    def reserve_headroom(
+        self, workspace: str, need: resources.Resources
+    ) -> None:
+        """Reserves a part of a workspace's limit for a step that waits."""
+        reserved = self.reserved_headroom.get(workspace, resources.ZERO)
+        self.reserved_headroom[workspace] = reserved + need
+
 
 def measure(cell: state.CellState) -> FreeCapacity:
     """Returns the free capacity of all open minions."""
@@ -110,6 +130,17 @@
     )
 
 
+def has_headroom(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: FreeCapacity,
+    count: int = 1,
+) -> bool:
+    """Returns whether the workspace's limit permits starts of a step."""
+    headroom = available.get_headroom(cell, step.job.job.workspace)
+    return step.need.times(count).fits_in(headroom)
+
+
 def may_start(
     cell: state.CellState,
     step: state.StepRecord,
@@ -118,7 +149,7 @@
 ) -> bool:
     """Returns whether the workspace's and the cell's limits permit starts."""
     need = step.need.times(count)
-    if not runs.is_within_limit(cell, step.job.job.workspace, need):
+    if not has_headroom(cell, step, available, count):
         return False
     if step.rank == FIRST_RANK:
         return True
--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -10,6 +10,7 @@
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
 
 Plan = list[tuple[str, int]]
@@ -30,9 +31,8 @@
     """
     if step.runs:
         return
-    if not runs.is_within_limit(
-        cell, step.job.job.workspace, step.need.times(step.step.count)
-    ):
+    if not free_capacity.has_headroom(cell, step, available, step.step.count):
+        yield from workspace_limits.await_headroom(cell, step, available)
         return
     plan = None
     if terms is not None:
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -1,5 +1,6 @@
 """Placement of waiting tasks on minions, the most urgent step first."""
 
+from collections.abc import Generator
 from collections.abc import Iterator
 
 from hickoryreach.scheduling import effects
@@ -11,6 +12,7 @@
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
 
 
@@ -84,15 +86,34 @@
     usable: list[str],
     terms: cells.AdviceTerms | None,
 ) -> Iterator[effects.Effect]:
-    """Starts as many tasks of a step as fit."""
-    if not free_capacity.may_start(cell, step, available):
+    """Starts as many tasks of a step as fit, and makes room for the others."""
+    expired: list[str] = []
+    if free_capacity.may_start(cell, step, available):
+        expired = yield from _start_tasks(cell, step, available, usable, terms)
+    if not step.waiting:
         return
-    expired = []
+    if not free_capacity.has_headroom(cell, step, available):
+        yield from workspace_limits.await_headroom(cell, step, available)
+    elif free_capacity.may_start(cell, step, available):
+        yield from _find_capacity(cell, step, available, usable, expired, terms)
+
+
+def _start_tasks(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Generator[effects.Effect, None, list[str]]:
+    """Starts as many tasks of a step as fit.
+
+    Returns:
+        The minions with free capacity for which the step lacks a ticket.
+    """
+    expired: list[str] = []
     if step.need.cpu_millis > available.largest_free_cpu:
-        candidates = []
-    else:
-        candidates = _sort_best_fit(available, step, usable)
-    for minion_id in candidates:
+        return expired
+    for minion_id in _sort_best_fit(available, step, usable):
         slots = free_capacity.count_slots(
             available, step, minion_id, len(step.waiting)
         )
@@ -105,15 +126,15 @@
             continue
         for index in list(step.waiting)[:slots]:
             if not free_capacity.may_start(cell, step, available):
-                return
+                return expired
             number = runs.get_next_run_number(cell, step)
             yield from orders.start(
                 cell, step, index, cell.minions[minion_id], number
             )
             available.allocate(minion_id, step.need)
         if not step.waiting:
-            return
-    yield from _find_capacity(cell, step, available, usable, expired, terms)
+            break
+    return expired
 
 
 def _find_capacity(
--- a/packages/core/hickoryreach/scheduling/preemption.py
+++ b/packages/core/hickoryreach/scheduling/preemption.py
@@ -1,5 +1,6 @@
 """Preemption of runs with checkpoints in favour of more urgent tasks."""
 
+from collections.abc import Iterable
 from collections.abc import Iterator
 
 from hickoryreach.scheduling import effects
@@ -15,9 +16,16 @@
 
     The least urgent runs come first, then the most recent ones.
     """
+    return _sort_victims(minion.runs.values(), rank)
+
+
+def _sort_victims(
+    candidates: Iterable[state.Run], rank: int
+) -> list[state.Run]:
+    """Returns the runs that may be preempted for a rank, in that order."""
     victims = [
         run
-        for run in minion.runs.values()
+        for run in candidates
         if run.phase is state.Phase.RUNNING
         and run.step is not None
         and run.step.step.saves
@@ -30,9 +38,13 @@
 
 
 def get_releasing_capacity(minion: state.MinionRecord) -> resources.Resources:
-    """Returns the capacity that pending stops will release."""
+    """Returns the capacity that pending stops will release on a minion."""
+    return _sum_releasing(minion.runs.values())
+
+
+def _sum_releasing(stopping: Iterable[state.Run]) -> resources.Resources:
     releasing = resources.ZERO
-    for run in minion.runs.values():
+    for run in stopping:
         if run.phase is state.Phase.STOPPING:
             releasing = releasing + run.need
     return releasing
@@ -106,6 +118,39 @@
             yield from lifecycle.stop(cell, run, "preempted")
 
 
+def preempt_in_workspace(
+    cell: state.CellState,
+    step: state.StepRecord,
+    headroom: resources.Resources,
+    need: resources.Resources,
+) -> Iterator[effects.Effect]:
+    """Stops runs of a step's workspace until a need fits in its limit.
+
+    Nothing is stopped if that would not suffice. Runs on minions that the step
+    may use are stopped first, as their capacity serves it too.
+
+    Args:
+        cell: State of the cell.
+        step: The step that waits.
+        headroom: What the workspace may still start within its limit.
+        need: What the step is to occupy.
+    """
+    members = cell.workspace_runs.get(step.job.job.workspace, {}).values()
+    room = headroom + _sum_releasing(members)
+    victims = _sort_victims(members, step.rank)
+    allowed = step.allowed or set()
+    victims.sort(key=lambda run: (-run.step.rank, run.minion_id not in allowed))
+    chosen = []
+    for run in victims:
+        if need.fits_in(room):
+            break
+        chosen.append(run)
+        room = room + run.need
+    if need.fits_in(room):
+        for run in chosen:
+            yield from lifecycle.stop(cell, run, "preempted_in_workspace")
+
+
 def stop_gang(
     cell: state.CellState, step: state.StepRecord
 ) -> Iterator[effects.Effect]:
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -5,6 +5,9 @@
 from hickoryreach.structure import steps
 
 RUNS_PER_EPOCH = 1_000_000
+UNLIMITED = resources.Resources(
+    cpu_millis=2**53, memory_mb=2**53, accelerators=2**53
+)
 
 
 def get_next_run_number(cell: state.CellState, step: state.StepRecord) -> int:
@@ -27,6 +30,7 @@
     minion.used = minion.used + run.need
     used = cell.usage.get(run.workspace, resources.ZERO)
     cell.usage[run.workspace] = used + run.need
+    cell.workspace_runs.setdefault(run.workspace, {})[id(run)] = run
     if run.step is not None:
         run.step.runs[run.key.index] = run
         run.step.waiting.pop(run.key.index, None)
@@ -41,26 +45,26 @@
         return
     minion.used = minion.used - run.need
     cell.usage[run.workspace] = cell.usage[run.workspace] - run.need
+    del cell.workspace_runs[run.workspace][id(run)]
     cell.unclear.pop(id(run), None)
     if run.step is not None and run.step.runs.get(run.key.index) is run:
         del run.step.runs[run.key.index]
     cell.dirty = True
 
 
-def is_within_limit(
-    cell: state.CellState, workspace: str, need: resources.Resources
-) -> bool:
-    """Returns whether a workspace's limit permits a further need."""
+def get_limit(cell: state.CellState, workspace: str) -> resources.Resources:
+    """Returns what a workspace may occupy; nothing if it isn't configured.
+
+    Tasks without a workspace are not limited.
+    """
     configuration = cell.configuration
     known = configuration and configuration.workspaces.get(workspace)
     if not known:
-        return not workspace
-    limit = known.limit
-    total = cell.usage.get(workspace, resources.ZERO) + need
-    return (
-        (not limit.cpu_millis or total.cpu_millis <= limit.cpu_millis)
-        and (not limit.memory_mb or total.memory_mb <= limit.memory_mb)
-        and (not limit.accelerators or total.accelerators <= limit.accelerators)
+        return resources.ZERO if workspace else UNLIMITED
+    return resources.Resources(
+        cpu_millis=known.limit.cpu_millis or UNLIMITED.cpu_millis,
+        memory_mb=known.limit.memory_mb or UNLIMITED.memory_mb,
+        accelerators=known.limit.accelerators or UNLIMITED.accelerators,
     )
 
 
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -310,6 +310,8 @@
         jobs: Jobs by id.
         ready: Steps with tasks to start, by identity of the record.
         usage: Occupied capacity by workspace.
+        workspace_runs: Runs that occupy capacity, by workspace and identity of
+            the run.
         unclear: Runs with an unconfirmed stop, by identity of the run.
         pending_repeats: Jobs with repeats that are not due yet, by id.
         offered: Jobs that are not stored yet, by id.
@@ -338,6 +340,9 @@
     usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    workspace_runs: dict[str, dict[int, Run]] = dataclasses.field(
+        default_factory=dict
+    )
     unclear: dict[int, Run] = dataclasses.field(default_factory=dict)
     pending_repeats: dict[str, JobRecord] = dataclasses.field(
         default_factory=dict
--- /dev/null
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -0,0 +1,98 @@
+"""Tests of workspaces at their limit in a cell with free capacity."""
+
+from hickoryreach.scheduling import effects
+from hickoryreach.structure import resources
+from tests.core.scheduling import cases
+
+LIMIT_CPU = 4_000
+
+
+class LimitCase(cases.CellCase):
+    """A workspace may occupy half of the cell, and another one all of it."""
+
+    minion_count = 2
+    limit = resources.Resources(cpu_millis=LIMIT_CPU)
+
+    def fill_limit(self, **words) -> list[effects.StartTask]:
+        """Fills the workspace's limit with long tasks of the lowest rank."""
+        step = cases.build_step(
+            4, estimate_ms=60_000, **({"saves": True} | words)
+        )
+        self.submit(step, queue="runs")
+        return self.confirm_starts()
+
+    def stop_all(self) -> list[effects.StopTask]:
+        """Applies the ends of the stopped runs; returns the stops."""
+        stops = self.get_stops()
+        for stop in stops:
+            self.end(
+                cases.build_listed_run(stop.key, stop.number, stop.minion_id),
+                "stopped",
+            )
+        return stops
+
+
+class UrgentTaskTest(LimitCase):
+    """An urgent task of a workspace whose limit long tasks have filled."""
+
+    def test_it_preempts_a_run_of_its_workspace(self) -> None:
+        self.fill_limit()
+        job_id = self.submit(cases.build_step(), queue="checks")
+        self.assertEqual(len(self.get_stops()), 1)
+        self.stop_all()
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [job_id])
+
+    def test_a_second_pass_preempts_nothing_more(self) -> None:
+        self.fill_limit()
+        self.submit(cases.build_step(), queue="checks")
+        self.tick()
+        self.assertFalse(self.get_stops())
+
+    def test_runs_without_checkpoints_are_not_preempted(self) -> None:
+        self.fill_limit(saves=False)
+        self.submit(cases.build_step(), queue="checks")
+        self.assertFalse(self.get_stops())
+
+    def test_nothing_is_preempted_for_a_task_above_the_limit(self) -> None:
+        self.fill_limit()
+        self.submit(cases.build_step(cpu=LIMIT_CPU + 1), queue="checks")
+        self.assertFalse(self.get_stops())
+
+
+class GangTest(LimitCase):
+    """A gang of a workspace whose limit long tasks have filled."""
+
+    def build_gang(self, **words):
+        """Returns a gang that needs half of the limit."""
+        return cases.build_step(2, gang=True, **words)
+
+    def build_queue(self, name: str = "runs", rank: int = 1):
+        """Returns a queue; jobs of the lowest rank go to `runs`."""
+        return super().build_queue(name, 2 if name == "runs" else 1)
+
+    def test_it_preempts_what_it_lacks(self) -> None:
+        self.fill_limit()
+        job_id = self.submit(self.build_gang(), queue="checks")
+        self.assertEqual(len(self.get_stops()), 2)
+        self.stop_all()
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [job_id, job_id])
+
+    def test_later_tasks_leave_it_the_headroom(self) -> None:
+        (first, second, *_) = self.fill_limit(saves=False)
+        waiting = self.submit(self.build_gang(), queue="checks")
+        self.submit(cases.build_step(2, estimate_ms=60_000), queue="runs")
+        self.end(first)
+        self.assertFalse(self.get_starts())
+        self.end(second)
+        started = {each.key.job_id for each in self.get_starts()}
+        self.assertEqual(started, {waiting})
+
+    def test_a_gang_above_the_limit_holds_nothing(self) -> None:
+        (first, *_) = self.fill_limit(saves=False)
+        self.submit(cases.build_step(5, gang=True), queue="checks")
+        later = self.submit(cases.build_step(), queue="runs")
+        self.end(first)
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [later])
