--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -85,7 +85,7 @@
     max_count = cell.settings.named_minions_limit
     if terms.minion_ms > 0:
         cheap = int(NAMED_COST_FRACTION * terms.call_ms / terms.minion_ms)
-        needed = _count_needed(cell, step, available)
+        needed = _count_needed(cell, step, available, unknown)
         max_count = min(max_count, max(MIN_NAMED_MINIONS, cheap, needed))
     yield from _ask(cell, step, unknown[:max_count])
 
@@ -117,15 +117,32 @@
     cell: state.CellState,
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
+    unknown: list[str],
 ) -> int:
-    """Returns how many minions to name so that the allowed ones suffice."""
+    """Returns how many minions to name so that the allowed ones suffice.
+
+    Counts what fits on the minions now; if that is too little on all of them,
+    what would fit if they were empty.
+
+    Args:
+        cell: State of the cell.
+        step: The step.
+        available: Free capacity.
+        unknown: Minions in the order in which they would be named.
+    """
+    wanted = len(step.waiting) / get_allowed_fraction(cell, step) * NAMED_FACTOR
+    fitting = 0
+    for number, minion_id in enumerate(unknown, 1):
+        fitting += free_capacity.count_slots(
+            available, step, minion_id, len(step.waiting)
+        )
+        if fitting >= wanted:
+            return number
     size = available.minion_capacities.get(get_service(cell, step))
-    count = len(step.waiting)
-    if size is None or not count:
+    if size is None:
         return 0
-    slots = max(1, runs.count_fitting(size, step.need, count))
-    fraction = get_allowed_fraction(cell, step)
-    return math.ceil(count / slots / fraction * NAMED_FACTOR)
+    slots = runs.count_fitting(size, step.need, len(step.waiting))
+    return math.ceil(wanted / max(1, slots))
 
 
 def refresh_tickets(
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -2,6 +2,7 @@
 
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import settings
 from hickoryreach.structure import cells
@@ -350,3 +351,27 @@
         self.assertFalse(set(more.minion_ids) & set(gang.minion_ids))
         self.advise(more, *more.minion_ids)
         self.assertEqual(len(self.get_starts()), 2)
+
+
+class BusyCellAdviceTest(AdviceCase):
+    """A gang arrives while each minion has capacity for one of its tasks."""
+
+    minion_count = 60
+    advice = cells.AdviceTerms(call_ms=100, minion_ms=10, valid_ms=2_500)
+
+    def setUp(self) -> None:
+        """Occupies three quarters of each minion."""
+        super().setUp()
+        for minion in self.cell.minions.values():
+            minion.used = cases.build_need(3_000, 0)
+
+    def test_names_as_many_minions_as_the_gang_needs_now(self) -> None:
+        self.submit(cases.build_step(count=12, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        needed = 12 / eligibility.DEFAULT_ALLOWED_FRACTION
+        self.assertGreaterEqual(len(call.minion_ids), needed)
+
+    def test_names_fewer_for_a_small_gang(self) -> None:
+        self.submit(cases.build_step(count=2, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.assertLess(len(call.minion_ids), 30)
