Take the time of day from the median of the cell's wall clocks

Cause: due times of repeats, and the ages of jobs that a new owner reads back, came from one machine's wall clock, which may jump by seconds and back: a repeat began early or late, and recovered jobs were placed in the wrong order. Users of that clock: acceptance times, repeats and recovery, which now take the cell's time; log stamps, which show the machine's own. Leases, timeouts and the retention of states use the monotonic or the boot clock. Ruled out: ignoring jumps of the own clock alone, which a restart forgets.

--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -32,12 +32,16 @@
   6: bool serving = 0,
   // The sender is writing the owner's key and is not the owner yet.
   7: bool claiming = 0,
+  // Time of day by the median of the entries' wall clocks, in ms since 1970.
+  8: i64 cell_ms = 0,
 }
 
 // entry -> owner, several times a second.
 struct Pulse {
   // Time in ms since the store last served a call of the entry.
   1: i64 store_age_ms = 0,
+  // Wall clock of the entry, in ms since 1970.
+  2: i64 wall_ms = 0,
 }
 
 // entry -> owner: a job. With `offered`, the entry is storing it; otherwise
--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -13,7 +13,6 @@
 from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
-from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import records
@@ -38,6 +37,7 @@
 
     Attributes:
         owner_client: Client of the cell's owner.
+        cell_clock: Time of day that the entries agree on.
         client: Client of the store.
         configured: Set once there is a configuration.
         queues: Queues by host, the longest prefix first.
@@ -49,6 +49,7 @@
     ) -> None:
         """Creates an API without a configuration."""
         self.owner_client = member.owner_client
+        self.cell_clock = member.cell_clock
         self.client = client
         self.configuration: cells.Configuration | None = None
         self.configured = gevent_event.Event()
@@ -158,7 +159,7 @@
             job_id=job_id,
             workspace=workspace,
             queue=queue,
-            accepted_ms=clock.wall_ms(),
+            accepted_ms=self.cell_clock.now_ms(),
         )
         started_at = time.monotonic()
         outcome = "not_kept"
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -78,6 +78,7 @@
             return
         self.greeted = True
         self.last_status.record(message)
+        self.member.cell_clock.follow(message.cell_ms)
         self.owner_lookup.record_peers(message.succession or [])
         if message.leaving:
             self.leaving_epoch = message.epoch
@@ -366,6 +367,7 @@
             local_advisor=self.member.advisor,
             get_channels=lambda: self.member.followers,
             silent=silent,
+            get_wall_ms=self.member.cell_clock.now_ms,
             may_recall_advice=followed,
             on_deposed=lambda reason: gevent.spawn(
                 self.member.end_ownership, reason
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -13,6 +13,7 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import election
@@ -38,6 +39,7 @@
         owner: The owner that runs in this entry, or None.
         followers: Channels of the entries that follow this one, by name.
         store_served_at: When the store last served each follower, in s.
+        cell_clock: Time of day that the entries agree on.
         election: Election that follows the owner or takes over from it.
         fitness_review: Review of whether this entry should go on as the owner.
         owner_client: Client of the owner for callers' requests.
@@ -59,6 +61,7 @@
             processor=settings.processor,
         )
         self.advisor = advisors.LocalAdvisor(address=settings.advice)
+        self.cell_clock = cell_clock.CellClock()
         self.configuration: cells.Configuration | None = None
         self.owner: owner_module.Owner | None = None
         self.followers: dict[str, channel.Channel] = {}
@@ -122,11 +125,13 @@
     def handle_pulse(
         self, peer: channel.Channel, message: frames.Pulse
     ) -> None:
-        """Records when the store last served a follower."""
-        if peer.peer is not None:
-            self.store_served_at[peer.peer.name] = (
-                time.monotonic() - message.store_age_ms / 1000
-            )
+        """Records a follower's wall clock and when the store last served it."""
+        if peer.peer is None:
+            return
+        self.store_served_at[peer.peer.name] = (
+            time.monotonic() - message.store_age_ms / 1000
+        )
+        self.cell_clock.record_sample(peer.peer.name, message.wall_ms)
 
     @handlers.register("submission")
     def handle_submission(
@@ -252,6 +257,7 @@
         if self.followers.get(peer.peer.name) is peer:
             del self.followers[peer.peer.name]
             self.store_served_at.pop(peer.peer.name, None)
+            self.cell_clock.drop_sample(peer.peer.name)
             log.warning(
                 "peer_lost",
                 extra={"peer": peer.peer.name, "reason": peer.reason},
@@ -269,6 +275,7 @@
             leaving=bool(owner and owner.leaving),
             silent=owner.fleet.list_silent() if owner else {},
             serving=bool(owner and owner.serving),
+            cell_ms=self.cell_clock.now_ms(),
         )
 
     def list_succession(self) -> list[frames.PeerInfo]:
@@ -305,7 +312,9 @@
             elif self.election.owner_channel is not None:
                 age_s = time.monotonic() - self.client.health.answered_at
                 self.election.owner_channel.send(
-                    pulse=frames.Pulse(store_age_ms=int(age_s * 1000))
+                    pulse=frames.Pulse(
+                        store_age_ms=int(age_s * 1000), wall_ms=clock.wall_ms()
+                    )
                 )
 
     def release_ownership(self) -> None:
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -79,6 +79,7 @@
         local_advisor: advisors.LocalAdvisor,
         get_channels: Callable[[], dict[str, channel.Channel]],
         silent: dict[str, int],
+        get_wall_ms: Callable[[], int],
         may_recall_advice: bool,
         on_deposed: Callable[[str], None],
     ) -> None:
@@ -90,6 +91,7 @@
         self.configuration = configuration
         self.get_channels = get_channels
         self.silent = silent
+        self.get_wall_ms = get_wall_ms
         self.may_recall_advice = may_recall_advice
         self.on_deposed = on_deposed
         self.begun_at = time.monotonic()
@@ -216,7 +218,7 @@
             log.debug("inbox_empty", extra={})
         now = time.monotonic()
         if now >= ticked_at + TICK_S:
-            self.apply(events.Ticked(wall_ms=clock.wall_ms()))
+            self.apply(events.Ticked(wall_ms=self.get_wall_ms()))
             self.retention.run(now)
             ticked_at = now
         if self.may_place() and now >= self.next_pass_at:
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -36,7 +36,7 @@
         owner: The new owner.
     """
     owner.state.now_ms = clock.now_ms()
-    owner.state.wall_ms = clock.wall_ms()
+    owner.state.wall_ms = owner.get_wall_ms()
     if owner.configuration is not None:
         owner.apply(
             events.ConfigurationChanged(configuration=owner.configuration)
--- a/tests/entry/cell/test_caller_api.py
+++ b/tests/entry/cell/test_caller_api.py
@@ -14,6 +14,7 @@
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import caller_api
+from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import records
 
 JOB = "a072a0f6de83e5b3"
@@ -33,7 +34,9 @@
         owner_client = mock.Mock()
         owner_client.call.return_value = None
         api = caller_api.CallerApi(
-            member=types.SimpleNamespace(owner_client=owner_client),
+            member=types.SimpleNamespace(
+                owner_client=owner_client, cell_clock=cell_clock.CellClock()
+            ),
             client=client,
         )
         resp = falcon.Response()
@@ -76,7 +79,9 @@
         owner_client.call_once.return_value = report
         owner_client.is_isolated.return_value = False
         api = caller_api.CallerApi(
-            member=types.SimpleNamespace(owner_client=owner_client),
+            member=types.SimpleNamespace(
+                owner_client=owner_client, cell_clock=cell_clock.CellClock()
+            ),
             client=mock.Mock(),
         )
         job = steps.Job(
@@ -121,7 +126,9 @@
         owner_client.get_pending.side_effect = known + [known[-1]] * 100
         owner_client.is_isolated.return_value = False
         api = caller_api.CallerApi(
-            member=types.SimpleNamespace(owner_client=owner_client),
+            member=types.SimpleNamespace(
+                owner_client=owner_client, cell_clock=cell_clock.CellClock()
+            ),
             client=mock.Mock(),
         )
         resp = falcon.Response()
--- a/tests/entry/cell/test_election.py
+++ b/tests/entry/cell/test_election.py
@@ -8,6 +8,7 @@
 
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import election
 from hickoryreach_entry.cell import records
@@ -17,7 +18,11 @@
     """An owner that hands over is replaced only once."""
 
     def test_handover_ends_with_the_next_owner(self) -> None:
-        follower = election.Election(member=types.SimpleNamespace(owner=None))
+        follower = election.Election(
+            member=types.SimpleNamespace(
+                owner=None, cell_clock=cell_clock.CellClock()
+            )
+        )
         follower.owner_lookup.record_peers = lambda peers: None
         follower.owner_channel = types.SimpleNamespace()
         follower.ownership = records.Ownership(name="a", address="", epoch=2)
@@ -42,7 +47,9 @@
         server = channel.serve("127.0.0.1:0", handle, lambda peer: None)
         self.addCleanup(server.stop, 0)
         own_info = frames.PeerInfo(name="me", address="")
-        member = types.SimpleNamespace(owner=None, own_info=own_info)
+        member = types.SimpleNamespace(
+            owner=None, own_info=own_info, cell_clock=cell_clock.CellClock()
+        )
         member.handle = lambda peer, name, message: self.election.handle_status(
             peer, message
         )
@@ -117,7 +124,10 @@
         """Hears a status of an owner whose process then ends."""
         own_info = frames.PeerInfo(name="me", address="")
         member = types.SimpleNamespace(
-            owner=None, own_info=own_info, handle=mock.Mock()
+            owner=None,
+            own_info=own_info,
+            handle=mock.Mock(),
+            cell_clock=cell_clock.CellClock(),
         )
         self.election = election.Election(member=member)
         self.election.owner_channel = mock.Mock()
--- a/tests/entry/cell/test_owner_client.py
+++ b/tests/entry/cell/test_owner_client.py
@@ -4,6 +4,7 @@
 import unittest
 
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import election
 from hickoryreach_entry.cell import owner_client
 
@@ -13,7 +14,9 @@
 
     def setUp(self) -> None:
         """Connects to an owner."""
-        member = types.SimpleNamespace(owner=None)
+        member = types.SimpleNamespace(
+            owner=None, cell_clock=cell_clock.CellClock()
+        )
         self.election = election.Election(member=member)
         self.election.owner_channel = types.SimpleNamespace()
         self.owner_client = owner_client.OwnerClient(
