Don't let steps that wait for a limit use up a placement pass

Cause: a pass considers sixty steps in their order. Urgent steps of workspaces at their limit come first in it and can't start; with enough of them nobody else's steps were looked at. Test fails first: ManyBlockedStepsTest.

--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -19,7 +19,8 @@
             that answers again; longer than followers need to learn of it.
         stop_retry_ms: Time after which an unconfirmed stop is sent again.
         ticket_margin_ms: Validity that a ticket must have left at a start.
-        steps_per_pass: Most steps considered in one placement pass.
+        steps_per_pass: Most steps considered in one placement pass, besides
+            those that their workspace's limit keeps waiting.
         min_reservations: Gangs that may reserve occupied capacity in a cell of
             any size.
         minions_per_reservation: Open minions for each gang that may reserve
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -1,6 +1,7 @@
 """Tests of workspaces at their limit in a cell with free capacity."""
 
 from hickoryreach.scheduling import effects
+from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from tests.core.scheduling import cases
 
@@ -96,3 +97,22 @@
         self.end(first)
         started = [each.key.job_id for each in self.get_starts()]
         self.assertEqual(started, [later])
+
+
+class ManyBlockedStepsTest(LimitCase):
+    """More steps than one pass considers wait for their workspace's limit."""
+
+    def build_workspaces(self) -> list[cells.Workspace]:
+        """Returns the limited workspace and one without a limit."""
+        other = cells.Workspace(
+            name="wind", share=1_000.0, limit=resources.ZERO
+        )
+        return [*super().build_workspaces(), other]
+
+    def test_steps_of_other_workspaces_are_placed(self) -> None:
+        self.fill_limit(saves=False)
+        for _ in range(self.cell.settings.steps_per_pass):
+            self.submit(cases.build_step(), queue="checks")
+        other = self.submit(cases.build_step(), workspace="wind")
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [other])
