--- a/packages/core/hickoryreach/scheduling/preemption.py
+++ b/packages/core/hickoryreach/scheduling/preemption.py
@@ -126,8 +126,9 @@
 ) -> Iterator[effects.Effect]:
     """Stops runs of a step's workspace until a need fits in its limit.
 
-    Nothing is stopped if that would not suffice. Runs on minions that the step
-    may use are stopped first, as their capacity serves it too.
+    Nothing is stopped if that would not suffice for one task, or for a gang as
+    a whole. Runs on minions that the step may use are stopped first, as their
+    capacity serves it too.
 
     Args:
         cell: State of the cell.
@@ -146,7 +147,8 @@
             break
         chosen.append(run)
         room = room + run.need
-    if need.fits_in(room):
+    least = need if step.step.gang else step.need
+    if least.fits_in(room):
         for run in chosen:
             yield from lifecycle.stop(cell, run, "preempted_in_workspace")
 
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -50,6 +50,14 @@
         self.tick()
         self.assertFalse(self.get_stops())
 
+    def test_as_many_tasks_start_as_runs_can_be_preempted(self) -> None:
+        self.submit(cases.build_step(2, estimate_ms=60_000))
+        self.confirm_starts()
+        self.submit(cases.build_step(2, estimate_ms=60_000, saves=True))
+        self.confirm_starts()
+        self.submit(cases.build_step(3), queue="checks")
+        self.assertEqual(len(self.get_stops()), 2)
+
     def test_runs_without_checkpoints_are_not_preempted(self) -> None:
         self.fill_limit(saves=False)
         self.submit(cases.build_step(), queue="checks")
