--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -2,12 +2,11 @@
 
 import dataclasses
 
+from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
-FIRST_RANK = 0
-
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class FreeCapacity:
@@ -151,7 +150,7 @@
     need = step.need.times(count)
     if not has_headroom(cell, step, available, count):
         return False
-    if step.rank == FIRST_RANK:
+    if step.rank == ordering.FIRST_RANK:
         return True
     kept = cell.settings.urgent_fraction * available.total_cpu
     return available.free_cpu - need.cpu_millis >= kept
--- a/packages/core/hickoryreach/scheduling/ordering.py
+++ b/packages/core/hickoryreach/scheduling/ordering.py
@@ -1,23 +1,44 @@
 """Order in which waiting steps are considered for placement."""
 
+import enum
+
 from hickoryreach.scheduling import state
 
-IN_TIME = 0
-LATE = 1
-WORTHLESS = 2
+FIRST_RANK = 0
 WORTHLESS_FACTOR = 3
 COMPLETION_MARGIN_MS = 100
 ESTIMATE_MARGIN_FRACTION = 0.25
 
 
+class Group(enum.IntEnum):
+    """Groups of waiting steps, in the order in which they are placed.
+
+    Late jobs of the first rank come before jobs in time of other ranks: they
+    are short, and would else wait until their workspace's limit or the cell
+    has nothing else to start.
+
+    Attributes:
+        URGENT: Of the first rank; the job can finish in time.
+        URGENT_LATE: Of the first rank; the job is late.
+        IN_TIME: The job can finish in time.
+        LATE: The job is late.
+        WORTHLESS: The job is too late to be of use.
+    """
+
+    URGENT = 0
+    URGENT_LATE = 1
+    IN_TIME = 2
+    LATE = 3
+    WORTHLESS = 4
+
+
 def get_sort_key(
     cell: state.CellState, step: state.StepRecord
 ) -> tuple[bool, int, int, float]:
     """Returns the sort key of a waiting step; lower keys are placed first.
 
-    Jobs beyond their workspace's share come last. Jobs that can still finish in
-    time come before late ones, and those before jobs too late to be of use.
-    Then the lower rank comes first, then the least slack.
+    Jobs beyond their workspace's share come last. Then the groups follow in
+    their order, then the lower rank comes first, then the least slack.
     """
     latest_start_ms = get_latest_start_ms(step)
     return (
@@ -44,10 +65,13 @@
 
 def _get_group(
     cell: state.CellState, job: state.JobRecord, latest_start_ms: float
-) -> int:
-    """Returns whether a job is in time, late or too late to be of use."""
+) -> Group:
+    """Returns the group of a job."""
+    urgent = job.job.queue.rank == FIRST_RANK
     if cell.now_ms <= latest_start_ms:
-        return IN_TIME
+        return Group.URGENT if urgent else Group.IN_TIME
     allowed_ms = job.due_ms - job.accepted_ms
     worthless_ms = latest_start_ms + (WORTHLESS_FACTOR - 1) * allowed_ms
-    return LATE if cell.now_ms <= worthless_ms else WORTHLESS
+    if cell.now_ms > worthless_ms:
+        return Group.WORTHLESS
+    return Group.URGENT_LATE if urgent else Group.LATE
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -73,7 +73,7 @@
     Capacity may be preempted or reserved for steps of the first rank and for
     gangs. Other steps request advice only once a task fits on some minion.
     """
-    if step.rank == free_capacity.FIRST_RANK or step.step.gang:
+    if step.rank == ordering.FIRST_RANK or step.step.gang:
         return True
     if step.need.cpu_millis > available.largest_free_cpu:
         return False
@@ -155,7 +155,7 @@
         return
     if terms is not None and _has_unknown_minions(cell, step, available):
         yield from eligibility.ask_about_unknown(cell, step, available)
-    if step.rank == free_capacity.FIRST_RANK:
+    if step.rank == ordering.FIRST_RANK:
         yield from preemption.preempt_for_tasks(
             cell, step, available, usable, len(step.waiting)
         )
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -41,6 +41,6 @@
 
 def _may_preempt(cell: state.CellState, step: state.StepRecord) -> bool:
     """Returns whether a step may preempt runs of its own workspace."""
-    if step.rank == free_capacity.FIRST_RANK:
+    if step.rank == ordering.FIRST_RANK:
         return True
     return step.step.gang and ordering.is_in_time(cell, step)
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -50,6 +50,15 @@
         self.tick()
         self.assertFalse(self.get_stops())
 
+    def test_a_late_one_comes_before_longer_tasks_in_time(self) -> None:
+        starts = self.fill_limit(saves=False)
+        urgent = self.submit(cases.build_step(), queue="checks")
+        self.tick(4_000)
+        self.submit(cases.build_step(estimate_ms=60_000))
+        self.end(starts[0])
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [urgent])
+
     def test_as_many_tasks_start_as_runs_can_be_preempted(self) -> None:
         self.submit(cases.build_step(2, estimate_ms=60_000))
         self.confirm_starts()
