Keep free within a workspace's limit what its urgent tasks occupied lately

Ruled out: a decaying peak, whose remainder keeps one more long task out for seconds after the last urgent one. Test fails first: RecurringUrgentTasksTest.

--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -15,6 +15,7 @@
 from hickoryreach.scheduling import placement
 from hickoryreach.scheduling import poll_replies
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import urgent_usage
 
 Handler = Callable[[state.CellState, object], Iterator[effects.Effect]]
 
@@ -154,5 +155,6 @@
     yield from lifecycle.begin_due_repeats(cell)
     yield from orders.resend_stops(cell)
     yield from gangs.stop_partial_gangs(cell)
+    urgent_usage.advance_windows(cell)
     pace.update_median_speed(cell)
     yield from pace.stop_stalled_runs(cell)
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -33,7 +33,7 @@
     if not fitting or (step.step.gang and fitting < count):
         return
     need = step.need.times(fitting)
-    headroom = available.get_headroom(cell, workspace)
+    headroom = available.get_headroom(cell, step, need)
     available.reserve_headroom(workspace, need)
     if _may_preempt(cell, step):
         yield from preemption.preempt_in_workspace(cell, step, headroom, need)
