Read the configuration again before keys are judged after a pause

Cause: an entry that was frozen or suspended answered the callers that had waited by the keys it knew before, until its watch caught up; a key withdrawn meanwhile was in use for that long. While the store does not answer, the known configuration stays in force. A configuration older than the one in force is never applied, whichever read brings it. Ruled out: judging the age of the watch, which fails with the store.

--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -1,5 +1,6 @@
 """HTTP API for callers on the users' platform."""
 
+from collections.abc import Callable
 import logging
 import time
 
@@ -15,6 +16,7 @@
 from hickoryreach_entry.cell import job_saver
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import pause_detector
 from hickoryreach_entry.cell import records
 
 log = logging.getLogger(__name__)
@@ -41,12 +43,23 @@
         configured: Set once there is a configuration.
         queues: Queues by host, the longest prefix first.
         keys: Name of the workspace of each API key.
+        pause_detector: Detector of pauses of this process.
     """
 
     def __init__(
-        self, *, member: member_module.Member, client: store.Store
+        self,
+        *,
+        member: member_module.Member,
+        client: store.Store,
+        refresh_configuration: Callable[[], None],
     ) -> None:
-        """Creates an API without a configuration."""
+        """Creates an API without a configuration.
+
+        Args:
+            member: This entry as a member of the cell.
+            client: Client of the store.
+            refresh_configuration: Reads the configuration from the store.
+        """
         self.owner_client = member.owner_client
         self.cell_clock = member.cell_clock
         self.job_saver = job_saver.JobSaver(owner_client=member.owner_client)
@@ -55,6 +68,10 @@
         self.configured = gevent_event.Event()
         self.queues: dict[str, list[cells.Queue]] = {}
         self.keys: dict[str, str] = {}
+        self.refresh_configuration = refresh_configuration
+        self.pause_detector = pause_detector.PauseDetector(
+            on_resumed=self.handle_pause
+        )
 
     def change_configuration(self, configuration: cells.Configuration) -> None:
         """Applies a configuration."""
@@ -72,6 +89,23 @@
         self.configuration = configuration
         self.configured.set()
 
+    def handle_pause(self) -> None:
+        """Lets callers wait until the configuration has been read again.
+
+        Keys may have been withdrawn while this process was paused. Without an
+        answer of the store the known configuration stays in force.
+        """
+        if self.configuration is not None:
+            self.configured.clear()
+            gevent.spawn(self.confirm_configuration)
+
+    def confirm_configuration(self) -> None:
+        """Reads the configuration again, then lets callers go on."""
+        try:
+            self.refresh_configuration()
+        finally:
+            self.configured.set()
+
     def __call__(self, req: falcon.Request, resp: falcon.Response) -> None:
         """Handles one request and counts it."""
         started_at = time.monotonic()
@@ -82,6 +116,7 @@
         self, req: falcon.Request, resp: falcon.Response, started_at: float
     ) -> None:
         """Authorizes one request and routes it to its operation."""
+        self.pause_detector.check()
         if not self.configured.wait(CONFIGURATION_TIMEOUT_S):
             refuse(resp, "no configuration yet")
             return
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/cell/configuration_watch.py
@@ -0,0 +1,95 @@
+"""Watch of the operator's configuration."""
+
+from collections.abc import Callable
+import logging
+
+from returns import result
+
+from hickoryreach.platform import documents
+from hickoryreach.platform import store
+from hickoryreach.structure import cells
+from hickoryreach_entry.cell import prefix_watcher
+
+log = logging.getLogger(__name__)
+
+WATCH_WAIT_S = 1.8
+
+
+class ConfigurationWatch:
+    """Passes on each configuration that is newer than the last one.
+
+    Attributes:
+        client: Client of the store.
+        on_configuration: Called with each new configuration.
+        version: Version of the last one; -1 before the first.
+        watcher: Watch of the configuration's key.
+    """
+
+    def __init__(
+        self,
+        *,
+        client: store.Store,
+        on_configuration: Callable[[cells.Configuration], None],
+    ) -> None:
+        """Creates a watch that is not started yet."""
+        self.client = client
+        self.on_configuration = on_configuration
+        self.version = -1
+        self.watcher = prefix_watcher.PrefixWatcher(
+            client=client,
+            prefix=documents.CONFIGURATION_KEY,
+            wait_s=WATCH_WAIT_S,
+            on_page=self.handle_page,
+        )
+
+    def start(self) -> None:
+        """Starts the watch."""
+        self.watcher.start()
+
+    def refresh(self) -> None:
+        """Reads the configuration once, besides the watch."""
+        read = self.client.get(documents.CONFIGURATION_KEY)
+        if isinstance(read, result.Failure):
+            log.warning(
+                "configuration_unconfirmed",
+                extra={
+                    "version": self.version,
+                    "reason": read.failure().reason,
+                },
+            )
+            return
+        self.handle_item(read.unwrap())
+
+    def handle_page(self, page: store.Page, complete: bool) -> None:
+        """Handles a page of the watch."""
+        for item in page.items:
+            self.handle_item(item)
+
+    def handle_item(self, item: store.Item) -> None:
+        """Passes a configuration on unless it is invalid or an older one."""
+        if item.key != documents.CONFIGURATION_KEY or item.data is None:
+            return
+        parsed = documents.parse_configuration(item.data)
+        if isinstance(parsed, result.Failure):
+            log.error(
+                "configuration_unreadable",
+                extra={
+                    "revision": item.revision,
+                    "reason": parsed.failure(),
+                },
+            )
+            return
+        configuration = parsed.unwrap()
+        if configuration.version <= self.version:
+            return
+        self.version = configuration.version
+        log.info(
+            "configuration_in_force",
+            extra={
+                "version": configuration.version,
+                "revision": item.revision,
+                "queues": len(configuration.queues),
+                "workspaces": len(configuration.workspaces),
+            },
+        )
+        self.on_configuration(configuration)
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -10,17 +10,16 @@
 import prometheus_client
 from returns import result
 
-from hickoryreach.platform import documents
 from hickoryreach.platform import node as node_module
 from hickoryreach.platform import store
+from hickoryreach.structure import cells
 from hickoryreach_entry import http_server
 from hickoryreach_entry.cell import caller_api
+from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import member
-from hickoryreach_entry.cell import prefix_watcher
 
 log = logging.getLogger(__name__)
 
-CONFIGURATION_WATCH_S = 1.8
 LOAD_BALANCER_DELAY_S = 2.3
 DRAIN_MARGIN_S = 0.35
 DRAIN_POLL_S = 0.05
@@ -57,14 +56,13 @@
         self.stopped = gevent_event.Event()
         self.client = store.Store(address=settings.platform.address)
         self.member = member.Member(settings=settings, client=self.client)
-        self.caller_api = caller_api.CallerApi(
-            member=self.member, client=self.client
+        self.configuration_watch = configuration_watch.ConfigurationWatch(
+            client=self.client, on_configuration=self.change_configuration
         )
-        self.watcher = prefix_watcher.PrefixWatcher(
+        self.caller_api = caller_api.CallerApi(
+            member=self.member,
             client=self.client,
-            prefix=documents.CONFIGURATION_KEY,
-            wait_s=CONFIGURATION_WATCH_S,
-            on_page=self.handle_configuration,
+            refresh_configuration=self.configuration_watch.refresh,
         )
         self.front = build_http_server(
             settings.listen.front, caller_api.build_app(self.caller_api), front
@@ -95,39 +93,17 @@
         start_response(status, [("Content-Length", "0")])
         return [b""]
 
-    def handle_configuration(self, page: store.Page, complete: bool) -> None:
-        """Applies the configurations on a page of the watch."""
-        for item in page.items:
-            if item.key != documents.CONFIGURATION_KEY or item.data is None:
-                continue
-            parsed = documents.parse_configuration(item.data)
-            if isinstance(parsed, result.Failure):
-                log.error(
-                    "configuration_unreadable",
-                    extra={
-                        "revision": item.revision,
-                        "reason": parsed.failure(),
-                    },
-                )
-                continue
-            configuration = parsed.unwrap()
-            log.info(
-                "configuration_in_force",
-                extra={
-                    "version": configuration.version,
-                    "revision": item.revision,
-                    "queues": len(configuration.queues),
-                    "workspaces": len(configuration.workspaces),
-                },
-            )
-            self.caller_api.change_configuration(configuration)
-            self.member.change_configuration(configuration)
+    def change_configuration(self, configuration: cells.Configuration) -> None:
+        """Puts a configuration in force."""
+        self.caller_api.change_configuration(configuration)
+        self.member.change_configuration(configuration)
 
     def run(self) -> None:
         """Serves until the entry is drained."""
         self.ready.start()
         self.metrics.start()
-        self.watcher.start()
+        self.configuration_watch.start()
+        gevent.spawn(self.caller_api.pause_detector.beat_forever)
         self.member.start()
         self.front.start()
         gevent.spawn(self.watch_settings_file)
--- a/tests/entry/cell/test_fitness_review.py
+++ b/tests/entry/cell/test_fitness_review.py
@@ -11,10 +11,10 @@
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import fitness_review
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import records
-from hickoryreach_entry.cell import server
 
 
 class StoreAccessTest(unittest.TestCase):
@@ -98,7 +98,7 @@
     def test_an_idle_stronger_follower_is_the_first_successor(self) -> None:
         self.add_follower("weak", 0.5, since_s=5.0)
         self.add_follower("strong", 2.0, since_s=5.0)
-        idle_s = server.CONFIGURATION_WATCH_S + 0.2
+        idle_s = configuration_watch.WATCH_WAIT_S + 0.2
         self.member.store_served_at["strong"] = self.now - idle_s
         first, _ = self.member.list_succession()
         self.assertEqual(first.name, "strong")
