Move work off draining minions shortly before they leave

Cause: what ran on a leaving minion ended with it; its work since the last checkpoint was lost, and the loss showed only with the registration's removal or, if the minion was not known silent by then, with the lease 4 s later. Ruled out: stopping at the notice, which leaves the minion idle until it goes; stopping runs without checkpoints, which may still end.

--- a/packages/core/hickoryreach/platform/documents.py
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -139,6 +139,7 @@
     state: str
     capacity: Amount
     labels: list[str] = []
+    remaining_ms: int = -1
     born: int = 0
     machine: str = ""
 
@@ -208,6 +209,7 @@
             capacity=document.capacity.decode(),
             labels=tuple(document.labels),
             draining=document.state == DRAINING,
+            remaining_ms=document.remaining_ms,
             incarnation=document.born,
             machine=document.machine,
         )
--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -36,6 +36,7 @@
     Attributes:
         grace_s: Time from SIGTERM until the process is killed, in s.
         hold_limit_ms: Longest lease that a minion accepts, in ms.
+        stop_grace_ms: Longest time that a minion takes to stop a run, in ms.
         keep_state_s: How long the final state of a job is stored, in s.
     """
 
@@ -43,6 +44,7 @@
 
     grace_s: float = pydantic.Field(6.0, alias="graceS")
     hold_limit_ms: int = pydantic.Field(6_000, alias="holdMaxMs")
+    stop_grace_ms: int = pydantic.Field(900, alias="stopGraceMs")
     keep_state_s: int = pydantic.Field(120, alias="status_s")
 
 
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -6,6 +6,7 @@
 from hickoryreach.decisions import registry
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
+from hickoryreach.scheduling import evacuation
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import gangs
 from hickoryreach.scheduling import lifecycle
@@ -67,6 +68,9 @@
         cell.minions[event.minion.minion_id] = known
     known.minion = event.minion
     known.unregistered = False
+    known.leaves_ms = -1
+    if event.minion.draining and event.minion.remaining_ms >= 0:
+        known.leaves_ms = cell.now_ms + event.minion.remaining_ms
     cell.dirty = True
     yield from ()
 
@@ -155,6 +159,7 @@
     yield from lifecycle.begin_due_repeats(cell)
     yield from orders.resend_stops(cell)
     yield from gangs.stop_partial_gangs(cell)
+    yield from evacuation.evacuate(cell)
     urgent_usage.advance_windows(cell)
     pace.update_median_speed(cell)
     yield from pace.stop_stalled_runs(cell)
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -17,6 +17,9 @@
             dropped.
         return_quarantine_ms: Time during which no task is placed on a minion
             that answers again; longer than followers need to learn of it.
+        stop_grace_ms: Longest time that a minion takes to stop a run.
+        evacuation_margin_ms: Further time before a minion leaves at which its
+            runs are stopped; covers the age of its registration and the order.
         stop_retry_ms: Time after which an unconfirmed stop is sent again.
         ticket_margin_ms: Validity that a ticket must have left at a start.
         steps_per_pass: Most steps considered in one placement pass, besides
@@ -48,6 +51,8 @@
     clock_drift: float = 0.02
     offer_timeout_ms: int = 5_000
     return_quarantine_ms: int = 400
+    stop_grace_ms: int = 900
+    evacuation_margin_ms: int = 500
     stop_retry_ms: int = 400
     ticket_margin_ms: int = 150
     steps_per_pass: int = 60
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -261,6 +261,8 @@
             expired.
         reachable: Whether it answers polls.
         unregistered: Whether its registration was removed.
+        leaves_ms: Earliest time, on the owner's clock, at which it leaves if
+            it is draining; -1 if it is not known to leave.
         runs: Runs that occupy capacity, by task and number.
         used: Occupied capacity.
         orphan_count: Number of listed runs of unknown size, as their jobs are
@@ -277,6 +279,7 @@
     polled: bool = False
     reachable: bool = False
     unregistered: bool = False
+    leaves_ms: int = -1
     runs: dict[tuple[steps.TaskKey, int], Run] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/hickoryreach/structure/cells.py
+++ b/packages/core/hickoryreach/structure/cells.py
@@ -114,6 +114,8 @@
         capacity: Total resources of the minion.
         labels: Kind and rack of the minion.
         draining: Whether the minion is about to leave the cell.
+        remaining_ms: Shortest time until a draining minion leaves, counted
+            from its registration; -1 if not reported.
         incarnation: Start of the minion's process, in ms since 1970; 0 if
             not reported.
         machine: Name of its worker, or empty.
@@ -126,5 +128,6 @@
     capacity: resources.Resources
     labels: tuple[str, ...] = ()
     draining: bool = False
+    remaining_ms: int = -1
     incarnation: int = 0
     machine: str = ""
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -108,7 +108,10 @@
         self.leaving = False
         self.stopped = False
         self.state = state.CellState(
-            settings=scheduling_settings.Settings(), epoch=epoch
+            settings=scheduling_settings.Settings(
+                stop_grace_ms=settings.bounds.stop_grace_ms
+            ),
+            epoch=epoch,
         )
         self.progress = progress.ProgressWriter(
             client=client,
