Accept fractions as the time until a minion leaves; refuse a removed workspace

Found on reading the change: the border's strict model would have made a whole registration unusable for a fraction; a task of no size would have started for a workspace that is not configured any more, as it did not before. Tests: test_the_time_until_a_minion_leaves_is_parsed, RemovedWorkspaceTest.

--- a/packages/core/hickoryreach/platform/documents.py
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -139,7 +139,7 @@
     state: str
     capacity: Amount
     labels: list[str] = []
-    remaining_ms: int = -1
+    remaining_ms: float | None = None
     born: int = 0
     machine: str = ""
 
@@ -157,6 +157,12 @@
             raise ValueError(f"port must be from 1 to {MAX_PORT}")
         return address
 
+    def get_remaining_ms(self) -> int:
+        """Returns the time until the minion leaves in ms, -1 if unknown."""
+        if self.remaining_ms is None or not self.remaining_ms < MAX_AMOUNT:
+            return -1
+        return max(0, int(self.remaining_ms))
+
 
 def parse_configuration(
     data: bytes,
@@ -209,7 +215,7 @@
             capacity=document.capacity.decode(),
             labels=tuple(document.labels),
             draining=document.state == DRAINING,
-            remaining_ms=document.remaining_ms,
+            remaining_ms=document.get_remaining_ms(),
             incarnation=document.born,
             machine=document.machine,
         )
--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -366,7 +366,13 @@
                 ends=tuple(_parse_end(row) for row in body["finished"]),
             )
         )
-    except (AttributeError, LookupError, TypeError, ValueError) as error:
+    except (
+        ArithmeticError,
+        AttributeError,
+        LookupError,
+        TypeError,
+        ValueError,
+    ) as error:
         return _build_malformed_failure(error)
 
 
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -9,6 +9,7 @@
 UNLIMITED = resources.Resources(
     cpu_millis=2**53, memory_mb=2**53, accelerators=2**53
 )
+NOTHING = resources.Resources(cpu_millis=-1)  # not even a task of no size
 
 
 def get_next_run_number(cell: state.CellState, step: state.StepRecord) -> int:
@@ -63,7 +64,7 @@
     configuration = cell.configuration
     known = configuration and configuration.workspaces.get(workspace)
     if not known:
-        return resources.ZERO if workspace else UNLIMITED
+        return NOTHING if workspace else UNLIMITED
     return resources.Resources(
         cpu_millis=known.limit.cpu_millis or UNLIMITED.cpu_millis,
         memory_mb=known.limit.memory_mb or UNLIMITED.memory_mb,
--- a/tests/core/platform/test_documents.py
+++ b/tests/core/platform/test_documents.py
@@ -43,6 +43,12 @@
         self.assertEqual(minion.capacity.memory_mb, 100)
         self.assertTrue(minion.draining)
 
+    def test_the_time_until_a_minion_leaves_is_parsed(self) -> None:
+        for text, expected in ((1_600, 1_600), (1_600.5, 1_600), (None, -1)):
+            with self.subTest(text):
+                minion = self.parse(remainingMs=text).unwrap()
+                self.assertEqual(minion.remaining_ms, expected)
+
     def test_invalid_registrations_are_rejected(self) -> None:
         for changes in (
             {"state": "asleep"},
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -1,8 +1,11 @@
 """Tests of workspaces at their limit in a cell with free capacity."""
 
+import dataclasses
+
 from hickoryreach.scheduling import effects
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
+from hickoryreach.structure import steps
 from tests.core.scheduling import cases
 
 LIMIT_CPU = 4_000
@@ -162,3 +165,15 @@
             self.confirm_starts()
         usage = self.cell.usage["hydro"]
         self.assertEqual(usage.cpu_millis, LIMIT_CPU)
+
+
+class RemovedWorkspaceTest(LimitCase):
+    """A workspace is removed while a step of it waits."""
+
+    def test_not_even_a_task_of_no_size_starts(self) -> None:
+        self.cell.configuration = dataclasses.replace(
+            self.configuration, workspaces={}
+        )
+        self.submit(steps.Step(count=1, need=resources.ZERO, estimate_ms=1_000))
+        self.tick()
+        self.assertFalse(self.get_starts())
