Don't deny a key or route that a newer configuration may have added

The store answers the watch at least every 1.8 s, so an older answer shows that the configuration may be outdated. Ruled out: asking the owner, which may be cut off as well. Test fails first: test_an_unknown_key_is_told_to_come_again_without_the_store.

--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -1,6 +1,5 @@
 """HTTP API for callers on the users' platform."""
 
-from collections.abc import Callable
 import logging
 import time
 
@@ -13,6 +12,7 @@
 from hickoryreach.platform import store
 from hickoryreach.structure import cells
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import job_saver
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import metrics
@@ -51,14 +51,14 @@
         *,
         member: member_module.Member,
         client: store.Store,
-        refresh_configuration: Callable[[], None],
+        configuration_source: configuration_watch.ConfigurationWatch,
     ) -> None:
         """Creates an API without a configuration.
 
         Args:
             member: This entry as a member of the cell.
             client: Client of the store.
-            refresh_configuration: Reads the configuration from the store.
+            configuration_source: Watch of the operator's configuration.
         """
         self.owner_client = member.owner_client
         self.cell_clock = member.cell_clock
@@ -68,7 +68,7 @@
         self.configured = gevent_event.Event()
         self.queues: dict[str, list[cells.Queue]] = {}
         self.keys: dict[str, str] = {}
-        self.refresh_configuration = refresh_configuration
+        self.configuration_source = configuration_source
         self.pause_detector = pause_detector.PauseDetector(
             on_resumed=self.handle_pause
         )
@@ -102,7 +102,7 @@
     def confirm_configuration(self) -> None:
         """Reads the configuration again, then lets callers go on."""
         try:
-            self.refresh_configuration()
+            self.configuration_source.refresh()
         finally:
             self.configured.set()
 
@@ -122,12 +122,12 @@
             return
         queue = self.find_queue(req)
         if queue is None:
-            resp.status = falcon.HTTP_404
+            self.deny(resp, falcon.HTTP_404)
             return
         key = callers.parse_api_key(req.get_header("Authorization"))
         workspace = self.keys.get(key, "")
         if not workspace and not queue.open:
-            resp.status = falcon.HTTP_401
+            self.deny(resp, falcon.HTTP_401)
             return
         job_id = req.path[len(queue.prefix) :]
         deadline = started_at + get_deadline_s(req) - ANSWER_MARGIN_S
@@ -144,6 +144,17 @@
         else:
             resp.status = falcon.HTTP_405
 
+    def deny(self, resp: falcon.Response, status: str) -> None:
+        """Responds that there is no such queue or key.
+
+        While a newer configuration may have added it, the caller is told to
+        come again instead; another entry may know it.
+        """
+        if self.configuration_source.is_current():
+            resp.status = status
+        else:
+            refuse(resp, "the configuration known here may be outdated")
+
     def find_queue(self, req: falcon.Request) -> cells.Queue | None:
         """Returns the queue for a request's host and path, or None."""
         host = (req.get_header("Host") or "").lower()
--- a/packages/entry/hickoryreach_entry/cell/configuration_watch.py
+++ b/packages/entry/hickoryreach_entry/cell/configuration_watch.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import time
 
 from returns import result
 
@@ -13,6 +14,7 @@
 log = logging.getLogger(__name__)
 
 WATCH_WAIT_S = 1.8
+ANSWER_MARGIN_S = 0.6
 
 
 class ConfigurationWatch:
@@ -58,8 +60,18 @@
                 },
             )
             return
+        self.watcher.answered_at = time.monotonic()
         self.handle_item(read.unwrap())
 
+    def is_current(self) -> bool:
+        """Returns whether a newer configuration would be known by now.
+
+        The store answers the watch when there is a change, and otherwise at
+        regular intervals.
+        """
+        age_s = time.monotonic() - self.watcher.answered_at
+        return age_s < WATCH_WAIT_S + ANSWER_MARGIN_S
+
     def handle_page(self, page: store.Page, complete: bool) -> None:
         """Handles a page of the watch."""
         for item in page.items:
--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -23,6 +23,7 @@
         revision: Revision up to which changes were passed on; -1 before the
             first read.
         healthy: Whether the last call was answered.
+        answered_at: When a call was last answered, on the monotonic clock in s.
         healthy_since: When a call was last answered after a failed one, on the
             monotonic clock in s.
     """
@@ -52,6 +53,7 @@
         self.pause_s = pause_s
         self.revision = -1
         self.healthy = True
+        self.answered_at = -math.inf
         self.healthy_since = -math.inf
         self.greenlet: gevent.Greenlet | None = None
 
@@ -94,6 +96,7 @@
             gevent.sleep(RETRY_DELAY_S)
             return
         self.note_health(healthy=True, reason="")
+        self.answered_at = time.monotonic()
         self.accept(read.unwrap())
         if self.pause_s:
             gevent.sleep(self.pause_s)
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -62,7 +62,7 @@
         self.caller_api = caller_api.CallerApi(
             member=self.member,
             client=self.client,
-            refresh_configuration=self.configuration_watch.refresh,
+            configuration_source=self.configuration_watch,
         )
         self.front = build_http_server(
             settings.listen.front, caller_api.build_app(self.caller_api), front
--- a/tests/entry/cell/test_caller_api.py
+++ b/tests/entry/cell/test_caller_api.py
@@ -36,7 +36,7 @@
                 owner_client=owner_client, cell_clock=cell_clock.CellClock()
             ),
             client=client,
-            refresh_configuration=mock.Mock(),
+            configuration_source=mock.Mock(),
         )
         resp = falcon.Response()
         message = frames.Cancellation(job_id=JOB, workspace=workspace)
@@ -80,7 +80,7 @@
                 owner_client=owner_client, cell_clock=cell_clock.CellClock()
             ),
             client=mock.Mock(),
-            refresh_configuration=mock.Mock(),
+            configuration_source=mock.Mock(),
         )
         resp = falcon.Response()
         queue = types.SimpleNamespace(name="runs")
--- a/tests/entry/cell/test_pauses.py
+++ b/tests/entry/cell/test_pauses.py
@@ -36,10 +36,11 @@
                 owner_client=owner_client, cell_clock=cell_clock.CellClock()
             ),
             client=self.client,
-            refresh_configuration=self.watch.refresh,
+            configuration_source=self.watch,
         )
         self.write_configuration(1, [KEY])
         self.watch.refresh()
+        self.watch.watcher.answered_at = time.monotonic()
 
     def apply(self, configuration: cells.Configuration) -> None:
         """Applies a configuration."""
@@ -78,6 +79,15 @@
         self.pause()
         self.assertEqual(self.count(), falcon.HTTP_401)
 
+    def test_an_unknown_key_is_told_to_come_again_without_the_store(
+        self,
+    ) -> None:
+        self.write_configuration(2, [])
+        self.watch.refresh()
+        self.assertEqual(self.count(), falcon.HTTP_401)
+        self.watch.watcher.answered_at -= PAUSE_S
+        self.assertEqual(self.count(), falcon.HTTP_503)
+
     def test_callers_are_served_after_a_pause_without_the_store(self) -> None:
         self.model.faults.busy.add("*")
         self.pause()
