Don't let many rows wait for the progress writes in progress

Cause: two writes of 30 ms go on at a time, whatever the load. On a large cell a final state waited for one of them before its own write began, and callers that ask shortly after the last task has ended were told running.

--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -7,6 +7,7 @@
 
 import gevent
 from gevent import event as gevent_event
+from gevent import pool
 from returns import result
 
 from hickoryreach.platform import store
@@ -16,6 +17,8 @@
 log = logging.getLogger(__name__)
 
 CONCURRENT_WRITES = 2
+MAX_EXTRA_WRITES = 4
+ROWS_PER_EXTRA_WRITE = 8
 BATCH_DELAY_S = 0.008
 MAX_FINALS = store.TRANSACTION_LIMIT - 4
 RETRY_S = 0.1
@@ -64,6 +67,8 @@
         healthy: Whether the last write succeeded.
         failing_since: When the first of the present failed writes was sent,
             on the monotonic clock in s; 0 while writes succeed.
+        extra_writes: Writes of large parts besides those that go on all the
+            time.
         on_part: Called with the key and the rows of each stored part.
         on_final: Called with each job whose final record is stored.
     """
@@ -92,6 +97,7 @@
         self.next_stored = 1
         self.on_part: Callable[[str, list[records.Row]], None] | None = None
         self.on_final: Callable[[str], None] | None = None
+        self.extra_writes = pool.Pool(MAX_EXTRA_WRITES)
         self.greenlets = [
             gevent.spawn(self.write_parts_forever)
             for _ in range(CONCURRENT_WRITES)
@@ -123,6 +129,18 @@
         if finals:
             self.open.finals |= finals
         self.pending.set()
+        if row is not None and not len(self.open.rows) % ROWS_PER_EXTRA_WRITE:
+            gevent.spawn(self.write_large_part)
+
+    def write_large_part(self) -> None:
+        """Writes a part that grew large while the other writes are under way.
+
+        Under load a final state would otherwise be published only after those
+        writes and its own.
+        """
+        is_large = len(self.open.rows) >= ROWS_PER_EXTRA_WRITE
+        if is_large and self.extra_writes.free_count() and not self.stopped:
+            self.extra_writes.spawn(self.write_part, self.close_open_part())
 
     def is_empty(self) -> bool:
         """Returns whether everything that was added is stored."""
@@ -278,7 +296,7 @@
         gevent.killall(
             [
                 each
-                for each in self.greenlets
+                for each in [*self.greenlets, *self.extra_writes]
                 if each is not gevent.getcurrent()
             ],
             block=False,
