--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -181,7 +181,7 @@
     size_cpu = step.need.cpu_millis * step.step.count
     share = settings.reserved_fraction * available.total_cpu
     if (
-        available.claims >= _get_reservations_limit(cell, available)
+        available.claims >= settings.reservations_limit
         or available.reserved_cpu + size_cpu > share
     ):
         return
@@ -190,18 +190,6 @@
     yield from preemption.preempt_for_gang(cell, step, plan)
 
 
-def _get_reservations_limit(
-    cell: state.CellState, available: free_capacity.FreeCapacity
-) -> int:
-    """Returns how many gangs may reserve occupied capacity at a time."""
-    settings = cell.settings
-    open_count = sum(len(ids) for ids in available.open_minion_ids.values())
-    return max(
-        settings.min_reservations,
-        open_count // settings.minions_per_reservation,
-    )
-
-
 def _has_capacity_elsewhere(
     cell: state.CellState,
     step: state.StepRecord,
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -24,10 +24,7 @@
         ticket_margin_ms: Validity that a ticket must have left at a start.
         steps_per_pass: Most steps considered in one placement pass, besides
             those that their workspace's limit keeps waiting.
-        min_reservations: Gangs that may reserve occupied capacity in a cell of
-            any size.
-        minions_per_reservation: Open minions for each gang that may reserve
-            occupied capacity, in cells in which that permits more gangs.
+        reservations_limit: Most gangs that may reserve occupied capacity.
         reserved_fraction: Fraction of the cell's processor capacity that may be
             reserved for gangs.
         late_reservations_limit: Most late gangs that may reserve capacity while
@@ -56,8 +53,7 @@
     stop_retry_ms: int = 400
     ticket_margin_ms: int = 150
     steps_per_pass: int = 60
-    min_reservations: int = 3
-    minions_per_reservation: int = 8
+    reservations_limit: int = 3
     reserved_fraction: float = 0.5
     late_reservations_limit: int = 8
     urgent_fraction: float = 0.04
