--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -26,13 +26,9 @@
         (step for step in cell.ready.values() if step.waiting),
         key=lambda step: ordering.get_sort_key(cell, step),
     )
-    considered = 0
-    for step in waiting:
-        if considered == cell.settings.steps_per_pass:
-            return
+    for step in waiting[: cell.settings.steps_per_pass]:
         if step.job.unconfirmed_until_ms > cell.now_ms:
             continue
-        considered += free_capacity.has_headroom(cell, step, available)
         yield from _place_step(cell, step, available)
 
 
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -22,8 +22,7 @@
             runs are stopped; covers the age of its registration and the order.
         stop_retry_ms: Time after which an unconfirmed stop is sent again.
         ticket_margin_ms: Validity that a ticket must have left at a start.
-        steps_per_pass: Most steps considered in one placement pass, besides
-            those that their workspace's limit keeps waiting.
+        steps_per_pass: Most steps considered in one placement pass.
         reservations_limit: Most gangs that may reserve occupied capacity.
         reserved_fraction: Fraction of the cell's processor capacity that may be
             reserved for gangs.
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -23,8 +23,7 @@
     """Reserves headroom for a step that its workspace's limit keeps waiting.
 
     Steps that are placed after it can't take that headroom. For steps of the
-    first rank and gangs that can finish in time, less urgent runs of the
-    workspace are preempted.
+    first rank, less urgent runs of the workspace are preempted.
     """
     workspace = step.job.job.workspace
     limit = runs.get_limit(cell, workspace)
@@ -35,12 +34,5 @@
     need = step.need.times(fitting)
     headroom = available.get_headroom(cell, step, need)
     available.reserve_headroom(workspace, need)
-    if _may_preempt(cell, step):
-        yield from preemption.preempt_in_workspace(cell, step, headroom, need)
-
-
-def _may_preempt(cell: state.CellState, step: state.StepRecord) -> bool:
-    """Returns whether a step may preempt runs of its own workspace."""
     if step.rank == ordering.FIRST_RANK:
-        return True
-    return step.step.gang and ordering.is_in_time(cell, step)
+        yield from preemption.preempt_in_workspace(cell, step, headroom, need)
