--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -5,7 +5,6 @@
 from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
-from hickoryreach.scheduling import urgent_usage
 from hickoryreach.structure import resources
 
 
@@ -62,31 +61,12 @@
         self.reserved_cpu += need.cpu_millis
 
     def get_headroom(
-        self,
-        cell: state.CellState,
-        step: state.StepRecord,
-        need: resources.Resources,
+        self, cell: state.CellState, workspace: str
     ) -> resources.Resources:
-        """Returns what a step's workspace may still start within its limit.
-
-        For steps of other ranks than the first, what urgent tasks of the
-        workspace have occupied lately is kept free, unless the step could then
-        never start.
-
-        Args:
-            cell: State of the cell.
-            step: The step.
-            need: What the step is to start at a time.
-        """
-        workspace = step.job.job.workspace
-        limit = runs.get_limit(cell, workspace)
+        """Returns what a workspace may still start within its limit."""
         used = cell.usage.get(workspace, resources.ZERO)
         reserved = self.reserved_headroom.get(workspace, resources.ZERO)
-        headroom = limit - used - reserved
-        if step.rank == ordering.FIRST_RANK:
-            return headroom
-        kept = urgent_usage.get_reserve(cell, workspace)
-        return headroom - kept if need.fits_in(limit - kept) else headroom
+        return runs.get_limit(cell, workspace) - used - reserved
 
     def reserve_headroom(
         self, workspace: str, need: resources.Resources
@@ -156,8 +136,8 @@
     count: int = 1,
 ) -> bool:
     """Returns whether the workspace's limit permits starts of a step."""
-    need = step.need.times(count)
-    return need.fits_in(available.get_headroom(cell, step, need))
+    headroom = available.get_headroom(cell, step.job.job.workspace)
+    return step.need.times(count).fits_in(headroom)
 
 
 def may_start(
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -16,7 +16,6 @@
 from hickoryreach.scheduling import placement
 from hickoryreach.scheduling import poll_replies
 from hickoryreach.scheduling import state
-from hickoryreach.scheduling import urgent_usage
 
 Handler = Callable[[state.CellState, object], Iterator[effects.Effect]]
 
@@ -160,6 +159,5 @@
     yield from orders.resend_stops(cell)
     yield from gangs.stop_partial_gangs(cell)
     yield from evacuation.evacuate(cell)
-    urgent_usage.advance_windows(cell)
     pace.update_median_speed(cell)
     yield from pace.stop_stalled_runs(cell)
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -1,7 +1,6 @@
 """Capacity that runs occupy on minions and in workspace limits."""
 
 from hickoryreach.scheduling import state
-from hickoryreach.scheduling import urgent_usage
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 
@@ -33,7 +32,6 @@
     used = cell.usage.get(run.workspace, resources.ZERO)
     cell.usage[run.workspace] = used + run.need
     cell.workspace_runs.setdefault(run.workspace, {})[id(run)] = run
-    urgent_usage.add(cell, run)
     if run.step is not None:
         run.step.runs[run.key.index] = run
         run.step.waiting.pop(run.key.index, None)
@@ -49,7 +47,6 @@
     minion.used = minion.used - run.need
     cell.usage[run.workspace] = cell.usage[run.workspace] - run.need
     del cell.workspace_runs[run.workspace][id(run)]
-    urgent_usage.free(cell, run)
     cell.unclear.pop(id(run), None)
     if run.step is not None and run.step.runs.get(run.key.index) is run:
         del run.step.runs[run.key.index]
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -233,23 +233,6 @@
     at_ms: int
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class UrgentUsage:
-    """Capacity that a workspace's runs of the first rank occupy.
-
-    Attributes:
-        used: Capacity that they occupy now.
-        peak: Maximum of that in the present window of time.
-        earlier_peak: Maximum of that in the window before.
-        window_ms: When the present window began, on the owner's clock.
-    """
-
-    used: resources.Resources = resources.ZERO
-    peak: resources.Resources = resources.ZERO
-    earlier_peak: resources.Resources = resources.ZERO
-    window_ms: int = 0
-
-
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class MinionRecord:
     """A minion with its runs and its health.
@@ -332,7 +315,6 @@
         usage: Occupied capacity by workspace.
         workspace_runs: Runs that occupy capacity, by workspace and identity of
             the run.
-        urgent_usage: What runs of the first rank occupy, by workspace.
         unclear: Runs with an unconfirmed stop, by identity of the run.
         pending_repeats: Jobs with repeats that are not due yet, by id.
         offered: Jobs that are not stored yet, by id.
@@ -364,9 +346,6 @@
     workspace_runs: dict[str, dict[int, Run]] = dataclasses.field(
         default_factory=dict
     )
-    urgent_usage: dict[str, UrgentUsage] = dataclasses.field(
-        default_factory=dict
-    )
     unclear: dict[int, Run] = dataclasses.field(default_factory=dict)
     pending_repeats: dict[str, JobRecord] = dataclasses.field(
         default_factory=dict
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -32,7 +32,7 @@
     if not fitting or (step.step.gang and fitting < count):
         return
     need = step.need.times(fitting)
-    headroom = available.get_headroom(cell, step, need)
+    headroom = available.get_headroom(cell, workspace)
     available.reserve_headroom(workspace, need)
     if step.rank == ordering.FIRST_RANK:
         yield from preemption.preempt_in_workspace(cell, step, headroom, need)
