Name and explain what a first reader of the change would stumble on

The pause between attempts at a cancellation had kept the name of the saving that moved away; attributes of the callers' API, the cell's clock and the progress say what they hold; the full percentage is one constant; two comments give their reason. No behaviour and no check changes.

--- a/packages/core/hickoryreach/scheduling/evacuation.py
+++ b/packages/core/hickoryreach/scheduling/evacuation.py
@@ -10,10 +10,10 @@
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import state
 
-FULL_PERCENT = 100
-MIN_SPEED = 0.1
+MIN_SPEED = 0.1  # keeps the estimate finite for a minion that stands still
 
 
 def evacuate(cell: state.CellState) -> Iterator[effects.Effect]:
@@ -48,6 +48,6 @@
 
 def _estimate_remaining_ms(minion: state.MinionRecord, run: state.Run) -> float:
     """Returns how long a run is likely to go on, in ms."""
-    fraction = (FULL_PERCENT - run.percent) / FULL_PERCENT
+    fraction = 1 - run.percent / pace.FULL_PERCENT
     estimate_ms = run.step.step.estimate_ms * fraction
     return estimate_ms / max(minion.speed, MIN_SPEED)
--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -28,7 +28,7 @@
 OWNER_RETRY_DELAY_S = 0.05
 COUNT_MAX_AGE_S = 2.0
 RETRY_AFTER_S = 1
-SAVE_RETRY_DELAY_S = 0.05
+CANCEL_RETRY_DELAY_S = 0.05
 CONFIGURATION_TIMEOUT_S = 0.5
 
 
@@ -40,9 +40,11 @@
         cell_clock: Time of day that the entries agree on.
         job_saver: Saves submitted jobs.
         client: Client of the store.
-        configured: Set once there is a configuration.
+        configured: Set once there is a configuration; cleared after a pause
+            until it has been read again.
         queues: Queues by host, the longest prefix first.
         keys: Name of the workspace of each API key.
+        configuration_source: Watch of the operator's configuration.
         pause_detector: Detector of pauses of this process.
     """
 
@@ -335,7 +337,7 @@
         if isinstance(kept, records.FinalRecord):
             return frames.JobReport(known=True, state=str(kept.final))
         self.owner_client.report_stored_job(job_id, item.data)
-        gevent.sleep(SAVE_RETRY_DELAY_S)
+        gevent.sleep(CANCEL_RETRY_DELAY_S)
         return self.owner_client.call(deadline, "cancellation", message)
 
 
--- a/packages/entry/hickoryreach_entry/cell/cell_clock.py
+++ b/packages/entry/hickoryreach_entry/cell/cell_clock.py
@@ -17,9 +17,9 @@
     two reports the boot clock counts, which does not jump.
 
     Attributes:
-        offset_ms: What the boot clock lacks to the time of day, in ms; None
-            before the first estimate.
-        samples: The same by the wall clocks of followers, by their names.
+        offset_ms: Time of day minus the boot clock, in ms; None before the
+            first estimate.
+        samples: Followers' wall clocks minus the boot clock in ms, by name.
     """
 
     def __init__(self) -> None:
--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -70,7 +70,7 @@
         while True:
             try:
                 self.handle_result(self.read())
-            except Exception:
+            except Exception:  # without the watch the entry would go stale
                 log.exception("watch_failed", extra={"prefix": self.prefix})
                 self.revision = -1
                 gevent.sleep(RETRY_DELAY_S)
--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -67,8 +67,8 @@
         healthy: Whether the last write succeeded.
         failing_since: When the first of the present failed writes was sent,
             on the monotonic clock in s; 0 while writes succeed.
-        extra_writes: Writes of large parts besides those that go on all the
-            time.
+        extra_writes: Writes of large parts, besides those of the greenlets that
+            write all the time.
         on_part: Called with the key and the rows of each stored part.
         on_final: Called with each job whose final record is stored.
     """
