--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 READY := $(VENV)/.ready
 
-.PHONY: setup format lint test unit demo bench fuzz capacity plots soak
+.PHONY: setup format lint test unit demo bench fuzz capacity plots regression soak
 
 $(READY): packages/core/pyproject.toml packages/entry/pyproject.toml packages/cli/pyproject.toml requirements-dev.txt
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -41,5 +41,9 @@
 plots: bench
 	$(BIN)/python -m bench.plots
 
+# PLAY=1 plays the set first, with FLEETBENCH and DEPLOYMENTS set.
+regression: setup
+	$(BIN)/python -m bench.regression $(if $(PLAY),--play)
+
 soak: setup
 	$(BIN)/python -m soak $(if $(SEED),--seed $(SEED)) $(if $(MINUTES),--minutes $(MINUTES))
