Log why a step that waits does not start

Each step that has waited for 3 s gets a line with what the last pass found that considered it, how long ago that was, and the age of its last call for advice; at most ten lines a second, one a step in 10 s. No decision changes. Tests: test_waits (cause, rate, turn).

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -10,6 +10,7 @@
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import wait_causes
 from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
 
@@ -30,8 +31,10 @@
     number of late gangs while they request tickets.
     """
     if step.runs:
+        step.wait_cause = wait_causes.WaitCause.EARLIER_RUN
         return
     if not free_capacity.has_headroom(cell, step, available, step.step.count):
+        step.wait_cause = wait_causes.WaitCause.LIMIT
         yield from workspace_limits.await_headroom(cell, step, available)
         return
     plan = None
@@ -44,10 +47,12 @@
         plan = _plan_by_rack(cell, step, available, ticketed)
     plan = plan or _plan_by_rack(cell, step, available, usable)
     if plan is None:
+        step.wait_cause = wait_causes.WaitCause.CAPACITY
         yield from _reserve_capacity(cell, step, available, usable, terms)
         return
     may_reserve = _may_reserve(cell, step, available)
     if not free_capacity.may_start(cell, step, available, step.step.count):
+        step.wait_cause = wait_causes.WaitCause.URGENT_CAPACITY
         if may_reserve:
             _reserve_plan(step, available, plan)
         return
@@ -56,6 +61,7 @@
         eligibility.has_ticket(cell, step, minion_id)
         for minion_id in planned_ids
     ):
+        step.wait_cause = wait_causes.WaitCause.TICKETS
         spare = _list_spare_minions(step, available, usable, planned_ids)
         yield from eligibility.refresh_tickets(cell, step, planned_ids + spare)
         if may_reserve:
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -148,6 +148,7 @@
 def make_ready(cell: state.CellState, step: state.StepRecord) -> None:
     """Queues the tasks of a step whose predecessors are done."""
     step.ready_ms = cell.now_ms
+    step.waiting_since_ms = cell.now_ms
     step.waiting = {
         index: None
         for index in range(step.step.count)
@@ -205,6 +206,7 @@
     if index in step.done or index in step.runs or step.job.state.is_final:
         return
     step.waiting[index] = None
+    step.waiting_since_ms = cell.now_ms
     cell.ready[id(step)] = step
     cell.dirty = True
 
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -140,6 +140,7 @@
         sent_ms=cell.now_ms,
     )
     runs.add(cell, minion, run)
+    step.waiting_since_ms = cell.now_ms
     if not step.waiting:
         cell.ready.pop(id(step), None)
     yield effects.StartTask(
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -12,6 +12,7 @@
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import wait_causes
 from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
 
@@ -27,7 +28,9 @@
         key=lambda step: ordering.get_sort_key(cell, step),
     )
     for step in waiting[: cell.settings.steps_per_pass]:
+        step.considered_ms = cell.now_ms
         if step.job.unconfirmed_until_ms > cell.now_ms:
+            step.wait_cause = wait_causes.WaitCause.UNCONFIRMED
             continue
         yield from _place_step(cell, step, available)
 
@@ -40,10 +43,12 @@
     """Places a step, or requests advice for it first."""
     terms = eligibility.get_advice_terms(cell, step)
     if terms is not None and step.allowed is None:
+        step.wait_cause = wait_causes.WaitCause.ADVICE
         if _may_use_advice(cell, step, available):
             yield from eligibility.ask_about_unknown(cell, step, available)
         return
     if not step.job.kept:
+        step.wait_cause = wait_causes.WaitCause.NOT_STORED
         return
     if terms is None:
         usable = eligibility.list_minions(cell, step, available)
@@ -93,9 +98,12 @@
     if not step.waiting:
         return
     if not free_capacity.has_headroom(cell, step, available):
+        step.wait_cause = wait_causes.WaitCause.LIMIT
         yield from workspace_limits.await_headroom(cell, step, available)
     elif free_capacity.may_start(cell, step, available):
         yield from _find_capacity(cell, step, available, usable, expired, terms)
+    else:
+        step.wait_cause = wait_causes.WaitCause.URGENT_CAPACITY
 
 
 def _start_tasks(
@@ -147,8 +155,10 @@
 ) -> Iterator[effects.Effect]:
     """Requests further tickets; preempts runs for steps of the first rank."""
     if expired:
+        step.wait_cause = wait_causes.WaitCause.TICKETS
         yield from eligibility.refresh_tickets(cell, step, expired)
         return
+    step.wait_cause = wait_causes.WaitCause.CAPACITY
     if terms is not None and _has_unknown_minions(cell, step, available):
         yield from eligibility.ask_about_unknown(cell, step, available)
     if step.rank == ordering.FIRST_RANK:
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -16,6 +16,7 @@
 from hickoryreach.scheduling import placement
 from hickoryreach.scheduling import poll_replies
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import waits
 
 Handler = Callable[[state.CellState, object], Iterator[effects.Effect]]
 
@@ -161,3 +162,4 @@
     yield from evacuation.evacuate(cell)
     pace.update_median_speed(cell)
     yield from pace.stop_stalled_runs(cell)
+    yield from waits.report(cell)
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -8,6 +8,7 @@
 
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import settings as settings_module
+from hickoryreach.scheduling import wait_causes
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
@@ -133,6 +134,12 @@
             stalled; other minions are preferred.
         invalidated: Runs, by index of the task and number of the run, whose
             lease expired or whose minion restarted; their ends are ignored.
+        waiting_since_ms: When it last became ready, started a task or got one
+            back, on the owner's clock.
+        considered_ms: When a pass last considered it, on the owner's clock, or
+            -1.
+        wait_cause: What kept it from starting then.
+        wait_reported_ms: When its wait was last logged, on the owner's clock.
     """
 
     job: JobRecord
@@ -156,6 +163,10 @@
     advice_asked_ms: int = -1
     avoided_minions: set[str] = dataclasses.field(default_factory=set)
     invalidated: set[tuple[int, int]] = dataclasses.field(default_factory=set)
+    waiting_since_ms: int = 0
+    considered_ms: int = -1
+    wait_cause: wait_causes.WaitCause = wait_causes.WaitCause.NOT_CONSIDERED
+    wait_reported_ms: int = -(2**53)
 
     @property
     def is_done(self) -> bool:
@@ -330,6 +341,8 @@
         deferred_ends: Ends that wait for their job to be looked up in the
             store, by id of the job.
         dirty: Whether a change since the last pass may let a task start.
+        next_wait_report_ms: Earliest time of the next log lines on steps that
+            wait, on the owner's clock.
     """
 
     settings: settings_module.Settings
@@ -364,3 +377,4 @@
         default_factory=dict
     )
     dirty: bool = False
+    next_wait_report_ms: int = 0
