Make calls for advice in the order of the steps, and only for those that may start

What callers would see: while one workspace submits far more than its limit, the first starts of all others come late, as their calls for advice wait. Cause: calls waited by rank and arrival, so those for late steps of the same rank went before those for steps in time; and hundreds of steps of a workspace at its limit asked, again each time that their tickets had expired. Now calls wait in the sort key of their steps, a step that waits for advice holds its part of the limit in the pass, and a late step that the limit blocks does not ask.

--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -75,7 +75,7 @@
         minion_ids: Ids of the minions to ask about.
         cost_ms: Expected processing time of the call in the advice service.
         valid_ms: How long its tickets are valid.
-        rank: Rank of the job.
+        order: Sort key of the step; calls with a lower one go first.
     """
 
     job_id: str
@@ -84,7 +84,7 @@
     minion_ids: tuple[str, ...]
     cost_ms: float
     valid_ms: int
-    rank: int
+    order: tuple[bool, int, int, float]
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -6,6 +6,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
@@ -190,7 +191,7 @@
         minion_ids=tuple(minion_ids),
         cost_ms=terms.call_ms + terms.minion_ms * len(minion_ids),
         valid_ms=terms.valid_ms,
-        rank=step.rank,
+        order=ordering.get_sort_key(cell, step),
     )
 
 
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -46,6 +46,7 @@
         step.wait_cause = wait_causes.WaitCause.ADVICE
         if _may_use_advice(cell, step, available):
             yield from eligibility.ask_about_unknown(cell, step, available)
+            _hold_headroom(step, available)
         return
     if not step.job.kept:
         step.wait_cause = wait_causes.WaitCause.NOT_STORED
@@ -72,8 +73,13 @@
     """Returns whether tickets for a step could be used soon.
 
     Capacity may be preempted or reserved for steps of the first rank and for
-    gangs. Other steps request advice only once a task fits on some minion.
+    gangs. Other steps request advice only once a task fits on some minion. A
+    late step that its workspace's limit blocks may stay blocked for long.
     """
+    if not ordering.is_in_time(cell, step) and not free_capacity.has_headroom(
+        cell, step, available
+    ):
+        return False
     if step.rank == ordering.FIRST_RANK or step.step.gang:
         return True
     if step.need.cpu_millis > available.largest_free_cpu:
@@ -84,6 +90,18 @@
     )
 
 
+def _hold_headroom(
+    step: state.StepRecord, available: free_capacity.FreeCapacity
+) -> None:
+    """Reserves headroom for a step that waits for advice.
+
+    Else many more steps of a workspace at its limit would request advice than
+    it may start.
+    """
+    need = step.need.times(len(step.waiting))
+    available.reserve_headroom(step.job.job.workspace, need)
+
+
 def _place_tasks(
     cell: state.CellState,
     step: state.StepRecord,
--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -91,16 +91,16 @@
     """Assigns calls for advice to entries.
 
     The service handles one call at a time per calling machine, and the
-    durations of calls differ by a factor of fifty. Calls wait here, lower rank
-    first, until an entry is free. Slow calls occupy only a share of the
-    entries, so that fast calls never wait behind them.
+    durations of calls differ by a factor of fifty. Calls wait here, those for
+    the most urgent steps first, until an entry is free. Slow calls occupy only
+    a share of the entries, so that fast calls never wait behind them.
 
     Attributes:
         load_us: Expected duration of the calls in progress by name of the
             entry, in whole microseconds: sums of floats would not return to
             exactly zero.
         slow_entries: Names of entries with a slow call in progress.
-        waiting: Calls that wait for an entry, by rank and arrival.
+        waiting: Calls that wait for an entry, by order and arrival.
     """
 
     def __init__(
@@ -122,14 +122,16 @@
         self.emit = emit
         self.load_us: dict[str, int] = {}
         self.slow_entries: set[str] = set()
-        self.waiting: list[tuple[int, int, effects.AskAdvice, float]] = []
+        self.waiting: list[
+            tuple[tuple[bool, int, int, float], int, effects.AskAdvice, float]
+        ] = []
         self.arrivals = itertools.count()
 
     def ask(self, effect: effects.AskAdvice) -> None:
         """Queues a call for a step's advice; its result is emitted."""
         bisect.insort(
             self.waiting,
-            (effect.rank, next(self.arrivals), effect, time.monotonic()),
+            (effect.order, next(self.arrivals), effect, time.monotonic()),
         )
         self.dispatch()
 
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -294,6 +294,34 @@
         self.assertEqual(len(self.get_starts()), 1)
 
 
+class LimitedAdviceTest(AdviceCase):
+    """Advice for the steps of a workspace that is at its limit."""
+
+    limit = resources.Resources(cpu_millis=2_000)
+
+    def test_no_more_late_steps_request_advice_than_the_limit_lets_start(
+        self,
+    ) -> None:
+        for name in ("m0", "m1"):
+            self.apply(events.MinionUnreachable(minion_id=name))
+        for _ in range(10):
+            self.submit(cases.build_step(), queue="checks")
+        self.now_ms += 60_000
+        calls = []
+        for name in ("m0", "m1"):
+            self.poll(name)
+            calls += self.get_effects(effects.AskAdvice)
+        self.assertEqual(len(calls), 2)
+
+    def test_calls_carry_the_order_of_their_steps(self) -> None:
+        self.submit(cases.build_step())
+        (first,) = self.get_effects(effects.AskAdvice)
+        self.now_ms += 5
+        self.submit(cases.build_step())
+        (second,) = self.get_effects(effects.AskAdvice)
+        self.assertLess(first.order, second.order)
+
+
 class GangAdviceTest(AdviceCase):
     """A gang whose allowed minions are busy while others are free."""
 
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -51,7 +51,9 @@
             emit=self.emitted.append,
         )
 
-    def ask(self, job_id: str, cost_ms: float, rank: int = 1) -> None:
+    def ask(
+        self, job_id: str, cost_ms: float, rank: int = 1, slack_ms: float = 0.0
+    ) -> None:
         """Queues a call for one step's advice."""
         self.dispatcher.ask(
             effects.AskAdvice(
@@ -61,7 +63,7 @@
                 minion_ids=("m0",),
                 cost_ms=cost_ms,
                 valid_ms=1_000,
-                rank=rank,
+                order=(False, 0, rank, slack_ms),
             )
         )
         gevent.sleep(0)
@@ -90,6 +92,17 @@
             [each.job_id for each in self.emitted], ["long0", "long2"]
         )
 
+    def test_calls_of_late_steps_do_not_hold_up_those_in_time(self) -> None:
+        for number in range(4):
+            self.ask(f"first{number}", 60.0)
+        for number in range(20):
+            self.ask(f"late{number}", 60.0, slack_ms=9.0)
+        self.ask("in-time", 60.0, slack_ms=1.0)
+        self.entries["c"].released.set()
+        gevent.sleep(0)
+        gevent.sleep(0)
+        self.assertEqual(self.calls[4], ("c", "in-time.0.0"))
+
     def test_the_lower_rank_is_dispatched_first(self) -> None:
         for number in range(8):
             self.ask(f"first{number}", 60.0, rank=2)
