Let steps that can start have their turn behind steps that can't

Cause: a placement pass considered the first sixty waiting steps in their order. Steps that can't start stay in that order: when a workspace's limit fell below what it submits, its steps filled every pass, and steps of other workspaces that had become late behind them were never considered again. The class is head-of-line blocking. Now steps that their workspace's limit or an unconfirmed takeover blocks don't count, but for twenty that make headroom; and while a service is idle a pass ends with steps that no pass has considered for a second. Lasting steps get that turn however busy the service is. Steps behind the first sixty otherwise wait as before, so that more urgent ones find capacity.

--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -0,0 +1,107 @@
+"""Choice of the waiting steps that a placement pass considers.
+
+This answers the load of many steps that can't start, as when a workspace's
+limit falls far below what it submits: they stay at the front of the order, and
+steps behind them that could start must still get their turn.
+"""
+
+from collections.abc import Iterator
+import heapq
+
+from hickoryreach.scheduling import eligibility
+from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import ordering
+from hickoryreach.scheduling import state
+from hickoryreach.scheduling import wait_causes
+
+OVERDUE_MS = 1_000
+IDLE_FRACTION = 0.3
+
+
+def choose(
+    cell: state.CellState, available: free_capacity.FreeCapacity
+) -> Iterator[state.StepRecord]:
+    """Yields the steps to consider in a pass, the most urgent one first.
+
+    The number of steps is limited. Those that can't start for now, because of
+    their workspace's limit or runs of an earlier owner, have a limit of their
+    own, so that they don't keep others from being considered. At the end come
+    some of the steps that no pass has considered for OVERDUE_MS, if their
+    service has capacity to spare: more urgent steps may still want the rest.
+    """
+    settings = cell.settings
+    waiting = sorted(
+        (step for step in cell.ready.values() if step.waiting),
+        key=lambda step: ordering.get_sort_key(cell, step),
+    )
+    left = settings.steps_per_pass
+    blocked_left = settings.blocked_steps_per_pass
+    remaining = iter(waiting)
+    for step in remaining:
+        cause = _find_block(cell, step, available)
+        if cause is None:
+            left -= 1
+        else:
+            step.considered_ms = cell.now_ms
+            step.wait_cause = cause
+            if cause is not wait_causes.WaitCause.LIMIT or not blocked_left:
+                continue
+            blocked_left -= 1
+        yield step
+        if not left:
+            break
+    yield from _list_overdue(cell, available, remaining)
+
+
+def _find_block(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+) -> wait_causes.WaitCause | None:
+    """Returns why a step can't start whatever capacity is free, or None."""
+    if step.job.unconfirmed_until_ms > cell.now_ms:
+        return wait_causes.WaitCause.UNCONFIRMED
+    count = step.step.count if step.step.gang else 1
+    if free_capacity.is_over_limit(cell, step, available, count):
+        return wait_causes.WaitCause.LIMIT
+    return None
+
+
+def _list_overdue(
+    cell: state.CellState,
+    available: free_capacity.FreeCapacity,
+    remaining: Iterator[state.StepRecord],
+) -> list[state.StepRecord]:
+    """Returns steps that were not considered lately, the longest ago first.
+
+    Lasting steps are served however little capacity is left, as nothing that
+    runs makes way for them by ending.
+    """
+    horizon_ms = cell.now_ms - OVERDUE_MS
+    idle_services: set[str] | None = None
+    overdue = []
+    for step in remaining:
+        if step.considered_ms >= horizon_ms:
+            continue
+        if idle_services is None:
+            idle_services = set(_list_idle_services(cell, available))
+        service = eligibility.get_service(cell, step)
+        if step.step.lasting or service in idle_services:
+            overdue.append(step)
+    return heapq.nsmallest(
+        cell.settings.overdue_steps_per_pass,
+        overdue,
+        key=lambda step: step.considered_ms,
+    )
+
+
+def _list_idle_services(
+    cell: state.CellState, available: free_capacity.FreeCapacity
+) -> Iterator[str]:
+    """Yields the services of whose capacity IDLE_FRACTION or more is free."""
+    for service, minion_ids in available.open_minion_ids.items():
+        members = [cell.minions[minion_id] for minion_id in minion_ids]
+        total_cpu = sum(each.minion.capacity.cpu_millis for each in members)
+        used_cpu = sum(each.used.cpu_millis for each in members)
+        if used_cpu <= (1 - IDLE_FRACTION) * total_cpu:
+            yield service
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -31,6 +31,8 @@
             start of the pass, in thousandths of a core.
         reserved_headroom: Part of its limit that is reserved for steps that
             wait for it, by workspace.
+        refused_needs: Latest need that exceeded the headroom, by workspace;
+            headroom only shrinks during a pass.
     """
 
     free: dict[str, resources.Resources]
@@ -49,6 +51,9 @@
     reserved_headroom: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    refused_needs: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
 
     def allocate(self, minion_id: str, need: resources.Resources) -> None:
         """Allocates capacity of a minion to a started task."""
@@ -140,6 +145,27 @@
     return step.need.times(count).fits_in(headroom)
 
 
+def is_over_limit(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: FreeCapacity,
+    count: int,
+) -> bool:
+    """Returns whether the workspace's limit forbids starts of a step.
+
+    Cheaper than `has_headroom` for many steps of one workspace.
+    """
+    workspace = step.job.job.workspace
+    need = step.need.times(count) if count > 1 else step.need
+    refused = available.refused_needs.get(workspace)
+    if refused is not None and refused.fits_in(need):
+        return True
+    if need.fits_in(available.get_headroom(cell, workspace)):
+        return False
+    available.refused_needs[workspace] = need
+    return True
+
+
 def may_start(
     cell: state.CellState,
     step: state.StepRecord,
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -3,6 +3,7 @@
 from collections.abc import Generator
 from collections.abc import Iterator
 
+from hickoryreach.scheduling import candidates
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import free_capacity
@@ -23,15 +24,8 @@
         return
     cell.dirty = False
     available = free_capacity.measure(cell)
-    waiting = sorted(
-        (step for step in cell.ready.values() if step.waiting),
-        key=lambda step: ordering.get_sort_key(cell, step),
-    )
-    for step in waiting[: cell.settings.steps_per_pass]:
+    for step in candidates.choose(cell, available):
         step.considered_ms = cell.now_ms
-        if step.job.unconfirmed_until_ms > cell.now_ms:
-            step.wait_cause = wait_causes.WaitCause.UNCONFIRMED
-            continue
         yield from _place_step(cell, step, available)
 
 
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -22,7 +22,12 @@
             runs are stopped; covers the age of its registration and the order.
         stop_retry_ms: Time after which an unconfirmed stop is sent again.
         ticket_margin_ms: Validity that a ticket must have left at a start.
-        steps_per_pass: Most steps considered in one placement pass.
+        steps_per_pass: Most steps considered in one placement pass, without
+            those of the next two.
+        blocked_steps_per_pass: Most steps, of those that their workspace's
+            limit blocks, for which a pass makes headroom.
+        overdue_steps_per_pass: Most steps considered at the end of a pass
+            because no pass has considered them for long.
         reservations_limit: Most gangs that may reserve occupied capacity.
         reserved_fraction: Fraction of the cell's processor capacity that may be
             reserved for gangs.
@@ -52,6 +57,8 @@
     stop_retry_ms: int = 400
     ticket_margin_ms: int = 150
     steps_per_pass: int = 60
+    blocked_steps_per_pass: int = 20
+    overdue_steps_per_pass: int = 10
     reservations_limit: int = 3
     reserved_fraction: float = 0.5
     late_reservations_limit: int = 8
