Reserve headroom only for steps that could start with it

Cause: a step that its workspace's limit keeps waiting reserves headroom in every pass, also if no minion could hold its tasks, or if lasting tasks leave it less of the limit than it needs; whatever comes after it in the workspace waits too. Now the headroom is reserved only if its tasks fit on minions without any run, and into the limit without what lasting tasks occupy. Tests that failed before: the three of UnplaceableStepTest (nothing started).

--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -31,6 +31,8 @@
             start of the pass, in thousandths of a core.
         reserved_headroom: Part of its limit that is reserved for steps that
             wait for it, by workspace.
+        lasting_usage: What lasting tasks occupied of the limit when it was
+            first asked for, by workspace.
         refused_needs: Latest need that exceeded the headroom, by workspace;
             headroom only shrinks during a pass.
     """
@@ -51,6 +53,9 @@
     reserved_headroom: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    lasting_usage: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     refused_needs: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -8,11 +8,13 @@
 from collections.abc import Iterator
 
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import free_capacity
 from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.structure import resources
 
 
 def await_headroom(
@@ -23,16 +25,54 @@
     """Reserves headroom for a step that its workspace's limit keeps waiting.
 
     Steps that are placed after it can't take that headroom. For steps of the
-    first rank, less urgent runs of the workspace are preempted.
+    first rank, less urgent runs of the workspace are preempted. Nothing is
+    reserved for a step that could not start with the headroom either.
     """
     workspace = step.job.job.workspace
-    limit = runs.get_limit(cell, workspace)
+    limit = _get_reachable_limit(cell, available, workspace)
     count = step.step.count if step.step.gang else len(step.waiting)
     fitting = runs.count_fitting(limit, step.need, count)
-    if not fitting or (step.step.gang and fitting < count):
+    least = count if step.step.gang else 1
+    if fitting < least or not _fits_on_minions(cell, step, available, least):
         return
     need = step.need.times(fitting)
     headroom = available.get_headroom(cell, workspace)
     available.reserve_headroom(workspace, need)
     if step.rank == ordering.FIRST_RANK:
         yield from preemption.preempt_in_workspace(cell, step, headroom, need)
+
+
+def _get_reachable_limit(
+    cell: state.CellState,
+    available: free_capacity.FreeCapacity,
+    workspace: str,
+) -> resources.Resources:
+    """Returns a workspace's limit without what its lasting tasks occupy."""
+    lasting = available.lasting_usage.get(workspace)
+    if lasting is None:
+        lasting = resources.ZERO
+        for run in cell.workspace_runs.get(workspace, {}).values():
+            if run.step is not None and run.step.step.lasting:
+                lasting = lasting + run.need
+        available.lasting_usage[workspace] = lasting
+    return runs.get_limit(cell, workspace) - lasting
+
+
+def _fits_on_minions(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    count: int,
+) -> bool:
+    """Returns whether tasks of a step would fit on minions without any run."""
+    remaining = count
+    for minion_id in eligibility.list_minions(cell, step, available):
+        if minion_id in step.denied:
+            continue
+        capacity = cell.minions[minion_id].minion.capacity
+        remaining -= free_capacity.apply_minion_limit(
+            step, minion_id, runs.count_fitting(capacity, step.need, remaining)
+        )
+        if remaining <= 0:
+            return True
+    return False
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -115,6 +115,36 @@
         self.assertEqual(started, [later])
 
 
+class UnplaceableStepTest(cases.CellCase):
+    """A step that can't start with any headroom keeps no other one waiting."""
+
+    limit = resources.Resources(cpu_millis=8_000)
+
+    def check_later_task_starts(self, blocked: steps.Step) -> None:
+        """Checks that a small task starts after a step that can't."""
+        self.submit(blocked)
+        later = self.submit(cases.build_step())
+        started = {each.key.job_id for each in self.get_starts()}
+        self.assertEqual(started, {later})
+
+    def test_a_task_larger_than_any_minion_holds_no_headroom(self) -> None:
+        self.submit(cases.build_step(4, estimate_ms=60_000))
+        self.confirm_starts()
+        self.check_later_task_starts(cases.build_step(cpu=5_000))
+
+    def test_a_gang_larger_than_the_cell_holds_no_headroom(self) -> None:
+        self.submit(cases.build_step(estimate_ms=60_000))
+        self.confirm_starts()
+        self.check_later_task_starts(cases.build_step(3, cpu=2_600, gang=True))
+
+    def test_a_gang_that_lasting_tasks_leave_no_limit_holds_no_headroom(
+        self,
+    ) -> None:
+        self.submit(cases.build_step(cpu=3_000, lasting=True))
+        self.confirm_starts()
+        self.check_later_task_starts(cases.build_step(2, cpu=3_000, gang=True))
+
+
 class RemovedWorkspaceTest(LimitCase):
     """A workspace is removed while a step of it waits."""
 
