Let the latest advice on a minion replace the earlier one

Callers would see an accepted job on a queue with advice wait without end while minions that it may use are free.

Cause: `eligibility.handle_advice` added a minion that later advice no longer allows to `denied`, but left it in `allowed` with its ticket. A gang planned on it, found no ticket and asked for that ticket again, every 100 ms at most, for ever; `refresh_tickets` goes before the question about further minions, so those were never asked about. A single task returned from `placement._find_capacity` with `expired` in the same way.

Before the fix, tests.core.scheduling.test_eligibility:

FAIL: test_a_minion_is_either_allowed_or_denied self.assertEqual(set(step.denied), set()) AssertionError: Items in the first set but not the second: 'm1' 'm0' FAIL: test_gang_does_not_wait_for_a_minion_no_longer_allowed self.assertEqual(set(further.minion_ids) & {first, second}, set()) AssertionError: Items in the first set but not the second: 'm1' 'm0' FAIL: test_task_does_not_wait_for_a_minion_no_longer_allowed (the same assertion, the same two minions) FAILED (failures=3)

Ruled out: a plan that would skip the minion by itself. Plans are made from `allowed` alone. The two sets are now exclusive, so that a minion is either planned on or known not to help, and the further ones are asked about.

That the advice of the platform ever withdraws a minion was not observed; it is what the answer on a minion's next life can be.

--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -198,7 +198,10 @@
 def handle_advice(
     cell: state.CellState, event: events.AdviceCallEnded
 ) -> Iterator[effects.Effect]:
-    """Applies the advice of a call, or the failure of the call."""
+    """Applies the advice of a call, or the failure of the call.
+
+    The latest advice on a minion replaces any earlier one.
+    """
     record = cell.jobs.get(event.job_id)
     step = record and record.steps.get((event.repeat, event.position))
     if step is None:
@@ -219,8 +222,11 @@
         minion = cell.minions.get(minion_id)
         text = event.tickets.get(minion_id)
         if text is None:
+            step.allowed.discard(minion_id)
+            step.tickets.pop(minion_id, None)
             step.denied.add(minion_id)
             continue
+        step.denied.discard(minion_id)
         step.allowed.add(minion_id)
         if minion is not None:
             _update_ticket(step, minion, text, cell.now_ms + event.valid_ms)
--- /dev/null
+++ b/tests/core/scheduling/test_eligibility.py
@@ -0,0 +1,60 @@
+"""Tests of which minions a step may use as advice on them changes."""
+
+import dataclasses
+
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import settings
+from tests.core.scheduling import cases
+from tests.core.scheduling import test_placement
+
+
+class WithdrawnAdviceTest(test_placement.AdviceCase):
+    """Later advice no longer allows a minion that earlier advice allowed."""
+
+    minion_count = 4
+
+    def build_settings(self) -> settings.Settings:
+        """Returns settings by which a call names at most two minions."""
+        return settings.Settings(
+            urgent_fraction=0.0, reserved_fraction=1.0, named_minions_limit=2
+        )
+
+    def test_gang_does_not_wait_for_a_minion_no_longer_allowed(self) -> None:
+        self.submit(cases.build_step(count=2, cpu=4_000, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        first, second = call.minion_ids
+        self.now_ms += 3_000
+        self.apply_expired(call, first, second)
+        (refresh,) = self.get_effects(effects.AskAdvice)
+        self.assertEqual(set(refresh.minion_ids), {first, second})
+        self.now_ms += 200
+        self.advise(refresh, first)
+        (further,) = self.get_effects(effects.AskAdvice)
+        self.assertEqual(set(further.minion_ids) & {first, second}, set())
+        self.advise(further, *further.minion_ids)
+        self.assertEqual(len(self.get_starts()), 2)
+
+    def test_task_does_not_wait_for_a_minion_no_longer_allowed(self) -> None:
+        self.submit(cases.build_step(cpu=4_000))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.apply_expired(call, *call.minion_ids)
+        self.tick(200)
+        (refresh,) = self.get_effects(effects.AskAdvice)
+        self.now_ms += 200
+        self.advise(refresh)
+        (further,) = self.get_effects(effects.AskAdvice)
+        self.assertEqual(set(further.minion_ids) & set(call.minion_ids), set())
+
+    def test_a_minion_is_either_allowed_or_denied(self) -> None:
+        job_id = self.submit(cases.build_step(cpu=4_000, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        step = self.cell.jobs[job_id].steps[(0, 0)]
+        self.apply_expired(call)
+        self.assertEqual(set(step.denied), set(call.minion_ids))
+        self.apply_expired(call, *call.minion_ids)
+        self.assertEqual(step.allowed, set(call.minion_ids))
+        self.assertEqual(set(step.denied), set())
+
+    def apply_expired(self, call: effects.AskAdvice, *allowed: str) -> None:
+        """Answers a call with tickets that have expired on arrival."""
+        self.advise(dataclasses.replace(call, valid_ms=0), *allowed)
