Ask about new minions however many a step had advice on before

Callers would see a job on a queue with advice wait without end after minions were replaced, while the new ones are free.

Cause: `placement._has_unknown_minions` compared the number of ids that a step was ever allowed or denied with the number of minions now. Advice on minions that left stays counted, so that the sum reaches the number of the present minions though none of them was ever asked about.

Before the fix (two minions denied, one of them replaced by a new one):

ERROR: test_step_does_not_wait_for_minions_that_have_left (further,) = self.get_effects(effects.AskAdvice) ValueError: not enough values to unpack (expected 1, got 0)

Ruled out: gangs. They use `eligibility.list_unknown_minions`, which counts rightly.

--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -203,5 +203,4 @@
     available: free_capacity.FreeCapacity,
 ) -> bool:
     """Returns whether there are minions that a step has no advice on."""
-    known = len(step.allowed or ()) + len(step.denied)
-    return known < len(eligibility.list_minions(cell, step, available))
+    return bool(eligibility.list_unknown_minions(cell, step, available))
--- a/tests/core/scheduling/test_eligibility.py
+++ b/tests/core/scheduling/test_eligibility.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
 from hickoryreach.scheduling import settings
 from tests.core.scheduling import cases
 from tests.core.scheduling import test_placement
@@ -58,3 +59,25 @@
     def apply_expired(self, call: effects.AskAdvice, *allowed: str) -> None:
         """Answers a call with tickets that have expired on arrival."""
         self.advise(dataclasses.replace(call, valid_ms=0), *allowed)
+
+
+class ReplacedMinionsTest(test_placement.AdviceCase):
+    """All minions that a step has advice on were replaced."""
+
+    def replace_minion(self, minion_id: str, replacement_id: str) -> None:
+        """Removes a minion and registers another one."""
+        self.apply(events.MinionUnregistered(minion_id=minion_id))
+        self.apply(events.LeaseExpired(minion_id=minion_id))
+        self.add_minion(replacement_id)
+        self.poll(replacement_id)
+
+    def test_step_does_not_wait_for_minions_that_have_left(self) -> None:
+        self.submit(cases.build_step(cpu=4_000))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.advise(call)
+        self.now_ms += 200
+        self.replace_minion("m0", "m2")
+        (further,) = self.get_effects(effects.AskAdvice)
+        self.assertEqual(further.minion_ids, ("m2",))
+        self.advise(further, "m2")
+        self.assertEqual(len(self.get_starts()), 1)
