Ask again about denied minions that have restarted

Callers would see a job on a queue with advice wait without end although a minion that was denied to it has restarted as one that may run it.

Cause: a step kept the ids of the minions denied to it, and advice on an id stood for every later life of the minion. The other direction heals by itself: a ticket belongs to one incarnation, so an allowed minion that restarted is asked about before its next use, and the latest advice replaces the earlier one.

Before the fix (the constant alone was added):

ERROR: test_a_restarted_minion_is_asked_about_once ERROR: test_gang_does_not_wait_for_ever_for_a_restarted_minion ERROR: test_step_does_not_wait_for_ever_for_a_restarted_minion (call,) = self.collect_calls(eligibility.RECHECK_WAIT_MS + 1_000) ValueError: not enough values to unpack (expected 1, got 0)

A denial now carries the incarnation that it was given for. After a restart it stands until the step has waited for RECHECK_WAIT_MS; then the minion counts as unknown and is asked about once. A step that starts tasks or waits shortly makes no further call, as calls are scarce.

Not covered: a minion that restarts while the call about it is under way. Its denial is taken as one on the new incarnation.

--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -14,6 +14,7 @@
 MIN_NAMED_MINIONS = 16
 NAMED_COST_FRACTION = 0.5
 RETRY_DELAY_MS = 100
+RECHECK_WAIT_MS = 5_000
 DEFAULT_ALLOWED_FRACTION = 0.35
 MIN_ALLOWED_FRACTION = 0.1
 SAMPLE_WEIGHT = 0.1
@@ -96,15 +97,36 @@
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
 ) -> list[str]:
-    """Returns the minions that a step has no advice on."""
+    """Returns the minions that a step has no advice on.
+
+    They include, once the step waits long, minions that were denied before
+    their last restart.
+    """
     return [
         minion_id
         for minion_id in list_minions(cell, step, available)
-        if minion_id not in step.denied
+        if not _is_denied(cell, step, minion_id)
         and not (step.allowed and minion_id in step.allowed)
     ]
 
 
+def _is_denied(
+    cell: state.CellState, step: state.StepRecord, minion_id: str
+) -> bool:
+    """Returns whether a step must not use a minion, as far as is known.
+
+    An earlier incarnation may have been of another kind. Yet most restarts
+    change nothing, so that only a step that waits long asks again.
+    """
+    denied_incarnation = step.denied.get(minion_id)
+    if denied_incarnation is None:
+        return False
+    return (
+        denied_incarnation == cell.minions[minion_id].incarnation
+        or cell.now_ms < step.waiting_since_ms + RECHECK_WAIT_MS
+    )
+
+
 def get_allowed_fraction(
     cell: state.CellState, step: state.StepRecord
 ) -> float:
@@ -224,9 +246,9 @@
         if text is None:
             step.allowed.discard(minion_id)
             step.tickets.pop(minion_id, None)
-            step.denied.add(minion_id)
+            step.denied[minion_id] = minion.incarnation if minion else 0
             continue
-        step.denied.discard(minion_id)
+        step.denied.pop(minion_id, None)
         step.allowed.add(minion_id)
         if minion is not None:
             _update_ticket(step, minion, text, cell.now_ms + event.valid_ms)
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -125,7 +125,8 @@
         checkpoints: Newest checkpoint by index of the task; that of a gang
             under 0.
         allowed: Ids of minions that may run it, or None before any advice.
-        denied: Ids of minions that may not run it.
+        denied: Incarnations, by id, of minions that may not run it; 0 if
+            unknown.
         tickets: Tickets by minion id.
         advice_pending: Whether a call for advice is under way.
         advice_asked_ms: When advice was last requested, on the owner's clock,
@@ -157,7 +158,7 @@
     highest_numbers: dict[int, int] = dataclasses.field(default_factory=dict)
     checkpoints: dict[int, str] = dataclasses.field(default_factory=dict)
     allowed: set[str] | None = None
-    denied: set[str] = dataclasses.field(default_factory=set)
+    denied: dict[str, int] = dataclasses.field(default_factory=dict)
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     advice_pending: bool = False
     advice_asked_ms: int = -1
--- a/tests/core/scheduling/test_eligibility.py
+++ b/tests/core/scheduling/test_eligibility.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import settings
 from tests.core.scheduling import cases
@@ -81,3 +82,62 @@
         self.assertEqual(further.minion_ids, ("m2",))
         self.advise(further, "m2")
         self.assertEqual(len(self.get_starts()), 1)
+
+
+class RestartedMinionTest(test_placement.AdviceCase):
+    """Advice on a minion that has restarted since."""
+
+    def submit_denied(self) -> effects.AskAdvice:
+        """Submits a job that may run on no minion; returns its call."""
+        self.submit(cases.build_step(cpu=4_000))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.assertEqual(set(call.minion_ids), {"m0", "m1"})
+        self.advise(call)
+        return call
+
+    def collect_calls(self, duration_ms: int) -> list[effects.AskAdvice]:
+        """Returns the calls of some time without other events."""
+        calls = []
+        for _ in range(0, duration_ms, 100):
+            self.tick()
+            calls += self.get_effects(effects.AskAdvice)
+        return calls
+
+    def test_step_does_not_wait_for_ever_for_a_restarted_minion(self) -> None:
+        self.submit_denied()
+        self.poll("m1", incarnation=2)
+        (call,) = self.collect_calls(eligibility.RECHECK_WAIT_MS + 1_000)
+        self.assertEqual(call.minion_ids, ("m1",))
+        self.advise(call, "m1")
+        self.assertEqual([each.minion_id for each in self.get_starts()], ["m1"])
+
+    def test_gang_does_not_wait_for_ever_for_a_restarted_minion(self) -> None:
+        self.submit(cases.build_step(count=2, cpu=4_000, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.advise(call, "m0")
+        self.poll("m1", incarnation=2)
+        (call,) = self.collect_calls(eligibility.RECHECK_WAIT_MS + 1_000)
+        self.assertEqual(call.minion_ids, ("m1",))
+        self.advise(call, "m1")
+        (refresh,) = self.get_effects(effects.AskAdvice) or self.collect_calls(
+            200
+        )
+        self.advise(refresh, "m0", "m1")
+        self.assertEqual(len(self.get_starts()), 2)
+
+    def test_a_restarted_minion_is_asked_about_once(self) -> None:
+        self.submit_denied()
+        self.poll("m1", incarnation=2)
+        (call,) = self.collect_calls(eligibility.RECHECK_WAIT_MS + 1_000)
+        self.advise(call)
+        self.assertEqual(self.collect_calls(60_000), [])
+
+    def test_denials_stand_for_steps_that_wait_shortly(self) -> None:
+        self.submit_denied()
+        self.poll("m1", incarnation=2)
+        calls = self.collect_calls(eligibility.RECHECK_WAIT_MS - 200)
+        self.assertEqual(calls, [])
+
+    def test_denials_of_minions_that_go_on_stand(self) -> None:
+        self.submit_denied()
+        self.assertEqual(self.collect_calls(60_000), [])
