Let a late gang ask about further minions while its own stay occupied

Callers would see an accepted gang wait without end while minions that it was never asked about are free.

Cause: `gangs._reserve_capacity` asks about unknown minions only if no plan exists once other runs have ended, or if what is free on allowed minions plus the likely part of the others suffices now. Both are false for good when the allowed minions are large enough but hold runs that last, and the unknown ones, times the allowed fraction (0.1 to 0.35), count for less than the gang: two free minions count for 0.7 of a gang of two.

Before the fix (two allowed minions occupied, two others free):

FAIL: test_late_gang_does_not_wait_for_its_allowed_minions_alone AssertionError: Items in the second set but not the first: 'm2' 'm3' FAIL: test_calls_of_a_late_gang_are_spaced_out self.assertGreater(len(asked_at), 2) AssertionError: 0 not greater than 2

A gang in time goes on to wait for its reservation, as its estimate says that this pays. A late one now asks, not within LATE_CALL_INTERVAL_MS of its last call: calls are scarce, and each answer leaves fewer unknown minions.

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -14,6 +14,8 @@
 from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
 
+LATE_CALL_INTERVAL_MS = 2_000
+
 Plan = list[tuple[str, int]]
 
 
@@ -179,7 +181,9 @@
     settings = cell.settings
     plan = _plan_after_ends(cell, step, available, usable)
     if terms is not None and (
-        plan is None or _has_capacity_elsewhere(cell, step, available, usable)
+        plan is None
+        or _has_capacity_elsewhere(cell, step, available, usable)
+        or _is_late_call_due(cell, step)
     ):
         yield from eligibility.ask_about_unknown(cell, step, available)
     if plan is None or not ordering.is_in_time(cell, step):
@@ -196,6 +200,17 @@
     yield from preemption.preempt_for_gang(cell, step, plan)
 
 
+def _is_late_call_due(cell: state.CellState, step: state.StepRecord) -> bool:
+    """Returns whether a gang that is late may ask about any further minion.
+
+    Runs on the minions that it may use may last, so that it can't wait for
+    them alone.
+    """
+    return not ordering.is_in_time(cell, step) and (
+        cell.now_ms >= step.advice_asked_ms + LATE_CALL_INTERVAL_MS
+    )
+
+
 def _has_capacity_elsewhere(
     cell: state.CellState,
     step: state.StepRecord,
--- a/tests/core/scheduling/test_eligibility.py
+++ b/tests/core/scheduling/test_eligibility.py
@@ -5,6 +5,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import gangs
 from hickoryreach.scheduling import settings
 from tests.core.scheduling import cases
 from tests.core.scheduling import test_placement
@@ -141,3 +142,61 @@
     def test_denials_of_minions_that_go_on_stand(self) -> None:
         self.submit_denied()
         self.assertEqual(self.collect_calls(60_000), [])
+
+
+class LateGangTest(test_placement.AdviceCase):
+    """A gang's few allowed minions stay occupied, and others are free."""
+
+    minion_count = 4
+
+    def build_settings(self) -> settings.Settings:
+        """Returns settings by which a call names at most two minions."""
+        return settings.Settings(
+            urgent_fraction=0.0, reserved_fraction=1.0, named_minions_limit=2
+        )
+
+    def submit_gang(self) -> effects.AskAdvice:
+        """Submits a gang whose allowed minions are occupied for good."""
+        for minion_id in ("m0", "m1"):
+            self.cell.minions[minion_id].used = cases.build_need(4_000, 0)
+        self.submit(cases.build_step(count=2, cpu=4_000, gang=True))
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.advise(
+            dataclasses.replace(call, minion_ids=("m0", "m1")), "m0", "m1"
+        )
+        return call
+
+    def test_late_gang_does_not_wait_for_its_allowed_minions_alone(
+        self,
+    ) -> None:
+        self.submit_gang()
+        for _ in range(300):
+            self.tick()
+            for call in self.get_effects(effects.AskAdvice):
+                self.advise(call, "m2", "m3")
+            if self.get_starts():
+                break
+        self.assertEqual(
+            {each.minion_id for each in self.get_starts()}, {"m2", "m3"}
+        )
+
+    def test_calls_of_a_late_gang_are_spaced_out(self) -> None:
+        self.submit_gang()
+        self.now_ms += 30_000
+        asked_at = []
+        for _ in range(100):
+            self.tick()
+            for call in self.get_effects(effects.AskAdvice):
+                asked_at.append(self.now_ms)
+                self.apply(
+                    events.AdviceCallEnded(
+                        job_id=call.job_id,
+                        repeat=0,
+                        position=0,
+                        asked=call.minion_ids,
+                        tickets=None,
+                    )
+                )
+        self.assertGreater(len(asked_at), 2)
+        gaps = [later - asked_at[n] for n, later in enumerate(asked_at[1:])]
+        self.assertGreaterEqual(min(gaps), gangs.LATE_CALL_INTERVAL_MS)
