Report the end of every call for advice, however it ends

Callers would see a job on a queue with advice wait without end after one call for its advice met an error that nobody expected.

Cause: `AdviceDispatcher._make_call` emitted the end of a call as its last statement. An exception from the client, a report without tickets (thrift allows it) or an answer of another type ended the greenlet before, so that `advice_pending` of the step stayed set for good. With an exception from the call itself the calls that waited were not dispatched either.

Ruled out: a load left on the entry. It was released in a `finally` before. Now the end is emitted there as well, as a failure unless a result was read, the error is logged, and the next calls are dispatched.

--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -3,6 +3,7 @@
 import bisect
 import collections
 from collections.abc import Callable
+import dataclasses
 import itertools
 import logging
 import time
@@ -179,41 +180,48 @@
     def _make_call(
         self, name: str, effect: effects.AskAdvice, queued_at: float
     ) -> None:
-        started_at = time.monotonic()
+        """Makes a call; emits that it has ended, however it ends."""
+        ended = build_failed_end(effect)
         try:
-            report = self.call(name, effect, self.load_us[name] / 1_000_000)
+            ended = self._fetch(name, effect, queued_at)
+        except Exception:  # the step would wait for this call for ever
+            log.exception(
+                "advice_call_broken",
+                extra={"step": format_step(effect), "by": name or "owner"},
+            )
         finally:
             self.load_us[name] -= get_cost_us(effect)
             if effect.cost_ms > SLOW_CALL_MS:
                 self.slow_entries.discard(name)
+            self.emit(ended)
         self.dispatch()
-        ended = time.monotonic()
-        metrics.advice_seconds.observe(ended - queued_at)
+
+    def _fetch(
+        self, name: str, effect: effects.AskAdvice, queued_at: float
+    ) -> events.AdviceCallEnded:
+        """Makes a call and returns its result."""
+        started_at = time.monotonic()
+        report = self.call(name, effect, self.load_us[name] / 1_000_000)
+        ended_at = time.monotonic()
+        metrics.advice_seconds.observe(ended_at - queued_at)
         failed = report is None or report.failed
         log.info(
             "advice_taken",
             extra={
-                "step": minions.format_step(
-                    effect.job_id, effect.repeat, effect.position
-                ),
+                "step": format_step(effect),
                 "asked": len(effect.minion_ids),
                 "allowed": -1 if failed else len(report.tickets),
                 "by": name or "owner",
                 "waited_ms": int((started_at - queued_at) * 1000),
-                "took_ms": int((ended - started_at) * 1000),
+                "took_ms": int((ended_at - started_at) * 1000),
             },
         )
-        self.emit(
-            events.AdviceCallEnded(
-                job_id=effect.job_id,
-                repeat=effect.repeat,
-                position=effect.position,
-                asked=effect.minion_ids,
-                tickets=None if failed else dict(report.tickets),
-                valid_ms=0
-                if failed
-                else int(report.valid_ms or effect.valid_ms),
-            )
+        if failed:
+            return build_failed_end(effect)
+        return dataclasses.replace(
+            build_failed_end(effect),
+            tickets=dict(report.tickets),
+            valid_ms=int(report.valid_ms or effect.valid_ms),
         )
 
     def call(
@@ -231,9 +239,7 @@
             The report, or None if the entry did not answer.
         """
         call = frames.AdviceCall(
-            step=minions.format_step(
-                effect.job_id, effect.repeat, effect.position
-            ),
+            step=format_step(effect),
             minions=list(effect.minion_ids),
             cost_ms=effect.cost_ms,
             valid_ms=effect.valid_ms,
@@ -249,3 +255,19 @@
 def get_cost_us(effect: effects.AskAdvice) -> int:
     """Returns the expected duration of a call, in microseconds."""
     return int(effect.cost_ms * 1_000)
+
+
+def format_step(effect: effects.AskAdvice) -> str:
+    """Returns the name of the step that a call is for."""
+    return minions.format_step(effect.job_id, effect.repeat, effect.position)
+
+
+def build_failed_end(effect: effects.AskAdvice) -> events.AdviceCallEnded:
+    """Returns the event of a call that has failed."""
+    return events.AdviceCallEnded(
+        job_id=effect.job_id,
+        repeat=effect.repeat,
+        position=effect.position,
+        asked=effect.minion_ids,
+        tickets=None,
+    )
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -10,6 +10,21 @@
 from hickoryreach_entry.cell import advisors
 
 
+def build_call(
+    job_id: str, cost_ms: float, rank: int = 1, slack_ms: float = 0.0
+) -> effects.AskAdvice:
+    """Returns a call for the advice of one step."""
+    return effects.AskAdvice(
+        job_id=job_id,
+        repeat=0,
+        position=0,
+        minion_ids=("m0",),
+        cost_ms=cost_ms,
+        valid_ms=1_000,
+        order=(False, 0, rank, slack_ms),
+    )
+
+
 class FakeEntry:
     """An entry whose calls return once it is released.
 
@@ -55,17 +70,7 @@
         self, job_id: str, cost_ms: float, rank: int = 1, slack_ms: float = 0.0
     ) -> None:
         """Queues a call for one step's advice."""
-        self.dispatcher.ask(
-            effects.AskAdvice(
-                job_id=job_id,
-                repeat=0,
-                position=0,
-                minion_ids=("m0",),
-                cost_ms=cost_ms,
-                valid_ms=1_000,
-                order=(False, 0, rank, slack_ms),
-            )
-        )
+        self.dispatcher.ask(build_call(job_id, cost_ms, rank, slack_ms))
         gevent.sleep(0)
 
     def list_jobs(self) -> list[str]:
@@ -124,3 +129,53 @@
         gevent.sleep(0.01)
         self.assertEqual(self.list_jobs()[-1], "long")
         self.assertEqual(set(self.dispatcher.load_us.values()), {0})
+
+
+class BrokenCallTest(unittest.TestCase):
+    """Calls that end in another way than with a report."""
+
+    def setUp(self) -> None:
+        """Creates a dispatcher with the owner's own entry only."""
+        self.answers: list = []
+        self.asked: list[str] = []
+        self.emitted: list = []
+        self.dispatcher = advisors.AdviceDispatcher(
+            local=self, get_channels=dict, emit=self.emitted.append
+        )
+
+    def ask(self, advice_call) -> object:
+        """Gives the next answer, or raises it."""
+        self.asked.append(advice_call.step)
+        answer = self.answers.pop(0)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def check_broken(self, answer: object) -> None:
+        """Expects that a call fails and that the next one is made."""
+        self.answers = [
+            answer,
+            frames.AdviceReport(tickets={"m0": "t"}, valid_ms=1),
+        ]
+        with self.assertLogs(advisors.log) as logged:
+            for job_id in ("broken", "next"):
+                self.dispatcher.ask(build_call(job_id, 500.0))
+            gevent.sleep(0.01)
+        self.assertEqual(
+            [(each.job_id, each.tickets) for each in self.emitted],
+            [("broken", None), ("next", {"m0": "t"})],
+        )
+        self.assertEqual(set(self.dispatcher.load_us.values()), {0})
+        self.assertEqual(self.dispatcher.slow_entries, set())
+        self.assertIn("advice_call_broken", "".join(logged.output))
+
+    def test_an_exception_does_not_keep_steps_waiting(self) -> None:
+        self.check_broken(RuntimeError("no such thing"))
+
+    def test_a_report_without_tickets_does_not_keep_steps_waiting(self) -> None:
+        self.check_broken(frames.AdviceReport(tickets=None, valid_ms=1))
+
+    def test_an_answer_of_another_type_does_not_keep_steps_waiting(
+        self,
+    ) -> None:
+        self.check_broken(frames.Status(epoch=1))
