Give up calls for advice whose end is never reported

Callers would see a job on a queue with advice wait without end after the end of its call was lost between the dispatcher and the reducer.

Cause: `advice_pending` had no age. Whatever lost the end of a call, the step asked for nothing more until the owner changed.

A call that is pending for CALL_LIMIT_MS now counts as lost, with a log line. The longest call itself takes twice its cost and a second; a longer age means that it waits for an entry, so that the dispatcher lets a second call of the same step take the place of the first one instead of queueing both.

That such an end was ever lost was not observed.

--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 import math
 
+from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import free_capacity
@@ -14,6 +15,7 @@
 MIN_NAMED_MINIONS = 16
 NAMED_COST_FRACTION = 0.5
 RETRY_DELAY_MS = 100
+CALL_LIMIT_MS = 60_000
 RECHECK_WAIT_MS = 5_000
 DEFAULT_ALLOWED_FRACTION = 0.35
 MIN_ALLOWED_FRACTION = 0.1
@@ -181,9 +183,12 @@
 
 
 def _may_ask(cell: state.CellState, step: state.StepRecord) -> bool:
-    """Returns whether a step has no pending or very recent advice call."""
+    """Returns whether a step has no pending or very recent advice call.
+
+    A call that is pending for CALL_LIMIT_MS is lost.
+    """
     if step.advice_pending:
-        return False
+        return cell.now_ms >= step.advice_asked_ms + CALL_LIMIT_MS
     return (
         step.advice_asked_ms < 0
         or cell.now_ms >= step.advice_asked_ms + RETRY_DELAY_MS
@@ -203,6 +208,14 @@
     """Requests advice on some minions unless a call is under way."""
     if not minion_ids or not _may_ask(cell, step):
         return
+    if step.advice_pending:
+        yield effects.LogDecision(
+            event_name="advice_call_lost",
+            subject=minions.format_step(
+                step.job.job.job_id, step.repeat, step.position
+            ),
+            detail=f"age_ms={cell.now_ms - step.advice_asked_ms}",
+        )
     terms = get_advice_terms(cell, step)
     step.advice_pending = True
     step.advice_asked_ms = cell.now_ms
--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -129,11 +129,18 @@
         self.arrivals = itertools.count()
 
     def ask(self, effect: effects.AskAdvice) -> None:
-        """Queues a call for a step's advice; its result is emitted."""
-        bisect.insort(
-            self.waiting,
-            (effect.order, next(self.arrivals), effect, time.monotonic()),
-        )
+        """Queues a call for a step's advice; its result is emitted.
+
+        It takes the place of a call for the same step that still waits.
+        """
+        arrival, queued_at = next(self.arrivals), time.monotonic()
+        step = get_step(effect)
+        for call in self.waiting:
+            if get_step(call[2]) == step:
+                arrival, queued_at = call[1], call[3]
+                self.waiting.remove(call)
+                break
+        bisect.insort(self.waiting, (effect.order, arrival, effect, queued_at))
         self.dispatch()
 
     def dispatch(self) -> None:
@@ -257,9 +264,14 @@
     return int(effect.cost_ms * 1_000)
 
 
+def get_step(effect: effects.AskAdvice) -> tuple[str, int, int]:
+    """Returns job, repeat and position of the step that a call is for."""
+    return effect.job_id, effect.repeat, effect.position
+
+
 def format_step(effect: effects.AskAdvice) -> str:
     """Returns the name of the step that a call is for."""
-    return minions.format_step(effect.job_id, effect.repeat, effect.position)
+    return minions.format_step(*get_step(effect))
 
 
 def build_failed_end(effect: effects.AskAdvice) -> events.AdviceCallEnded:
--- a/tests/core/scheduling/test_eligibility.py
+++ b/tests/core/scheduling/test_eligibility.py
@@ -200,3 +200,19 @@
         self.assertGreater(len(asked_at), 2)
         gaps = [later - asked_at[n] for n, later in enumerate(asked_at[1:])]
         self.assertGreaterEqual(min(gaps), gangs.LATE_CALL_INTERVAL_MS)
+
+
+class LostCallTest(test_placement.AdviceCase):
+    """A call for advice whose end is never reported."""
+
+    def test_step_does_not_wait_for_ever_for_a_lost_call(self) -> None:
+        self.submit(cases.build_step())
+        (lost,) = self.get_effects(effects.AskAdvice)
+        self.tick(eligibility.CALL_LIMIT_MS - 1)
+        self.assertEqual(self.get_effects(effects.AskAdvice), [])
+        self.tick(1)
+        (again,) = self.get_effects(effects.AskAdvice)
+        (logged,) = self.get_effects(effects.LogDecision)
+        self.assertEqual(logged.event_name, "advice_call_lost")
+        self.advise(again, *lost.minion_ids)
+        self.assertEqual(len(self.get_starts()), 1)
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -120,6 +120,18 @@
         gevent.sleep(0.01)
         self.assertEqual(self.list_jobs()[made], "urgent")
 
+    def test_a_step_asked_for_again_waits_once(self) -> None:
+        for number in range(4):
+            self.ask(f"long{number}", 500.0)
+        self.ask("long2", 600.0)
+        self.assertEqual(
+            [
+                (call.job_id, call.cost_ms)
+                for _, _, call, _ in self.dispatcher.waiting
+            ],
+            [("long2", 600.0), ("long3", 500.0)],
+        )
+
     def test_load_returns_to_zero_after_costs_of_any_size(self) -> None:
         for entry in (*self.entries.values(), self.local):
             entry.released.set()
