Let another entry repeat a call for advice that failed

Callers would see a job on a queue with advice wait for as long as one entry is frozen, or cut off from the advice service, though all others reach it.

Cause: `AdviceDispatcher.choose_entry` knew load only. A slow call went to the first free follower, a fast one to the owner's own entry, whatever came of their last calls. A failed call leaves no load, so that the same entry was chosen again and again while no other call occupied it. Followers that are frozen stay among the channels until their connection ends.

Before the fix, ten calls of one step in a row:

FAIL: test_a_call_is_not_made_by_the_same_failing_entry_for_ever AssertionError: Lists differ: ['b', 'b', 'b', 'b', 'b', 'b', 'b', 'b', 'b', 'b'] != ['b', 'c'] FAIL: test_a_call_does_not_wait_for_ever_for_a_failing_owner AssertionError: Lists differ: ['', '', '', '', '', '', '', '', '', ''] != ['', 'b'] FAIL: test_each_entry_is_tried_if_most_of_them_fail AssertionError: Lists differ: ['b', 'b', 'b', 'b', 'b', 'b', 'b', 'b', 'b', 'b'] != ['b', 'c', '']

Ruled out: a back-off of the step. It asks again after 100 ms, so that only the choice of the entry kept it waiting.

Entries whose last call failed now come last, those that failed the longest ago first, so that each is tried in turn. A call that succeeds makes an entry equal to the others again.

--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -101,6 +101,9 @@
             entry, in whole microseconds: sums of floats would not return to
             exactly zero.
         slow_entries: Names of entries with a slow call in progress.
+        failed_at: When the last call of an entry failed, by name of the entry,
+            on the monotonic clock in s; without entries whose last call
+            succeeded.
         waiting: Calls that wait for an entry, by order and arrival.
     """
 
@@ -123,6 +126,7 @@
         self.emit = emit
         self.load_us: dict[str, int] = {}
         self.slow_entries: set[str] = set()
+        self.failed_at: dict[str, float] = {}
         self.waiting: list[
             tuple[tuple[bool, int, int, float], int, effects.AskAdvice, float]
         ] = []
@@ -164,8 +168,9 @@
     def choose_entry(self, *, slow: bool) -> str | None:
         """Returns the entry to make a call, or None if none is free.
 
-        Prefers the least loaded entry, and for slow calls another than the
-        owner's.
+        Prefers entries whose last call succeeded, then those that failed the
+        longest ago; among them the least loaded one, and for slow calls
+        another than the owner's.
         """
         names = [LOCAL_ENTRY, *self.get_channels()]
         if slow:
@@ -173,7 +178,13 @@
             free = [each for each in names if not self.load_us.get(each)]
             if len(self.slow_entries & set(names)) >= max_slow or not free:
                 return None
-            return min(free, key=lambda name: name == LOCAL_ENTRY)
+            return min(
+                free,
+                key=lambda name: (
+                    self.failed_at.get(name, 0.0),
+                    name == LOCAL_ENTRY,
+                ),
+            )
         free = [
             name
             for name in names
@@ -182,7 +193,13 @@
         ]
         if not free:
             return None
-        return min(free, key=lambda name: self.load_us.get(name, 0))
+        return min(
+            free,
+            key=lambda name: (
+                self.failed_at.get(name, 0.0),
+                self.load_us.get(name, 0),
+            ),
+        )
 
     def _make_call(
         self, name: str, effect: effects.AskAdvice, queued_at: float
@@ -200,6 +217,9 @@
             self.load_us[name] -= get_cost_us(effect)
             if effect.cost_ms > SLOW_CALL_MS:
                 self.slow_entries.discard(name)
+            self.failed_at.pop(name, None)
+            if ended.tickets is None:
+                self.failed_at[name] = time.monotonic()
             self.emit(ended)
         self.dispatch()
 
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -32,6 +32,7 @@
         name: Name of the entry.
         calls: Receives the entry's name and the step of each call.
         released: Set to let calls return.
+        failed: Whether its calls fail.
     """
 
     def __init__(self, name: str, calls: list[tuple[str, str]]) -> None:
@@ -39,12 +40,13 @@
         self.name = name
         self.calls = calls
         self.released = gevent_event.Event()
+        self.failed = False
 
     def call(self, timeout_s: float, advice_call) -> frames.AdviceReport:
         """Makes one call."""
         self.calls.append((self.name, advice_call.step))
         self.released.wait()
-        return frames.AdviceReport(tickets={}, valid_ms=1)
+        return frames.AdviceReport(failed=self.failed, tickets={}, valid_ms=1)
 
     def ask(self, advice_call) -> frames.AdviceReport:
         """Makes one call from the owner's own entry."""
@@ -191,3 +193,63 @@
         self,
     ) -> None:
         self.check_broken(frames.Status(epoch=1))
+
+
+class FailingEntryTest(unittest.TestCase):
+    """Entries that can't reach the service, or don't answer."""
+
+    def setUp(self) -> None:
+        """Creates a dispatcher with two entries beside the owner's."""
+        self.calls: list[tuple[str, str]] = []
+        names = (advisors.LOCAL_ENTRY, "b", "c")
+        self.entries = {name: FakeEntry(name, self.calls) for name in names}
+        for entry in self.entries.values():
+            entry.released.set()
+        self.channels = {name: self.entries[name] for name in "bc"}
+        self.emitted: list = []
+        self.dispatcher = advisors.AdviceDispatcher(
+            local=self.entries[advisors.LOCAL_ENTRY],
+            get_channels=lambda: self.channels,
+            emit=self.emitted.append,
+        )
+
+    def ask_until_answered(self, cost_ms: float) -> list[str]:
+        """Repeats a call until it succeeds; returns the entries that made it.
+
+        Gives up after ten calls.
+        """
+        del self.calls[:], self.emitted[:]
+        for _ in range(10):
+            self.dispatcher.ask(build_call("job", cost_ms))
+            gevent.sleep(0.01)
+            if self.emitted[-1].tickets is not None:
+                break
+        return [name for name, _ in self.calls]
+
+    def test_a_call_is_not_made_by_the_same_failing_entry_for_ever(
+        self,
+    ) -> None:
+        self.entries["b"].failed = True
+        self.assertEqual(self.ask_until_answered(500.0), ["b", "c"])
+
+    def test_a_call_does_not_wait_for_ever_for_a_failing_owner(self) -> None:
+        self.entries[advisors.LOCAL_ENTRY].failed = True
+        self.assertEqual(
+            self.ask_until_answered(10.0), [advisors.LOCAL_ENTRY, "b"]
+        )
+
+    def test_each_entry_is_tried_if_most_of_them_fail(self) -> None:
+        for name in "bc":
+            self.entries[name].failed = True
+        self.assertEqual(
+            self.ask_until_answered(500.0), ["b", "c", advisors.LOCAL_ENTRY]
+        )
+
+    def test_an_entry_that_works_again_is_used_again(self) -> None:
+        self.entries["b"].failed = True
+        self.ask_until_answered(500.0)
+        self.entries["b"].failed = False
+        for name in (advisors.LOCAL_ENTRY, "c"):
+            self.entries[name].failed = True
+        self.assertIn("b", self.ask_until_answered(500.0))
+        self.assertEqual(self.ask_until_answered(500.0), ["b"])
