Queue no task of a step whose predecessors are not done

Callers would see, after a takeover, a later step start before an earlier one is done (rule ORDER), or, if the later step is a gang, the owner's process end in its next pass; each next owner reads the same ends from the store and ends in the same way, so that nothing of the cell runs any more.

Cause: `lifecycle.requeue` queued a task without a look at whether its step is ready. Stored ends of a later step can come before those of an earlier one, and a run of a later step may be adopted and gone before the end of the earlier step is listed. For a gang this left fewer waiting tasks than its count and no runs, and `next(indexes)` raised StopIteration within the generator of `gangs._start_members`.

Before the fix, tests.core.scheduling.test_recovery:

ERROR: test_gang_does_not_start_with_a_part_of_its_tasks ERROR: test_later_step_waits_if_its_run_is_seen_before_an_earlier_end File ".../scheduling/gangs.py", line 119, in _start_members cell, step, next(indexes), cell.minions[minion_id], number StopIteration RuntimeError: generator raised StopIteration FAIL: test_later_step_does_not_start_before_an_earlier_one_is_done AssertionError: Lists differ: [0, 1] != [0]

A step that is not ready now gets nothing queued; `make_ready` queues all of its tasks that are neither done nor running once it is. Held without a change: the order earlier end last, and jobs whose ends are all stored.

--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -202,7 +202,12 @@
 
 
 def requeue(cell: state.CellState, step: state.StepRecord, index: int) -> None:
-    """Queues a task for its next start."""
+    """Queues a task for its next start.
+
+    A step that is not ready yet gets all of its tasks queued once it is.
+    """
+    if step.ready_ms < 0:
+        return
     if index in step.done or index in step.runs or step.job.state.is_final:
         return
     step.waiting[index] = None
