Don't take a run for gone while a minion has further ends to list

Callers would see a task start again after it was done, and a gang stopped as a whole, on a minion that holds more than 500 unacknowledged ends.

Cause: a minion lists at most 500 ends at a time, so that a run that is neither running nor among them may have an end that is still to come. `poll_replies._explain_absence` counted the ends of the event to see that, but `links.MinionLink.handle_poll_reply` had removed those that it emitted before. From the second reply with the same 500 ends on, the event held none of them, the run was dropped as `not_listed` and its task queued.

The link now says whether the reply listed all ends, as it alone knows; the limit moved to the platform's client. `cases.poll` derives the flag from the ends in the same way, so that the test of a gang with 500 ends checks what it did before.

--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -11,6 +11,7 @@
 ORDER_TIMEOUT_S = 0.4
 POLL_MARGIN_S = 0.35
 MEASUREMENT_COLUMN = 4
+MAX_LISTED_ENDS = 500  # most ends in one reply to a poll
 
 
 class EndKind(enum.StrEnum):
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -36,11 +36,13 @@
         minion_id: Id of the minion.
         reply: Its running tasks and ends.
         sent_ms: When the poll was sent, on the owner's clock.
+        lists_all_ends: Whether the minion had no further end to list.
     """
 
     minion_id: str
     reply: minions.PollReply
     sent_ms: int
+    lists_all_ends: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -13,7 +13,6 @@
 from hickoryreach.scheduling import throttling
 from hickoryreach.structure import resources
 
-ENDS_LIMIT = 500
 START_MARGIN_MS = 300
 
 
@@ -235,8 +234,8 @@
 ) -> str:
     """Returns why an unlisted run can't execute, or "" if it still may.
 
-    A minion lists at most ENDS_LIMIT ends at a time. A reply with that many may
-    lack the end of a confirmed run, which is therefore not given up yet.
+    A reply that does not list all ends may lack that of a confirmed run, which
+    is therefore not given up yet.
     """
     settings = cell.settings
     valid_ms = (
@@ -247,10 +246,7 @@
     ):
         if restarted:
             return "minion_restarted"
-        if (
-            event.sent_ms > run.confirmed_ms
-            and len(event.reply.ends) < ENDS_LIMIT
-        ):
+        if event.sent_ms > run.confirmed_ms and event.lists_all_ends:
             return "not_listed"
         return ""
     if 0 <= run.stopped_ms < event.sent_ms:
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -243,6 +243,7 @@
                 minion_id=self.minion.minion_id,
                 reply=dataclasses.replace(reply, ends=new_ends),
                 sent_ms=sent_ms,
+                lists_all_ends=len(reply.ends) < minions.MAX_LISTED_ENDS,
             )
         )
         self.polled.set()
--- a/tests/core/scheduling/cases.py
+++ b/tests/core/scheduling/cases.py
@@ -161,6 +161,7 @@
                     ends=ends,
                 ),
                 sent_ms=sent,
+                lists_all_ends=len(ends) < minions.MAX_LISTED_ENDS,
             )
         )
 
