Reject registrations whose numbers, address or names no entry can use

What callers would see: an entry of another writer among the registrations with `remainingMs` of -1e400, or of 400 negative digits, raised OverflowError out of `documents.parse_minion` instead of being returned as a failure. The watch of the registrations then read the whole prefix again every 0.15 s and never got past it, so that minions that registered later weren't used.

Cause: the document's fields had types but no range. An infinite or absurdly large number, a negative or 400-digit `born` (64-bit fields carry it between entries), ports that `int` reads but nobody writes, an IPv6 host without brackets, an empty service, and names of any length passed the border; so did ids that no HTTP header can carry.

Every number now has a range within 64 bits and must be finite; the port is plain digits, an IPv6 host has brackets (the HTTP client takes them off), names have at most 200 characters. What the protocol allows is still read: fractions and negative values of `remainingMs`, null, and unknown further fields.

--- a/packages/core/hickoryreach/platform/documents.py
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -20,8 +20,17 @@
 DRAINING = "draining"
 MAX_PORT = 65_535
 MAX_AMOUNT = 2**53  # the largest whole number that JSON readers agree on
+MAX_WHOLE = 2**63 - 1  # messages between entries carry 64-bit numbers
+MAX_NAME_LENGTH = 200
+MAX_LABELS = 100
 
 Count = Annotated[int, pydantic.Field(ge=0, le=MAX_AMOUNT)]
+Whole = Annotated[int, pydantic.Field(ge=0, le=MAX_WHOLE)]
+Number = Annotated[
+    float,
+    pydantic.Field(ge=-(2.0**63), lt=2.0**63, allow_inf_nan=False),
+]
+Name = Annotated[str, pydantic.Field(max_length=MAX_NAME_LENGTH)]
 
 
 class Document(pydantic.BaseModel):
@@ -133,33 +142,39 @@
     `born` is the start of its process, in ms since 1970.
     """
 
-    service: str
-    address: str
-    zone: str
-    state: str
+    service: Annotated[Name, pydantic.Field(min_length=1)]
+    address: Name
+    zone: Name
+    state: Name
     capacity: Amount
-    labels: list[str] = []
-    remaining_ms: float | None = None
-    born: int = 0
-    machine: str = ""
+    labels: Annotated[list[Name], pydantic.Field(max_length=MAX_LABELS)] = []
+    remaining_ms: Number | None = None
+    born: Whole = 0
+    machine: Name = ""
 
     @pydantic.field_validator("address")
     @classmethod
     def check_address(cls, address: str) -> str:
         """Checks that an address is an IP address and a port.
 
+        An IPv6 address has brackets. The port has ASCII digits only.
+
         Raises:
             ValueError: It is not.
         """
         host, _, port = address.rpartition(":")
-        ipaddress.ip_address(host)
-        if not 0 < int(port) <= MAX_PORT:
+        if host.startswith("[") and host.endswith("]"):
+            ipaddress.IPv6Address(host[1:-1])
+        else:
+            ipaddress.IPv4Address(host)
+        is_number = port.isascii() and port.isdigit()
+        if not is_number or not 0 < int(port) <= MAX_PORT:
             raise ValueError(f"port must be from 1 to {MAX_PORT}")
         return address
 
     def get_remaining_ms(self) -> int:
         """Returns the time until the minion leaves in ms, -1 if unknown."""
-        if self.remaining_ms is None or not self.remaining_ms < MAX_AMOUNT:
+        if self.remaining_ms is None or self.remaining_ms >= MAX_AMOUNT:
             return -1
         return max(0, int(self.remaining_ms))
 
@@ -200,6 +215,9 @@
 
 def parse_minion(key: str, data: bytes) -> result.Result[cells.Minion, str]:
     """Returns the minion in a registration, or the faults in it."""
+    minion_id = key.removeprefix(MINIONS_PREFIX)
+    if not minion_id or not (minion_id.isascii() and minion_id.isprintable()):
+        return result.Failure("key: the id must be printable ASCII text")
     try:
         document = RegistrationDocument.model_validate_json(data, strict=True)
     except pydantic.ValidationError as error:
@@ -208,7 +226,7 @@
         return result.Failure(f"state: unknown value {document.state[:20]!r}")
     return result.Success(
         cells.Minion(
-            minion_id=key.removeprefix(MINIONS_PREFIX),
+            minion_id=minion_id,
             service=document.service,
             address=document.address,
             failure_domain=document.zone,
--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -112,7 +112,7 @@
         """Creates a client without opening a connection.
 
         Args:
-            address: `host:port` to call.
+            address: `host:port` to call; an IPv6 host has brackets.
             kind: Kind of the service at the address, for metrics.
             timeout_s: Time-out of each network operation within a call.
             connections: Maximum number of concurrent calls; further calls
@@ -125,7 +125,7 @@
         self.kind = kind
         self.health = health or Health()
         self.http = geventhttpclient.HTTPClient(
-            host,
+            host.strip("[]"),
             port=int(port),
             concurrency=connections,
             connection_timeout=min(CONNECT_TIMEOUT_S, timeout_s),
--- a/tests/core/platform/test_documents.py
+++ b/tests/core/platform/test_documents.py
@@ -26,6 +26,13 @@
 class RegistrationTest(unittest.TestCase):
     """Valid and invalid registrations of minions."""
 
+    def parse_with(self, extra: str) -> result.Result:
+        """Parses a registration with further fields, given as JSON text."""
+        text = json.dumps(REGISTRATION)[:-1]
+        return documents.parse_minion(
+            "servers/i-1", f"{text},{extra}}}".encode()
+        )
+
     def parse(self, **changes):
         """Parses a registration with some fields changed."""
         document = {
@@ -66,6 +73,61 @@
             with self.subTest(changes):
                 self.assertIsInstance(self.parse(**changes), result.Failure)
 
+    def test_numbers_out_of_range_are_rejected(self) -> None:
+        digits = "9" * 400
+        for number in ("1e400", "-1e400", digits, f"-{digits}", "NaN", "1e30"):
+            for name in ("remainingMs", "born"):
+                with self.subTest(name=name, number=number[:6]):
+                    parsed = self.parse_with(f'"{name}":{number}')
+                    self.assertIsInstance(parsed, result.Failure)
+        for born in (-1, 2**63, 5.5):
+            with self.subTest(born=born):
+                self.assertIsInstance(self.parse(born=born), result.Failure)
+
+    def test_numbers_and_fields_that_the_protocol_allows_are_kept(self) -> None:
+        for extra in (
+            '"remainingMs":0.5',
+            '"remainingMs":-3',
+            '"remainingMs":null',
+            '"born":1764902400123',
+            '"coldLeftMs":1e400,"another":{"seq":[]}',
+        ):
+            with self.subTest(extra):
+                self.assertIsInstance(self.parse_with(extra), result.Success)
+
+    def test_ports_are_plain_digits(self) -> None:
+        for port in ("8_0", " 80", "80 ", "+80", "\u0668\u0660", "0", "-1"):
+            with self.subTest(port):
+                parsed = self.parse(address=f"127.0.0.1:{port}")
+                self.assertIsInstance(parsed, result.Failure)
+
+    def test_ipv6_addresses_need_brackets(self) -> None:
+        self.assertIsInstance(self.parse(address="[::1]:80"), result.Success)
+        for address in ("::1:80", "[127.0.0.1]:80", "[::1:80", "::1]:80"):
+            with self.subTest(address):
+                parsed = self.parse(address=address)
+                self.assertIsInstance(parsed, result.Failure)
+
+    def test_empty_and_absurdly_long_names_are_rejected(self) -> None:
+        name = "x" * 100_000
+        for changes in (
+            {"service": ""},
+            {"service": name},
+            {"zone": name},
+            {"machine": name},
+            {"labels": ["a", name]},
+            {"labels": ["a"] * 100_000},
+        ):
+            with self.subTest(list(changes)):
+                self.assertIsInstance(self.parse(**changes), result.Failure)
+
+    def test_ids_that_no_header_can_carry_are_rejected(self) -> None:
+        data = json.dumps(REGISTRATION).encode()
+        for minion_id in ("", "a\nb", "\u65e5"):
+            with self.subTest(minion_id):
+                parsed = documents.parse_minion(f"servers/{minion_id}", data)
+                self.assertIsInstance(parsed, result.Failure)
+
     @given(strategies.binary(max_size=60))
     def test_arbitrary_bytes_are_no_registration(self, data: bytes) -> None:
         parsed = documents.parse_minion("servers/i", data)
--- a/tests/core/platform/test_http.py
+++ b/tests/core/platform/test_http.py
@@ -51,6 +51,12 @@
         self.assertGreaterEqual(len(self.requests), 2)
         self.assertTrue(failure.effect_unknown)
 
+    def test_an_ipv6_host_is_connected_to_without_its_brackets(self) -> None:
+        client = http.Client(
+            address="[::1]:80", kind="test", timeout_s=1.0, connections=1
+        )
+        self.assertEqual(client.http.host, "::1")
+
     def test_a_refused_connection_has_no_effect(self) -> None:
         self.server.close()
         failure = self.call().failure()
