Pass by an item of a watch that can't be handled, and handle the others

What callers would see: one entry among the registrations that the entry fails on, whatever the error, stopped the following of all of them. Minions behind it were never used, those that left were never removed, and at a takeover the new owner started with no minion at all. The same held for one stored job (jobs that an entry stored without reporting them were never accepted).

Cause: the watcher handed whole pages to its callbacks. An error on one item left the page before the others were handled and before the revision moved on, and the remedy, reading the prefix again, met the same item 0.15 s later.

Evidence, tests.entry.cell.test_fleet.OddRegistrationTest before this change: ERROR: test_a_removal_is_seen_though_another_entry_is_odd ERROR: test_minions_beside_an_odd_entry_are_registered ERROR: test_the_watch_moves_past_an_odd_entry gevent.timeout.Timeout: 3.0 seconds (each) with `watch_failed` in the log at each new read.

The watcher now takes a callback per item. One that fails is logged once, with key, revision and reason, and the revision moves on; a later change of the key is handled like any other. This serves the watches of registrations, stored jobs and configuration alike. A failing callback for the page as a whole still leads to a new read; UnexpectedErrorTest checks that as before, with a callback per item that does nothing.

--- a/packages/entry/hickoryreach_entry/cell/configuration_watch.py
+++ b/packages/entry/hickoryreach_entry/cell/configuration_watch.py
@@ -41,7 +41,7 @@
             client=client,
             prefix=documents.CONFIGURATION_KEY,
             wait_s=WATCH_WAIT_S,
-            on_page=self.handle_page,
+            on_item=self.handle_item,
         )
 
     def start(self) -> None:
@@ -72,11 +72,6 @@
         age_s = time.monotonic() - self.watcher.answered_at
         return age_s < WATCH_WAIT_S + ANSWER_MARGIN_S
 
-    def handle_page(self, page: store.Page, complete: bool) -> None:
-        """Handles a page of the watch."""
-        for item in page.items:
-            self.handle_item(item)
-
     def handle_item(self, item: store.Item) -> None:
         """Passes a configuration on unless it is invalid or an older one."""
         if item.key != documents.CONFIGURATION_KEY or item.data is None:
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -57,22 +57,28 @@
             prefix=documents.MINIONS_PREFIX,
             wait_s=WATCH_WAIT_S,
             pause_s=WATCH_PAUSE_S,
-            on_page=self.handle_page,
+            on_item=self.handle_item,
+            on_page=self.remove_unlisted,
         )
 
-    def handle_page(self, page: store.Page, complete: bool) -> None:
-        """Handles a page of changed registrations, or of all of them."""
-        present = set()
-        for item in page.items:
+    def handle_item(self, item: store.Item) -> None:
+        """Handles a registration or its removal."""
+        if item.data is None:
             minion_id = item.key.removeprefix(documents.MINIONS_PREFIX)
-            present.add(minion_id)
-            if item.data is None:
-                self.remove(minion_id, "unregistered")
-            else:
-                self.register(item)
-        if complete:
-            for minion_id in set(self.links) - present:
-                self.remove(minion_id, "not_listed")
+            self.remove(minion_id, "unregistered")
+        else:
+            self.register(item)
+
+    def remove_unlisted(self, page: store.Page, complete: bool) -> None:
+        """Removes the minions that a page of all registrations lacks."""
+        if not complete:
+            return
+        present = {
+            item.key.removeprefix(documents.MINIONS_PREFIX)
+            for item in page.items
+        }
+        for minion_id in set(self.links) - present:
+            self.remove(minion_id, "not_listed")
 
     def register(self, item: store.Item) -> None:
         """Handles one registration.
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -149,7 +149,8 @@
             prefix=records.JOBS_PREFIX,
             wait_s=JOBS_WATCH_WAIT_S,
             pause_s=JOBS_WATCH_PAUSE_S,
-            on_page=self.process_jobs_page,
+            on_item=self.process_job_item,
+            on_page=self.pace_jobs_watch,
         )
         self.greenlets: list[gevent.Greenlet] = []
 
@@ -269,23 +270,22 @@
         if job.job_id not in self.published_states:
             self.emit(events.JobOffered(job=job))
 
-    def process_jobs_page(self, page: store.Page, complete: bool) -> None:
-        """Accepts jobs that entries stored without reporting them.
+    def process_job_item(self, item: store.Item) -> None:
+        """Accepts a job that an entry stored without reporting it."""
+        job_id = item.key.removeprefix(records.JOBS_PREFIX)
+        if item.data is None or job_id in self.published_states:
+            return
+        job = recovery.decode_item(item)
+        if isinstance(job, steps.Job):
+            self.unreported_at = time.monotonic()
+            self.submit(job)
 
-        The watch runs without a pause until no such job has been found for
+    def pace_jobs_watch(self, page: store.Page, complete: bool) -> None:
+        """Sets the pause of the watch of the stored jobs.
+
+        It runs without one until no unreported job has been found for
         `UNREPORTED_WINDOW_S`.
         """
-        found_unreported = False
-        for item in page.items:
-            job_id = item.key.removeprefix(records.JOBS_PREFIX)
-            if item.data is None or job_id in self.published_states:
-                continue
-            job = recovery.decode_item(item)
-            if isinstance(job, steps.Job):
-                found_unreported = True
-                self.submit(job)
-        if found_unreported:
-            self.unreported_at = time.monotonic()
         all_reported = (
             time.monotonic() - self.unreported_at > UNREPORTED_WINDOW_S
         )
--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -15,11 +15,19 @@
 RETRY_DELAY_S = 0.15
 
 
+def ignore_page(page: store.Page, complete: bool) -> None:
+    """Does nothing after a page."""
+
+
 class PrefixWatcher:
     """Passes each change of the items under a prefix to a callback.
 
+    An item that the callback fails on is logged and passed by, so that it
+    spoils neither the other items nor the watch.
+
     Attributes:
         prefix: The prefix.
+        skipped: Revisions of the items that were passed by, by key.
         revision: Revision up to which changes were passed on; -1 before the
             first read.
         healthy: Whether the last call was answered.
@@ -34,7 +42,8 @@
         client: store.Store,
         prefix: str,
         wait_s: float,
-        on_page: Callable[[store.Page, bool], None],
+        on_item: Callable[[store.Item], None],
+        on_page: Callable[[store.Page, bool], None] = ignore_page,
         pause_s: float = 0.0,
     ) -> None:
         """Creates a watcher that is not started yet.
@@ -43,15 +52,19 @@
             client: The store.
             prefix: Prefix to watch.
             wait_s: Longest time that the store holds one watch call, in s.
-            on_page: Called with a page and whether it holds all items.
+            on_item: Called with each item of a page.
+            on_page: Called with a page and whether it holds all items, after
+                its items were handled.
             pause_s: Time between two calls, in s.
         """
         self.client = client
         self.prefix = prefix
         self.wait_s = wait_s
+        self.on_item = on_item
         self.on_page = on_page
         self.pause_s = pause_s
         self.revision = -1
+        self.skipped: dict[str, int] = {}
         self.healthy = True
         self.answered_at = -math.inf
         self.healthy_since = -math.inf
@@ -104,10 +117,30 @@
     def accept(self, page: store.Page) -> None:
         """Passes a page on; the first one holds all items."""
         complete = self.revision < 0
+        for item in page.items:
+            self.handle_item(item)
         if page.items or complete:
             self.on_page(page, complete)
         self.revision = max(self.revision, page.revision)
 
+    def handle_item(self, item: store.Item) -> None:
+        """Passes one item on; logs one that can't be handled, once."""
+        try:
+            self.on_item(item)
+        except Exception as error:  # one item must not stop the others
+            if self.skipped.get(item.key) != item.revision:
+                log.exception(
+                    "item_skipped",
+                    extra={
+                        "key": item.key,
+                        "revision": item.revision,
+                        "reason": f"{type(error).__name__}: {error}",
+                    },
+                )
+            self.skipped[item.key] = item.revision
+            return
+        self.skipped.pop(item.key, None)
+
     def note_health(self, *, healthy: bool, reason: str) -> None:
         """Updates the health of the watch and logs a change of it."""
         if healthy and not self.healthy:
--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -1,12 +1,14 @@
 """Tests of registered minions and the links to them."""
 
 import dataclasses
+import json
 import time
 import unittest
 from unittest import mock
 
 import gevent
 
+from hickoryreach.platform import documents
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
@@ -14,10 +16,23 @@
 from hickoryreach_entry.cell import links
 from standins.users import minions as standin
 from standins.users import servers
+from tests.entry.cell import cases
 
 LEASE_MS = 800
 
 
+def build_registration(**changes) -> bytes:
+    """Returns the registration of a minion that never answers."""
+    document = {
+        "service": "s",
+        "address": "127.0.0.1:1",
+        "zone": "z",
+        "state": "ready",
+        "capacity": {"cpu": 4_000, "memMb": 100},
+    }
+    return json.dumps(document | changes).encode()
+
+
 class FleetTest(unittest.TestCase):
     """Minions that change their address, leave, or register again."""
 
@@ -114,3 +129,82 @@
         self.fleet.connect(moved)
         self.assertFalse(self.is_lease_expired())
         self.wait(self.is_lease_expired, 8.0)
+
+
+class StoredFleetTest(cases.StoreCase):
+    """Registrations that are read from a served store."""
+
+    def setUp(self) -> None:
+        """Creates a fleet that reads the store, and does not start it."""
+        super().setUp()
+        self.events: list[events.Event] = []
+        self.fleet = fleet.Fleet(
+            client=self.client,
+            get_terms=lambda: links.Terms(
+                token=5, lease_ms=LEASE_MS, hold_limit_ms=6_000
+            ),
+            emit=self.events.append,
+            on_fenced=lambda minion_id: None,
+            heartbeat_ms=500,
+        )
+        self.addCleanup(self.fleet.close)
+        fast = mock.patch.object(self.fleet.watcher, "pause_s", 0.0)
+        fast.start()
+        self.addCleanup(fast.stop)
+
+    def register(self, minion_id: str, data: bytes | None = None) -> None:
+        """Writes a registration."""
+        self.model.put(
+            f"{documents.MINIONS_PREFIX}{minion_id}",
+            build_registration() if data is None else data,
+        )
+
+    def wait_for(self, minion_id: str) -> None:
+        """Waits until the fleet has a link to a minion."""
+        with gevent.Timeout(3.0):
+            while minion_id not in self.fleet.links:
+                gevent.sleep(0.01)
+
+
+class OddRegistrationTest(StoredFleetTest):
+    """One registration that can't be handled does not spoil the others."""
+
+    def setUp(self) -> None:
+        """Lets the handling of one registration fail unexpectedly."""
+        super().setUp()
+        parse = documents.parse_minion
+
+        def parse_or_fail(key: str, data: bytes):
+            if key.endswith("odd"):
+                raise KeyError("unexpected")
+            return parse(key, data)
+
+        patch = mock.patch.object(documents, "parse_minion", parse_or_fail)
+        patch.start()
+        self.addCleanup(patch.stop)
+        self.register("a-first")
+        self.register("b-odd")
+        self.register("c-last")
+
+    def test_minions_beside_an_odd_entry_are_registered(self) -> None:
+        self.fleet.watcher.start()
+        self.wait_for("a-first")
+        self.wait_for("c-last")
+        self.assertNotIn("b-odd", self.fleet.links)
+
+    def test_the_watch_moves_past_an_odd_entry(self) -> None:
+        self.fleet.watcher.start()
+        self.wait_for("c-last")
+        self.register("d-odd")
+        self.register("e-later")
+        self.wait_for("e-later")
+        gevent.sleep(0.5)
+        self.assertEqual(self.model.calls["/kv-range"], 1)
+
+    def test_a_removal_is_seen_though_another_entry_is_odd(self) -> None:
+        self.fleet.watcher.start()
+        self.wait_for("c-last")
+        self.model.delete(f"{documents.MINIONS_PREFIX}c-last")
+        with gevent.Timeout(3.0):
+            while not self.fleet.links["c-last"].removed:
+                gevent.sleep(0.01)
--- a/tests/entry/cell/test_prefix_watcher.py
+++ b/tests/entry/cell/test_prefix_watcher.py
@@ -17,7 +17,11 @@
         super().setUp()
         self.pages: list[tuple[int, bool]] = []
         self.watcher = prefix_watcher.PrefixWatcher(
-            client=self.client, prefix=PREFIX, wait_s=0.2, on_page=self.accept
+            client=self.client,
+            prefix=PREFIX,
+            wait_s=0.2,
+            on_item=lambda item: None,
+            on_page=self.accept,
         )
         self.model.put(f"{PREFIX}a", b"1")
         self.watcher.start()
@@ -41,3 +45,89 @@
         with self.assertLogs(prefix_watcher.log, "ERROR"):
             self.wait_for_pages(3)
         self.assertEqual(self.pages, [(1, True), (1, False), (2, True)])
+
+
+class OddItemTest(cases.StoreCase):
+    """An item that can't be handled spoils neither others nor the watch."""
+
+    def setUp(self) -> None:
+        """Watches a prefix with a callback that fails on some items."""
+        super().setUp()
+        self.handled: list[str] = []
+        self.complete = 0
+        self.watcher = prefix_watcher.PrefixWatcher(
+            client=self.client,
+            prefix=PREFIX,
+            wait_s=0.2,
+            on_item=self.handle_item,
+            on_page=self.count_page,
+        )
+        self.addCleanup(self.watcher.close)
+
+    def handle_item(self, item: store.Item) -> None:
+        """Records an item; fails on odd ones."""
+        if item.data == b"odd":
+            raise OverflowError("too large")
+        self.handled.append(item.key.removeprefix(PREFIX))
+
+    def count_page(self, page: store.Page, complete: bool) -> None:
+        """Counts the pages that hold all items."""
+        self.complete += complete
+
+    def put(self, **items: str) -> None:
+        """Writes items."""
+        for name, value in items.items():
+            self.model.put(PREFIX + name, value.encode())
+
+    def wait_for(self, name: str) -> None:
+        """Waits until an item was handled."""
+        with gevent.Timeout(5.0):
+            while name not in self.handled:
+                gevent.sleep(0.01)
+
+    def list_skipped(self, logged) -> list[tuple[str, int, str]]:
+        """Returns key, revision and reason of each item logged as skipped."""
+        return [
+            (record.key, record.revision, record.reason)
+            for record in logged.records
+            if record.msg == "item_skipped"
+        ]
+
+    def test_the_others_on_a_page_are_handled(self) -> None:
+        self.put(a="1", b="odd", c="3")
+        self.watcher.accept(self.client.get_prefix(PREFIX).unwrap())
+        self.assertEqual(self.handled, ["a", "c"])
+
+    def test_the_watch_goes_on_without_reading_everything_again(self) -> None:
+        self.put(a="1", b="odd")
+        self.watcher.start()
+        self.wait_for("a")
+        self.put(c="odd", d="4")
+        self.wait_for("d")
+        self.put(e="5")
+        self.wait_for("e")
+        self.assertEqual(self.complete, 1)
+        self.assertEqual(self.handled, ["a", "d", "e"])
+
+    def test_an_odd_item_is_logged_once(self) -> None:
+        self.put(a="odd")
+        revision = self.model.revision
+        with self.assertLogs(prefix_watcher.log, "ERROR") as logged:
+            self.watcher.start()
+            self.put(b="2")
+            self.wait_for("b")
+            self.put(c="3")
+            self.model.forget_history()
+            self.wait_for("c")
+        self.assertEqual(self.complete, 2)
+        self.assertEqual(
+            self.list_skipped(logged),
+            [(f"{PREFIX}a", revision, "OverflowError: too large")],
+        )
+
+    def test_an_item_that_is_mended_is_handled(self) -> None:
+        self.put(a="odd")
+        self.watcher.start()
+        self.put(a="1")
+        self.wait_for("a")
+        self.assertEqual(self.watcher.skipped, {})
