Reject replies of minions whose numbers no order can carry

What callers would see: what answers at a registered address with a `clockMs` of 1e30 (another writer's entry may name any address) ended the greenlet that polls it, for good: the minion stayed in the books as reachable and running, was never polled again, got no lease, and its tasks were never started elsewhere. An infinite clock in the answer to an order raised out of it.

Cause: the numbers in replies had a type but no range. The clock becomes the deadline of the next poll, whose JSON can hold 64 bits only.

Numbers of minions are now whole, from 0 to 2**53. A reply with another one is malformed as a whole, as one with an odd row is already: a row of `running` that is passed by would count its run as gone and start the task twice, and an end that is passed by would be lost with the acknowledgement of a later one. The minion counts as silent until its lease is over, which is safe, and only its own runs are affected. Ruled out: catching the error where polls are sent, since the number would still reach leases, logs and peers.

--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -6,6 +6,7 @@
 from returns import result
 
 from hickoryreach.platform import http
+from hickoryreach.platform import numbers
 from hickoryreach.structure import steps
 
 ORDER_TIMEOUT_S = 0.4
@@ -298,8 +299,8 @@
     Raises:
         ValueError: The name is not of the form job.repeat.step.index.
     """
-    job_id, *numbers = name.split(".")
-    repeat, step, index = (int(number) for number in numbers)
+    job_id, *positions = name.split(".")
+    repeat, step, index = (int(position) for position in positions)
     if min(repeat, step, index) < 0:
         raise ValueError(f"negative number in task {name!r}")
     return steps.TaskKey(job_id=job_id, repeat=repeat, step=step, index=index)
@@ -338,8 +339,8 @@
     if answer.status != http.OK:
         return _build_refusal(answer)
     try:
-        return result.Success(int(answer.body["clockMs"]))
-    except (KeyError, TypeError, ValueError) as error:
+        return result.Success(numbers.parse_whole(answer.body["clockMs"]))
+    except (ArithmeticError, KeyError, TypeError, ValueError) as error:
         return _build_malformed_failure(error)
 
 
@@ -361,8 +362,8 @@
         body = answer.body
         return result.Success(
             PollReply(
-                incarnation=int(body.get("born") or 0),
-                clock_ms=int(body["clockMs"]),
+                incarnation=numbers.parse_whole(body.get("born") or 0),
+                clock_ms=numbers.parse_whole(body["clockMs"]),
                 running=tuple(_parse_running(row) for row in body["running"]),
                 ends=tuple(_parse_end(row) for row in body["finished"]),
             )
@@ -380,9 +381,9 @@
 def _parse_running(row: list) -> RunningTask:
     return RunningTask(
         key=parse_task(row[0]),
-        run=int(row[1]),
+        run=numbers.parse_whole(row[1]),
         checkpoint=str(row[2] or ""),
-        percent=int(row[3]),
+        percent=numbers.parse_whole(row[3]),
         measurement=float(row[4] or 0.0)
         if len(row) > MEASUREMENT_COLUMN
         else 0.0,
@@ -391,9 +392,9 @@
 
 def _parse_end(row: list) -> TaskEnd:
     return TaskEnd(
-        number=int(row[0]),
+        number=numbers.parse_whole(row[0]),
         key=parse_task(row[1]),
-        run=int(row[2]),
+        run=numbers.parse_whole(row[2]),
         kind=EndKind(row[3]),
         checkpoint=str(row[4] or ""),
     )
--- a/tests/core/platform/test_minions.py
+++ b/tests/core/platform/test_minions.py
@@ -90,6 +90,32 @@
             with self.subTest(row):
                 self.assertIsInstance(self.reply_with(body), result.Failure)
 
+    def test_numbers_out_of_range_are_rejected(self) -> None:
+        names = [minions.format_task(each.key) for each in self.starts]
+        for number in (1e30, -1e30, 2.0**63):
+            for changes in (
+                {"clockMs": number},
+                {"born": number},
+                {"running": [[names[0], number, "", 0]]},
+                {"running": [[names[0], 1, "", number]]},
+                {"finished": [[number, names[1], 1, "done", ""]]},
+                {"finished": [[1, names[1], number, "done", ""]]},
+            ):
+                with self.subTest(changes):
+                    body = self.build_body() | changes
+                    parsed = self.reply_with(body)
+                    self.assertIsInstance(parsed, result.Failure)
+
+    def test_a_clock_out_of_range_confirms_no_order(self) -> None:
+        for number in (1e30, -1e30, float("inf")):
+            with self.subTest(number):
+                answer = http.Answer(status=http.OK, body={"clockMs": number})
+                self.client.orders.call = mock.Mock(
+                    return_value=result.Success(answer)
+                )
+                ordered = self.client.stop(self.starts[0].key, 1, 1)
+                self.assertTrue(ordered.failure().effect_unknown)
+
     @hypothesis.settings(derandomize=True, max_examples=400, deadline=None)
     @hypothesis.given(strategies.data())
     def test_any_reply_is_survived(self, data) -> None:
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -98,6 +98,21 @@
         ]
 
 
+class OddReplyTest(LinkCase):
+    """A reply with numbers that no order can carry is one without answer."""
+
+    def test_polls_go_on_after_a_clock_out_of_range(self) -> None:
+        replies = self.count(events.MinionPolled)
+        clock = self.model.get_clock
+        for reading in (1e30, -1e30):
+            self.model.get_clock = lambda reading=reading: reading
+            self.wait(lambda: self.link.silent)
+            self.model.get_clock = clock
+            self.wait(lambda: not self.link.silent)
+        self.assertFalse(self.link.greenlet.dead)
+        self.assertGreater(self.count(events.MinionPolled), replies)
+
+
 class LinkTest(LinkCase):
     """Leases, polls and orders."""
 
