Reject advice whose validity or rows can't be used

What callers would see: an answer of the advice service with `validMs` of 1e30 was accepted. The entry that had asked for the owner could not encode its report, so that the owner waited for its timeout; asked by the owner itself, the ticket counted as valid for ever and each start with it was refused once it had expired. An infinite `validMs` raised out of the client. A row without a ticket became the ticket "None", and a text in place of a row a minion named by its first letter.

Cause: `_parse_advice` converted whatever it found, and caught ValueError but not OverflowError.

An odd row rejects its whole answer, and the call is repeated: a minion that isn't named in an answer counts as denied to the step for good, so that passing the row by would take a minion from the step without a word of the service. Tickets may still be numbers, which were accepted before.

--- a/packages/core/hickoryreach/platform/advice.py
+++ b/packages/core/hickoryreach/platform/advice.py
@@ -5,6 +5,7 @@
 from returns import result
 
 from hickoryreach.platform import http
+from hickoryreach.platform import numbers
 
 MAX_MINIONS_PER_CALL = 100
 
@@ -62,12 +63,12 @@
     if answer.status != http.OK:
         return _build_failure(f"status {answer.status}")
     try:
-        tickets = {str(row[0]): str(row[1]) for row in answer.body["good"]}
-        valid_ms = int(answer.body.get("validMs") or 0)
+        tickets = dict(_parse_row(row) for row in answer.body["good"])
+        valid_ms = numbers.parse_whole(answer.body.get("validMs") or 0)
     except (
+        ArithmeticError,
         AttributeError,
-        IndexError,
-        KeyError,
+        LookupError,
         TypeError,
         ValueError,
     ) as error:
@@ -77,5 +78,17 @@
     return result.Success(Advice(tickets=tickets, valid_ms=valid_ms))
 
 
+def _parse_row(row: list) -> tuple[str, str]:
+    """Returns the id of a minion and its ticket.
+
+    A row that was passed by would deny its minion to the step for good.
+    """
+    minion_id, ticket, *_ = row
+    is_sound = isinstance(minion_id, str) and isinstance(ticket, str | int)
+    if isinstance(row, str) or not is_sound:
+        raise TypeError("a row must hold an id and a ticket")
+    return minion_id, str(ticket)
+
+
 def _build_failure(reason: str) -> result.Result:
     return result.Failure(http.CallFailure(reason=reason, effect_unknown=False))
