Read the progress of jobs row by row at a takeover

What callers would see: one unreadable row in a stored part of the progress lost every other row of that part to each new owner: tasks that had ended `done` ran again, cancelled jobs came back to life. A row that is an object, whose run number is text or whose job id is a list raised out of the recovery, which ends the process; so it did with every owner after it.

Cause: a part was decoded as a whole, LookupError was caught for lists only, and the types within a row weren't checked.

Each row is decoded by itself; an unreadable one is logged with key, revision and reason. Passing it by is as safe as can be: what it said is lost either way, and the alternative that loses nothing more, an owner that never serves, loses every job. A part with such a row isn't recorded for removal, so that it can still be looked at. test_progress reads the rows through the new result and checks the same.

--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -8,6 +8,7 @@
 from returns import result
 
 from hickoryreach.platform import minions
+from hickoryreach.platform import numbers
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
@@ -159,25 +160,44 @@
     ]
 
 
-def decode_rows(data: bytes) -> result.Result[list[Row], str]:
-    """Returns the rows in a part of the progress, or why it is invalid."""
+def decode_rows(data: bytes) -> list[result.Result[Row, str]]:
+    """Returns each row in a part of the progress, or why it is unreadable.
+
+    A part that is no list counts as one unreadable row.
+    """
+    try:
+        rows = orjson.loads(data)
+    except ValueError as error:
+        return [result.Failure(str(error))]
+    if not isinstance(rows, list):
+        return [result.Failure("a part must be a list of rows")]
+    return [_decode_row(row) for row in rows]
+
+
+def _decode_row(row: list) -> result.Result[Row, str]:
     try:
-        return result.Success([_decode_row(row) for row in orjson.loads(data)])
-    except (ValueError, IndexError, TypeError) as error:
+        return result.Success(_parse_row(row))
+    except (ArithmeticError, LookupError, TypeError, ValueError) as error:
         return result.Failure(f"{type(error).__name__}: {error}")
 
 
-def _decode_row(row: list) -> Row:
-    if row[0] == CANCELLED:
-        return Row(kind=CANCELLED, job_id=row[1])
-    key = minions.parse_task(row[1])
+def _parse_row(row: list) -> Row:
+    kind, name = row[0], row[1]
+    if not isinstance(name, str) or kind not in (END, CANCELLED):
+        raise ValueError("a row must hold its kind and a name")
+    if kind == CANCELLED:
+        return Row(kind=CANCELLED, job_id=name)
+    key = minions.parse_task(name)
+    number, end_kind, checkpoint = row[2], row[3], row[4]
+    if not isinstance(number, int):
+        raise TypeError("the number of a run must be whole")
     return Row(
         kind=END,
         job_id=key.job_id,
         end=events.RecordedEnd(
             key=key,
-            number=row[2],
-            kind=minions.EndKind(row[3]),
-            checkpoint=row[4],
+            number=numbers.parse_whole(number),
+            kind=minions.EndKind(end_kind),
+            checkpoint=str(checkpoint or ""),
         ),
     )
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -128,20 +128,11 @@
     unfinished = list(decode_jobs(owner, jobs))
     ends: dict[str, list[events.RecordedEnd]] = {}
     cancelled: set[str] = set()
-    for item in kept.items:
-        rows = records.decode_rows(item.data or b"")
-        if isinstance(rows, result.Failure):
-            log.error(
-                "progress_unreadable",
-                extra={"key": item.key, "reason": rows.failure()},
-            )
-            continue
-        owner.retention.record_part(item.key, rows.unwrap())
-        for row in rows.unwrap():
-            if row.end is None:
-                cancelled.add(row.job_id)
-            else:
-                ends.setdefault(row.job_id, []).append(row.end)
+    for row in decode_progress(owner, kept):
+        if row.end is None:
+            cancelled.add(row.job_id)
+        else:
+            ends.setdefault(row.job_id, []).append(row.end)
     log.info(
         "jobs_restored",
         extra={
@@ -162,6 +153,34 @@
         owner.execute(reducer.reduce(owner.state, event, clock.now_ms()))
 
 
+def decode_progress(owner, kept: store.Page) -> Iterator[records.Row]:
+    """Yields the readable rows of the progress.
+
+    A part with an unreadable row is not recorded for removal.
+    """
+    for item in kept.items:
+        decoded = records.decode_rows(item.data or b"")
+        rows = [row.unwrap() for row in decoded if is_readable(item, row)]
+        if len(rows) == len(decoded):
+            owner.retention.record_part(item.key, rows)
+        yield from rows
+
+
+def is_readable(item: store.Item, row: result.Result[records.Row, str]) -> bool:
+    """Returns whether a row of the progress is readable, and logs if not."""
+    if isinstance(row, result.Failure):
+        log.error(
+            "progress_unreadable",
+            extra={
+                "key": item.key,
+                "revision": item.revision,
+                "reason": row.failure(),
+            },
+        )
+        return False
+    return True
+
+
 def decode_jobs(owner, jobs: store.Page) -> Iterator[steps.Job]:
     """Yields the unfinished jobs; records the final state of the others."""
     for item in jobs.items:
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -42,9 +42,9 @@
         client = self.progress.client
         page = client.get_prefix(records.PROGRESS_PREFIX).unwrap()
         return [
-            row.job_id
+            row.unwrap().job_id
             for item in page.items
-            for row in records.decode_rows(item.data).unwrap()
+            for row in records.decode_rows(item.data)
         ]
 
     def test_rows_are_stored_in_order(self) -> None:
