Wait for a whole lease if the record of known minions is unreadable

What callers would see: a new owner that could not read the record of the minions that its predecessor knew took it for empty, started the tasks of unregistered minions at once while they may still have run there, and then overwrote the record. One id that is no text lost all the others.

Cause: the record was decoded as a whole, and a failure counted as no minions.

The readable ids are used, and the record counts as incomplete: recovered jobs wait for a whole lease, as they do for a minion that never answered, and the record isn't replaced before that, so that a further owner waits as well. Here passing the odd row by would not be safe, since a minion that isn't named is never polled. The tests of successive owners moved into a base class; they check what they did.

--- a/packages/entry/hickoryreach_entry/cell/known_minions.py
+++ b/packages/entry/hickoryreach_entry/cell/known_minions.py
@@ -28,6 +28,8 @@
         known: Ids of minions that an earlier owner knew, for as long as
             something that it started may run there.
         kept: Ids that the store holds; None before the first read.
+        complete: Whether the record named every minion that may run what an
+            earlier owner started.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         self.get_linked_ids = get_linked_ids
         self.known: set[str] = set()
         self.kept: set[str] | None = None
+        self.complete = True
 
     def read(self) -> None:
         """Reads the minions of the previous owner, retrying until it works."""
@@ -62,13 +65,17 @@
                 "census_read_failed", extra={"reason": read.failure().reason}
             )
             gevent.sleep(READ_RETRY_S)
-        minion_ids = records.decode_minion_ids(read.unwrap().data)
-        if isinstance(minion_ids, result.Failure):
+        item = read.unwrap()
+        minion_ids, reason = records.decode_minion_ids(item.data)
+        self.known = set(minion_ids)
+        self.kept = set(self.known)
+        if reason:
+            self.complete = False
+            self.kept = None
             log.error(
-                "census_unreadable", extra={"reason": minion_ids.failure()}
+                "census_unreadable",
+                extra={"revision": item.revision, "reason": reason},
             )
-        self.known = set(minion_ids.value_or([]))
-        self.kept = set(self.known)
 
     def list_unlinked(self) -> list[str]:
         """Returns ids of known minions to which this owner has no link."""
@@ -77,6 +84,7 @@
     def drop_earlier(self) -> None:
         """Drops the earlier owner's minions once nothing of it runs there."""
         self.known.clear()
+        self.complete = True
 
     def save_forever(self) -> None:
         """Stores the minions periodically, if they have changed."""
@@ -85,9 +93,13 @@
             gevent.sleep(SAVE_INTERVAL_S)
 
     def save(self) -> None:
-        """Stores the minions if they have changed since the last write."""
+        """Stores the minions if they have changed since the last write.
+
+        A record that could not be read in full stays until it is not needed
+        any more, so that the next owner doesn't rely on what is left of it.
+        """
         minion_ids = set(self.get_linked_ids()) | self.known
-        if minion_ids == self.kept:
+        if minion_ids == self.kept or not self.complete:
             return
         started_at = time.monotonic()
         written = self.client.write(
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -37,7 +37,7 @@
 
 _final_adapter = pydantic.TypeAdapter(FinalRecord)
 _job_adapter = pydantic.TypeAdapter(steps.Job)
-_minion_ids_adapter = pydantic.TypeAdapter(list[str])
+_rows_adapter = pydantic.TypeAdapter(list[object])
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -123,14 +123,22 @@
     return orjson.dumps(sorted(minion_ids))
 
 
-def decode_minion_ids(data: bytes | None) -> result.Result[list[str], str]:
-    """Returns the ids of the known minions in a value; none without one."""
-    if not data:
-        return result.Success([])
+def decode_minion_ids(data: bytes | None) -> tuple[list[str], str]:
+    """Returns the known minions in a value, and why others are unreadable.
+
+    Returns:
+        The readable ids, and the reason; an empty one if all are readable.
+    """
+    if data is None:
+        return [], ""
     try:
-        return result.Success(_minion_ids_adapter.validate_json(data))
+        rows = _rows_adapter.validate_json(data)
     except pydantic.ValidationError as error:
-        return result.Failure(str(error.errors(include_input=False)[:2]))
+        return [], str(error.errors(include_input=False)[:2])
+    minion_ids = [row for row in rows if isinstance(row, str)]
+    if len(minion_ids) < len(rows):
+        return minion_ids, f"{len(rows) - len(minion_ids)} ids are no text"
+    return minion_ids, ""
 
 
 def build_job_key(job_id: str) -> str:
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -76,16 +76,24 @@
     """Returns until when runs of an earlier owner may be unconfirmed, in ms.
 
     A minion that did not answer may still run what an earlier owner started:
-    for as long as that owner reported, or else for a whole lease.
+    for as long as that owner reported, or else for a whole lease. So may one
+    that the record of the known minions doesn't name because it is unreadable.
 
     Returns:
         The end of that time in ms, or 0 if every run is confirmed.
     """
-    silent = list_unpolled(owner)
-    if owner.epoch == 1 or not silent:
+    if owner.epoch == 1 or has_polled_all(owner):
         return 0
     full_lease_ms = links.PREVIOUS_OWNER_LEASE_MS + LEASE_SLACK_MS
-    left_ms = max(owner.silent.get(name, full_lease_ms) for name in silent)
+    left_ms = max(
+        (
+            owner.silent.get(name, full_lease_ms)
+            for name in list_unpolled(owner)
+        ),
+        default=0,
+    )
+    if not owner.known_minions.complete:
+        left_ms = max(left_ms, full_lease_ms)
     return clock.now_ms() + left_ms if left_ms else 0
 
 
@@ -213,8 +221,8 @@
 
 
 def has_polled_all(owner) -> bool:
-    """Returns whether every known minion has answered a poll."""
-    return not list_unpolled(owner)
+    """Returns whether every minion that may run tasks has answered a poll."""
+    return owner.known_minions.complete and not list_unpolled(owner)
 
 
 def list_unpolled(owner) -> list[str]:
--- a/tests/entry/cell/test_known_minions.py
+++ b/tests/entry/cell/test_known_minions.py
@@ -7,14 +7,16 @@
 from gevent import event as gevent_event
 
 from hickoryreach.scheduling import events
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import known_minions
+from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import recovery
 from tests.entry.cell import cases
 
 
-class KnownMinionsTest(cases.StoreCase):
-    """The minions of successive owners."""
+class SuccessionCase(cases.StoreCase):
+    """Successive owners of one cell."""
 
     def setUp(self) -> None:
         """Serves a store in which an owner has stored two minions."""
@@ -51,6 +53,10 @@
             fleet=types.SimpleNamespace(links=dict.fromkeys(minion_ids, link)),
         )
 
+
+class KnownMinionsTest(SuccessionCase):
+    """The minions of successive owners."""
+
     def test_an_unregistered_minion_may_still_run_tasks(self) -> None:
         owner = self.build_owner(["i-2"], {})
         self.assertEqual(recovery.list_unpolled(owner), ["i-1"])
@@ -91,3 +97,46 @@
             first.save()
         second.read()
         self.assertEqual(second.list_unlinked(), ["i-1"])
+
+
+class OddRecordTest(SuccessionCase):
+    """A record that can't be read in full says that more may run."""
+
+    def read(self, data: bytes, linked: list[str]):
+        """Returns a new owner that reads a record and has polled minions."""
+        self.model.put(records.MINIONS_KEY, data)
+        return self.build_owner(linked, {})
+
+    def test_the_readable_ids_are_known(self) -> None:
+        for odd in (b"5", b"null", b"{}", b'["i-4"]', b"1e400"):
+            with self.subTest(odd):
+                owner = self.read(b'["i-2",' + odd + b',"i-3"]', [])
+                self.assertEqual(
+                    owner.known_minions.list_unlinked(), ["i-2", "i-3"]
+                )
+
+    def test_runs_of_unreadable_minions_may_last_a_whole_lease(self) -> None:
+        for data in (b"", b"\xff", b"5", b"{}", b'["i-2",5]'):
+            with self.subTest(data):
+                owner = self.read(data, ["i-2"])
+                until_ms = recovery.get_uncertain_until_ms(owner)
+                lease_ms = links.PREVIOUS_OWNER_LEASE_MS
+                self.assertGreater(until_ms, clock.now_ms() + lease_ms)
+                self.assertFalse(recovery.has_polled_all(owner))
+
+    def test_an_owner_without_a_record_is_certain(self) -> None:
+        self.model.delete(records.MINIONS_KEY)
+        owner = self.build_owner(["i-2"], {})
+        self.assertEqual(recovery.get_uncertain_until_ms(owner), 0)
+
+    def test_the_record_is_replaced_once_a_whole_lease_is_over(self) -> None:
+        owner = self.read(b"5", ["i-2"])
+        owner.known_minions.save()
+        self.assertEqual(
+            self.client.get(records.MINIONS_KEY).unwrap().data, b"5"
+        )
+        owner.known_minions.drop_earlier()
+        owner.known_minions.save()
+        third = self.build(["i-2"])
+        third.read()
+        self.assertTrue(third.complete)
