Reject configurations whose numbers are infinite or too large

What callers would see: a configuration with `decideMs`, `stretch` or `weight` of 1e400 or NaN, or an integer beyond 64 bits, came into force. The owner would have ended on `int(inf)` when it priced a call for advice or set a job's due time (and so would each owner after it), or on encoding the call for a peer.

Cause: these fields had a type but no range. The platform accepts only valid configurations, so nobody has seen this; it is the class of fault of the odd registration, found by reading.

An odd row still rejects the configuration as a whole: it is one decision of the operator, and a route or tenant taken out of it would refuse callers that no version refuses.

--- a/packages/core/hickoryreach/platform/documents.py
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -25,6 +25,7 @@
 MAX_LABELS = 100
 
 Count = Annotated[int, pydantic.Field(ge=0, le=MAX_AMOUNT)]
+Integer = Annotated[int, pydantic.Field(ge=-MAX_WHOLE, le=MAX_WHOLE)]
 Whole = Annotated[int, pydantic.Field(ge=0, le=MAX_WHOLE)]
 Number = Annotated[
     float,
@@ -60,9 +61,9 @@
 class AdviceRow(Document):
     """Terms of the advice for a queue; `periodMs` is the time per minion."""
 
-    decide_ms: float
-    period_ms: float = 0.0
-    valid_ms: int = 0
+    decide_ms: Number
+    period_ms: Number = 0.0
+    valid_ms: Integer = 0
 
 
 class RouteRow(Document):
@@ -72,10 +73,10 @@
     host: str = ""
     prefix: str
     service: str
-    priority: int = 0
-    attempts: int = 1
-    stretch: float = 1.0
-    target_latency_ms: int = 0
+    priority: Integer = 0
+    attempts: Integer = 1
+    stretch: Number = 1.0
+    target_latency_ms: Integer = 0
     no_auth: bool = False
     advice: AdviceRow | None = None
 
@@ -116,20 +117,20 @@
 
     name: str
     api_keys: list[str] = []
-    weight: float = 1.0
+    weight: Number = 1.0
     ceiling: Amount = Amount()
 
 
 class LimitRow(Document):
     """Limits on callers' requests."""
 
-    max_body_bytes: int = 262_144
+    max_body_bytes: Integer = 262_144
 
 
 class ConfigurationDocument(Document):
     """The operator's configuration."""
 
-    version: int
+    version: Integer
     routes: list[RouteRow] = []
     services: list[ServiceRow] = []
     tenants: list[TenantRow] = []
--- a/tests/core/platform/test_documents.py
+++ b/tests/core/platform/test_documents.py
@@ -139,6 +139,52 @@
         self.assertIsInstance(parsed, result.Failure)
 
 
+class ConfigurationTest(unittest.TestCase):
+    """Configurations are valid as a whole or rejected as a whole."""
+
+    def parse(self, route: str = "", tenant: str = "", other: str = ""):
+        """Parses a configuration with some fields added as JSON text."""
+        text = (
+            '{"version":3,"routes":[{"name":"q","prefix":"/q/","service":"s"'
+            + route
+            + '}],"tenants":[{"name":"t","apiKeys":["k"]'
+            + tenant
+            + "}]"
+            + other
+            + "}"
+        )
+        return documents.parse_configuration(text.encode())
+
+    def test_a_valid_configuration_is_parsed(self) -> None:
+        found = self.parse(
+            ',"advice":{"decideMs":380.5},"stretch":1.5',
+            ',"weight":2.5,"ceiling":{"cpu":4000}',
+            ',"limits":{"maxBodyBytes":1000},"another":[1e400]',
+        ).unwrap()
+        self.assertEqual(found.queues["q"].advice.call_ms, 380.5)
+        self.assertEqual(found.workspaces["t"].keys, ("k",))
+        self.assertEqual(found.body_limit, 1_000)
+
+    def test_numbers_out_of_range_are_rejected(self) -> None:
+        for number in ("1e400", "-1e400", "9" * 400, "1e30", "NaN"):
+            for words in (
+                {"route": f',"advice":{{"decideMs":{number}}}'},
+                {"route": f',"advice":{{"decideMs":1,"periodMs":{number}}}'},
+                {"route": f',"advice":{{"decideMs":1,"validMs":{number}}}'},
+                {"route": f',"priority":{number}'},
+                {"route": f',"attempts":{number}'},
+                {"route": f',"stretch":{number}'},
+                {"route": f',"targetLatencyMs":{number}'},
+                {"tenant": f',"weight":{number}'},
+                {"tenant": f',"ceiling":{{"cpu":{number}}}'},
+                {"other": f',"limits":{{"maxBodyBytes":{number}}}'},
+                {"other": f',"version":{number}'},
+            ):
+                with self.subTest(number=number[:6], words=str(words)[:60]):
+                    parsed = self.parse(**words)
+                    self.assertIsInstance(parsed, result.Failure)
+
+
 class JobBodyTest(unittest.TestCase):
     """Jobs as callers submit them."""
 
