--- a/tests/core/scheduling/cases.py
+++ b/tests/core/scheduling/cases.py
@@ -126,8 +126,13 @@
             service=SERVICE,
             address="127.0.0.1:1",
             failure_domain="z",
-            capacity=build_need(self.minion_cpu, 32_000),
-            **({"labels": ("a", "r1")} | words),
+            **(
+                {
+                    "capacity": build_need(self.minion_cpu, 32_000),
+                    "labels": ("a", "r1"),
+                }
+                | words
+            ),
         )
         self.apply(events.MinionRegistered(minion=minion))
 
