Test that changes of a registered capacity reach the owner in order

Against a served store: each change, with the link kept; after the history is gone, after the watch was refused or silent for a while, after an outage in which the registration expired and was written again, and from the read of a takeover on. All passed when written, but for one precondition of the test itself (a waiting watch is still answered when the store turns others away; the test now waits until the watch fails). No fault was found here.

--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -208,3 +208,102 @@
         with gevent.Timeout(3.0):
             while not self.fleet.links["c-last"].removed:
                 gevent.sleep(0.01)
+
+
+class CapacityChangeTest(StoredFleetTest):
+    """A registered capacity that changes reaches the owner in order."""
+
+    def resize(self, cpu: int) -> None:
+        """Registers the minion anew with a capacity."""
+        self.register(
+            "m", build_registration(capacity={"cpu": cpu, "memMb": 100})
+        )
+
+    def list_capacities(self) -> list[int]:
+        """Returns the capacities that were emitted, in order."""
+        return [
+            event.minion.capacity.cpu_millis
+            for event in self.events
+            if isinstance(event, events.MinionRegistered)
+        ]
+
+    def wait_for_capacity(self, cpu: int) -> None:
+        """Waits until a capacity is the last one that was emitted."""
+        with gevent.Timeout(6.0):
+            while self.list_capacities()[-1:] != [cpu]:
+                gevent.sleep(0.01)
+
+    def wait_for_outage(self) -> None:
+        """Waits until the watch fails."""
+        with gevent.Timeout(5.0):
+            while self.fleet.watcher.healthy:
+                gevent.sleep(0.01)
+
+    def begin(self) -> None:
+        """Watches a minion that registers 4,000."""
+        self.resize(4_000)
+        self.fleet.watcher.start()
+        self.wait_for_capacity(4_000)
+
+    def test_each_change_is_emitted(self) -> None:
+        self.begin()
+        for cpu in (1_000, 0, 8_000):
+            self.resize(cpu)
+            self.wait_for_capacity(cpu)
+        self.assertEqual(self.list_capacities(), [4_000, 1_000, 0, 8_000])
+        link = self.fleet.links["m"]
+        self.assertEqual(link.minion.capacity.cpu_millis, 8_000)
+
+    def test_a_change_keeps_the_link(self) -> None:
+        self.begin()
+        link = self.fleet.links["m"]
+        self.resize(1_000)
+        self.wait_for_capacity(1_000)
+        self.assertIs(self.fleet.links["m"], link)
+        self.assertFalse(link.stopped)
+
+    def test_a_change_is_read_after_the_history_is_gone(self) -> None:
+        self.begin()
+        self.resize(1_000)
+        self.model.forget_history()
+        self.wait_for_capacity(1_000)
+
+    def test_a_change_is_read_after_the_watch_was_cut(self) -> None:
+        self.begin()
+        self.model.faults.busy.add("*")
+        self.wait_for_outage()
+        self.resize(1_000)
+        gevent.sleep(0.3)
+        self.assertEqual(self.list_capacities(), [4_000])
+        self.model.faults.busy.clear()
+        self.wait_for_capacity(1_000)
+
+    def test_a_change_during_the_watch_s_silence_is_read(self) -> None:
+        self.begin()
+        self.model.faults.silent.add("*")
+        gevent.sleep(fleet.WATCH_WAIT_S)
+        self.resize(1_000)
+        self.model.faults.silent.clear()
+        self.wait_for_capacity(1_000)
+
+    def test_a_change_in_an_outage_in_which_the_entry_expired(self) -> None:
+        self.begin()
+        self.model.faults.busy.add("*")
+        self.wait_for_outage()
+        self.model.delete(f"{documents.MINIONS_PREFIX}m")
+        self.model.faults.busy.clear()
+        gevent.sleep(0.3)
+        self.resize(1_000)
+        self.wait_for_capacity(1_000)
+        self.assertFalse(self.fleet.links["m"].removed)
+
+    def test_a_takeover_reads_the_capacity_in_force(self) -> None:
+        self.resize(4_000)
+        self.resize(1_000)
+        self.fleet.watcher.accept(
+            self.client.get_prefix(documents.MINIONS_PREFIX).unwrap()
+        )
+        self.resize(500)
+        self.fleet.watcher.start()
+        self.wait_for_capacity(500)
+        self.assertEqual(self.list_capacities(), [1_000, 500])
