Ignore changes of the watch that are older than what the read showed

What a later page already showed is told again, the older changes first. With more than one page of registrations (some 500 minions) an older capacity, or `ready` after `draining`, came back into force until the next change was told, and a removal before a new registration took the minion out of placement.

Evidence, tests.entry.cell.test_prefix_watcher.UnevenPagesTest before: AssertionError: Lists differ: [('a', 4), ('z', 9), ('a', 6), ('z', 7), ('z', 9), ('z', 12)] != [('a', 4), ('z', 9), ('a', 6), ('z', 9), ('z', 12)] Found by reading, never seen in a run. Ruled out: going on from the last page's revision, which would miss changes of the keys on earlier pages.

The watcher remembers the few keys that a read showed newer than its first page, and passes by older changes of these keys only.

--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -28,6 +28,8 @@
     Attributes:
         prefix: The prefix.
         skipped: Revisions of the items that were passed by, by key.
+        ahead: Revisions of the items that the last read of the prefix showed
+            newer than its first page, by key.
         revision: Revision up to which changes were passed on; -1 before the
             first read.
         healthy: Whether the last call was answered.
@@ -65,6 +67,7 @@
         self.pause_s = pause_s
         self.revision = -1
         self.skipped: dict[str, int] = {}
+        self.ahead: dict[str, int] = {}
         self.healthy = True
         self.answered_at = -math.inf
         self.healthy_since = -math.inf
@@ -117,8 +120,13 @@
     def accept(self, page: store.Page) -> None:
         """Passes a page on; the first one holds all items."""
         complete = self.revision < 0
+        if complete:
+            self.ahead.clear()
         for item in page.items:
-            self.handle_item(item)
+            if item.revision >= self.ahead.get(item.key, 0):
+                self.handle_item(item)
+            if complete and item.revision > page.revision:
+                self.ahead[item.key] = item.revision
         if page.items or complete:
             self.on_page(page, complete)
         self.revision = max(self.revision, page.revision)
--- a/tests/entry/cell/test_prefix_watcher.py
+++ b/tests/entry/cell/test_prefix_watcher.py
@@ -1,5 +1,8 @@
 """Tests of the watch of a prefix."""
 
+import unittest
+from unittest import mock
+
 import gevent
 
 from hickoryreach.platform import store
@@ -131,3 +134,32 @@
         self.put(a="1")
         self.wait_for("a")
         self.assertEqual(self.watcher.skipped, {})
+
+
+class UnevenPagesTest(unittest.TestCase):
+    """A read of several pages may show changes that the watch repeats."""
+
+    def test_an_older_change_does_not_follow_a_newer_one(self) -> None:
+        handled: list[tuple[str, int]] = []
+        watcher = prefix_watcher.PrefixWatcher(
+            client=mock.Mock(),
+            prefix=PREFIX,
+            wait_s=0.2,
+            on_item=lambda item: handled.append((item.key, item.revision)),
+        )
+
+        def read(revision: int, **revisions: int) -> None:
+            items = tuple(
+                store.Item(key=key, data=b"1", revision=each)
+                for key, each in revisions.items()
+            )
+            watcher.accept(store.Page(items=items, revision=revision))
+
+        read(5, a=4, z=9)
+        read(6, a=6)
+        read(7, z=7)
+        read(9, z=9)
+        read(12, z=12)
+        self.assertEqual(
+            handled, [("a", 4), ("z", 9), ("a", 6), ("z", 9), ("z", 12)]
+        )
