Hand the cell over if the store fails for an owner that writes nothing

What callers would see: the store turns the owner away and serves all others, a minion's capacity shrinks, and the owner goes on to start tasks by the old registration for as long as none of its tasks ends: a minion that doesn't guard its capacity is brought over it (LIMIT, which holds for all machines) more than 3 s after it has shrunk. So it would start on minions that drain or have moved.

Cause: an owner noticed that the store fails for it alone by its writes of progress only. With long tasks there are none for many seconds; meanwhile a quorum of followers confirms the ownership, and the watch just fails.

The new unit tests fail on the old code for want of the new constant.

Ruled out: starting nothing while registrations can't be followed, since in an outage for all the cell goes on with what was accepted by design.

The review counts the store as failing for the owner also if none of its calls was answered for 1 s. The two conditions that guard a needless handover stay: the store must have served a follower since, and a read made then must fail.

--- a/packages/entry/hickoryreach_entry/cell/fitness_review.py
+++ b/packages/entry/hickoryreach_entry/cell/fitness_review.py
@@ -12,6 +12,7 @@
 
 TAKEOVER_PAUSE_S = 5.0
 STORE_FAILURE_TIMEOUT_S = 0.3
+STORE_SILENCE_TIMEOUT_S = 1.0  # reads are made at least twice as often
 LAG_MARGIN_S = 0.1
 STORE_READ_TIMEOUT_S = 0.5
 STRONGER_FACTOR = 1.5
@@ -43,11 +44,9 @@
         A store that still answers a read here has only lost answers to writes.
         """
         owner = self.member.owner
-        since = owner.progress.failing_since
+        since = self.get_failing_since()
         if not since or owner.leaving:
             return
-        if time.monotonic() - since < STORE_FAILURE_TIMEOUT_S:
-            return
         served_at = max(self.member.store_served_at.values(), default=0.0)
         if served_at > since + LAG_MARGIN_S and not self.is_store_responding():
             log.warning("ownership_store_lost", extra={"epoch": owner.epoch})
@@ -56,6 +55,21 @@
             )
             gevent.spawn(self.member.release_ownership)
 
+    def get_failing_since(self) -> float:
+        """Returns since when the store fails here, in s; 0 if it doesn't.
+
+        An owner that writes nothing has to notice by its other calls, or it
+        would place tasks by registrations that it can't follow any more.
+        """
+        now = time.monotonic()
+        writes_since = self.member.owner.progress.failing_since
+        if writes_since and now - writes_since >= STORE_FAILURE_TIMEOUT_S:
+            return writes_since
+        calls_since = self.member.client.health.failing_since
+        if calls_since and now - calls_since >= STORE_SILENCE_TIMEOUT_S:
+            return calls_since
+        return 0.0
+
     def check_stronger_follower(self) -> None:
         """Releases the ownership to a follower with much more processor time.
 
--- a/tests/entry/cell/test_fitness_review.py
+++ b/tests/entry/cell/test_fitness_review.py
@@ -57,6 +57,29 @@
         self.assertFalse(self.check())
 
 
+class ReadsFailTest(StoreAccessTest):
+    """The store turns an owner away that has nothing to write."""
+
+    def setUp(self) -> None:
+        """Creates an owner whose calls have failed for over a second."""
+        super().setUp()
+        self.member.owner.progress.failing_since = 0.0
+        self.fail_for(fitness_review.STORE_SILENCE_TIMEOUT_S + 0.1)
+
+    def fail_for(self, seconds: float) -> None:
+        """Lets every call have failed for some time."""
+        since = time.monotonic() - seconds if seconds else 0.0
+        self.member.client.health = types.SimpleNamespace(failing_since=since)
+
+    def test_does_not_release_while_calls_succeed(self) -> None:
+        self.fail_for(0.0)
+        self.assertFalse(self.check())
+
+    def test_does_not_release_after_a_short_failure(self) -> None:
+        self.fail_for(0.5)
+        self.assertFalse(self.check())
+
+
 class StrongerFollowerTest(unittest.TestCase):
     """A follower has more processor time than the owner."""
 
--- a/tests/integration/test_capacity_changes.py
+++ b/tests/integration/test_capacity_changes.py
@@ -6,6 +6,7 @@
 
 import gevent
 
+from hickoryreach_entry.cell import fleet
 from standins.users import cell
 from standins.users import minions
 
@@ -14,6 +15,7 @@
 SMALL_CPU = 2_000
 CONTACT_S = 3.0  # a registration is written at once here, without a heartbeat
 WORK_MS = 400
+LONG_MS = 60_000
 TASKS = 2
 LEAST_WAITING = 12
 JOB_LIMIT_S = 30.0
@@ -24,6 +26,7 @@
 
     Attributes:
         sizes: Capacities of each minion, with the time of each change in s.
+        avoided: Entry to which no jobs are handed in, or None.
     """
 
     def setUp(self) -> None:
@@ -35,6 +38,7 @@
             self.resize(minion, LARGE_CPU)
         self.cell.wait_ready()
         self.jobs: list[str] = []
+        self.avoided: cell.Entry | None = None
 
     def resize(self, minion: minions.Minion, cpu: int) -> None:
         """Changes a minion's capacity and registers it."""
@@ -48,19 +52,21 @@
         for minion in self.cell.users.minions.values():
             self.resize(minion, cpu)
 
-    def hand_in(self, jobs: int, **step: object) -> None:
+    def hand_in(
+        self, jobs: int, work_ms: int = WORK_MS, **step: object
+    ) -> None:
         """Hands jobs in at the running entries in turn."""
         for _ in range(jobs):
             running = [
                 entry
                 for entry in self.cell.entries
-                if entry.process.poll() is None
+                if entry.process.poll() is None and entry is not self.avoided
             ]
             entry = running[len(self.jobs) % len(running)]
             self.jobs.append(
                 self.cell.submit(
                     entry,
-                    payload={"work_ms": WORK_MS},
+                    payload={"work_ms": work_ms},
                     **({"count": TASKS, "cpu": TASK_CPU} | step),
                 )
             )
@@ -180,6 +186,31 @@
         self.finish()
 
 
+class StoreLostTest(CapacityChangeCase):
+    """The store turns the owner away, and serves all others."""
+
+    def test_an_owner_that_reads_no_registrations_starts_nothing(self) -> None:
+        self.check_lost_by(self.cell.users.store.faults.busy)
+
+    def test_an_owner_without_answers_starts_nothing(self) -> None:
+        self.check_lost_by(self.cell.users.store.faults.silent)
+
+    def check_lost_by(self, callers: set[str]) -> None:
+        """Checks starts after the owner was added to the callers of a fault."""
+        owner = self.cell.find_owner()
+        self.hand_in(2, work_ms=LONG_MS)
+        self.cell.wait_for(lambda: self.count_running() == 2 * TASKS)
+        self.avoided = owner
+        callers.add(owner.name)
+        gevent.sleep(fleet.WATCH_WAIT_S + 0.2)
+        self.resize_all(TASK_CPU)
+        gevent.sleep(CONTACT_S + 0.5)
+        self.hand_in(2, work_ms=LONG_MS)
+        gevent.sleep(1.5)
+        self.assertEqual(self.find_overcommits(), [])
+        self.assertEqual(self.count_running(), 2 * TASKS)
+
+
 class RandomChangesTest(CapacityChangeCase):
     """Capacities change all the while, with a new owner in between."""
 
