Reject stored jobs that no recovery could handle

What callers would see: one stored job with an infinite `stretch`, a step that names a later one in `after`, or 10**30 tasks ended each new owner in its takeover ("processes that end again and again"): no owner came to serve, and every job of the cell was lost with it.

Cause: the record of a job was checked for types only. The checks of callers' bodies aren't part of it, and the reducer relies on them.

No other writer is known to write there.

A job is now checked by what the callers' border has let through: numbers in 64 bits, at most 100,000 tasks, `after` naming earlier steps; and it has to stand under its own key. One that isn't sound is logged and passed by, as an unreadable one was: that loses one job where the whole cell was lost. It stays in the store. Ruled out: catching errors of the reducer, which may leave half a change in the state.

--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -12,6 +12,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
+from hickoryreach_entry.cell import job_checks
 
 OWNER_KEY = "hickoryreach/owner"
 JOBS_PREFIX = "hickoryreach/jobs/"
@@ -81,9 +82,11 @@
 def decode_job(data: bytes) -> result.Result[steps.Job, str]:
     """Returns the job in a value, or why the value is invalid."""
     try:
-        return result.Success(_job_adapter.validate_json(data))
+        job = _job_adapter.validate_json(data)
     except pydantic.ValidationError as error:
         return result.Failure(str(error.errors(include_input=False)[:2]))
+    fault = job_checks.find_fault(job)
+    return result.Failure(fault) if fault else result.Success(job)
 
 
 def encode_final(final: FinalRecord) -> bytes:
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -203,7 +203,9 @@
 
 def decode_item(item: store.Item) -> steps.Job | records.FinalRecord | None:
     """Returns the job in an item of the store, or None if it is invalid."""
-    decoded = records.decode_stored_job(item.data or b"")
+    decoded = records.decode_stored_job(item.data or b"").bind(
+        lambda kept: check_key(item, kept)
+    )
     if isinstance(decoded, result.Failure):
         log.error(
             "job_unreadable",
@@ -213,6 +215,17 @@
     return decoded.unwrap()
 
 
+def check_key(
+    item: store.Item, kept: steps.Job | records.FinalRecord
+) -> result.Result[steps.Job | records.FinalRecord, str]:
+    """Returns a record, or a failure if it is a job of another key."""
+    if isinstance(kept, steps.Job) and item.key != records.build_job_key(
+        kept.job_id
+    ):
+        return result.Failure("the job has another id than its key")
+    return result.Success(kept)
+
+
 def has_attempted_all_polls(owner) -> bool:
     """Returns whether each minion's first poll was answered or has failed."""
     return all(
--- a/tests/entry/cell/test_odd_records.py
+++ b/tests/entry/cell/test_odd_records.py
@@ -15,17 +15,23 @@
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import recovery
 
-QUEUE = cells.Queue(name="q", host="h", prefix="/q/", service="s")
+QUEUE = cells.Queue(
+    name="q",
+    host="h",
+    prefix="/q/",
+    service="s",
+    advice=cells.AdviceTerms(call_ms=1.0, minion_ms=1.0, valid_ms=1_000),
+)
 
 
-def build_job(job_id: str) -> steps.Job:
-    """Returns a job with one task."""
+def build_job(job_id: str, step_count: int = 1) -> steps.Job:
+    """Returns a job whose steps have one task each."""
     return steps.Job(
         job_id=job_id,
         workspace="w",
         queue=QUEUE,
         payload="",
-        steps=(steps.Step(),),
+        steps=(steps.Step(),) * step_count,
         accepted_ms=0,
     )
 
@@ -64,8 +70,8 @@
 )
 
 
-class OddProgressTest(unittest.TestCase):
-    """One odd row does not lose the other rows of its part."""
+class RecoveryCase(unittest.TestCase):
+    """Recovers jobs and progress as a new owner does."""
 
     def setUp(self) -> None:
         """Creates a new owner of an empty cell."""
@@ -85,6 +91,81 @@
             revision=5,
         )
 
+
+class OddJobTest(RecoveryCase):
+    """One odd stored job does not keep the cell from the others."""
+
+    def recover(self, changes: tuple, odd: object) -> set[str]:
+        """Recovers an odd job between two others; returns those restored."""
+        jobs = {
+            job_id: json.loads(records.encode_job(build_job(job_id, 2)))
+            for job_id in ("a", "b", "c")
+        }
+        place = jobs["b"]
+        *path, name = changes
+        for part in path:
+            place = place[part]
+        place[name] = odd
+        recovery.recover_jobs(
+            self.owner,
+            self.build_items(
+                {
+                    records.build_job_key(job_id): json.dumps(job)
+                    .replace("Infinity", "1e400")
+                    .encode()
+                    for job_id, job in jobs.items()
+                }
+            ),
+            self.build_items({}),
+            0,
+        )
+        return set(self.owner.state.jobs)
+
+    def test_jobs_beside_an_odd_one_are_restored(self) -> None:
+        infinite = float("inf")
+        for path, odd in (
+            (("queue", "stretch"), infinite),
+            (("queue", "stretch"), -infinite),
+            (("queue", "stretch"), float("nan")),
+            (("queue", "stretch"), 1e300),
+            (("queue", "advice", "call_ms"), infinite),
+            (("queue", "advice", "minion_ms"), infinite),
+            (("queue", "objective_ms"), 10**30),
+            (("steps", 0, "after"), [0]),
+            (("steps", 0, "after"), [-1]),
+            (("steps", 1, "after"), [5]),
+            (("steps", 1, "after"), [1]),
+            (("steps", 1, "after"), [10**30]),
+            (("steps", 0, "count"), 0),
+            (("steps", 0, "count"), 10**30),
+            (("steps", 0, "count"), None),
+            (("steps", 0, "estimate_ms"), 10**30),
+            (("steps",), []),
+            (("repeats",), 10**30),
+            (("accepted_ms",), 10**30),
+            (("first_ms",), -(10**30)),
+            (("queue",), None),
+            (("job_id",), "other"),
+        ):
+            with self.subTest(path=path, odd=str(odd)[:8]):
+                self.setUp()
+                self.assertEqual(self.recover(path, odd), {"a", "c"})
+
+    def test_sound_jobs_are_all_restored(self) -> None:
+        for path, sound in (
+            (("queue", "stretch"), 2.5),
+            (("steps", 1, "after"), [0]),
+            (("steps", 0, "count"), 1_000),
+            (("repeats",), 50),
+        ):
+            with self.subTest(path):
+                self.setUp()
+                self.assertEqual(self.recover(path, sound), {"a", "b", "c"})
+
+
+class OddProgressTest(RecoveryCase):
+    """One odd row does not lose the other rows of its part."""
+
     def recover(self, part: bytes) -> None:
         """Recovers three jobs with one part of the progress."""
         jobs = {
