Count an entry with an odd address as unreachable

What callers would see: an owner's key, or a greeting or status of a peer, that names an address without a port, with one of 400 digits or with a host that no resolver takes ended each entry that tried to follow it: the greenlet that follows the owner is vital, and only OSError counts as unreachable.

Found by reading; these addresses are written by entries only.

`channel.connect` raises ConnectionError for an address that can't be read, in one place for all who connect.

--- a/packages/entry/hickoryreach_entry/cell/channel.py
+++ b/packages/entry/hickoryreach_entry/cell/channel.py
@@ -205,10 +205,13 @@
         OSError: The other entry can't be reached in time or refuses the
             connection.
     """
-    host, port = address.rsplit(":", 1)
-    connection = gevent.socket.create_connection(
-        (host, int(port)), timeout=CONNECT_TIMEOUT_S
-    )
+    try:
+        host, port = address.rsplit(":", 1)
+        connection = gevent.socket.create_connection(
+            (host, int(port)), timeout=CONNECT_TIMEOUT_S
+        )
+    except (AttributeError, OverflowError, TypeError, ValueError) as error:
+        raise ConnectionError(f"malformed address: {error}") from error
     connection.settimeout(None)
     return Channel(connection=connection, handle=handle, on_closed=on_closed)
 
