--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -210,6 +210,31 @@
                 gevent.sleep(0.01)
 
 
+class OverwrittenRegistrationTest(StoredFleetTest):
+    """An odd entry takes a minion out of use until it registers again."""
+
+    def test_a_minion_whose_entry_is_odd_for_a_while_is_used_again(
+        self,
+    ) -> None:
+        self.register("m")
+        self.fleet.watcher.start()
+        self.wait_for("m")
+        link = self.fleet.links["m"]
+        for odd in (b"", b"[" * 100_000, build_registration(service="")):
+            self.register("m", odd)
+            with gevent.Timeout(3.0):
+                while not link.removed:
+                    gevent.sleep(0.01)
+            self.register("m")
+            with gevent.Timeout(3.0):
+                while link.removed:
+                    gevent.sleep(0.01)
+        kinds = [type(event).__name__ for event in self.events]
+        self.assertEqual(kinds.count("MinionUnregistered"), 3)
+        self.assertEqual(kinds.count("MinionRegistered"), 4)
+        self.assertIs(self.fleet.links["m"], link)
+
+
 class CapacityChangeTest(StoredFleetTest):
     """A registered capacity that changes reaches the owner in order."""
 
