--- a/packages/core/hickoryreach/decisions/adoption.py
+++ b/packages/core/hickoryreach/decisions/adoption.py
@@ -17,6 +17,7 @@
 from hickoryreach.decisions import outcomes
 from hickoryreach.decisions import overruns
 from hickoryreach.decisions import probes
+from hickoryreach.decisions import records
 from hickoryreach.decisions import retries
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -27,7 +28,7 @@
 
 def take_list(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
     running: tuple[workers.RunningTask, ...],
 ) -> Iterator[effects.Effect]:
     """Compares a worker's complete list with what is placed on it."""
@@ -46,14 +47,16 @@
 
 
 def note_ended(
-    shard: state.ShardState, worker: state.WorkerRecord, key: jobs.TaskKey
+    shard: state.ShardState, worker: records.WorkerRecord, key: jobs.TaskKey
 ) -> None:
     """Remembers an end, so that an older list does not undo it."""
     _forget_ended(shard, worker)
     worker.ended[key] = shard.now_ms
 
 
-def _forget_ended(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def _forget_ended(
+    shard: state.ShardState, worker: records.WorkerRecord
+) -> None:
     horizon_ms = shard.now_ms - shard.settings.omission_ms
     while worker.ended:
         key = next(iter(worker.ended))
@@ -64,8 +67,8 @@
 
 def _confirm(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
     task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
     attempt.missing_since_ms = -1
@@ -84,8 +87,8 @@
 
 def _weigh_use(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
     job: jobs.Job,
 ) -> Iterator[effects.Effect]:
     if not attempt.used.fits_in(attempt.held):
@@ -97,7 +100,7 @@
 
 
 def confirm_start(
-    shard: state.ShardState, attempt: state.Attempt
+    shard: state.ShardState, attempt: records.Attempt
 ) -> Iterator[effects.Effect]:
     """Notes that an attempt is running."""
     attempt.started = True
@@ -114,7 +117,7 @@
 
 def _miss(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
     listed: set[jobs.TaskKey],
 ) -> Iterator[effects.Effect]:
     for attempt in list(worker.attempts.values()):
@@ -137,7 +140,7 @@
 
 def _meet(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
     task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
     if task.key in worker.ended:
@@ -152,7 +155,7 @@
 
 
 def _get_held(
-    record: state.JobRecord, task: workers.RunningTask
+    record: records.JobRecord, task: workers.RunningTask
 ) -> resources.Resources:
     """Returns what to set aside for a listed task.
 
@@ -165,7 +168,7 @@
     return record.job.need.elementwise_max(task.used)
 
 
-def _is_wanted(record: state.JobRecord, key: jobs.TaskKey) -> bool:
+def _is_wanted(record: records.JobRecord, key: jobs.TaskKey) -> bool:
     index = key.index
     if record.state.is_final or index in record.running:
         return False
@@ -177,8 +180,8 @@
 
 def _adopt(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
     key = task.key
@@ -194,11 +197,11 @@
 
 def _keep_stray(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
-    attempt = state.Attempt(
+    attempt = records.Attempt(
         key=task.key,
         worker_id=worker.worker.worker_id,
         held=_get_held(record, task),
@@ -214,10 +217,10 @@
 
 def _keep_unidentified(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
     task: workers.RunningTask,
 ) -> Iterator[effects.Effect]:
-    attempt = state.Attempt(
+    attempt = records.Attempt(
         key=task.key,
         worker_id=worker.worker.worker_id,
         held=task.allocated.elementwise_max(task.used),
@@ -237,7 +240,7 @@
 
 @timers.handlers.register("stray")
 def stop_unidentified(
-    shard: state.ShardState, attempt: state.Attempt
+    shard: state.ShardState, attempt: records.Attempt
 ) -> Iterator[effects.Effect]:
     """Stops a listed task whose job did not turn up."""
     group = shard.strays.get(attempt.key.job_id, {})
@@ -246,7 +249,7 @@
 
 
 def identify(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Matches what came before a job did: listed tasks, and ends."""
     job_id = record.job.job_id
@@ -286,7 +289,7 @@
     yield from outcomes.settle(shard, record, event, blameless=True)
 
 
-def _is_awaited(record: state.JobRecord, key: jobs.TaskKey) -> bool:
+def _is_awaited(record: records.JobRecord, key: jobs.TaskKey) -> bool:
     return (
         record.on_hold
         and key.index in record.waiting
@@ -295,7 +298,7 @@
 
 
 def lose(
-    shard: state.ShardState, worker: state.WorkerRecord
+    shard: state.ShardState, worker: records.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Ends everything on a worker whose leases have lapsed."""
     for attempt in worker.attempts.values():
@@ -311,7 +314,7 @@
 
 
 def clear_hold(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Ends the wait for an earlier owner's attempts of a job."""
     shard.restored.pop(record.job.job_id, None)
@@ -337,7 +340,7 @@
 
 @timers.handlers.register("hold")
 def end_hold(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Clears a job's hold when its time has passed."""
     if record.on_hold and record.hold_until_ms <= shard.now_ms:
--- a/packages/core/hickoryreach/decisions/attempts.py
+++ b/packages/core/hickoryreach/decisions/attempts.py
@@ -3,6 +3,7 @@
 from hickoryreach import exceptions
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import ledger
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
@@ -13,8 +14,8 @@
 
 def place(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     need: resources.Resources,
 ) -> effects.Effect:
     """Places the next waiting task on a worker."""
@@ -41,14 +42,14 @@
 
 def bind(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     key: jobs.TaskKey,
     need: resources.Resources,
-) -> state.Attempt:
+) -> records.Attempt:
     """Makes an attempt the live one of its index and sets room aside."""
     job = record.job
-    attempt = state.Attempt(
+    attempt = records.Attempt(
         key=key,
         worker_id=worker.worker.worker_id,
         held=need,
@@ -68,7 +69,7 @@
 
 
 def unbind(
-    shard: state.ShardState, record: state.JobRecord, attempt: state.Attempt
+    shard: state.ShardState, record: records.JobRecord, attempt: records.Attempt
 ) -> None:
     """Ends an attempt's hold on its index and its worker."""
     if record.running.get(attempt.key.index) is attempt:
@@ -80,7 +81,7 @@
 
 
 def ask_to_stop(
-    shard: state.ShardState, attempt: state.Attempt, reason: str
+    shard: state.ShardState, attempt: records.Attempt, reason: str
 ) -> effects.StopTask:
     """Notes that a stop was asked for, and returns it."""
     attempt.stopping = True
@@ -92,7 +93,7 @@
 
 
 def _count_nearby(
-    record: state.JobRecord, worker: state.WorkerRecord, change: int
+    record: records.JobRecord, worker: records.WorkerRecord, change: int
 ) -> None:
     domain = worker.worker.failure_domain
     record.spread[domain, ""] += change
--- a/packages/core/hickoryreach/decisions/cancellation.py
+++ b/packages/core/hickoryreach/decisions/cancellation.py
@@ -5,12 +5,13 @@
 from hickoryreach.decisions import attempts
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import outcomes
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 
 
 def cancel(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Drops a job's waiting tasks and stops its running ones."""
     if record.state.is_final:
@@ -27,7 +28,7 @@
         shard.cancelling[(workspace, wave)] = shard.sequence
 
 
-def is_marked(shard: state.ShardState, record: state.JobRecord) -> bool:
+def is_marked(shard: state.ShardState, record: records.JobRecord) -> bool:
     """Returns whether a job belongs to a wave that is being cancelled."""
     if not shard.cancelling:
         return False
--- a/packages/core/hickoryreach/decisions/estimates.py
+++ b/packages/core/hickoryreach/decisions/estimates.py
@@ -3,6 +3,7 @@
 from collections.abc import Collection
 import statistics
 
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
@@ -13,29 +14,29 @@
 POOL_FACTOR = 2
 
 
-def get_profile(shard: state.ShardState, job: jobs.Job) -> state.Profile:
+def get_profile(shard: state.ShardState, job: jobs.Job) -> records.Profile:
     """Returns what is known about a job's command in its workspace."""
     key = (job.workspace, job.command)
     profile = shard.profiles.get(key)
     if profile is None:
-        profile = shard.profiles[key] = state.Profile()
+        profile = shard.profiles[key] = records.Profile()
         if job.command:
             _join_pool(shard, profile, job.command)
     return profile
 
 
 def _join_pool(
-    shard: state.ShardState, profile: state.Profile, command: str
+    shard: state.ShardState, profile: records.Profile, command: str
 ) -> None:
     pool = shard.profiles.get(("", command))
     if pool is None:
-        pool = shard.profiles[("", command)] = state.Profile()
+        pool = shard.profiles[("", command)] = records.Profile()
     pool.members.append(profile)
     profile.pool = pool
 
 
 def observe(
-    profile: state.Profile, used: resources.Resources, run_ms: int
+    profile: records.Profile, used: resources.Resources, run_ms: int
 ) -> None:
     """Takes in the peak use and run time of one attempt that ended."""
     if used.cpu_millis or used.memory_mb:
@@ -65,7 +66,7 @@
 
 
 def _take(
-    profile: state.Profile, used: resources.Resources, run_ms: int
+    profile: records.Profile, used: resources.Resources, run_ms: int
 ) -> bool:
     before = _get_peaks(profile)
     observe(profile, used, run_ms)
@@ -88,7 +89,7 @@
         shard.resized.append(profile)
 
 
-def _get_peaks(profile: state.Profile) -> tuple[int, ...]:
+def _get_peaks(profile: records.Profile) -> tuple[int, ...]:
     if not profile.memory_mb:
         return ()
     return (
@@ -116,8 +117,8 @@
 
 def get_size(
     shard: state.ShardState,
-    workspace: state.WorkspaceRecord,
-    profile: state.Profile,
+    workspace: records.WorkspaceRecord,
+    profile: records.Profile,
     job: jobs.Job,
 ) -> resources.Resources:
     """Returns what one task of a job is given.
@@ -149,8 +150,8 @@
 
 
 def _find_source(
-    shard: state.ShardState, profile: state.Profile
-) -> state.Profile | None:
+    shard: state.ShardState, profile: records.Profile
+) -> records.Profile | None:
     """Returns the profile to learn from: its own, else all workspaces'."""
     enough = shard.settings.learn_after
     if len(profile.memory_mb) >= enough:
@@ -173,7 +174,7 @@
     return -(-wanted // step) * step
 
 
-def get_run_ms(profile: state.Profile, job: jobs.Job) -> int:
+def get_run_ms(profile: records.Profile, job: jobs.Job) -> int:
     """Returns the run time to expect of one task, in ms; 0 when unknown."""
     if len(profile.run_ms) >= 3:
         return int(statistics.median(profile.run_ms))
--- a/packages/core/hickoryreach/decisions/fleet.py
+++ b/packages/core/hickoryreach/decisions/fleet.py
@@ -7,6 +7,7 @@
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import preemption
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
@@ -16,12 +17,12 @@
 
 def join(
     shard: state.ShardState, described: workers.Worker
-) -> state.WorkerRecord:
+) -> records.WorkerRecord:
     """Adds a worker, or takes in its new description."""
     record = shard.workers.get(described.worker_id)
     if record is None:
         shard.sequence += 1
-        record = state.WorkerRecord(
+        record = records.WorkerRecord(
             worker=described, free=described.capacity, number=shard.sequence
         )
         shard.workers[described.worker_id] = record
@@ -34,7 +35,7 @@
 
 def _redescribe(
     shard: state.ShardState,
-    record: state.WorkerRecord,
+    record: records.WorkerRecord,
     described: workers.Worker,
 ) -> None:
     ledger.remove(shard, record)
@@ -69,7 +70,7 @@
 
 
 def relieve(
-    shard: state.ShardState, worker: state.WorkerRecord
+    shard: state.ShardState, worker: records.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Displaces preemptible tasks from a worker that has shrunk.
 
@@ -94,7 +95,7 @@
 
 
 def vacate(
-    shard: state.ShardState, worker: state.WorkerRecord
+    shard: state.ShardState, worker: records.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Moves services off a departing worker."""
     if not worker.worker.departing:
@@ -108,7 +109,7 @@
             yield attempts.ask_to_stop(shard, attempt, "worker departing")
 
 
-def suspend(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def suspend(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     """Stops placing work on a worker that does not answer."""
     worker.reachable = False
     ledger.refresh(shard, worker)
@@ -116,7 +117,7 @@
 
 
 def lose(
-    shard: state.ShardState, worker: state.WorkerRecord
+    shard: state.ShardState, worker: records.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Takes back what a lost worker held."""
     suspend(shard, worker)
--- a/packages/core/hickoryreach/decisions/gangs.py
+++ b/packages/core/hickoryreach/decisions/gangs.py
@@ -16,6 +16,7 @@
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import limits
 from hickoryreach.decisions import ordering
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -25,7 +26,7 @@
 TRIES_PER_EVENT = 4
 
 
-def queue(shard: state.ShardState, record: state.JobRecord) -> None:
+def queue(shard: state.ShardState, record: records.JobRecord) -> None:
     """Lets a gang whose tasks all wait look for room."""
     if record.on_hold or record.state.is_final or record.running:
         return
@@ -63,7 +64,7 @@
         queue(shard, record)
 
 
-def _take_next(shard: state.ShardState) -> state.JobRecord:
+def _take_next(shard: state.ShardState) -> records.JobRecord:
     name = min(shard.gangs, key=lambda name: _rank(shard, name))
     group = shard.gangs[name]
     _, record = group.popitem(0)
@@ -79,7 +80,7 @@
     return late, ordering.get_part(workspace), sequence
 
 
-def _begin(shard: state.ShardState, record: state.JobRecord) -> None:
+def _begin(shard: state.ShardState, record: records.JobRecord) -> None:
     job = record.job
     workspace = ledger.get_workspace(shard, job.workspace)
     profile = estimates.get_profile(shard, job)
@@ -98,12 +99,12 @@
         return
     waited_ms = shard.now_ms - record.queued_ms
     patience_ms = 0 if job.urgent else shard.settings.gang_patience_ms
-    gang = state.Gang(
+    gang = records.Gang(
         need=need, charged=total, reserving=waited_ms >= patience_ms
     )
     record.gang = gang
     workspace.claimed = workspace.claimed + total
-    gang.lane = state.Lane(
+    gang.lane = records.Lane(
         key=("gang", job.job_id),
         need=need,
         pool=job.service,
@@ -124,14 +125,14 @@
     ordering.activate(shard, gang.lane)
 
 
-def _postpone(shard: state.ShardState, record: state.JobRecord) -> None:
+def _postpone(shard: state.ShardState, record: records.JobRecord) -> None:
     due_ms = shard.now_ms + shard.settings.gang_retry_ms
     timers.schedule(shard, due_ms, "gang_retry", record)
 
 
 @timers.handlers.register("gang_retry")
 def retry(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Lets a gang that found no room try again."""
     queue(shard, record)
@@ -140,7 +141,7 @@
 
 @timers.handlers.register("gang_bound")
 def end_reservation(
-    shard: state.ShardState, subject: tuple[state.JobRecord, state.Gang]
+    shard: state.ShardState, subject: tuple[records.JobRecord, records.Gang]
 ) -> Iterator[effects.Effect]:
     """Ends a reservation that keeps other gangs waiting for too long."""
     record, gang = subject
@@ -156,7 +157,9 @@
 
 
 def gather(
-    shard: state.ShardState, lane: state.Lane, worker: state.WorkerRecord | None
+    shard: state.ShardState,
+    lane: records.Lane,
+    worker: records.WorkerRecord | None,
 ) -> None:
     """Keeps room on the worker found; without one, gives up or waits."""
     record = lane.gang
@@ -176,8 +179,8 @@
 
 def gather_one(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
 ) -> None:
     """Keeps room for one task where other tasks have made room."""
     if len(record.waiting) > record.gang.gathered:
@@ -185,7 +188,7 @@
     _complete(shard, record)
 
 
-def _complete(shard: state.ShardState, record: state.JobRecord) -> None:
+def _complete(shard: state.ShardState, record: records.JobRecord) -> None:
     gang = record.gang
     if gang.gathered < len(record.waiting):
         return
@@ -211,7 +214,7 @@
     return min(counts, default=1_000_000)
 
 
-def _close_lane(shard: state.ShardState, gang: state.Gang) -> None:
+def _close_lane(shard: state.ShardState, gang: records.Gang) -> None:
     lane = gang.lane
     if lane is not None:
         ordering.unblock(shard, lane)
@@ -236,7 +239,7 @@
 
 
 def _may_start(
-    shard: state.ShardState, record: state.JobRecord, gang: state.Gang
+    shard: state.ShardState, record: records.JobRecord, gang: records.Gang
 ) -> bool:
     """Returns whether its room is still complete and within the limit."""
     workspace = ledger.get_workspace(shard, record.job.workspace)
@@ -246,7 +249,7 @@
 
 
 def _start(
-    shard: state.ShardState, record: state.JobRecord, gang: state.Gang
+    shard: state.ShardState, record: records.JobRecord, gang: records.Gang
 ) -> effects.Effect:
     worker_id, kept = next(iter(gang.claims.items()))
     worker = shard.workers[worker_id]
@@ -261,7 +264,7 @@
 
 
 def regroup(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Stops what runs of a gang that is incomplete, to start over together.
 
@@ -280,7 +283,7 @@
             yield attempts.ask_to_stop(shard, attempt, "gang member lost")
 
 
-def disband(shard: state.ShardState, record: state.JobRecord) -> None:
+def disband(shard: state.ShardState, record: records.JobRecord) -> None:
     """Gives back all room that a gang still keeps."""
     gang = record.gang
     if gang is None:
@@ -299,7 +302,7 @@
 
 def make_way(
     shard: state.ShardState,
-    workspace: state.WorkspaceRecord,
+    workspace: records.WorkspaceRecord,
     need: resources.Resources,
 ) -> bool:
     """Gives up a gang's reservation when urgent work needs its limit.
--- a/packages/core/hickoryreach/decisions/intake.py
+++ b/packages/core/hickoryreach/decisions/intake.py
@@ -7,6 +7,7 @@
 from hickoryreach.decisions import events
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import outcomes
+from hickoryreach.decisions import records
 from hickoryreach.decisions import retries
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -48,9 +49,11 @@
     retries.resume(shard, record)
 
 
-def _add(shard: state.ShardState, job: jobs.Job, entry: str) -> state.JobRecord:
+def _add(
+    shard: state.ShardState, job: jobs.Job, entry: str
+) -> records.JobRecord:
     shard.sequence += 1
-    record = state.JobRecord(
+    record = records.JobRecord(
         job=job,
         entry=entry,
         sequence=shard.sequence,
@@ -94,7 +97,9 @@
     retries.resume(shard, record)
 
 
-def _take_progress(record: state.JobRecord, event: events.JobRestored) -> None:
+def _take_progress(
+    record: records.JobRecord, event: events.JobRestored
+) -> None:
     job = event.job
     record.done = set(event.done)
     record.failed = set(event.failed) - record.done
@@ -115,7 +120,7 @@
     record.doubtful = job.idempotent
 
 
-def _count_doubt(shard: state.ShardState, record: state.JobRecord) -> None:
+def _count_doubt(shard: state.ShardState, record: records.JobRecord) -> None:
     count = len(record.unclear)
     if record.job.idempotent:
         count += len(record.waiting)
@@ -125,7 +130,7 @@
 
 
 def _finish(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     if record.state.is_final:
         return
@@ -139,7 +144,7 @@
 
 @timers.handlers.register("timeout")
 def time_out(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Gives up a job that still waits at its timeout."""
     yield from outcomes.expire(shard, record)
--- a/packages/core/hickoryreach/decisions/ledger.py
+++ b/packages/core/hickoryreach/decisions/ledger.py
@@ -3,6 +3,7 @@
 from hickoryreach.decisions import capacity
 from hickoryreach.decisions import limits
 from hickoryreach.decisions import ordering
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
@@ -11,11 +12,13 @@
 OFFER_ALL_LIMIT = 256
 
 
-def get_workspace(shard: state.ShardState, name: str) -> state.WorkspaceRecord:
+def get_workspace(
+    shard: state.ShardState, name: str
+) -> records.WorkspaceRecord:
     """Returns a workspace; one that has no plan may start nothing."""
     record = shard.workspaces.get(name)
     if record is None:
-        record = state.WorkspaceRecord(
+        record = records.WorkspaceRecord(
             entitlement=workspaces.Entitlement(workspace=name), allowed=False
         )
         shard.workspaces[name] = record
@@ -24,8 +27,8 @@
 
 def hold(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
 ) -> None:
     """Sets aside what an attempt holds."""
     worker.attempts[attempt.key] = attempt
@@ -39,7 +42,7 @@
     refresh(shard, worker)
 
 
-def release(shard: state.ShardState, attempt: state.Attempt) -> None:
+def release(shard: state.ShardState, attempt: records.Attempt) -> None:
     """Gives back what an attempt held, once."""
     worker = shard.workers.get(attempt.worker_id)
     if worker is None or worker.attempts.pop(attempt.key, None) is None:
@@ -60,8 +63,8 @@
 
 def resize(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
     held: resources.Resources,
 ) -> None:
     """Changes what an attempt holds."""
@@ -77,8 +80,8 @@
 
 def fix(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
 ) -> None:
     """Marks an attempt as one that urgent work can no longer displace."""
     if attempt.preemptible:
@@ -90,7 +93,7 @@
 
 
 def claim(
-    shard: state.ShardState, worker: state.WorkerRecord, kept: state.Claim
+    shard: state.ShardState, worker: records.WorkerRecord, kept: records.Claim
 ) -> None:
     """Keeps room on a worker for one job."""
     worker.claims.append(kept)
@@ -99,7 +102,7 @@
 
 
 def unclaim(
-    shard: state.ShardState, kept: state.Claim, count: int | None = None
+    shard: state.ShardState, kept: records.Claim, count: int | None = None
 ) -> None:
     """Gives up room kept for `count` tasks, or all of it."""
     count = kept.count if count is None else count
@@ -130,7 +133,9 @@
         promote(shard, workspace)
 
 
-def promote(shard: state.ShardState, workspace: state.WorkspaceRecord) -> None:
+def promote(
+    shard: state.ShardState, workspace: records.WorkspaceRecord
+) -> None:
     """Puts a workspace forward whose use fell or whose entitlement rose."""
     for queue in list(workspace.parked.values()):
         if limits.has_room(workspace, queue.lane.need):
@@ -143,7 +148,7 @@
         ordering.activate(shard, gathering.gang.lane)
 
 
-def refresh(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def refresh(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     """Brings the indexes up to date with one worker."""
     was_open = worker.open
     before = worker.available
@@ -159,7 +164,7 @@
         offer(shard, worker)
 
 
-def _is_open(worker: state.WorkerRecord) -> bool:
+def _is_open(worker: records.WorkerRecord) -> bool:
     if not worker.reachable or worker.worker.departing or worker.unidentified:
         return False
     if worker.probing:
@@ -168,7 +173,7 @@
 
 
 def _index(
-    shard: state.ShardState, worker: state.WorkerRecord, worker_id: str
+    shard: state.ShardState, worker: records.WorkerRecord, worker_id: str
 ) -> None:
     shard.free.put(worker_id, worker, worker.available)
     if worker.reclaimable == resources.ZERO:
@@ -188,7 +193,7 @@
         pool.put(worker_id, score, worker.turn, worker.worker.capacity.slots)
 
 
-def remove(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def remove(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     """Takes a worker out of the indexes."""
     worker_id = worker.worker.worker_id
     worker.open = False
@@ -199,7 +204,7 @@
         pool.remove(worker_id)
 
 
-def offer(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def offer(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     """Tells lanes without room of a worker that has gained some."""
     worker_id = worker.worker.worker_id
     wary = worker.probing and worker.suspect
@@ -223,7 +228,7 @@
 
 
 def add_waiting(
-    shard: state.ShardState, record: state.JobRecord, count: int
+    shard: state.ShardState, record: records.JobRecord, count: int
 ) -> None:
     """Counts tasks that begin, or with a negative count cease, to wait."""
     workspace = get_workspace(shard, record.job.workspace)
--- a/packages/core/hickoryreach/decisions/limits.py
+++ b/packages/core/hickoryreach/decisions/limits.py
@@ -1,11 +1,11 @@
 """Upper limits of workspaces."""
 
-from hickoryreach.decisions import state
+from hickoryreach.decisions import records
 from hickoryreach.structure import resources
 
 
 def has_room(
-    workspace: state.WorkspaceRecord, need: resources.Resources
+    workspace: records.WorkspaceRecord, need: resources.Resources
 ) -> bool:
     """Returns whether the workspace may have `need` more running.
 
@@ -47,7 +47,7 @@
 
 
 def can_ever_hold(
-    workspace: state.WorkspaceRecord, need: resources.Resources
+    workspace: records.WorkspaceRecord, need: resources.Resources
 ) -> bool:
     """Returns whether `need` alone keeps within the limit of the fleet."""
     entitlement = workspace.entitlement
--- a/packages/core/hickoryreach/decisions/matching.py
+++ b/packages/core/hickoryreach/decisions/matching.py
@@ -11,6 +11,7 @@
 
 from hickoryreach.decisions import ordering
 from hickoryreach.decisions import quarantine
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 
 LANES_IN_ORDER = 48
@@ -33,8 +34,8 @@
 
 
 def _find_lane(
-    shard: state.ShardState, pool: str, worker: state.WorkerRecord
-) -> state.Lane | None:
+    shard: state.ShardState, pool: str, worker: records.WorkerRecord
+) -> records.Lane | None:
     passed = []
     found = None
     for _ in range(LANES_IN_ORDER):
@@ -53,8 +54,8 @@
 
 
 def _list_by_size(
-    shard: state.ShardState, pool: str, worker: state.WorkerRecord
-) -> Iterator[state.Lane]:
+    shard: state.ShardState, pool: str, worker: records.WorkerRecord
+) -> Iterator[records.Lane]:
     lanes = shard.blocked[pool]
     room = worker.available.cpu_millis
     largest = lanes.irange_key(None, room, reverse=True)
@@ -67,7 +68,7 @@
             yield lane
 
 
-def _is_fit(lane: state.Lane, worker: state.WorkerRecord) -> bool:
+def _is_fit(lane: records.Lane, worker: records.WorkerRecord) -> bool:
     return (
         not lane.candidates
         and bool(lane.queues or lane.gang)
--- a/packages/core/hickoryreach/decisions/ordering.py
+++ b/packages/core/hickoryreach/decisions/ordering.py
@@ -12,6 +12,7 @@
 import heapq
 
 from hickoryreach.decisions import estimates
+from hickoryreach.decisions import records
 from hickoryreach.decisions import registry
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
@@ -32,7 +33,7 @@
         ranked: Whether urgent work and requests go before the rest.
     """
 
-    get_key: Callable[[state.JobQueue], float]
+    get_key: Callable[[records.JobQueue], float]
     ranked: bool
 
 
@@ -41,15 +42,15 @@
 )
 
 
-def _get_arrival(queue: state.JobQueue) -> float:
+def _get_arrival(queue: records.JobQueue) -> float:
     return queue.jobs[0][0] if queue.jobs else 0.0
 
 
-def _get_weighted_part(queue: state.JobQueue) -> float:
+def _get_weighted_part(queue: records.JobQueue) -> float:
     return get_part(queue.workspace)
 
 
-def get_part(workspace: state.WorkspaceRecord) -> float:
+def get_part(workspace: records.WorkspaceRecord) -> float:
     """Returns the part of the cell in use, divided by the share."""
     return workspace.part / workspace.entitlement.share
 
@@ -74,7 +75,7 @@
     return job.urgent or not job.idempotent
 
 
-def enqueue(shard: state.ShardState, record: state.JobRecord) -> None:
+def enqueue(shard: state.ShardState, record: records.JobRecord) -> None:
     """Puts a job with waiting tasks into its queue."""
     if record.on_hold or not record.waiting or record.state.is_final:
         return
@@ -88,7 +89,7 @@
         push(shard, record.queue)
 
 
-def push(shard: state.ShardState, queue: state.JobQueue) -> None:
+def push(shard: state.ShardState, queue: records.JobQueue) -> None:
     """Makes a queue known to its lane under its present key."""
     key = orderings.find(shard.settings.ordering).get_key(queue)
     if queue.pushed is None or key < queue.pushed:
@@ -98,7 +99,7 @@
     activate(shard, queue.lane)
 
 
-def activate(shard: state.ShardState, lane: state.Lane) -> None:
+def activate(shard: state.ShardState, lane: records.Lane) -> None:
     """Puts a lane that may have room into the order."""
     key = _get_lane_key(shard, lane)
     if key is None:
@@ -110,14 +111,14 @@
         _push_lane(shard, lane, key)
 
 
-def _get_lane_key(shard: state.ShardState, lane: state.Lane) -> float | None:
+def _get_lane_key(shard: state.ShardState, lane: records.Lane) -> float | None:
     """Returns a lower bound of the key of a lane's first queue, if any."""
     if lane.gang is not None:
         return _get_gang_key(shard, lane)
     return lane.queues[0][0] if lane.queues else None
 
 
-def push_blocked(shard: state.ShardState, lane: state.Lane) -> None:
+def push_blocked(shard: state.ShardState, lane: records.Lane) -> None:
     """Puts a blocked lane into the order of its pool's blocked lanes."""
     key = _get_lane_key(shard, lane)
     if not lane.blocked or key is None:
@@ -131,7 +132,7 @@
         )
 
 
-def pop_blocked(shard: state.ShardState, pool: str) -> state.Lane | None:
+def pop_blocked(shard: state.ShardState, pool: str) -> records.Lane | None:
     """Takes the blocked lane of a pool that goes first out of the order."""
     heap = shard.blocked_order.get(pool)
     while heap:
@@ -148,12 +149,12 @@
     return None
 
 
-def _get_gang_key(shard: state.ShardState, lane: state.Lane) -> float:
+def _get_gang_key(shard: state.ShardState, lane: records.Lane) -> float:
     workspace = shard.workspaces[lane.gang.job.workspace]
     return get_part(workspace)
 
 
-def _push_lane(shard: state.ShardState, lane: state.Lane, key: float) -> None:
+def _push_lane(shard: state.ShardState, lane: records.Lane, key: float) -> None:
     lane.pushed = key
     shard.sequence += 1
     heapq.heappush(shard.order, (lane.priority, key, shard.sequence, lane))
@@ -161,7 +162,7 @@
 
 def next_lane(
     shard: state.ShardState,
-) -> tuple[state.Lane, state.JobQueue | None] | None:
+) -> tuple[records.Lane, records.JobQueue | None] | None:
     """Returns the lane and queue to consider next, or None.
 
     A lane in which a gang gathers has no queue.
@@ -192,14 +193,14 @@
     return None
 
 
-def _retract(shard: state.ShardState, lane: state.Lane) -> None:
+def _retract(shard: state.ShardState, lane: records.Lane) -> None:
     heapq.heappop(shard.order)
     lane.pushed = None
 
 
 def get_head(
-    shard: state.ShardState, lane: state.Lane
-) -> state.JobQueue | None:
+    shard: state.ShardState, lane: records.Lane
+) -> records.JobQueue | None:
     """Returns the queue of a lane that goes first, or None."""
     get_key = orderings.find(shard.settings.ordering).get_key
     while lane.queues:
@@ -221,7 +222,7 @@
     return None
 
 
-def _trim(queue: state.JobQueue) -> bool:
+def _trim(queue: records.JobQueue) -> bool:
     for _ in range(TRIM_LIMIT):
         if not queue.jobs:
             return False
@@ -233,7 +234,7 @@
     return bool(queue.jobs)
 
 
-def get_job(queue: state.JobQueue) -> state.JobRecord | None:
+def get_job(queue: records.JobQueue) -> records.JobRecord | None:
     """Returns the first job of a queue when it has tasks to start."""
     if not queue.jobs:
         return None
@@ -243,21 +244,21 @@
     return None
 
 
-def park(queue: state.JobQueue) -> None:
+def park(queue: records.JobQueue) -> None:
     """Sets a queue aside until its workspace's limit has room."""
     queue.parked = True
     queue.pushed = None
     queue.workspace.parked[queue.key] = queue
 
 
-def unpark(shard: state.ShardState, queue: state.JobQueue) -> None:
+def unpark(shard: state.ShardState, queue: records.JobQueue) -> None:
     """Takes a queue back into its lane."""
     queue.parked = False
     queue.workspace.parked.pop(queue.key, None)
     push(shard, queue)
 
 
-def _find_queue(shard: state.ShardState, job: jobs.Job) -> state.JobQueue:
+def _find_queue(shard: state.ShardState, job: jobs.Job) -> records.JobQueue:
     workspace = shard.workspaces[job.workspace]
     careful = is_careful(job)
     key = (job.command, job.need, job.kind, careful, job.urgent, job.service)
@@ -266,7 +267,7 @@
         return queue
     profile = estimates.get_profile(shard, job)
     need = estimates.get_size(shard, workspace, profile, job)
-    queue = state.JobQueue(
+    queue = records.JobQueue(
         key=key,
         workspace=workspace,
         lane=_find_lane(shard, job, need),
@@ -279,13 +280,13 @@
     return queue
 
 
-def _find_lane(shard, job: jobs.Job, need) -> state.Lane:
+def _find_lane(shard, job: jobs.Job, need) -> records.Lane:
     priority = get_priority(shard, job)
     careful = is_careful(job)
     key = (job.service, job.kind, careful, priority, need)
     lane = shard.lanes.get(key)
     if lane is None:
-        lane = state.Lane(
+        lane = records.Lane(
             key=key,
             need=need,
             pool=job.service,
@@ -297,7 +298,7 @@
     return lane
 
 
-def _retire(shard: state.ShardState, queue: state.JobQueue) -> None:
+def _retire(shard: state.ShardState, queue: records.JobQueue) -> None:
     queue.pushed = None
     queue.workspace.queues.pop(queue.key, None)
     queue.workspace.parked.pop(queue.key, None)
@@ -305,14 +306,14 @@
     _leave_lane(shard, queue.lane)
 
 
-def _leave_lane(shard: state.ShardState, lane: state.Lane) -> None:
+def _leave_lane(shard: state.ShardState, lane: records.Lane) -> None:
     lane.size -= 1
     if lane.size == 0:
         unblock(shard, lane)
         shard.lanes.pop(lane.key, None)
 
 
-def resize(shard: state.ShardState, queue: state.JobQueue) -> None:
+def resize(shard: state.ShardState, queue: records.JobQueue) -> None:
     """Moves a queue to the lane of the size now learned for it."""
     if not queue.jobs:
         return
@@ -338,7 +339,7 @@
     shard.resized.clear()
 
 
-def block(shard: state.ShardState, lane: state.Lane) -> None:
+def block(shard: state.ShardState, lane: records.Lane) -> None:
     """Notes that no worker has room for a lane's tasks."""
     lane.candidates.clear()
     if lane.blocked:
@@ -350,7 +351,7 @@
     push_blocked(shard, lane)
 
 
-def unblock(shard: state.ShardState, lane: state.Lane) -> None:
+def unblock(shard: state.ShardState, lane: records.Lane) -> None:
     """Lets a lane search all workers again."""
     lane.candidates.clear()
     if lane.blocked:
@@ -358,7 +359,7 @@
         shard.blocked[lane.pool].remove(lane)
 
 
-def offer(shard: state.ShardState, lane: state.Lane, worker_id: str) -> None:
+def offer(shard: state.ShardState, lane: records.Lane, worker_id: str) -> None:
     """Tells a blocked lane of a worker that gained room."""
     lane.candidates[worker_id] = None
     if len(lane.candidates) > CANDIDATE_LIMIT:
--- a/packages/core/hickoryreach/decisions/outcomes.py
+++ b/packages/core/hickoryreach/decisions/outcomes.py
@@ -7,6 +7,7 @@
 from hickoryreach.decisions import events
 from hickoryreach.decisions import gangs
 from hickoryreach.decisions import ledger
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import retries
 from hickoryreach.decisions import state
@@ -16,7 +17,7 @@
 
 def end(
     shard: state.ShardState,
-    attempt: state.Attempt,
+    attempt: records.Attempt,
     event: events.TaskEnded,
     *,
     lost: bool = False,
@@ -43,7 +44,7 @@
     yield from settle(shard, record, event, blameless=blameless)
 
 
-def drop_stray(shard: state.ShardState, attempt: state.Attempt) -> None:
+def drop_stray(shard: state.ShardState, attempt: records.Attempt) -> None:
     """Frees what a task held that belongs to no live attempt."""
     ledger.release(shard, attempt)
     group = shard.strays.get(attempt.key.job_id)
@@ -57,7 +58,7 @@
 
 
 def note_ran(
-    record: state.JobRecord, result: jobs.TaskResult, started: bool
+    record: records.JobRecord, result: jobs.TaskResult, started: bool
 ) -> None:
     """Notes whether an attempt that ended so has run."""
     if result is jobs.TaskResult.NOT_RUN:
@@ -70,7 +71,7 @@
 
 def settle(
     shard: state.ShardState,
-    record: state.JobRecord,
+    record: records.JobRecord,
     event: events.TaskEnded,
     *,
     blameless: bool,
@@ -94,7 +95,7 @@
 
 
 def _settle_for_good(
-    shard: state.ShardState, record: state.JobRecord, event: events.TaskEnded
+    shard: state.ShardState, record: records.JobRecord, event: events.TaskEnded
 ) -> Iterator[effects.Effect]:
     index = event.key.index
     result = _get_settled(record.job, event.result)
@@ -119,7 +120,7 @@
 
 
 def finish_if_settled(
-    shard: state.ShardState, record: state.JobRecord, event: events.TaskEnded
+    shard: state.ShardState, record: records.JobRecord, event: events.TaskEnded
 ) -> Iterator[effects.Effect]:
     """Ends a job whose every task is settled."""
     if len(record.done) + len(record.failed) < record.job.tasks:
@@ -144,7 +145,7 @@
 
 def finish(
     shard: state.ShardState,
-    record: state.JobRecord,
+    record: records.JobRecord,
     final: jobs.JobState,
     *,
     reason: str = "",
@@ -178,7 +179,7 @@
     )
 
 
-def clear_doubt(shard: state.ShardState, record: state.JobRecord) -> None:
+def clear_doubt(shard: state.ShardState, record: records.JobRecord) -> None:
     """No longer counts what an earlier owner may have left running."""
     if record.doubt == resources.ZERO:
         return
@@ -188,7 +189,7 @@
     ledger.promote(shard, workspace)
 
 
-def reduce_doubt(shard: state.ShardState, record: state.JobRecord) -> None:
+def reduce_doubt(shard: state.ShardState, record: records.JobRecord) -> None:
     """Counts one attempt less as possibly left by an earlier owner."""
     need = record.job.need
     if not need.fits_in(record.doubt):
@@ -198,7 +199,7 @@
     workspace.doubt = workspace.doubt - need
 
 
-def _leave_wave(shard: state.ShardState, record: state.JobRecord) -> None:
+def _leave_wave(shard: state.ShardState, record: records.JobRecord) -> None:
     job = record.job
     members = shard.waves.get((job.workspace, job.wave))
     if members is not None:
@@ -208,7 +209,7 @@
 
 
 def expire(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Gives up a job that waits past its timeout without a live attempt."""
     job = record.job
--- a/packages/core/hickoryreach/decisions/overruns.py
+++ b/packages/core/hickoryreach/decisions/overruns.py
@@ -6,14 +6,15 @@
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import limits
 from hickoryreach.decisions import preemption
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import resources
 
 
 def check(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
 ) -> Iterator[effects.Effect]:
     """Grows what an attempt holds to its use, or curbs the use.
 
@@ -44,7 +45,7 @@
 
 
 def _get_credible_use(
-    worker: state.WorkerRecord, attempt: state.Attempt
+    worker: records.WorkerRecord, attempt: records.Attempt
 ) -> resources.Resources:
     capacity = worker.worker.capacity
     return resources.Resources(
@@ -55,8 +56,8 @@
 
 def _free_memory(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
     growth: resources.Resources,
 ) -> Iterator[effects.Effect]:
     if attempt.preemptible:
--- a/packages/core/hickoryreach/decisions/placement.py
+++ b/packages/core/hickoryreach/decisions/placement.py
@@ -13,6 +13,7 @@
 from hickoryreach.decisions import ordering
 from hickoryreach.decisions import preemption
 from hickoryreach.decisions import quarantine
+from hickoryreach.decisions import records
 from hickoryreach.decisions import registry
 from hickoryreach.decisions import requests
 from hickoryreach.decisions import services
@@ -21,8 +22,8 @@
 from hickoryreach.structure import resources
 
 Fit = Callable[
-    [state.ShardState, state.Lane, state.JobRecord],
-    state.WorkerRecord | None,
+    [state.ShardState, records.Lane, records.JobRecord],
+    records.WorkerRecord | None,
 ]
 
 ACCELERATOR_COST = 10.0
@@ -67,7 +68,7 @@
 
 
 def _place_next(
-    shard: state.ShardState, lane: state.Lane, queue: state.JobQueue
+    shard: state.ShardState, lane: records.Lane, queue: records.JobQueue
 ) -> Iterator[effects.Effect]:
     record = ordering.get_job(queue)
     if record is None:
@@ -88,7 +89,7 @@
 
 
 def _park(
-    shard: state.ShardState, lane: state.Lane, queue: state.JobQueue
+    shard: state.ShardState, lane: records.Lane, queue: records.JobQueue
 ) -> None:
     ordering.park(queue)
     if lane.priority == ordering.URGENT:
@@ -98,8 +99,8 @@
 
 def _is_allowed(
     shard: state.ShardState,
-    lane: state.Lane,
-    workspace: state.WorkspaceRecord,
+    lane: records.Lane,
+    workspace: records.WorkspaceRecord,
 ) -> bool:
     if limits.has_room(workspace, lane.need):
         return True
@@ -109,8 +110,8 @@
 
 
 def _choose(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
-) -> state.WorkerRecord | None:
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
+) -> records.WorkerRecord | None:
     if lane.blocked:
         return _choose_candidate(shard, lane, record)
     if record.job.kind is jobs.Kind.SERVICE:
@@ -121,9 +122,9 @@
 
 
 def _choose_candidate(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
-) -> state.WorkerRecord | None:
-    fitting: list[state.WorkerRecord] = []
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
+) -> records.WorkerRecord | None:
+    fitting: list[records.WorkerRecord] = []
     for worker_id in list(lane.candidates):
         worker = shard.workers.get(worker_id)
         if (
@@ -141,12 +142,12 @@
     return min(fitting, key=lambda each: score_fit(each, lane.need))
 
 
-def get_available(worker: state.WorkerRecord) -> resources.Resources:
+def get_available(worker: records.WorkerRecord) -> resources.Resources:
     """Returns the room for new tasks on a worker."""
     return worker.available
 
 
-def score_fit(worker: state.WorkerRecord, need: resources.Resources) -> float:
+def score_fit(worker: records.WorkerRecord, need: resources.Resources) -> float:
     """Returns how much a task would leave unused on a worker, and how skewed.
 
     The lowest score is the best fit.
@@ -165,8 +166,8 @@
 
 @fits.register("best_fit")
 def find_best_fit(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
-) -> state.WorkerRecord | None:
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
+) -> records.WorkerRecord | None:
     """Returns the worker whose remaining room a task fits best."""
     need = lane.need
     best = None
@@ -183,8 +184,8 @@
 
 @fits.register("first_fit")
 def find_first_fit(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
-) -> state.WorkerRecord | None:
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
+) -> records.WorkerRecord | None:
     """Returns the first worker to have joined that has room."""
     for worker in shard.workers.values():
         if worker.open and lane.need.fits_in(worker.available):
--- a/packages/core/hickoryreach/decisions/preemption.py
+++ b/packages/core/hickoryreach/decisions/preemption.py
@@ -9,6 +9,7 @@
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import limits
 from hickoryreach.decisions import ordering
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -49,7 +50,7 @@
             return
 
 
-def _get_lane(record: state.JobRecord) -> state.Lane | None:
+def _get_lane(record: records.JobRecord) -> records.Lane | None:
     if record.state.is_final:
         return None
     if record.gang is not None:
@@ -57,13 +58,13 @@
     return record.queue.lane if record.queue is not None else None
 
 
-def _lacks_room(record: state.JobRecord) -> bool:
+def _lacks_room(record: records.JobRecord) -> bool:
     gathered = record.gang.gathered if record.gang is not None else 0
     return len(record.waiting) > len(record.claims) + gathered
 
 
 def _displace(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     workspace = ledger.get_workspace(shard, record.job.workspace)
     if record.gang is None and not limits.has_room(workspace, lane.need):
@@ -80,8 +81,8 @@
 
 
 def _choose_cheapest(
-    shard: state.ShardState, lane: state.Lane
-) -> tuple[state.WorkerRecord, list[state.Attempt]] | None:
+    shard: state.ShardState, lane: records.Lane
+) -> tuple[records.WorkerRecord, list[records.Attempt]] | None:
     options = []
     found = shard.reclaim.search(lane.need, _get_reclaimable_room)
     for worker in itertools.islice(found, WORKERS_COMPARED):
@@ -98,21 +99,21 @@
 
 
 def _get_reclaimable_room(
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
 ) -> resources.Resources:
     return worker.available + worker.reclaimable
 
 
-def get_cost(shard: state.ShardState, attempt: state.Attempt) -> int:
+def get_cost(shard: state.ShardState, attempt: records.Attempt) -> int:
     """Returns the work lost by stopping an attempt, in core-microseconds."""
     return (shard.now_ms - attempt.placed_ms + 1) * attempt.held.cpu_millis
 
 
 def pick_victims(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
     need: resources.Resources,
-) -> list[state.Attempt]:
+) -> list[records.Attempt]:
     """Returns the cheapest attempts whose end makes room, if any do."""
     candidates = sorted(
         (each for each in worker.attempts.values() if each.preemptible),
@@ -136,8 +137,8 @@
 
 def _stop(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
 ) -> Iterator[effects.Effect]:
     ledger.fix(shard, worker, attempt)
     attempt.preempted = True
@@ -154,8 +155,8 @@
 
 def displace(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
 ) -> Iterator[effects.Effect]:
     """Checkpoints one preemptible attempt to free what it holds."""
     yield from _stop(shard, worker, attempt)
@@ -176,7 +177,7 @@
 
 
 def _yield_limit(
-    shard: state.ShardState, queue: state.JobQueue
+    shard: state.ShardState, queue: records.JobQueue
 ) -> Iterator[effects.Effect]:
     workspace = queue.workspace
     if ordering.get_job(queue) is None:
@@ -199,7 +200,7 @@
 
 @timers.handlers.register("checkpoint")
 def stop_unfinished(
-    shard: state.ShardState, attempt: state.Attempt
+    shard: state.ShardState, attempt: records.Attempt
 ) -> Iterator[effects.Effect]:
     """Stops an attempt that is not gone yet, and asks again until it is."""
     worker = shard.workers.get(attempt.worker_id)
@@ -211,7 +212,7 @@
 
 @timers.handlers.register("claim")
 def give_up(
-    shard: state.ShardState, kept: state.Claim
+    shard: state.ShardState, kept: records.Claim
 ) -> Iterator[effects.Effect]:
     """Gives up room that was not made in time."""
     record = kept.record
@@ -241,7 +242,7 @@
             yield attempts.place(shard, record, worker, kept.need)
 
 
-def _get_room(worker: state.WorkerRecord) -> resources.Resources:
+def _get_room(worker: records.WorkerRecord) -> resources.Resources:
     room = worker.free
     for kept in worker.claims:
         if not kept.pending:
--- a/packages/core/hickoryreach/decisions/probes.py
+++ b/packages/core/hickoryreach/decisions/probes.py
@@ -12,6 +12,7 @@
 from hickoryreach.decisions import estimates
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import limits
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
@@ -23,8 +24,8 @@
 
 def check(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    attempt: records.Attempt,
     job: jobs.Job,
 ) -> Iterator[effects.Effect]:
     """Raises the cap of an attempt that may want more."""
@@ -53,14 +54,14 @@
     )
 
 
-def is_at_cap(attempt: state.Attempt) -> bool:
+def is_at_cap(attempt: records.Attempt) -> bool:
     """Returns whether an attempt uses all the processor time it may."""
     held = attempt.held.cpu_millis
     return held > 0 and attempt.used.cpu_millis * 100 >= held * AT_CAP_PERCENT
 
 
 def note_overrun(
-    shard: state.ShardState, attempt: state.Attempt, job: jobs.Job
+    shard: state.ShardState, attempt: records.Attempt, job: jobs.Job
 ) -> None:
     """Notes that a command is not held back where it uses more than given."""
     if attempt.used.cpu_millis > attempt.held.cpu_millis:
@@ -68,7 +69,7 @@
 
 
 def note_use(
-    shard: state.ShardState, attempt: state.Attempt, job: jobs.Job
+    shard: state.ShardState, attempt: records.Attempt, job: jobs.Job
 ) -> None:
     """Takes in what an attempt with a raised cap uses."""
     profile = estimates.get_profile(shard, job)
@@ -82,7 +83,7 @@
 
 def note_end(
     shard: state.ShardState,
-    attempt: state.Attempt,
+    attempt: records.Attempt,
     job: jobs.Job,
     used: resources.Resources,
 ) -> None:
--- a/packages/core/hickoryreach/decisions/quarantine.py
+++ b/packages/core/hickoryreach/decisions/quarantine.py
@@ -5,6 +5,7 @@
 from hickoryreach.decisions import effects
 from hickoryreach.decisions import estimates
 from hickoryreach.decisions import ledger
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -21,7 +22,7 @@
 
 def note_end(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
+    worker: records.WorkerRecord,
     job: jobs.Job,
     key: jobs.TaskKey,
     result: jobs.TaskResult,
@@ -58,7 +59,7 @@
     return len(names) - (worker_id in names)
 
 
-def get_blame(worker: state.WorkerRecord) -> float:
+def get_blame(worker: records.WorkerRecord) -> float:
     """Returns how many failures in a row speak against a worker.
 
     A failure of a command that fails on more other workers than it succeeds
@@ -76,7 +77,7 @@
     return blame
 
 
-def _judge(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def _judge(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     if not shard.settings.quarantining:
         return
     blame = get_blame(worker)
@@ -87,7 +88,7 @@
         _set_aside(shard, worker)
 
 
-def _set_aside(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def _set_aside(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     if worker.quarantined_until_ms:
         return
     settings = shard.settings
@@ -106,7 +107,7 @@
     timers.schedule(shard, worker.quarantined_until_ms, "probe", worker)
 
 
-def _clear(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def _clear(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     if not worker.strikes and not worker.quarantines:
         return
     worker.strikes.clear()
@@ -120,7 +121,7 @@
 
 @timers.handlers.register("probe")
 def probe(
-    shard: state.ShardState, worker: state.WorkerRecord
+    shard: state.ShardState, worker: records.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Lets a worker in quarantine have one task at a time."""
     if _is_member(shard, worker):
@@ -135,7 +136,7 @@
 
 @timers.handlers.register("suspicion")
 def end_suspicion(
-    shard: state.ShardState, worker: state.WorkerRecord
+    shard: state.ShardState, worker: records.WorkerRecord
 ) -> Iterator[effects.Effect]:
     """Lets any task be the one that a worker is probed with."""
     if _is_member(shard, worker) and worker.probing and worker.suspect:
@@ -145,10 +146,10 @@
     yield from ()
 
 
-def _is_member(shard: state.ShardState, worker: state.WorkerRecord) -> bool:
+def _is_member(shard: state.ShardState, worker: records.WorkerRecord) -> bool:
     return shard.workers.get(worker.worker.worker_id) is worker
 
 
-def is_trusted(worker: state.WorkerRecord, lane: state.Lane) -> bool:
+def is_trusted(worker: records.WorkerRecord, lane: records.Lane) -> bool:
     """Returns whether a worker may get the tasks of a lane."""
     return not (worker.probing and worker.suspect and lane.careful)
--- a/packages/core/hickoryreach/decisions/reducer.py
+++ b/packages/core/hickoryreach/decisions/reducer.py
@@ -16,6 +16,7 @@
 from hickoryreach.decisions import placement
 from hickoryreach.decisions import probes
 from hickoryreach.decisions import quarantine
+from hickoryreach.decisions import records
 from hickoryreach.decisions import registry
 from hickoryreach.decisions import starvation
 from hickoryreach.decisions import state
@@ -176,9 +177,9 @@
 
 def _learn(
     shard: state.ShardState,
-    worker: state.WorkerRecord,
-    record: state.JobRecord,
-    attempt: state.Attempt,
+    worker: records.WorkerRecord,
+    record: records.JobRecord,
+    attempt: records.Attempt,
     event: events.TaskEnded,
 ) -> None:
     if not attempt.stopping:
--- a/packages/core/hickoryreach/decisions/requests.py
+++ b/packages/core/hickoryreach/decisions/requests.py
@@ -1,12 +1,13 @@
 """Choice of a minion for a request."""
 
 from hickoryreach.decisions import quarantine
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 
 
 def choose(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
-) -> state.WorkerRecord | None:
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
+) -> records.WorkerRecord | None:
     """Returns the worker whose minion has the most free slots.
 
     Failures since the last success count as taken slots; of equals, the one
--- a/packages/core/hickoryreach/decisions/reservations.py
+++ b/packages/core/hickoryreach/decisions/reservations.py
@@ -2,14 +2,15 @@
 
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import ordering
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import resources
 
 
 def keep_for_gang(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     count: int,
 ) -> None:
     """Keeps room for `count` more tasks of a gang on a worker."""
@@ -20,7 +21,7 @@
     if previous is not None:
         total += previous.count
         ledger.unclaim(shard, previous)
-    kept = state.Claim(
+    kept = records.Claim(
         record=record, worker_id=worker_id, need=gang.need, count=total
     )
     gang.claims[worker_id] = kept
@@ -30,12 +31,12 @@
 
 def keep_for_task(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     need: resources.Resources,
-) -> state.Claim:
+) -> records.Claim:
     """Keeps room on a worker that other tasks are about to leave."""
-    kept = state.Claim(
+    kept = records.Claim(
         record=record,
         worker_id=worker.worker.worker_id,
         need=need,
@@ -50,7 +51,7 @@
     return kept
 
 
-def drop(shard: state.ShardState, kept: state.Claim) -> None:
+def drop(shard: state.ShardState, kept: records.Claim) -> None:
     """Gives up room kept, once."""
     if kept.pending:
         _drop_pending(shard, kept)
@@ -62,7 +63,7 @@
         ledger.unclaim(shard, kept)
 
 
-def _drop_pending(shard: state.ShardState, kept: state.Claim) -> None:
+def _drop_pending(shard: state.ShardState, kept: records.Claim) -> None:
     record = kept.record
     if kept not in record.claims:
         return
@@ -74,7 +75,7 @@
     ledger.unclaim(shard, kept)
 
 
-def drop_worker(shard: state.ShardState, worker: state.WorkerRecord) -> None:
+def drop_worker(shard: state.ShardState, worker: records.WorkerRecord) -> None:
     """Gives up all room kept on a worker that takes no more work."""
     for kept in list(worker.claims):
         drop(shard, kept)
@@ -86,7 +87,7 @@
             shard.lacking[record.job.job_id] = record
 
 
-def trim(shard: state.ShardState, record: state.JobRecord) -> None:
+def trim(shard: state.ShardState, record: records.JobRecord) -> None:
     """Gives up room for tasks that have started elsewhere."""
     while len(record.claims) > len(record.waiting):
         drop(shard, record.claims[-1])
--- a/packages/core/hickoryreach/decisions/retries.py
+++ b/packages/core/hickoryreach/decisions/retries.py
@@ -7,6 +7,7 @@
 from hickoryreach.decisions import gangs
 from hickoryreach.decisions import ledger
 from hickoryreach.decisions import ordering
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
 from hickoryreach.structure import jobs
@@ -27,7 +28,7 @@
     return job.kind is jobs.Kind.SERVICE
 
 
-def earn(shard: state.ShardState, record: state.JobRecord) -> None:
+def earn(shard: state.ShardState, record: records.JobRecord) -> None:
     """Adds a success to the repeats that a command may make."""
     profile = estimates.get_profile(shard, record.job)
     profile.tokens = min(
@@ -38,7 +39,7 @@
 
 def get_delay_ms(
     shard: state.ShardState,
-    record: state.JobRecord,
+    record: records.JobRecord,
     index: int,
     *,
     blameless: bool,
@@ -79,7 +80,7 @@
 
 def wait(
     shard: state.ShardState,
-    record: state.JobRecord,
+    record: records.JobRecord,
     index: int,
     delay_ms: int,
 ) -> None:
@@ -93,7 +94,7 @@
     timers.schedule(shard, shard.now_ms + delay_ms, "repeat", (record, index))
 
 
-def resume(shard: state.ShardState, record: state.JobRecord) -> None:
+def resume(shard: state.ShardState, record: records.JobRecord) -> None:
     """Puts a job with waiting tasks where it finds workers."""
     if record.job.kind is jobs.Kind.GANG:
         gangs.queue(shard, record)
@@ -103,7 +104,7 @@
 
 @timers.handlers.register("repeat")
 def repeat(
-    shard: state.ShardState, subject: tuple[state.JobRecord, int]
+    shard: state.ShardState, subject: tuple[records.JobRecord, int]
 ) -> Iterator[effects.Effect]:
     """Ends the delay of a task."""
     record, index = subject
--- a/packages/core/hickoryreach/decisions/services.py
+++ b/packages/core/hickoryreach/decisions/services.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 import heapq
 
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 
 DOMAINS_PER_SEARCH = 6
@@ -10,8 +11,8 @@
 
 
 def choose(
-    shard: state.ShardState, lane: state.Lane, record: state.JobRecord
-) -> state.WorkerRecord | None:
+    shard: state.ShardState, lane: records.Lane, record: records.JobRecord
+) -> records.WorkerRecord | None:
     """Returns a worker where the service has the fewest tasks nearby.
 
     Failure domains come first, then racks. After a bounded number of racks
@@ -39,7 +40,7 @@
 
 
 def rank(
-    record: state.JobRecord, worker: state.WorkerRecord
+    record: records.JobRecord, worker: records.WorkerRecord
 ) -> tuple[int, int]:
     """Returns how many of the job's tasks run near a worker."""
     domain = worker.worker.failure_domain
@@ -47,8 +48,8 @@
 
 
 def _find_in_rack(
-    lane: state.Lane, members: Iterable[state.WorkerRecord]
-) -> state.WorkerRecord | None:
+    lane: records.Lane, members: Iterable[records.WorkerRecord]
+) -> records.WorkerRecord | None:
     fitting = (
         worker
         for worker in members
@@ -61,5 +62,5 @@
     )
 
 
-def _get_available(worker: state.WorkerRecord):
+def _get_available(worker: records.WorkerRecord):
     return worker.available
--- a/packages/core/hickoryreach/decisions/shedding.py
+++ b/packages/core/hickoryreach/decisions/shedding.py
@@ -1,6 +1,7 @@
 """Early refusal of work that would wait too long."""
 
 from hickoryreach.decisions import estimates
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 
@@ -8,7 +9,7 @@
 
 
 def find_overload(
-    shard: state.ShardState, workspace: state.WorkspaceRecord, job: jobs.Job
+    shard: state.ShardState, workspace: records.WorkspaceRecord, job: jobs.Job
 ) -> str:
     """Returns why a job has to be refused now, or an empty text.
 
@@ -26,7 +27,7 @@
 
 
 def _find_request_overload(
-    shard: state.ShardState, workspace: state.WorkspaceRecord, job: jobs.Job
+    shard: state.ShardState, workspace: records.WorkspaceRecord, job: jobs.Job
 ) -> str:
     waiting = workspace.requests + 1
     if waiting > workspace.entitlement.queued_limit:
@@ -45,7 +46,7 @@
 
 def _find_crowding(
     shard: state.ShardState,
-    workspace: state.WorkspaceRecord,
+    workspace: records.WorkspaceRecord,
     total: int,
     waiting: int,
     limit: int,
--- a/packages/core/hickoryreach/decisions/starvation.py
+++ b/packages/core/hickoryreach/decisions/starvation.py
@@ -5,6 +5,7 @@
 
 from hickoryreach.decisions import limits
 from hickoryreach.decisions import ordering
+from hickoryreach.decisions import records
 from hickoryreach.decisions import reservations
 from hickoryreach.decisions import state
 from hickoryreach.decisions import timers
@@ -56,17 +57,17 @@
 
 def _keep(
     shard: state.ShardState,
-    record: state.JobRecord,
-    worker: state.WorkerRecord,
+    record: records.JobRecord,
+    worker: records.WorkerRecord,
     need: resources.Resources,
-) -> state.Claim:
+) -> records.Claim:
     kept = reservations.keep_for_task(shard, record, worker, need)
     due_ms = shard.now_ms + shard.settings.reservation_ms
     timers.schedule(shard, due_ms, "claim", kept)
     return kept
 
 
-def _list_starved(shard: state.ShardState) -> Iterator[state.Lane]:
+def _list_starved(shard: state.ShardState) -> Iterator[records.Lane]:
     horizon_ms = shard.now_ms - shard.settings.starvation_ms
     for lane in shard.lanes.values():
         if (
@@ -80,7 +81,7 @@
             yield lane
 
 
-def _help(shard: state.ShardState, lane: state.Lane) -> None:
+def _help(shard: state.ShardState, lane: records.Lane) -> None:
     queue = ordering.get_head(shard, lane)
     record = ordering.get_job(queue) if queue is not None else None
     if record is None or queue.pushed > shard.served_key:
@@ -102,8 +103,8 @@
 
 
 def _choose(
-    shard: state.ShardState, lane: state.Lane
-) -> state.WorkerRecord | None:
+    shard: state.ShardState, lane: records.Lane
+) -> records.WorkerRecord | None:
     """Returns the worker that lacks the least room, of the roomiest ones."""
     best = None
     least = 0.0
@@ -121,7 +122,7 @@
     return best
 
 
-def _get_lack(need: resources.Resources, worker: state.WorkerRecord) -> float:
+def _get_lack(need: resources.Resources, worker: records.WorkerRecord) -> float:
     room = worker.available
     size = worker.worker.capacity
     cpu = max(0, need.cpu_millis - room.cpu_millis) / (size.cpu_millis or 1)
--- a/packages/core/hickoryreach/decisions/upkeep.py
+++ b/packages/core/hickoryreach/decisions/upkeep.py
@@ -7,6 +7,7 @@
 from hickoryreach.decisions import matching
 from hickoryreach.decisions import ordering
 from hickoryreach.decisions import outcomes
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 
@@ -64,7 +65,7 @@
 
 
 def _end_lane(
-    shard: state.ShardState, lane: state.Lane
+    shard: state.ShardState, lane: records.Lane
 ) -> Iterator[effects.Effect]:
     queues = {id(queue): queue for _, _, queue in lane.queues}
     for queue in queues.values():
@@ -79,7 +80,7 @@
 
 
 def refuse(
-    shard: state.ShardState, record: state.JobRecord
+    shard: state.ShardState, record: records.JobRecord
 ) -> Iterator[effects.Effect]:
     """Ends a job that no worker can run any more."""
     if record.state.is_final:
--- a/packages/entry/hickoryreach_entry/owner/demands.py
+++ b/packages/entry/hickoryreach_entry/owner/demands.py
@@ -1,5 +1,6 @@
 """What a shard uses and needs of each workspace's upper limit."""
 
+from hickoryreach.decisions import records
 from hickoryreach.decisions import state
 from hickoryreach.structure import jobs
 from hickoryreach.structure import resources
@@ -17,7 +18,7 @@
     }
 
 
-def find_needed(record: state.WorkspaceRecord) -> resources.Resources:
+def find_needed(record: records.WorkspaceRecord) -> resources.Resources:
     """Returns the largest need among the work that is next in its queues."""
     needed = resources.ZERO
     for queue in record.queues.values():
--- a/packages/entry/hickoryreach_entry/owner/notices.py
+++ b/packages/entry/hickoryreach_entry/owner/notices.py
@@ -4,7 +4,7 @@
 import time
 
 from hickoryreach.decisions import effects
-from hickoryreach.decisions import state
+from hickoryreach.decisions import records as decision_records
 from hickoryreach.structure import jobs
 from hickoryreach.wire import messages
 from hickoryreach_entry.owner import image as journal_image
@@ -14,7 +14,7 @@
 NOT_FOUND = "not_found"
 
 
-def describe_record(record: state.JobRecord) -> messages.Notice:
+def describe_record(record: decision_records.JobRecord) -> messages.Notice:
     """Returns the notice for a job that the reducer holds."""
     return messages.Notice(
         job_id=record.job.job_id,
@@ -31,7 +31,7 @@
 
 
 def describe_change(
-    record: state.JobRecord | None, effect: effects.JobChanged
+    record: decision_records.JobRecord | None, effect: effects.JobChanged
 ) -> messages.Notice:
     """Returns the notice for a change of a job."""
     notice = (
@@ -124,7 +124,7 @@
 
 
 def build_finished(
-    record: state.JobRecord, effect: effects.JobChanged
+    record: decision_records.JobRecord, effect: effects.JobChanged
 ) -> records.JobFinished:
     """Returns the journal's record of a job's end."""
     answer, digest = shorten_answer(effect.answer)
