Split waiters and dispatches from the front

Router and API name the module that holds what they use; nothing is left behind for compatibility.

No behaviour and no check changes.

--- a/packages/entry/hickoryreach_entry/api/notices.py
+++ b/packages/entry/hickoryreach_entry/api/notices.py
@@ -5,7 +5,7 @@
 
 from hickoryreach.structure import jobs
 from hickoryreach.wire import messages
-from hickoryreach_entry import front
+from hickoryreach_entry import waiters
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import problems
 
@@ -22,7 +22,7 @@
 }
 
 
-def build_outcome(waiter: front.Waiter) -> answers.Outcome:
+def build_outcome(waiter: waiters.Waiter) -> answers.Outcome:
     """Returns the outcome for the last notice that a waiter received."""
     notice = waiter.notice
     if notice is None:
@@ -70,7 +70,7 @@
 
 
 def describe_notice(
-    notice: messages.Notice, waiter: front.Waiter | None = None
+    notice: messages.Notice, waiter: waiters.Waiter | None = None
 ) -> dict[str, object]:
     """Returns the JSON form of a notice."""
     answer = notice.answer
--- a/packages/entry/hickoryreach_entry/api/resources.py
+++ b/packages/entry/hickoryreach_entry/api/resources.py
@@ -1,6 +1,7 @@
 """Base classes of the resources for callers and operators."""
 
 from hickoryreach_entry import front
+from hickoryreach_entry import waiters
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import submissions
 
@@ -27,7 +28,7 @@
         submission: submissions.Submission,
         caller: access.Caller,
         wait_s: float,
-    ) -> front.Waiter:
+    ) -> waiters.Waiter:
         """Sends a submission to its owner, and waits up to `wait_s` seconds."""
         job = submissions.build_job(submission, caller, self.shards)
         return self.front.submit(
--- a/packages/entry/hickoryreach_entry/api/steps.py
+++ b/packages/entry/hickoryreach_entry/api/steps.py
@@ -12,7 +12,7 @@
 from hickoryreach.runbooks import fields
 from hickoryreach.runbooks import steps
 from hickoryreach.structure import jobs
-from hickoryreach_entry import front
+from hickoryreach_entry import waiters
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
@@ -165,7 +165,7 @@
     )
 
 
-def answer(resolved: ResolvedStep, waiter: front.Waiter) -> answers.Outcome:
+def answer(resolved: ResolvedStep, waiter: waiters.Waiter) -> answers.Outcome:
     """Returns the legacy command's output and exit code with the job."""
     return notices.build_outcome(waiter).map(
         lambda known: answers.Answer(
--- a/packages/entry/hickoryreach_entry/api/work.py
+++ b/packages/entry/hickoryreach_entry/api/work.py
@@ -6,7 +6,7 @@
 from returns import result
 
 from hickoryreach.structure import jobs
-from hickoryreach_entry import front
+from hickoryreach_entry import waiters
 from hickoryreach_entry.api import access
 from hickoryreach_entry.api import answers
 from hickoryreach_entry.api import bodies
@@ -93,7 +93,7 @@
         self,
         req: falcon.Request,
         job_id: str,
-        operation: Callable[..., front.Waiter],
+        operation: Callable[..., waiters.Waiter],
     ) -> answers.Outcome:
         """Sends a query or cancellation to a job's owner for the caller."""
         return parameters.get_wait_s(req).bind(
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -166,7 +166,7 @@
         candidates = self.list_candidates(now)
         owners: dict[int, str | None] = {}
         for shard, (term, _) in claims.items():
-            self.front.note_term(shard, term)
+            self.front.dispatches.note_term(shard, term)
         for shard in range(self.settings.shards):
             if shard in claims:
                 owners[shard] = claims[shard][1]
@@ -378,7 +378,7 @@
         for notice in envelope.notices or ():
             self.front.take_notice(notice)
         for dispatch in envelope.dispatches or ():
-            self.front.take_dispatch(dispatch)
+            self.front.dispatches.take(dispatch)
         self.deliver_to_owners(envelope)
         return messages.Receipt(
             receiver=self.settings.name,
--- a/tests/entry/api/fakes.py
+++ b/tests/entry/api/fakes.py
@@ -5,8 +5,8 @@
 from hickoryreach.lists import allowances
 from hickoryreach.structure import jobs
 from hickoryreach.wire import messages
-from hickoryreach_entry import front
 from hickoryreach_entry import lists
+from hickoryreach_entry import waiters
 from hickoryreach_entry.api import app
 from hickoryreach_entry.config import settings as entry_settings
 from tests.core.lists import fakes
@@ -50,11 +50,11 @@
 
     cancel = query
 
-    def answer(self, job_id: str) -> front.Waiter:
+    def answer(self, job_id: str) -> waiters.Waiter:
         """Returns a waiter that has received the configured notice."""
         if self.crash is not None:
             raise self.crash
-        waiter = front.Waiter(job_id=job_id)
+        waiter = waiters.Waiter(job_id=job_id)
         if self.notice is not None:
             waiter.notice = messages.Notice(job_id=job_id, **self.notice)
         return waiter
