--- a/packages/entry/hickoryreach_entry/owner/intake.py
+++ b/packages/entry/hickoryreach_entry/owner/intake.py
@@ -181,7 +181,7 @@
             return
         if job.job_id in self.accepting:
             return
-        self.owner.disown_attempt(sender, submission)
+        self.owner.inherited_requests.disown_attempt(sender, submission)
         notice = self.owner.describe(job.job_id)
         if job.kind is jobs.Kind.REQUEST and not (
             jobs.JobState(notice.state).is_final
@@ -293,7 +293,9 @@
             log.warning("outcome_malformed", extra={"sender": sender})
             return
         if job_id in self.owner.requests.inherited:
-            self.owner.restore_request(job_id, requests.END_FOLLOWS_MS)
+            self.owner.inherited_requests.restore(
+                job_id, requests.END_FOLLOWS_MS
+            )
         event = self.build_end(message)
         live = self.owner.requests.live.get(job_id)
         if live is not None and live.key == event.key:
--- a/packages/entry/hickoryreach_entry/owner/journal.py
+++ b/packages/entry/hickoryreach_entry/owner/journal.py
@@ -26,6 +26,7 @@
 log = logging.getLogger(__name__)
 
 RETRY_S = 0.2
+WRITES_PART = 0.8
 TAKE_TIMEOUT_S = 15.0
 SEGMENT_LIMIT_BYTES = 700_000
 FLOOR_BYTES = 4_000_000
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -19,18 +19,17 @@
 from hickoryreach.trial import store
 from hickoryreach.wire import messages
 from hickoryreach_entry import assignment
+from hickoryreach_entry import clock
 from hickoryreach_entry import greenlets
 from hickoryreach_entry import metrics
 from hickoryreach_entry.config import settings as entry_settings
-from hickoryreach_entry.owner import budgets
 from hickoryreach_entry.owner import carriers
-from hickoryreach_entry.owner import demands
-from hickoryreach_entry.owner import image as journal_image
+from hickoryreach_entry.owner import entitlements
+from hickoryreach_entry.owner import inherited_requests
 from hickoryreach_entry.owner import intake
 from hickoryreach_entry.owner import journal
 from hickoryreach_entry.owner import link
 from hickoryreach_entry.owner import notices
-from hickoryreach_entry.owner import records
 from hickoryreach_entry.owner import recovery
 from hickoryreach_entry.owner import requests
 from hickoryreach_entry.owner import roster
@@ -39,11 +38,9 @@
 
 TICK_S = 0.05
 INSTANCES_S = 1.0
-BALANCE_S = 0.5
 ITEMS_PER_TURN = 16
 FLUSH_S = 2.0
 FAR_AHEAD_MS = 10**12
-JOURNAL_PART = 0.8
 REMEMBERED_LIMIT = 100_000
 FORGET_MS = 60_000
 FINAL_JOBS_LIMIT = 20_000
@@ -59,7 +56,8 @@
         roster: Links to the workers.
         requests: Requests in flight.
         intake: Messages of entries.
-        budgets: This shard's parts of the upper limits.
+        inherited_requests: Requests that an earlier owner left open.
+        entitlements: The lists and budgets in force here.
         watchers: Entries to tell about a job, by job id.
         unkept: Final notices whose record is not kept yet, by job id.
         ending: The end being reduced, if any.
@@ -90,7 +88,6 @@
         self.client = client
         self.instances_client = instances_client or client
         self.send = send
-        self.get_entitlements = get_entitlements
         self.on_lost = on_lost
         self.on_ready = on_ready
         self.on_cut = on_cut
@@ -117,7 +114,7 @@
             owner=settings.name,
             commit_s=settings.commit_ms / 1000,
             spacing_s=settings.shards
-            / (settings.store_writes_per_s * JOURNAL_PART),
+            / (settings.store_writes_per_s * journal.WRITES_PART),
             on_lost=lambda: on_lost(shard),
             on_kept=self.take_proof,
         )
@@ -138,8 +135,11 @@
             name_request=self.requests.name,
         )
         self.intake = intake.Intake(owner=self)
-        self.budgets = budgets.Budgets(
-            client=client, shard=shard, shards=settings.shards
+        self.inherited_requests = inherited_requests.InheritedRequests(
+            owner=self
+        )
+        self.entitlements = entitlements.Entitlements(
+            owner=self, client=client, get_entitlements=get_entitlements
         )
 
     def start(self) -> None:
@@ -212,7 +212,7 @@
         greenlets.spawn_vital(self.follow_instances)
         greenlets.spawn_vital(self.tick_forever)
         if self.settings.shards > 1:
-            greenlets.spawn_vital(self.balance_forever)
+            greenlets.spawn_vital(self.entitlements.balance_forever)
         self.ready = True
         self.owning = True
         self.on_ready()
@@ -221,53 +221,15 @@
     def restore(self) -> None:
         """Takes over what the journal tells."""
         self.state.term = self.journal.term
-        self.budgets.term = self.journal.term
+        self.entitlements.budgets.term = self.journal.term
         self.roster.begin(self.journal.image.worker_ids, time.monotonic())
-        self.apply_entitlements()
+        self.entitlements.apply()
         self.forget_finished()
         for progress in tuple(self.journal.image.jobs.values()):
             if progress.job is None or progress.finished is not None:
                 continue
-            intent = find_intent(progress)
-            if intent is not None:
-                self.requests.inherited[intent.key.job_id] = requests.Inherited(
-                    progress=progress, intent=intent
-                )
-                continue
-            self.apply(recovery.restore_job(progress, FAR_AHEAD_MS))
-
-    def restore_request(self, job_id: str, hold_ms: int = 0) -> None:
-        """Takes over a non-idempotent request whose attempt is accounted for.
-
-        The reducer adopts it when its worker lists it, settles it with the
-        end that follows within `hold_ms`, or calls its outcome unknown.
-        """
-        inherited = self.requests.inherited.pop(job_id, None)
-        if inherited is None:
-            return
-        self.requests.adopt(inherited, time.monotonic())
-        self.apply(recovery.restore_job(inherited.progress, now_ms() + hold_ms))
-
-    def disown_attempt(self, sender: str, submission) -> None:
-        """Takes an inherited attempt as not run, on its entry's word.
-
-        The entry that was to send it has not, and takes no dispatch of an
-        earlier term any more.
-        """
-        inherited = self.requests.inherited.get(submission.job.job_id)
-        if inherited is None or inherited.intent.entry != sender:
-            return
-        if submission.sent or submission.barrier < self.journal.term:
-            return
-        self.restore_request(submission.job.job_id, requests.END_FOLLOWS_MS)
-        self.apply(
-            events.TaskEnded(
-                key=inherited.intent.key,
-                worker_id=inherited.intent.worker_id,
-                result=jobs.TaskResult.NOT_RUN,
-                reason="never sent",
-            )
-        )
+            if not self.inherited_requests.keep(progress):
+                self.apply(recovery.restore_job(progress, FAR_AHEAD_MS))
 
     def decide_forever(self) -> None:
         """Handles the inbox, one item at a time."""
@@ -299,7 +261,7 @@
                 carriers.void_intent(self, event.key)
         self.ending = event if isinstance(event, events.TaskEnded) else None
         started = time.perf_counter()
-        decided = reducer.reduce(self.state, event, now_ms())
+        decided = reducer.reduce(self.state, event, clock.now_ms())
         settled = False
         for effect in decided:
             settled = settled or is_settling(effect, event)
@@ -337,7 +299,7 @@
         for event in self.requests.list_overdue(now):
             self.apply(event)
         carriers.drop_unheld(self, now)
-        self.review_inherited(now)
+        self.inherited_requests.review(now)
         self.intake.forget(now)
         self.forget_finished()
 
@@ -354,56 +316,6 @@
         for event in self.requests.list_gone(worker_link):
             self.emit(event)
 
-    def review_inherited(self, now: float) -> None:
-        """Takes over inherited requests once their attempt is accounted for.
-
-        One that its worker lists is adopted. One that it does not list has
-        ended or was never sent, so its entry gets some time to report.
-        """
-        for job_id, inherited in list(self.requests.inherited.items()):
-            progress = inherited.progress
-            worker_link = self.roster.links.get(inherited.intent.worker_id)
-            joined = worker_link is not None and worker_link.joined
-            listed = joined and job_id in worker_link.requests
-            since = self.roster.taken_at + requests.OUTCOME_GRACE_S
-            if not joined:
-                since = self.roster.get_hold_end() + requests.get_timeout_s(
-                    progress.job
-                )
-            if listed or (self.roster.cleared and now > since):
-                self.restore_request(job_id)
-
-    def change_entitlements(self) -> None:
-        """Puts newly accepted lists in force."""
-        self.call(lambda argument: self.apply_entitlements(), None)
-
-    def apply_entitlements(self) -> None:
-        """Puts the lists and this shard's budgets in force at once."""
-        entitlements = self.budgets.limit(self.get_entitlements())
-        self.apply(events.EntitlementsChanged(entitlements=entitlements))
-
-    def balance_forever(self) -> None:
-        """Moves budget between this shard and the others."""
-        writes = max(
-            1,
-            int(
-                self.settings.store_writes_per_s
-                * (1 - JOURNAL_PART)
-                * BALANCE_S
-                / self.settings.shards
-            ),
-        )
-        while not self.stopped:
-            raised = self.budgets.balance(
-                self.get_entitlements(),
-                lambda: demands.list_demands(self.state),
-                self.apply_entitlements,
-                writes,
-            )
-            if raised:
-                self.change_entitlements()
-            gevent.sleep(BALANCE_S)
-
     def follow_instances(self) -> None:
         """Follows the platform's list of this shard's workers."""
         while not self.stopped:
@@ -453,20 +365,6 @@
             self.requests.holders.pop(job_id, None)
 
 
-def now_ms() -> int:
-    """Returns the monotonic time in ms."""
-    return int(time.monotonic() * 1000)
-
-
-def find_intent(
-    progress: journal_image.Progress,
-) -> records.IntentRecorded | None:
-    """Returns the open attempt of a non-idempotent request, if any."""
-    if progress.job.kind is not jobs.Kind.REQUEST or progress.job.idempotent:
-        return None
-    return progress.intents.get(0)
-
-
 def is_settling(effect: effects.Effect, event: events.Event) -> bool:
     """Returns whether an effect records the end that an event tells."""
     return (
--- a/packages/entry/hickoryreach_entry/router.py
+++ b/packages/entry/hickoryreach_entry/router.py
@@ -302,7 +302,7 @@
     def change_entitlements(self) -> None:
         """Passes newly accepted lists on to the owners."""
         for owner in self.owners.values():
-            owner.change_entitlements()
+            owner.entitlements.change()
 
     def send_to_owner(self, shard: int, field: str, message: object) -> bool:
         """Sends a message to the owner of a shard.
