Split waiting commands and the worker's boot from the link

The link keeps renewals, and turns replies into events. What the link did in one place with starts that were never sent is listed by the commands and reported by the link.

--- a/packages/entry/hickoryreach_entry/owner/carriers.py
+++ b/packages/entry/hickoryreach_entry/owner/carriers.py
@@ -214,7 +214,7 @@
     record = owner.state.jobs.get(effect.key.job_id)
     if record is not None and record.job.kind is jobs.Kind.REQUEST:
         return
-    if worker_link.withdraw(effect.key):
+    if worker_link.commands.withdraw(effect.key):
         report_not_run(owner, effect.key, effect.worker_id, "withdrawn")
         return
     worker_link.send(
--- a/packages/entry/hickoryreach_entry/owner/link.py
+++ b/packages/entry/hickoryreach_entry/owner/link.py
@@ -16,11 +16,12 @@
 from hickoryreach.structure import workers
 from hickoryreach.trial import workers as platform_workers
 from hickoryreach_entry import greenlets
+from hickoryreach_entry.owner import boots
+from hickoryreach_entry.owner import commands
 from hickoryreach_entry.owner import grants
 
 log = logging.getLogger(__name__)
 
-OPERATIONS_PER_SYNC = 500
 RETRY_S = 0.2
 COMMAND_LIFE_S = 1.5
 CLOSE_S = 1.0
@@ -44,26 +45,6 @@
     sync_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Boot:
-    """A worker's boot and its clock, as of one reply.
-
-    Attributes:
-        boot_id: The boot.
-        clock_ms: The worker's clock when it replied.
-        received: Owner's time, in s, when the reply had come.
-    """
-
-    boot_id: str
-    clock_ms: int
-    received: float
-
-    def translate(self, until: float) -> int:
-        """Returns a worker time, in ms, that is not after `until`."""
-        ahead_s = max(0.0, until - self.received)
-        return int(self.clock_ms + grants.shorten(ahead_s) * MILLISECONDS)
-
-
 class WorkerLink:
     """Renews one worker's grant and carries commands to it.
 
@@ -72,6 +53,7 @@
         client: Calls to the worker.
         answered_at: Address at which it last answered, or empty.
         authority: The owner's right to act.
+        commands: What waits to be sent to the worker.
         boot: Boot and clock of the last reply, or None.
         joined: Whether the reducer counts the worker in.
         reachable: Whether it answered within its grant.
@@ -113,15 +95,13 @@
         self.make_client = make_client
         self.client = make_client(worker)
         self.answered_at = ""
-        self.operations: list[platform_workers.Operation] = []
-        self.sent_starts: set[jobs.TaskKey] = set()
-        self.acknowledged: dict[jobs.TaskKey, None] = {}
+        self.commands = commands.Commands()
         self.announced: set[jobs.TaskKey] = set()
         self.reported_ends: set[jobs.TaskKey] = set()
         self.requests: frozenset[str] = frozenset()
         self.running: frozenset[jobs.TaskKey] = frozenset()
         self.wake = gevent_event.Event()
-        self.boot: Boot | None = None
+        self.boot: boots.Boot | None = None
         self.leases_until = leases_until
         self.uncertain_until = 0.0
         self.sent_until = 0.0
@@ -145,31 +125,9 @@
 
     def send(self, operation: platform_workers.Operation) -> None:
         """Adds a command to the next sync, which goes at once."""
-        self.operations.append(operation)
+        self.commands.add(operation)
         self.wake.set()
 
-    def withdraw(self, key: jobs.TaskKey) -> bool:
-        """Takes back a start that was never sent; returns whether it was."""
-        if key in self.sent_starts:
-            return False
-        kept = [each for each in self.operations if each.key != key]
-        withdrawn = len(kept) < len(self.operations)
-        self.operations = kept
-        return withdrawn
-
-    def withdraw_unsent(self) -> list[jobs.TaskKey]:
-        """Takes back every start that was never sent; returns their keys."""
-        starts = [
-            operation.key
-            for operation in self.operations
-            if operation.verb == "start"
-        ]
-        return [key for key in starts if self.withdraw(key)]
-
-    def acknowledge(self, key: jobs.TaskKey) -> None:
-        """Lets the worker forget an end that is recorded."""
-        self.acknowledged[key] = None
-
     def sync_forever(self) -> None:
         """Syncs on a fixed interval, and at once for commands."""
         while True:
@@ -177,7 +135,7 @@
             if not answered or not self.joined:
                 gevent.sleep(RETRY_S)
                 continue
-            if not self.operations:
+            if not self.commands.operations:
                 self.pause_s = min(2 * self.pause_s, self.lengths.sync_s)
                 self.wake.wait(self.pause_s)
             self.wake.clear()
@@ -213,13 +171,9 @@
         until = min(self.authority.until(now), now + COMMAND_LIFE_S)
         if self.boot is None or not self.joined or until <= now:
             return claim
-        acknowledged = () if now < self.uncertain_until else self.acknowledged
-        operations = tuple(self.operations[:OPERATIONS_PER_SYNC])
-        self.sent_starts.update(
-            operation.key
-            for operation in operations
-            if operation.verb == "start"
-        )
+        uncertain = now < self.uncertain_until
+        acknowledged = () if uncertain else self.commands.acknowledged
+        operations = self.commands.send_next()
         self.sent_until = until
         self.leases_until = max(
             self.leases_until, until + grants.lengthen(lengths.task_lease_s)
@@ -268,12 +222,8 @@
             "worker_lost",
             extra={"worker": self.worker.worker_id, "reason": reason},
         )
-        for operation in self.operations:
-            if operation.verb == "start":
-                self.report_unsent(operation.key, reason)
-        self.operations.clear()
-        self.sent_starts.clear()
-        self.acknowledged.clear()
+        self.report_unsent(reason)
+        self.commands.clear()
         self.announced.clear()
         self.reported_ends.clear()
         self.running = frozenset()
@@ -281,18 +231,17 @@
             self.joined = False
             self.emit(events.WorkerLost(worker_id=self.worker.worker_id))
 
-    def report_unsent(self, key: jobs.TaskKey, reason: str) -> None:
-        """Reports a start that was never sent as not run."""
-        if key in self.sent_starts:
-            return
-        self.emit(
-            events.TaskEnded(
-                key=key,
-                worker_id=self.worker.worker_id,
-                result=jobs.TaskResult.NOT_RUN,
-                reason=reason,
+    def report_unsent(self, reason: str) -> None:
+        """Reports each start that was never sent as not run."""
+        for key in self.commands.list_unsent():
+            self.emit(
+                events.TaskEnded(
+                    key=key,
+                    worker_id=self.worker.worker_id,
+                    result=jobs.TaskResult.NOT_RUN,
+                    reason=reason,
+                )
             )
-        )
 
     def take_reply(
         self,
@@ -304,7 +253,7 @@
         """Turns a reply into events."""
         if self.boot is not None and reply.boot_id != self.boot.boot_id:
             self.lose("worker restarted")
-        self.boot = Boot(
+        self.boot = boots.Boot(
             boot_id=reply.boot_id, clock_ms=reply.clock_ms, received=received
         )
         self.reachable = True
@@ -315,7 +264,8 @@
         if request.operations or self.has_changed(reply):
             self.pause_s = SOON_S / 2
         if request.deadline_ms and not reply.late and not self.lost:
-            self.settle_request(request)
+            self.commands.settle(request)
+            self.reported_ends.difference_update(request.acknowledged)
         self.report_running(reply, received)
         for end in reply.ended:
             self.report_end(end)
@@ -333,15 +283,6 @@
         )
         return changed and self.joined
 
-    def settle_request(self, request: platform_workers.SyncRequest) -> None:
-        """Drops what the worker has carried out."""
-        del self.operations[: len(request.operations)]
-        for operation in request.operations:
-            self.sent_starts.discard(operation.key)
-        for key in request.acknowledged:
-            self.acknowledged.pop(key, None)
-            self.reported_ends.discard(key)
-
     def report_running(
         self, reply: platform_workers.SyncReply, now: float
     ) -> None:
--- a/packages/entry/hickoryreach_entry/owner/roster.py
+++ b/packages/entry/hickoryreach_entry/owner/roster.py
@@ -189,7 +189,7 @@
         return [
             key
             for worker_link in self.links.values()
-            for key in worker_link.withdraw_unsent()
+            for key in worker_link.commands.withdraw_unsent()
         ]
 
     def wake(self, worker_id: str) -> None:
--- a/packages/entry/hickoryreach_entry/owner/shard.py
+++ b/packages/entry/hickoryreach_entry/owner/shard.py
@@ -274,7 +274,7 @@
         """Lets the worker forget an end that is taken in."""
         worker_link = self.roster.links.get(worker_id)
         if worker_link is not None:
-            worker_link.acknowledge(key)
+            worker_link.commands.acknowledge(key)
 
     def tick_forever(self) -> None:
         """Sends the passing of time."""
--- a/tests/entry/owner/test_link.py
+++ b/tests/entry/owner/test_link.py
@@ -85,7 +85,7 @@
         self.worker.losing = False
         self.link.sync_once()
         self.assertEqual(self.worker.started, [KEY])
-        self.assertEqual(self.link.operations, [])
+        self.assertEqual(self.link.commands.operations, [])
 
     def test_a_start_that_arrives_after_the_authority_is_void(self):
         self.link.sync_once()
@@ -149,7 +149,7 @@
         self.link.sync_once()
         self.worker.down = True
         self.move(20.0)
-        self.link.operations.append(START)
+        self.link.commands.operations.append(START)
         self.link.take_failure(
             fakes.exceptions.WorkerFailure(reason="down"), self.clock()
         )
@@ -166,7 +166,7 @@
         self.worker.delaying = False
         self.worker.end(KEY, jobs.TaskResult.SUCCEEDED)
         self.link.sync_once()
-        self.link.acknowledge(KEY)
+        self.link.commands.acknowledge(KEY)
         self.link.sync_once()
         self.worker.deliver()
         self.assertEqual(self.worker.started, [KEY])
--- a/tests/entry/owner/test_shard.py
+++ b/tests/entry/owner/test_shard.py
@@ -67,7 +67,9 @@
         self.scene.run(first)
         with mock.patch.object(link.WorkerLink, "sync_once"):
             self.scene.submit(first, scene.make_job(idempotent=False))
-        self.assertTrue(any(each.operations for each in scene.get_links(first)))
+        self.assertTrue(
+            any(each.commands.operations for each in scene.get_links(first))
+        )
         with mock.patch.object(
             first.journal, "flush", lambda _: first.journal.write_waiting() or 1
         ):
