Split the arithmetic of parts and the documents of holdings from budgets

The logger of budgets was not used and is gone; a comment on demands named a value that does not exist.

No behaviour and no check changes; test_budgets.py is untouched, since it drives the three together.

--- a/packages/entry/hickoryreach_entry/owner/budgets.py
+++ b/packages/entry/hickoryreach_entry/owner/budgets.py
@@ -12,58 +12,19 @@
 from collections.abc import Iterable
 from collections.abc import Mapping
 import dataclasses
-import logging
-import math
 import time
 
 import orjson
-import pydantic
 from returns import result
-import xxhash
 
 from hickoryreach import exceptions
 from hickoryreach.structure import resources
 from hickoryreach.structure import workspaces
 from hickoryreach.trial import store
+from hickoryreach_entry.owner import holdings
+from hickoryreach_entry.owner import limit_parts
 
-log = logging.getLogger(__name__)
-
-PARTS = 10_000
-BUCKETS = 16
 IDLE_S = 3.0
-COMPONENTS = ("cpu_millis", "memory_mb", "accelerators", "slots")
-
-Parts = tuple[int, int, int, int]
-
-NO_PARTS: Parts = (0, 0, 0, 0)
-ALL_PARTS: Parts = (PARTS, PARTS, PARTS, PARTS)
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Holding:
-    """Parts of one workspace's limit that one shard holds.
-
-    Attributes:
-        workspace: The workspace.
-        shard: The shard.
-        term: Term of the owner that wrote this.
-        parts: Parts of each component, of PARTS.
-    """
-
-    workspace: str
-    shard: int
-    term: int
-    parts: Parts
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Document:
-    """Every holding of the workspaces of one bucket."""
-
-    holdings: tuple[Holding, ...] = ()
-
-
-document_type = pydantic.TypeAdapter(Document)
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,7 +33,7 @@
 
     Attributes:
         used: What runs, or may run, or is reserved.
-        needed: What the next work that waits needs at least; NOTHING when
+        needed: What the next work that waits needs at least; zero when
             none waits.
     """
 
@@ -80,21 +41,6 @@
     needed: resources.Resources = resources.ZERO
 
 
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Bucket:
-    """One document as this owner knows it.
-
-    Attributes:
-        index: Index of the document in the store, for compare-and-swap.
-        document: The document.
-        unsettled: Whether the answer of a write was lost.
-    """
-
-    index: int = 0
-    document: Document = dataclasses.field(default_factory=Document)
-    unsettled: bool = False
-
-
 class Budgets:
     """Holdings of one shard, as its owner may spend them.
 
@@ -110,8 +56,8 @@
         self.shard = shard
         self.shards = shards
         self.term = 0
-        self.held: dict[str, Parts] = {}
-        self.buckets: dict[int, Bucket] = {}
+        self.held: dict[str, limit_parts.Parts] = {}
+        self.buckets: dict[int, holdings.Bucket] = {}
         self.idle_since: dict[str, float] = {}
         self.lost = False
 
@@ -126,8 +72,9 @@
             if each.limit is None
             else dataclasses.replace(
                 each,
-                limit=take_part(
-                    each.limit, self.held.get(each.workspace, NO_PARTS)
+                limit=limit_parts.take_part(
+                    each.limit,
+                    self.held.get(each.workspace, limit_parts.NO_PARTS),
                 ),
                 fleet_limit=each.limit,
             )
@@ -156,7 +103,7 @@
         limited: dict[int, dict[str, resources.Resources]] = {}
         for each in entitlements:
             if each.limit is not None:
-                number = find_bucket(each.workspace)
+                number = holdings.find_bucket(each.workspace)
                 limited.setdefault(number, {})[each.workspace] = each.limit
         for number, limits in limited.items():
             if writes <= 0 or self.lost:
@@ -192,7 +139,9 @@
         self.write_bucket(number, bucket, wanted, on_lowered)
         return True
 
-    def is_held(self, bucket: Bucket, wanted: Mapping[str, Parts]) -> bool:
+    def is_held(
+        self, bucket: holdings.Bucket, wanted: Mapping[str, limit_parts.Parts]
+    ) -> bool:
         """Returns whether nothing needs to be written."""
         if bucket.unsettled:
             return False
@@ -210,7 +159,7 @@
         self,
         limits: Mapping[str, resources.Resources],
         demands: Mapping[str, Demand],
-        wanted: Mapping[str, Parts],
+        wanted: Mapping[str, limit_parts.Parts],
     ) -> list[str]:
         """Returns the workspaces whose next work does not fit what is free."""
         return [
@@ -218,14 +167,18 @@
             for workspace, parts in wanted.items()
             if workspace in demands
             and demands[workspace].needed != resources.ZERO
-            and not covers(parts, demands[workspace], limits[workspace])
+            and not limit_parts.covers(
+                parts,
+                demands[workspace].used + demands[workspace].needed,
+                limits[workspace],
+            )
         ]
 
     def write_bucket(
         self,
         number: int,
-        bucket: Bucket,
-        wanted: Mapping[str, Parts],
+        bucket: holdings.Bucket,
+        wanted: Mapping[str, limit_parts.Parts],
         on_lowered: Callable[[], None],
     ) -> None:
         """Writes this shard's holdings of one bucket.
@@ -235,15 +188,15 @@
         """
         before = dict(self.held)
         for workspace, parts in wanted.items():
-            held = self.held.get(workspace, NO_PARTS)
-            self.held[workspace] = lower(held, parts)
+            held = self.held.get(workspace, limit_parts.NO_PARTS)
+            self.held[workspace] = limit_parts.lower(held, parts)
         if before != self.held:
             on_lowered()
-        document = replace_holdings(
+        document = holdings.replace_holdings(
             bucket.document, self.shard, self.term, wanted
         )
         written = self.client.put_if(
-            get_key(number), orjson.dumps(document), index=bucket.index
+            holdings.get_key(number), orjson.dumps(document), index=bucket.index
         )
         if isinstance(written, result.Success):
             bucket.index = written.unwrap()
@@ -255,7 +208,7 @@
         else:
             bucket.unsettled = True
 
-    def read_bucket(self, number: int) -> Bucket | None:
+    def read_bucket(self, number: int) -> holdings.Bucket | None:
         """Returns a bucket as it stands; None when the store is down.
 
         A bucket that is known and settled is not read again: a write by
@@ -264,19 +217,21 @@
         known = self.buckets.get(number)
         if known is not None and not known.unsettled:
             return known
-        read = self.client.get(get_key(number))
+        read = self.client.get(holdings.get_key(number))
         if isinstance(read, result.Failure):
             return None
         values = read.unwrap().values
-        bucket = Bucket()
+        bucket = holdings.Bucket()
         if values:
             bucket.index = values[0].index
-            bucket.document = document_type.validate_json(values[0].data)
+            bucket.document = holdings.document_type.validate_json(
+                values[0].data
+            )
         self.take_document(bucket.document)
         self.buckets[number] = bucket
         return bucket
 
-    def take_document(self, document: Document) -> None:
+    def take_document(self, document: holdings.Document) -> None:
         """Takes in what was read: a lost answer, or a later owner."""
         for holding in document.holdings:
             if holding.shard != self.shard:
@@ -285,33 +240,38 @@
                 self.lost = True
                 return
             if holding.term == self.term:
-                self.held[holding.workspace] = lower(
+                self.held[holding.workspace] = limit_parts.lower(
                     self.held.get(holding.workspace, holding.parts),
                     holding.parts,
                 )
 
     def plan(
         self,
-        bucket: Bucket,
+        bucket: holdings.Bucket,
         limits: Mapping[str, resources.Resources],
         demands: Mapping[str, Demand],
-    ) -> dict[str, Parts]:
+    ) -> dict[str, limit_parts.Parts]:
         """Returns the parts this shard should hold of each workspace."""
-        taken: dict[str, Parts] = {}
-        mine: dict[str, Holding] = {}
+        taken: dict[str, limit_parts.Parts] = {}
+        mine: dict[str, holdings.Holding] = {}
         for holding in bucket.document.holdings:
             if holding.shard == self.shard:
                 mine[holding.workspace] = holding
             else:
-                others = taken.get(holding.workspace, NO_PARTS)
-                taken[holding.workspace] = add(others, holding.parts)
+                others = taken.get(holding.workspace, limit_parts.NO_PARTS)
+                taken[holding.workspace] = limit_parts.add(
+                    others, holding.parts
+                )
         wanted = {}
         for workspace, limit in limits.items():
             known = mine.get(workspace)
-            parts = known.parts if known else NO_PARTS
+            parts = known.parts if known else limit_parts.NO_PARTS
             demand = demands.get(workspace, Demand(used=resources.ZERO))
-            free = subtract(
-                ALL_PARTS, add(taken.get(workspace, NO_PARTS), parts)
+            free = limit_parts.subtract(
+                limit_parts.ALL_PARTS,
+                limit_parts.add(
+                    taken.get(workspace, limit_parts.NO_PARTS), parts
+                ),
             )
             wanted[workspace] = self.choose(
                 workspace, limit, demand, parts, free
@@ -323,9 +283,9 @@
         workspace: str,
         limit: resources.Resources,
         demand: Demand,
-        parts: Parts,
-        free: Parts,
-    ) -> Parts:
+        parts: limit_parts.Parts,
+        free: limit_parts.Parts,
+    ) -> limit_parts.Parts:
         """Returns the parts to hold of one workspace.
 
         While work waits, half of what is free is taken, or as much as the
@@ -334,14 +294,15 @@
         Without waiting work, all but a quarter above what is used goes back
         after IDLE_S.
         """
-        used = count_parts(demand.used, limit)
+        used = limit_parts.count_parts(demand.used, limit)
         if demand.needed != resources.ZERO:
             self.idle_since.pop(workspace, None)
-            needed = count_parts(demand.used + demand.needed, limit)
-            if lower(parts, needed) == needed:
+            needed = limit_parts.count_parts(demand.used + demand.needed, limit)
+            if limit_parts.lower(parts, needed) == needed:
                 return parts
-            if lower(add(parts, free), needed) != needed:
-                return lower(parts, used)
+            within_reach = limit_parts.add(parts, free)
+            if limit_parts.lower(within_reach, needed) != needed:
+                return limit_parts.lower(parts, used)
             return tuple(
                 have + min(left, max(left // 2, need - have))
                 if need > have
@@ -356,72 +317,3 @@
             min(have, use + use // 4)
             for have, use in zip(parts, used, strict=True)
         )
-
-
-def find_bucket(workspace: str) -> int:
-    """Returns the number of the document that tells of a workspace."""
-    return xxhash.xxh64_intdigest(workspace.encode()) % BUCKETS
-
-
-def get_key(number: int) -> str:
-    """Returns the key of a document."""
-    return f"hickoryreach/budgets/{number}"
-
-
-def take_part(limit: resources.Resources, parts: Parts) -> resources.Resources:
-    """Returns the amount that parts of a limit stand for, rounded down."""
-    return resources.Resources(
-        **{
-            name: getattr(limit, name) * part // PARTS
-            for name, part in zip(COMPONENTS, parts, strict=True)
-        }
-    )
-
-
-def count_parts(
-    amount: resources.Resources, limit: resources.Resources
-) -> Parts:
-    """Returns the parts of a limit that cover an amount, at most all."""
-    return tuple(
-        min(PARTS, math.ceil(getattr(amount, name) * PARTS / whole))
-        if (whole := getattr(limit, name))
-        else 0
-        for name in COMPONENTS
-    )
-
-
-def covers(parts: Parts, demand: Demand, limit: resources.Resources) -> bool:
-    """Returns whether parts are enough for what a shard needs next."""
-    needed = count_parts(demand.used + demand.needed, limit)
-    return lower(parts, needed) == needed
-
-
-def add(first: Parts, second: Parts) -> Parts:
-    """Returns the sum by component."""
-    return tuple(a + b for a, b in zip(first, second, strict=True))
-
-
-def subtract(first: Parts, second: Parts) -> Parts:
-    """Returns the difference by component, never below 0."""
-    return tuple(max(0, a - b) for a, b in zip(first, second, strict=True))
-
-
-def lower(first: Parts, second: Parts) -> Parts:
-    """Returns the lesser of each component."""
-    return tuple(min(a, b) for a, b in zip(first, second, strict=True))
-
-
-def replace_holdings(
-    document: Document, shard: int, term: int, wanted: Mapping[str, Parts]
-) -> Document:
-    """Returns a document with one shard's holdings replaced."""
-    others = tuple(
-        holding
-        for holding in document.holdings
-        if holding.shard != shard or holding.workspace not in wanted
-    )
-    mine = tuple(
-        Holding(workspace=workspace, shard=shard, term=term, parts=parts)
-        for workspace, parts in sorted(wanted.items())
-    )
-    return Document(holdings=others + mine)
