--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -94,7 +94,7 @@
             return
         self.draining = True
         log.info("drain_started", extra={})
-        self.router.release_all()
+        self.router.ownership.release_all()
         self.membership.drain()
         gevent.sleep(self.settings.drain_lag_s)
         self.http_server.draining = True
