Join what queries and cancellations do alike in the front

Both made a waiter for the job they name, sent their message and waited. No behaviour and no check changes: tests.entry.test_front, test_dispatches and tests.entry.api pass.

--- a/packages/entry/hickoryreach_entry/front.py
+++ b/packages/entry/hickoryreach_entry/front.py
@@ -69,18 +69,25 @@
         self, job_id: str, workspace: str, *, wait_s: float
     ) -> waiters.Waiter:
         """Asks for a job's state; waits for its end."""
-        waiter = waiters.Waiter(job_id=job_id)
         message = messages.Query(job_id=job_id, workspace=workspace)
-        self.wait(waiter, "queries", message, wait_s)
-        return waiter
+        return self.ask("queries", message, wait_s)
 
     def cancel(
         self, job_id: str, workspace: str, *, wait_s: float
     ) -> waiters.Waiter:
         """Cancels a job."""
-        waiter = waiters.Waiter(job_id=job_id)
         message = messages.Cancellation(job_id=job_id, workspace=workspace)
-        self.wait(waiter, "cancellations", message, wait_s)
+        return self.ask("cancellations", message, wait_s)
+
+    def ask(
+        self,
+        field: str,
+        message: messages.Query | messages.Cancellation,
+        wait_s: float,
+    ) -> waiters.Waiter:
+        """Sends a message about a job; waits for the job's end."""
+        waiter = waiters.Waiter(job_id=message.job_id)
+        self.wait(waiter, field, message, wait_s)
         return waiter
 
     def wait(
