Hold what preempted runs release for the urgent task that displaced them

Cause: if the stopped runs end one at a time, the first one's capacity is too little for the urgent task and nobody holds it, so that the stopped task itself takes it in the same pass. It is then preempted again. The same class: what can't start keeps nothing, and what waits for it waits on. Test that failed before: test_an_urgent_task_does_not_starve_behind_the_runs_it_ preempted (['job1', 'job1'] started in place of the urgent ['job2']).

--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -65,9 +65,13 @@
         self.free[minion_id] = self.free[minion_id] - need
         self.free_cpu -= need.cpu_millis
 
-    def reserve(self, minion_id: str, need: resources.Resources) -> None:
-        """Reserves capacity of a minion for a step that can't start yet."""
+    def hold(self, minion_id: str, need: resources.Resources) -> None:
+        """Holds capacity of a minion for a step that preempts runs there."""
         self.free[minion_id] = self.free[minion_id] - need
+
+    def reserve(self, minion_id: str, need: resources.Resources) -> None:
+        """Reserves capacity of a minion for a gang that can't start yet."""
+        self.hold(minion_id, need)
         self.reserved_cpu += need.cpu_millis
 
     def get_headroom(
--- a/packages/core/hickoryreach/scheduling/preemption.py
+++ b/packages/core/hickoryreach/scheduling/preemption.py
@@ -57,7 +57,11 @@
     usable: list[str],
     count: int,
 ) -> Iterator[effects.Effect]:
-    """Stops the runs that `count` tasks of a step must displace."""
+    """Stops the runs that `count` tasks of a step must displace.
+
+    Capacity that these runs release is held for the step, or the stopped tasks
+    themselves would take it while it does not suffice yet.
+    """
     remaining = count
     for minion_id in usable:
         if remaining <= 0 or minion_id not in available.free:
@@ -66,7 +70,9 @@
         releasing = get_releasing_capacity(minion)
         if releasing.cpu_millis:
             room = available.free[minion_id] + releasing
-            remaining -= runs.count_fitting(room, step.need, remaining)
+            fitting = runs.count_fitting(room, step.need, remaining)
+            available.hold(minion_id, step.need.times(fitting))
+            remaining -= fitting
     for minion_id in usable:
         if remaining <= 0:
             return
@@ -74,6 +80,7 @@
             continue
         chosen = _choose_victims(cell, step, available, minion_id)
         if chosen:
+            available.hold(minion_id, step.need)
             remaining -= 1
         for run in chosen:
             yield from lifecycle.stop(cell, run, "preempted")
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -90,6 +90,18 @@
         self.submit(cases.build_step(count=1, cpu=2_000), queue="checks")
         self.assertEqual(len(self.get_stops()), 1)
 
+    def test_an_urgent_task_does_not_starve_behind_the_runs_it_preempted(
+        self,
+    ) -> None:
+        self.submit(cases.build_step(count=4, saves=True, estimate_ms=60_000))
+        running = {each.key.index: each for each in self.confirm_starts()}
+        self.submit(cases.build_step(cpu=2_000), queue="checks")
+        started = []
+        for stop in self.get_stops():
+            self.end(running[stop.key.index], "stopped")
+            started += [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, ["job2"])
+
     def test_runs_without_checkpoints_are_not_preempted(self) -> None:
         self.submit(cases.build_step(count=3))
         self.confirm_starts()
