Hold headroom for a step that waits for advice only if it could start

Cause: a step without advice held headroom for all of its waiting tasks, however much of the limit that is, and without the check that steps at the limit go through. Where there is no minion to ask about, advice never comes and the headroom is never given back. Head-of-line blocking again. Now both reserve by one rule: only what fits in the reachable limit, and only if the tasks would fit on minions. Open: a step whose calls always fail still holds headroom.

--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -40,7 +40,9 @@
         step.wait_cause = wait_causes.WaitCause.ADVICE
         if _may_use_advice(cell, step, available):
             yield from eligibility.ask_about_unknown(cell, step, available)
-            _hold_headroom(step, available)
+            # Else many more steps of a workspace at its limit would request
+            # advice than it may start.
+            workspace_limits.reserve_headroom(cell, step, available)
         return
     if not step.job.kept:
         step.wait_cause = wait_causes.WaitCause.NOT_STORED
@@ -84,18 +86,6 @@
     )
 
 
-def _hold_headroom(
-    step: state.StepRecord, available: free_capacity.FreeCapacity
-) -> None:
-    """Reserves headroom for a step that waits for advice.
-
-    Else many more steps of a workspace at its limit would request advice than
-    it may start.
-    """
-    need = step.need.times(len(step.waiting))
-    available.reserve_headroom(step.job.job.workspace, need)
-
-
 def _place_tasks(
     cell: state.CellState,
     step: state.StepRecord,
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -25,8 +25,23 @@
     """Reserves headroom for a step that its workspace's limit keeps waiting.
 
     Steps that are placed after it can't take that headroom. For steps of the
-    first rank, less urgent runs of the workspace are preempted. Nothing is
-    reserved for a step that could not start with the headroom either.
+    first rank, less urgent runs of the workspace are preempted.
+    """
+    headroom = available.get_headroom(cell, step.job.job.workspace)
+    need = reserve_headroom(cell, step, available)
+    if need is not None and step.rank == ordering.FIRST_RANK:
+        yield from preemption.preempt_in_workspace(cell, step, headroom, need)
+
+
+def reserve_headroom(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+) -> resources.Resources | None:
+    """Reserves headroom for a step, as much as it could occupy.
+
+    Returns:
+        The reserved headroom, or None if the step could not start with any.
     """
     workspace = step.job.job.workspace
     limit = _get_reachable_limit(cell, available, workspace)
@@ -34,12 +49,10 @@
     fitting = runs.count_fitting(limit, step.need, count)
     least = count if step.step.gang else 1
     if fitting < least or not _fits_on_minions(cell, step, available, least):
-        return
+        return None
     need = step.need.times(fitting)
-    headroom = available.get_headroom(cell, workspace)
     available.reserve_headroom(workspace, need)
-    if step.rank == ordering.FIRST_RANK:
-        yield from preemption.preempt_in_workspace(cell, step, headroom, need)
+    return need
 
 
 def _get_reachable_limit(
