Give overdue turns only to steps that could start now

Cause: ten steps a pass got a turn for being overdue, whether they could start or not. Every one of those that can't came first once. Now the turns leave out steps that their workspace's limit blocks and those whose tasks are larger than the free capacity of every minion with their label (than the minions, for the first rank, which preempts).

--- a/packages/core/hickoryreach/scheduling/candidates.py
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -13,6 +13,7 @@
 from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import state
 from hickoryreach.scheduling import wait_causes
+from hickoryreach.structure import resources
 
 OVERDUE_MS = 1_000
 IDLE_FRACTION = 0.3
@@ -75,10 +76,12 @@
     """Returns steps that were not considered lately, the longest ago first.
 
     Lasting steps are served however little capacity is left, as nothing that
-    runs makes way for them by ending.
+    runs makes way for them by ending. Steps that can't start for now are left
+    out, so that the turn of the others comes soon.
     """
     horizon_ms = cell.now_ms - OVERDUE_MS
     idle_services: set[str] | None = None
+    largest_rooms: dict[tuple[str, str, bool], resources.Resources] = {}
     overdue = []
     for step in remaining:
         if step.considered_ms >= horizon_ms:
@@ -86,7 +89,14 @@
         if idle_services is None:
             idle_services = set(_list_idle_services(cell, available))
         service = eligibility.get_service(cell, step)
-        if step.step.lasting or service in idle_services:
+        if not step.step.lasting and service not in idle_services:
+            continue
+        kind = (service, step.step.label, step.rank == ordering.FIRST_RANK)
+        if kind not in largest_rooms:
+            largest_rooms[kind] = _get_largest_room(cell, step, available)
+        if not step.need.fits_in(largest_rooms[kind]):
+            continue
+        if _find_block(cell, step, available) is None:
             overdue.append(step)
     return heapq.nsmallest(
         cell.settings.overdue_steps_per_pass,
@@ -105,3 +115,22 @@
         used_cpu = sum(each.used.cpu_millis for each in members)
         if used_cpu <= (1 - IDLE_FRACTION) * total_cpu:
             yield service
+
+
+def _get_largest_room(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+) -> resources.Resources:
+    """Returns the most of each resource that a minion has for a step.
+
+    Steps of the first rank may also have what others occupy. The amounts of
+    two resources may be those of different minions.
+    """
+    largest = resources.ZERO
+    for minion_id in eligibility.list_minions(cell, step, available):
+        room = available.free.get(minion_id, resources.ZERO)
+        if step.rank == ordering.FIRST_RANK:
+            room = cell.minions[minion_id].minion.capacity
+        largest = largest.elementwise_max(room)
+    return largest
--- a/tests/core/scheduling/test_candidates.py
+++ b/tests/core/scheduling/test_candidates.py
@@ -3,6 +3,7 @@
 from hickoryreach.scheduling import candidates
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import reducer
 from hickoryreach.scheduling import settings
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
@@ -35,6 +36,12 @@
             self.tick()
         return started
 
+    def submit_many(self, count: int, wanted: steps.Step, **words: str) -> None:
+        """Submits many jobs of one step before the next pass."""
+        for _ in range(count):
+            event = events.JobAccepted(job=self.build_job(wanted, **words))
+            reducer.reduce(self.cell, event, self.now_ms)
+
     def submit_behind(self, *wanted: steps.Step) -> str:
         """Submits a job that grows late while no minion answers."""
         self.silence_minions()
@@ -84,6 +91,23 @@
         late = self.submit_behind(cases.build_step(lasting=True))
         self.assertEqual(self.wait_for_start(late, seconds=10), 1)
 
+    def test_steps_that_fit_nowhere_take_no_turns_of_those_that_fit(
+        self,
+    ) -> None:
+        self.submit_many(5 * BLOCKED_COUNT, cases.build_step(cpu=9_000))
+        late = self.submit_behind(cases.build_step())
+        self.assertEqual(self.wait_for_start(late), 1)
+
+    def test_steps_at_a_limit_take_no_turns_of_those_below_theirs(
+        self,
+    ) -> None:
+        unfit = cases.build_step(cpu=9_000)
+        self.submit_many(BLOCKED_COUNT, unfit, queue="checks")
+        blocked = cases.build_step()
+        self.submit_many(4 * BLOCKED_COUNT, blocked, workspace="wind")
+        late = self.submit_behind(cases.build_step())
+        self.assertEqual(self.wait_for_start(late), 1)
+
 
 class BoundedPassTest(cases.CellCase):
     """A pass considers a limited number of steps."""
@@ -109,7 +133,8 @@
     def test_a_pass_considers_the_first_steps_and_one_that_is_overdue(
         self,
     ) -> None:
-        job_ids = [self.submit(cases.build_step(cpu=9_000)) for _ in range(10)]
+        gang = cases.build_step(10, gang=True)
+        job_ids = [self.submit(gang) for _ in range(10)]
         self.assertEqual(self.list_candidates(), job_ids[:4])
         self.now_ms += 2 * candidates.OVERDUE_MS
         self.tick()
