Consider a step again as soon as its advice has come

Cause: a step behind the first sixty needs two turns, one to request advice and one to start with it. The second came only after a second and the turns of all others; with more of them than fit into the tickets' validity, the tickets had always expired, and the step requested them again. Now advice makes a step the first of the overdue ones.

--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -246,6 +246,7 @@
     cell.dirty = True
     if event.tickets is None:
         return
+    step.considered_ms = -1  # its turn comes before the tickets expire
     is_first = step.allowed is None
     if step.allowed is None:
         step.allowed = set()
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -138,7 +138,7 @@
         waiting_since_ms: When it last became ready, started a task or got one
             back, on the owner's clock.
         considered_ms: When a pass last considered it, on the owner's clock, or
-            -1.
+            -1 if none has since its last advice.
         wait_cause: What kept it from starting then.
         wait_reported_ms: When its wait was last logged, on the owner's clock.
     """
--- /dev/null
+++ b/tests/core/scheduling/test_late_advice.py
@@ -0,0 +1,64 @@
+"""Tests of steps whose advice is late or never comes."""
+
+import dataclasses
+
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import reducer
+from hickoryreach.structure import cells
+from hickoryreach.structure import resources
+from hickoryreach.structure import steps
+from tests.core.scheduling import cases
+from tests.core.scheduling import test_placement
+
+
+class LateAdviceTest(test_placement.AdviceCase):
+    """Advice for a late step behind many that can't start."""
+
+    def wait_for_call(self, job_id: str) -> effects.AskAdvice:
+        """Returns the first call for advice for a job."""
+        for _ in range(100):
+            for call in self.get_effects(effects.AskAdvice):
+                if call.job_id == job_id:
+                    return call
+            self.tick()
+        raise AssertionError(f"no call for {job_id}")
+
+    def test_it_starts_before_its_tickets_expire(self) -> None:
+        gang = cases.build_step(20, gang=True)
+        for _ in range(400):
+            event = events.JobAccepted(job=self.build_job(gang, queue="checks"))
+            reducer.reduce(self.cell, event, self.now_ms)
+        late = self.submit(cases.build_step())
+        call = self.wait_for_call(late)
+        self.advise(call, *call.minion_ids)
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [late])
+
+
+class UnplaceableAdviceTest(test_placement.AdviceCase):
+    """Steps that wait for advice, but could not start with any."""
+
+    limit = resources.Resources(cpu_millis=8_000)
+
+    def build_queue(self, name: str = "runs", rank: int = 1) -> cells.Queue:
+        """Returns a queue, which needs advice only if it is `checks`."""
+        built = super().build_queue(name, rank)
+        if name == "checks":
+            return built
+        return dataclasses.replace(built, advice=None)
+
+    def check_task_starts_behind(self, unplaceable: steps.Step) -> None:
+        """Checks that a small task starts behind a step without advice."""
+        self.submit(unplaceable, queue="checks")
+        later = self.submit(cases.build_step())
+        started = {each.key.job_id for each in self.get_starts()}
+        self.assertEqual(started, {later})
+
+    def test_tasks_for_a_label_that_no_minion_has_hold_no_headroom(
+        self,
+    ) -> None:
+        self.check_task_starts_behind(cases.build_step(8, label="none"))
+
+    def test_a_gang_above_the_limit_holds_no_headroom(self) -> None:
+        self.check_task_starts_behind(cases.build_step(9, gang=True))
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -1,7 +1,5 @@
 """Tests of the placement of tasks."""
 
-import dataclasses
-
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
@@ -9,7 +7,6 @@
 from hickoryreach.scheduling import settings
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
-from hickoryreach.structure import steps
 from tests.core.scheduling import cases
 
 
@@ -337,34 +334,6 @@
         self.assertLess(first.order, second.order)
 
 
-class UnplaceableAdviceTest(AdviceCase):
-    """Steps that wait for advice, but could not start with any."""
-
-    limit = resources.Resources(cpu_millis=8_000)
-
-    def build_queue(self, name: str = "runs", rank: int = 1) -> cells.Queue:
-        """Returns a queue, which needs advice only if it is `checks`."""
-        built = super().build_queue(name, rank)
-        if name == "checks":
-            return built
-        return dataclasses.replace(built, advice=None)
-
-    def check_task_starts_behind(self, unplaceable: steps.Step) -> None:
-        """Checks that a small task starts behind a step without advice."""
-        self.submit(unplaceable, queue="checks")
-        later = self.submit(cases.build_step())
-        started = {each.key.job_id for each in self.get_starts()}
-        self.assertEqual(started, {later})
-
-    def test_tasks_for_a_label_that_no_minion_has_hold_no_headroom(
-        self,
-    ) -> None:
-        self.check_task_starts_behind(cases.build_step(8, label="none"))
-
-    def test_a_gang_above_the_limit_holds_no_headroom(self) -> None:
-        self.check_task_starts_behind(cases.build_step(9, gang=True))
-
-
 class GangAdviceTest(AdviceCase):
     """A gang whose allowed minions are busy while others are free."""
 
