Keep urgent capacity free by service, not in the whole cell

Cause: four hundredths of the cell's capacity are kept for the first rank, and what is free was summed over all services. With the larger service full, the smaller one had less than that in all; its steps waited behind another service's tasks (wait_cause urgent_capacity). Now total and free capacity are summed by service. Failed before, TwoServicesTest: AssertionError: Lists differ: [] != ['s0']. What is reserved for gangs stays a fraction of the whole cell, as it only lowers what may be reserved.

--- a/packages/core/hickoryreach/scheduling/candidates.py
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -88,7 +88,7 @@
             continue
         if idle_services is None:
             idle_services = set(_list_idle_services(cell, available))
-        service = eligibility.get_service(cell, step)
+        service = free_capacity.get_service(cell, step)
         if not step.step.lasting and service not in idle_services:
             continue
         kind = (service, step.step.label, step.rank == ordering.FIRST_RANK)
--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -32,19 +32,15 @@
     return current.advice
 
 
-def get_service(cell: state.CellState, step: state.StepRecord) -> str:
-    """Returns the service of a step's queue as currently configured."""
-    stored = step.job.job.queue
-    return cell.configuration.queues.get(stored.name, stored).service
-
-
 def list_minions(
     cell: state.CellState,
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
 ) -> list[str]:
     """Returns the minions that may run a step, whether or not it fits now."""
-    open_minion_ids = available.open_minion_ids.get(get_service(cell, step), [])
+    open_minion_ids = available.open_minion_ids.get(
+        free_capacity.get_service(cell, step), []
+    )
     if not step.step.label:
         return open_minion_ids
     return [
@@ -163,7 +159,9 @@
         )
         if fitting >= wanted:
             return number
-    size = available.minion_capacities.get(get_service(cell, step))
+    size = available.minion_capacities.get(
+        free_capacity.get_service(cell, step)
+    )
     if size is None:
         return 0
     slots = runs.count_fitting(size, step.need, len(step.waiting))
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -17,8 +17,11 @@
             minions.
         total_cpu: Processor capacity of all open minions, in thousandths of a
             core.
-        free_cpu: Free processor capacity of all minions in `free`, reserved
-            capacity included, in thousandths of a core.
+        services: Service of each minion in `free`, by minion id.
+        total_cpus: Processor capacity of the open minions by service, in
+            thousandths of a core.
+        free_cpus: Free processor capacity of the minions in `free` by service,
+            reserved capacity included, in thousandths of a core.
         reserved_cpu: Processor capacity reserved for gangs, in thousandths of
             a core.
         claims: Number of gangs that have reserved occupied capacity.
@@ -39,7 +42,9 @@
 
     free: dict[str, resources.Resources]
     total_cpu: int
-    free_cpu: int
+    services: dict[str, str] = dataclasses.field(default_factory=dict)
+    total_cpus: dict[str, int] = dataclasses.field(default_factory=dict)
+    free_cpus: dict[str, int] = dataclasses.field(default_factory=dict)
     reserved_cpu: int = 0
     claims: int = 0
     late_reservations: int = 0
@@ -63,7 +68,7 @@
     def allocate(self, minion_id: str, need: resources.Resources) -> None:
         """Allocates capacity of a minion to a started task."""
         self.free[minion_id] = self.free[minion_id] - need
-        self.free_cpu -= need.cpu_millis
+        self.free_cpus[self.services[minion_id]] -= need.cpu_millis
 
     def hold(self, minion_id: str, need: resources.Resources) -> None:
         """Holds capacity of a minion for a step that preempts runs there."""
@@ -92,26 +97,36 @@
 
 def measure(cell: state.CellState) -> FreeCapacity:
     """Returns the free capacity of all open minions."""
-    available = FreeCapacity(free={}, total_cpu=0, free_cpu=0)
+    available = FreeCapacity(free={}, total_cpu=0)
     for minion_id, minion in cell.minions.items():
         if not minion.is_open:
             continue
         size = minion.minion.capacity
         service = minion.minion.service
         available.total_cpu += size.cpu_millis
+        total_cpu = available.total_cpus.get(service, 0)
+        available.total_cpus[service] = total_cpu + size.cpu_millis
         available.open_minion_ids.setdefault(service, []).append(minion_id)
         available.minion_capacities.setdefault(service, size)
         if minion.quarantined_until_ms > cell.now_ms:
             continue
         room = size - minion.used
         available.free[minion_id] = room
-        available.free_cpu += max(0, room.cpu_millis)
+        available.services[minion_id] = service
+        free_cpu = available.free_cpus.get(service, 0)
+        available.free_cpus[service] = free_cpu + max(0, room.cpu_millis)
         available.largest_free_cpu = max(
             available.largest_free_cpu, room.cpu_millis
         )
     return available
 
 
+def get_service(cell: state.CellState, step: state.StepRecord) -> str:
+    """Returns the service of a step's queue as currently configured."""
+    stored = step.job.job.queue
+    return cell.configuration.queues.get(stored.name, stored).service
+
+
 def has_label(minion: state.MinionRecord, step: state.StepRecord) -> bool:
     """Returns whether a minion carries the label that a step requires."""
     required_label = step.step.label
@@ -181,11 +196,14 @@
     available: FreeCapacity,
     count: int = 1,
 ) -> bool:
-    """Returns whether the workspace's and the cell's limits permit starts."""
+    """Returns whether the limits of workspace and service permit starts."""
     need = step.need.times(count)
     if not has_headroom(cell, step, available, count):
         return False
     if step.rank == ordering.FIRST_RANK:
         return True
-    kept = cell.settings.urgent_fraction * available.total_cpu
-    return available.free_cpu - need.cpu_millis >= kept
+    service = get_service(cell, step)
+    total_cpu = available.total_cpus.get(service, 0)
+    free_cpu = available.free_cpus.get(service, 0)
+    kept = cell.settings.urgent_fraction * total_cpu
+    return free_cpu - need.cpu_millis >= kept
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -33,7 +33,7 @@
             reserved for gangs.
         late_reservations_limit: Most late gangs that may reserve capacity while
             they request tickets.
-        urgent_fraction: Fraction of the cell's processor capacity that only
+        urgent_fraction: Fraction of a service's processor capacity that only
             tasks of the first rank may occupy.
         named_minions_limit: Most minions named in one call for advice.
         quarantine_ms: Quarantine of a minion after repeated failures.
--- /dev/null
+++ b/tests/core/scheduling/test_urgent_capacity.py
@@ -0,0 +1,57 @@
+"""Tests of the capacity that only tasks of the first rank may occupy."""
+
+import dataclasses
+
+from hickoryreach.scheduling import events
+from hickoryreach.scheduling import settings
+from hickoryreach.structure import cells
+from hickoryreach.structure import steps
+from tests.core.scheduling import cases
+
+SMALL_SERVICE = "archive"
+
+
+class TwoServicesTest(cases.CellCase):
+    """A service whose minions are busy beside a small one that is idle."""
+
+    minion_count = 20
+
+    def build_settings(self) -> settings.Settings:
+        """Returns settings by which more is kept than the small one has."""
+        return settings.Settings(urgent_fraction=0.1)
+
+    def configure(self) -> None:
+        """Activates a configuration with a queue of each service."""
+        super().configure()
+        queue = dataclasses.replace(
+            self.build_queue("files"), service=SMALL_SERVICE
+        )
+        service = cells.Service(name=SMALL_SERVICE)
+        self.configuration = dataclasses.replace(
+            self.configuration,
+            queues=self.configuration.queues | {queue.name: queue},
+            services=self.configuration.services | {service.name: service},
+        )
+        self.apply(
+            events.ConfigurationChanged(configuration=self.configuration)
+        )
+
+    def add_small_minion(self, name: str) -> None:
+        """Registers a minion of the small service."""
+        known = self.cell.minions["m0"].minion
+        minion = dataclasses.replace(
+            known, minion_id=name, service=SMALL_SERVICE
+        )
+        self.apply(events.MinionRegistered(minion=minion))
+        self.poll(name)
+
+    def submit_files(self, wanted: steps.Step) -> list[str]:
+        """Submits a job of the small service; returns where it starts."""
+        self.submit(wanted, queue="files")
+        return [each.minion_id for each in self.get_starts()]
+
+    def test_a_busy_service_keeps_no_task_of_an_idle_one_waiting(self) -> None:
+        self.add_small_minion("s0")
+        self.submit(cases.build_step(20, cpu=4_000), queue="checks")
+        self.confirm_starts()
+        self.assertEqual(self.submit_files(cases.build_step()), ["s0"])
