Let steps that need a whole service start on its idle minions

Cause: what is kept for the first rank forbade the start however idle the minions; the gang fits, so that it reserved them in every pass, and steps after it found no capacity. Head-of-line blocking by a reservation. Now what is kept is at most what the starts leave of the service. Remains: gangs.place still reserves for a late gang that must leave urgent capacity free, as beside lasting runs; reported to the lead.

--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -196,7 +196,11 @@
     available: FreeCapacity,
     count: int = 1,
 ) -> bool:
-    """Returns whether the limits of workspace and service permit starts."""
+    """Returns whether the limits of workspace and service permit starts.
+
+    What is kept for the first rank in a service must leave room for the starts
+    on idle minions; else they would wait, and hold reservations, for ever.
+    """
     need = step.need.times(count)
     if not has_headroom(cell, step, available, count):
         return False
@@ -205,5 +209,7 @@
     service = get_service(cell, step)
     total_cpu = available.total_cpus.get(service, 0)
     free_cpu = available.free_cpus.get(service, 0)
-    kept = cell.settings.urgent_fraction * total_cpu
+    kept = min(
+        cell.settings.urgent_fraction * total_cpu, total_cpu - need.cpu_millis
+    )
     return free_cpu - need.cpu_millis >= kept
--- a/tests/core/scheduling/test_urgent_capacity.py
+++ b/tests/core/scheduling/test_urgent_capacity.py
@@ -8,6 +8,7 @@
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
 
+OVERDUE_S = 60
 SMALL_SERVICE = "archive"
 
 
@@ -55,3 +56,28 @@
         self.submit(cases.build_step(20, cpu=4_000), queue="checks")
         self.confirm_starts()
         self.assertEqual(self.submit_files(cases.build_step()), ["s0"])
+
+    def test_a_task_of_the_size_of_its_service_starts(self) -> None:
+        self.add_small_minion("s0")
+        whole = cases.build_step(cpu=4_000)
+        self.assertEqual(self.submit_files(whole), ["s0"])
+
+
+class WholeCellTest(cases.CellCase):
+    """A gang that needs all minions."""
+
+    def build_settings(self) -> settings.Settings:
+        """Returns settings that reserve a tenth for the first rank."""
+        return settings.Settings(urgent_fraction=0.1)
+
+    def test_it_starts_and_does_not_reserve_idle_minions_for_ever(self) -> None:
+        for name in self.cell.minions:
+            self.apply(events.MinionUnreachable(minion_id=name))
+        self.submit(cases.build_step(2, cpu=4_000, gang=True))
+        self.submit(cases.build_step(lasting=True))
+        self.now_ms += OVERDUE_S * 1_000
+        for name in self.cell.minions:
+            self.poll(name)
+        for _ in range(100):
+            self.tick()
+        self.assertTrue(any(map(self.list_running, self.cell.minions)))
