Let lasting tasks use the capacity kept for the first rank

Cause: lasting tasks of other ranks had to leave the kept capacity free, behind tasks that don't end or are always followed by others. Now they may use it; the first rank still preempts what saves its progress. Failed before, FullCellTest: AssertionError: 0 != 1. Cost: lasting tasks may occupy up to all of the kept capacity for good.

--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -200,11 +200,12 @@
 
     What is kept for the first rank in a service must leave room for the starts
     on idle minions; else they would wait, and hold reservations, for ever.
+    Lasting tasks may use it, as they would wait for others that don't end.
     """
     need = step.need.times(count)
     if not has_headroom(cell, step, available, count):
         return False
-    if step.rank == ordering.FIRST_RANK:
+    if step.rank == ordering.FIRST_RANK or step.step.lasting:
         return True
     service = get_service(cell, step)
     total_cpu = available.total_cpus.get(service, 0)
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -34,7 +34,7 @@
         late_reservations_limit: Most late gangs that may reserve capacity while
             they request tickets.
         urgent_fraction: Fraction of a service's processor capacity that only
-            tasks of the first rank may occupy.
+            tasks of the first rank and lasting tasks may occupy.
         named_minions_limit: Most minions named in one call for advice.
         quarantine_ms: Quarantine of a minion after repeated failures.
         quarantine_failures: Number of different jobs that must fail in a row on
--- a/tests/core/scheduling/test_urgent_capacity.py
+++ b/tests/core/scheduling/test_urgent_capacity.py
@@ -81,3 +81,19 @@
         for _ in range(100):
             self.tick()
         self.assertTrue(any(map(self.list_running, self.cell.minions)))
+
+
+class FullCellTest(cases.CellCase):
+    """Little more than the capacity for the first rank is free."""
+
+    def build_settings(self) -> settings.Settings:
+        """Returns settings that reserve a quarter for the first rank."""
+        return settings.Settings(urgent_fraction=0.25)
+
+    def test_a_lasting_task_starts_though_others_leave_little(self) -> None:
+        self.submit(cases.build_step(6, estimate_ms=60_000))
+        self.assertEqual(len(self.confirm_starts()), 6)
+        self.submit(cases.build_step())
+        self.assertEqual(len(self.get_starts()), 0)
+        self.submit(cases.build_step(lasting=True))
+        self.assertEqual(len(self.get_starts()), 1)
