Let jobs that are not stored yet take no turns of those that are

Cause: steps of offered jobs counted among the first sixty, though none of them may start; the turns of overdue steps help only in an idle service. Now they count only while they have advice to request. They are not marked as considered, so that they get a turn at once when they are stored.

--- a/packages/core/hickoryreach/scheduling/candidates.py
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -24,11 +24,12 @@
 ) -> Iterator[state.StepRecord]:
     """Yields the steps to consider in a pass, the most urgent one first.
 
-    The number of steps is limited. Those that can't start for now, because of
-    their workspace's limit or runs of an earlier owner, have a limit of their
-    own, so that they don't keep others from being considered. At the end come
-    some of the steps that no pass has considered for OVERDUE_MS, if their
-    service has capacity to spare: more urgent steps may still want the rest.
+    The number of steps is limited. Those that their workspace's limit blocks
+    have a limit of their own, and those that wait for the store or for runs of
+    an earlier owner are left out, so that they don't keep others from being
+    considered. At the end come some of the steps that no pass has considered
+    for OVERDUE_MS, if their service has capacity to spare: more urgent steps
+    may still want the rest.
     """
     settings = cell.settings
     waiting = sorted(
@@ -43,8 +44,10 @@
         if cause is None:
             left -= 1
         else:
-            step.considered_ms = cell.now_ms
             step.wait_cause = cause
+            if cause is wait_causes.WaitCause.NOT_STORED:
+                continue
+            step.considered_ms = cell.now_ms
             if cause is not wait_causes.WaitCause.LIMIT or not blocked_left:
                 continue
             blocked_left -= 1
@@ -59,9 +62,18 @@
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
 ) -> wait_causes.WaitCause | None:
-    """Returns why a step can't start whatever capacity is free, or None."""
+    """Returns why a step can't start whatever capacity is free, or None.
+
+    A step whose job is not stored yet counts as able to start while it has
+    advice to request.
+    """
     if step.job.unconfirmed_until_ms > cell.now_ms:
         return wait_causes.WaitCause.UNCONFIRMED
+    if not step.job.kept and (
+        step.allowed is not None
+        or eligibility.get_advice_terms(cell, step) is None
+    ):
+        return wait_causes.WaitCause.NOT_STORED
     count = step.step.count if step.step.gang else 1
     if free_capacity.is_over_limit(cell, step, available, count):
         return wait_causes.WaitCause.LIMIT
--- a/tests/core/scheduling/test_candidates.py
+++ b/tests/core/scheduling/test_candidates.py
@@ -98,6 +98,18 @@
         late = self.submit_behind(cases.build_step())
         self.assertEqual(self.wait_for_start(late), 1)
 
+    def test_jobs_that_are_not_stored_yet_do_not_hold_up_those_that_are(
+        self,
+    ) -> None:
+        self.submit(cases.build_step(6, estimate_ms=60_000))
+        self.confirm_starts()
+        for _ in range(BLOCKED_COUNT):
+            job = self.build_job(queue="checks")
+            self.apply(events.JobOffered(job=job))
+        stored = self.submit(cases.build_step())
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [stored])
+
     def test_steps_at_a_limit_take_no_turns_of_those_below_theirs(
         self,
     ) -> None:
