Split the rows of a long outage into parts that the store takes

Cause: rows gather in one part while all writes under way are repeated. The store takes at most valueBytes (1 MiB) as one value; it refuses a larger part for ever, and callbacks run in the order of the parts. Head-of-line blocking. Now a part takes at most 200,000 bytes of rows. Further rows move to the next one, with all callbacks and final records, so that none comes before its row.

--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -21,6 +21,7 @@
 ROWS_PER_EXTRA_WRITE = 8
 BATCH_DELAY_S = 0.008
 MAX_FINALS = store.TRANSACTION_LIMIT - 4
+MAX_PART_BYTES = 200_000  # of rows; well below what one value may hold
 RETRY_S = 0.1
 HEDGE_DELAY_S = 0.2
 MAX_HEDGED_ATTEMPTS = 3
@@ -149,7 +150,9 @@
     def close_open_part(self) -> Part:
         """Closes the open part and opens the next one.
 
-        Final records beyond the limit of one write move to the next part.
+        Rows and final records beyond the limits of one write move to the next
+        part; with rows also all callbacks and final records, which may depend
+        on the last row.
 
         Returns:
             The closed part.
@@ -158,6 +161,12 @@
         self.number += 1
         part.number = self.number
         self.open = Part(number=0)
+        count = count_rows_in_limit(part.rows)
+        if count < len(part.rows):
+            self.open.rows = part.rows[count:]
+            self.open.kept, self.open.finals = part.kept, part.finals
+            self.open.opened_at = part.opened_at
+            part.rows, part.kept, part.finals = part.rows[:count], [], {}
         for job_id in list(part.finals)[MAX_FINALS:]:
             self.open.finals[job_id] = part.finals.pop(job_id)
         if self.open.finals:
@@ -301,3 +310,13 @@
             ],
             block=False,
         )
+
+
+def count_rows_in_limit(rows: list[records.Row]) -> int:
+    """Returns how many of the first rows one write can hold, at least 1."""
+    size = 0
+    for count, row in enumerate(rows):
+        size += len(records.encode_rows([row]))
+        if count and size > MAX_PART_BYTES:
+            return count
+    return len(rows)
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -8,6 +8,8 @@
 from hickoryreach_entry.cell import records
 from tests.entry.cell import cases
 
+VALUE_BYTES = 1_048_576  # most that the store takes as one value
+
 
 class ProgressTest(cases.StoreCase):
     """Rows are stored once, in order, and only by the owner."""
@@ -94,6 +96,25 @@
         gevent.sleep(1.0)
         self.assertTrue(self.progress.healthy)
 
+    def test_rows_of_a_long_outage_are_stored_in_parts_that_fit(self) -> None:
+        count = 3_000
+        self.model.faults.busy.add("*")
+        for number in range(count):
+            row = records.Row(kind=records.CANCELLED, job_id=f"{number:0400}")
+            self.progress.append(
+                row, lambda number=number: self.kept.append(number)
+            )
+        gevent.sleep(0.3)
+        self.assertEqual(self.kept, [])
+        self.model.faults.busy.clear()
+        self.wait(count, limit_s=10.0)
+        self.assertEqual(self.kept, list(range(count)))
+        page = self.progress.client.get_prefix(records.PROGRESS_PREFIX).unwrap()
+        sizes = [len(item.data) for item in page.items]
+        self.assertLess(max(sizes), VALUE_BYTES)
+        rows = [int(job_id) for job_id in self.list_rows()]
+        self.assertEqual(rows, list(range(count)))
+
     def test_no_callback_runs_while_the_store_is_unavailable(self) -> None:
         self.model.faults.busy.add("*")
         self.append(1)
