Let one workspace's blocked steps not use up the headroom turns of others

What callers would see (found by review): a gang at its workspace's limit waits while later small tasks of the workspace take each part that becomes free, if another workspace has more than twenty steps at its own limit. Cause: twenty blocked steps a pass could reserve headroom, whatever workspace they belong to; the first of the other workspace took all turns, though its headroom was reserved after one of them. Now a blocked step takes a turn only if headroom of its workspace is left to reserve, or if it is of the first rank, which preempts.

--- a/packages/core/hickoryreach/scheduling/candidates.py
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -50,6 +50,8 @@
             step.considered_ms = cell.now_ms
             if cause is not wait_causes.WaitCause.LIMIT or not blocked_left:
                 continue
+            if not _may_gain_headroom(cell, step, available):
+                continue
             blocked_left -= 1
         yield step
         if not left:
@@ -80,6 +82,19 @@
     return None
 
 
+def _may_gain_headroom(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+) -> bool:
+    """Returns whether a step that its limit blocks may reserve or preempt.
+
+    Where others have reserved all headroom, only the first rank preempts.
+    """
+    headroom = available.get_headroom(cell, step.job.job.workspace)
+    return step.rank == ordering.FIRST_RANK or resources.ZERO.fits_in(headroom)
+
+
 def _list_overdue(
     cell: state.CellState,
     available: free_capacity.FreeCapacity,
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hickoryreach.scheduling import effects
+from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
@@ -115,6 +116,26 @@
         self.assertEqual(started, [later])
 
 
+class TwoWorkspacesTest(GangTest):
+    """Another workspace has many more steps at its limit."""
+
+    def build_workspaces(self) -> list[cells.Workspace]:
+        """Returns a second workspace with a low limit."""
+        low = resources.Resources(cpu_millis=500)
+        return [
+            *super().build_workspaces(),
+            cells.Workspace(name="wind", share=1_000_000.0, limit=low),
+        ]
+
+    def fill_limit(self, **words) -> list[effects.StartTask]:
+        """Fills the limit of the one workspace; the other one has waited."""
+        for _ in range(2 * self.cell.settings.blocked_steps_per_pass):
+            small = cases.build_step(cpu=400, estimate_ms=1_000)
+            self.submit(small, workspace="wind", queue="checks")
+            self.confirm_starts()
+        return super().fill_limit(**words)
+
+
 class UnplaceableStepTest(cases.CellCase):
     """A step that can't start with any headroom keeps no other one waiting."""
 
