Let steps that wait pass headroom reserved for others below half of the limit

Cause: a gang that the limit keeps waiting reserves nearly all of it in every pass. It gets it only when the run has ended; until then nothing else of the workspace starts. Now a step that has waited for 2 s may use reserved headroom while its workspace uses at most half of its limit. What steps hold that only wait for advice stays theirs, so that no more of them ask than may start. Failed before, LongRunTest: AssertionError: Lists differ: [] != ['job3']. Cost: a gang that needs over half of the limit waits longer behind small tasks that keep less than half of it in use. Tried: without the exception for advice, ten late steps asked in place of two (LimitedAdviceTest, unchanged).

--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -7,6 +7,8 @@
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
+RESERVED_WAIT_MS = 2_000
+
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class FreeCapacity:
@@ -34,6 +36,8 @@
             start of the pass, in thousandths of a core.
         reserved_headroom: Part of its limit that is reserved for steps that
             wait for it, by workspace.
+        advice_headroom: Part of the reserved headroom whose steps only wait for
+            advice, by workspace.
         lasting_usage: What lasting tasks occupied of the limit when it was
             first asked for, by workspace.
         refused_needs: Latest need that exceeded the headroom, by workspace;
@@ -58,6 +62,9 @@
     reserved_headroom: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    advice_headroom: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     lasting_usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
@@ -166,7 +173,31 @@
 ) -> bool:
     """Returns whether the workspace's limit permits starts of a step."""
     headroom = available.get_headroom(cell, step.job.job.workspace)
-    return step.need.times(count).fits_in(headroom)
+    need = step.need.times(count)
+    return need.fits_in(headroom) or _may_use_reserved(
+        cell, step, available, need
+    )
+
+
+def _may_use_reserved(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: FreeCapacity,
+    need: resources.Resources,
+) -> bool:
+    """Returns whether a step may use headroom that is reserved for others.
+
+    It may once it has waited RESERVED_WAIT_MS, while its workspace uses at most
+    half of its limit: what the others wait for may run for long. Steps that
+    only wait for advice keep theirs.
+    """
+    if cell.now_ms < step.waiting_since_ms + RESERVED_WAIT_MS:
+        return False
+    workspace = step.job.job.workspace
+    limit = runs.get_limit(cell, workspace)
+    used = cell.usage.get(workspace, resources.ZERO)
+    kept = available.advice_headroom.get(workspace, resources.ZERO)
+    return used.times(2).fits_in(limit) and need.fits_in(limit - used - kept)
 
 
 def is_over_limit(
@@ -182,12 +213,11 @@
     workspace = step.job.job.workspace
     need = step.need.times(count) if count > 1 else step.need
     refused = available.refused_needs.get(workspace)
-    if refused is not None and refused.fits_in(need):
-        return True
-    if need.fits_in(available.get_headroom(cell, workspace)):
-        return False
-    available.refused_needs[workspace] = need
-    return True
+    if refused is None or not refused.fits_in(need):
+        if need.fits_in(available.get_headroom(cell, workspace)):
+            return False
+        available.refused_needs[workspace] = need
+    return not _may_use_reserved(cell, step, available, need)
 
 
 def may_start(
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -42,7 +42,7 @@
             yield from eligibility.ask_about_unknown(cell, step, available)
             # Else many more steps of a workspace at its limit would request
             # advice than it may start.
-            workspace_limits.reserve_headroom(cell, step, available)
+            workspace_limits.hold_headroom(cell, step, available)
         return
     if not step.job.kept:
         step.wait_cause = wait_causes.WaitCause.NOT_STORED
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -28,12 +28,25 @@
     first rank, less urgent runs of the workspace are preempted.
     """
     headroom = available.get_headroom(cell, step.job.job.workspace)
-    need = reserve_headroom(cell, step, available)
+    need = _reserve_headroom(cell, step, available)
     if need is not None and step.rank == ordering.FIRST_RANK:
         yield from preemption.preempt_in_workspace(cell, step, headroom, need)
 
 
-def reserve_headroom(
+def hold_headroom(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+) -> None:
+    """Reserves headroom for a step that only waits for advice."""
+    need = _reserve_headroom(cell, step, available)
+    if need is not None:
+        workspace = step.job.job.workspace
+        known = available.advice_headroom.get(workspace, resources.ZERO)
+        available.advice_headroom[workspace] = known + need
+
+
+def _reserve_headroom(
     cell: state.CellState,
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
--- a/tests/core/scheduling/test_workspace_limits.py
+++ b/tests/core/scheduling/test_workspace_limits.py
@@ -166,6 +166,24 @@
         self.check_later_task_starts(cases.build_step(2, cpu=3_000, gang=True))
 
 
+class LongRunTest(cases.CellCase):
+    """A gang waits for headroom while a long run uses little of the limit."""
+
+    minion_count = 5
+    limit = resources.Resources(cpu_millis=10_000)
+
+    def test_small_tasks_do_not_wait_for_the_run_to_end(self) -> None:
+        self.submit(cases.build_step(cpu=2_000, estimate_ms=600_000))
+        self.confirm_starts()
+        self.submit(cases.build_step(9, gang=True))
+        small = self.submit(cases.build_step())
+        started = []
+        for _ in range(30):
+            self.tick()
+            started += [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [small])
+
+
 class RemovedWorkspaceTest(LimitCase):
     """A workspace is removed while a step of it waits."""
 
