--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/crash_records.py
@@ -0,0 +1,128 @@
+"""What is known of the minions that crashed while they ran a task."""
+
+import dataclasses
+
+from hickoryreach.platform import minions
+from hickoryreach.structure import steps
+
+SUSPECT_CRASHES = 2
+SOLITARY_CRASHES = 3
+NO_RUN = -1
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class CrashedTask:
+    """Crashes of minions that were running one task.
+
+    Attributes:
+        runs: Numbers of the runs under which a minion crashed.
+        unstored: Those of them that the store doesn't hold yet.
+        solitary_run: Number of the latest run that was started alone on its
+            minion, or -1.
+        doubtful_run: Number of the run that was alone on a minion of which it
+            is uncertain whether it crashed, or -1; the task waits meanwhile.
+        may_have_crashed: Whether another crash may have escaped a takeover.
+    """
+
+    runs: set[int] = dataclasses.field(default_factory=set)
+    unstored: set[int] = dataclasses.field(default_factory=set)
+    solitary_run: int = NO_RUN
+    doubtful_run: int = NO_RUN
+    may_have_crashed: bool = False
+
+    @property
+    def count(self) -> int:
+        """Number of crashes, with one that a takeover may have hidden."""
+        return len(self.runs) + (self.may_have_crashed and bool(self.runs))
+
+    @property
+    def is_suspect(self) -> bool:
+        """Whether the task is kept apart from other suspects."""
+        return self.count >= SUSPECT_CRASHES
+
+    @property
+    def needs_solitude(self) -> bool:
+        """Whether the task runs only alone on a minion."""
+        return self.count >= SOLITARY_CRASHES
+
+    @property
+    def must_wait(self) -> bool:
+        """Whether its crashes must be certain and stored before it starts."""
+        return self.doubtful_run != NO_RUN or (
+            self.is_suspect and bool(self.unstored)
+        )
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LapsedRuns:
+    """Runs that count as crashed because their minion's lease expired.
+
+    Attributes:
+        incarnation: Incarnation of the minion; if it answers again, the runs
+            don't count any longer.
+        lapsed_ms: When the lease expired, on the owner's clock.
+        runs: The runs, by task and number.
+        solitary: Those of them that were alone on the minion.
+    """
+
+    incarnation: int
+    lapsed_ms: int
+    runs: tuple[tuple[steps.TaskKey, int], ...]
+    solitary: tuple[tuple[steps.TaskKey, int], ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Reservation:
+    """Minions that are left to empty for a task that must run alone.
+
+    Attributes:
+        key: The first task of the step that they are reserved for.
+        minion_ids: Ids of the minions.
+        reserved_ms: When they were reserved, on the owner's clock.
+    """
+
+    key: steps.TaskKey
+    minion_ids: tuple[str, ...]
+    reserved_ms: int
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class CrashState:
+    """Crashes and their consequences in the whole cell.
+
+    Attributes:
+        lapsed: Runs that counted when a lease expired, by id of the minion.
+        solitary_minion_ids: Ids of the minions on which a task runs alone.
+        reservation: The present reservation, or None.
+    """
+
+    lapsed: dict[str, LapsedRuns] = dataclasses.field(default_factory=dict)
+    solitary_minion_ids: set[str] = dataclasses.field(default_factory=set)
+    reservation: Reservation | None = None
+
+
+def is_crash_row(kind: minions.EndKind, checkpoint: str) -> bool:
+    """Returns whether a recorded end tells of a counted or retracted crash.
+
+    A lease's end without a checkpoint counts a crash, and a stop without one
+    retracts it. No other such ends are recorded, and owners that know nothing
+    of crashes merely start the task again.
+    """
+    return not checkpoint and kind in (
+        minions.EndKind.LEASE_EXPIRED,
+        minions.EndKind.STOPPED,
+    )
+
+
+def apply_row(
+    tasks: dict[int, CrashedTask],
+    index: int,
+    number: int,
+    kind: minions.EndKind,
+) -> None:
+    """Applies a row of an earlier owner to the crashed tasks of a step."""
+    task = tasks.setdefault(index, CrashedTask(may_have_crashed=True))
+    if kind is minions.EndKind.STOPPED:
+        task.runs.discard(number)
+    else:
+        task.runs.add(number)
--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -118,6 +118,21 @@
     must_store: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RecordCrash:
+    """Store that a minion crashed under a run, or that it did not after all.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        retracted: Whether an earlier crash of this run counts no longer.
+    """
+
+    key: steps.TaskKey
+    number: int
+    retracted: bool = False
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobChanged:
     """Publish a job's new state once the ends that caused it are stored.
@@ -156,6 +171,7 @@
     | PollMinion
     | FindStoredJob
     | AcknowledgeEnd
+    | RecordCrash
     | JobChanged
     | LogDecision
 )
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -141,6 +141,19 @@
     checkpoint: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CrashStored:
+    """The crash of a minion under a run is in the store.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+    """
+
+    key: steps.TaskKey
+    number: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobRecovered:
     """A new owner has read a job from the store.
@@ -219,6 +232,7 @@
     | JobAccepted
     | JobNotFound
     | JobCancelled
+    | CrashStored
     | JobRecovered
     | JobAlreadyEnded
     | EarlierRunsConfirmed
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -1,9 +1,11 @@
 """Free capacity of the minions during one placement pass."""
 
+from collections.abc import Iterable
 import dataclasses
 
 from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
@@ -16,7 +18,7 @@
 
     Attributes:
         free: Unreserved free capacity by minion id, without quarantined
-            minions.
+            minions and those kept for tasks that must run alone.
         total_cpu: Processor capacity of all open minions, in thousandths of a
             core.
         services: Service of each minion in `free`, by minion id.
@@ -72,6 +74,22 @@
         default_factory=dict
     )
 
+    def open_minion(
+        self, minion_id: str, service: str, room: resources.Resources
+    ) -> None:
+        """Adds the free capacity of a minion of a service."""
+        self.free[minion_id] = room
+        self.services[minion_id] = service
+        free_cpu = self.free_cpus.get(service, 0)
+        self.free_cpus[service] = free_cpu + max(0, room.cpu_millis)
+
+    def close_minion(self, minion_id: str) -> None:
+        """Keeps a minion from other tasks for the rest of the pass."""
+        room = self.free.pop(minion_id, resources.ZERO)
+        if minion_id in self.services:
+            service = self.services[minion_id]
+            self.free_cpus[service] -= max(0, room.cpu_millis)
+
     def allocate(self, minion_id: str, need: resources.Resources) -> None:
         """Allocates capacity of a minion to a started task."""
         self.free[minion_id] = self.free[minion_id] - need
@@ -105,6 +123,7 @@
 def measure(cell: state.CellState) -> FreeCapacity:
     """Returns the free capacity of all open minions."""
     available = FreeCapacity(free={}, total_cpu=0)
+    closed = solitude.list_closed(cell)
     for minion_id, minion in cell.minions.items():
         if not minion.is_open:
             continue
@@ -115,13 +134,10 @@
         available.total_cpus[service] = total_cpu + size.cpu_millis
         available.open_minion_ids.setdefault(service, []).append(minion_id)
         available.minion_capacities.setdefault(service, size)
-        if minion.quarantined_until_ms > cell.now_ms:
+        if minion.quarantined_until_ms > cell.now_ms or minion_id in closed:
             continue
         room = size - minion.used
-        available.free[minion_id] = room
-        available.services[minion_id] = service
-        free_cpu = available.free_cpus.get(service, 0)
-        available.free_cpus[service] = free_cpu + max(0, room.cpu_millis)
+        available.open_minion(minion_id, service, room)
         available.largest_free_cpu = max(
             available.largest_free_cpu, room.cpu_millis
         )
@@ -165,6 +181,32 @@
     )
 
 
+def plan_slots(
+    available: FreeCapacity,
+    step: state.StepRecord,
+    minion_ids: Iterable[str],
+    count: int,
+) -> list[tuple[str, int]] | None:
+    """Returns how many of a step's tasks go where, or None if not all fit.
+
+    Minions with the most free processor capacity come first.
+    """
+    remaining = count
+    plan: list[tuple[str, int]] = []
+    ordered = sorted(
+        (minion_id for minion_id in minion_ids if minion_id in available.free),
+        key=lambda minion_id: -available.free[minion_id].cpu_millis,
+    )
+    for minion_id in ordered:
+        if not remaining:
+            break
+        slots = count_slots(available, step, minion_id, remaining)
+        if slots:
+            plan.append((minion_id, slots))
+            remaining -= slots
+    return None if remaining else plan
+
+
 def has_headroom(
     cell: state.CellState,
     step: state.StepRecord,
--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -9,7 +9,9 @@
 from hickoryreach.scheduling import orders
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import suspects
 from hickoryreach.scheduling import wait_causes
 from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
@@ -32,13 +34,17 @@
     in time. Free capacity that a gang fits into is also reserved for a limited
     number of late gangs while they request tickets.
     """
-    if step.runs:
+    if step.runs or len(step.waiting) < step.step.count:
         step.wait_cause = wait_causes.WaitCause.EARLIER_RUN
         return
     if not free_capacity.has_headroom(cell, step, available, step.step.count):
         step.wait_cause = wait_causes.WaitCause.LIMIT
         yield from workspace_limits.await_headroom(cell, step, available)
         return
+    if suspects.has_suspects(step):
+        step.wait_cause = wait_causes.WaitCause.SOLITUDE
+        yield from _place_suspects(cell, step, available, usable, terms)
+        return
     plan = None
     if terms is not None:
         ticketed = [
@@ -69,7 +75,57 @@
         if may_reserve:
             _reserve_plan(step, available, plan)
         return
-    yield from _start_members(cell, step, available, plan)
+    yield from _start_members(cell, step, available, plan, list(step.waiting))
+
+
+def _place_suspects(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Iterator[effects.Effect]:
+    """Starts a gang under whose members minions have crashed, if it fits."""
+    if suspects.has_running_suspect(cell, step):
+        return
+    solitary = solitude.list_solitary_tasks(step)
+    reserved = suspects.open_reserved(cell, step, available)
+    candidates = list(dict.fromkeys([*usable, *reserved]))
+    plan = None
+    if terms is not None:
+        ticketed = [
+            minion_id
+            for minion_id in candidates
+            if eligibility.has_ticket(cell, step, minion_id)
+        ]
+        plan = suspects.plan_gang(
+            cell, step, available, ticketed, len(solitary)
+        )
+    plan = plan or suspects.plan_gang(
+        cell, step, available, candidates, len(solitary)
+    )
+    if plan is None:
+        if solitary:
+            yield from suspects.reserve(
+                cell, step, available, usable, len(solitary)
+            )
+        yield from _reserve_capacity(cell, step, available, candidates, terms)
+    elif terms is not None and not all(
+        eligibility.has_ticket(cell, step, minion_id) for minion_id, _ in plan
+    ):
+        planned_ids = [minion_id for minion_id, _ in plan]
+        yield from eligibility.refresh_tickets(cell, step, planned_ids)
+        _reserve_plan(step, available, plan)
+    else:
+        others = [each for each in step.waiting if each not in solitary]
+        yield from _start_members(
+            cell, step, available, plan, solitary + others
+        )
+        for index in solitary:
+            run = step.runs[index]
+            solitude.isolate(cell, step, index, run.number, run.minion_id)
+            suspects.close(available, [run.minion_id])
+    suspects.close(available, reserved)
 
 
 def _may_reserve(
@@ -109,10 +165,11 @@
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
     plan: Plan,
+    order: list[int],
 ) -> Iterator[effects.Effect]:
-    """Starts all tasks of a gang under one run number."""
+    """Starts all tasks of a gang, in an order, under one run number."""
     number = runs.get_next_run_number(cell, step)
-    indexes = iter(list(step.waiting))
+    indexes = iter(order)
     for minion_id, count in plan:
         for _ in range(count):
             yield from orders.start(
@@ -134,32 +191,12 @@
             rack = cell.minions[minion_id].minion.labels[-1:]
             racks.setdefault(rack[0] if rack else "", []).append(minion_id)
         for members in racks.values():
-            plan = _plan_members(step, available, members)
+            plan = free_capacity.plan_slots(
+                available, step, members, step.step.count
+            )
             if plan is not None:
                 return plan
-    return _plan_members(step, available, usable)
-
-
-def _plan_members(
-    step: state.StepRecord,
-    available: free_capacity.FreeCapacity,
-    usable: list[str],
-) -> Plan | None:
-    """Returns the number of tasks for each minion, or None if not all fit."""
-    remaining = step.step.count
-    plan: Plan = []
-    ordered = sorted(
-        (minion_id for minion_id in usable if minion_id in available.free),
-        key=lambda minion_id: -available.free[minion_id].cpu_millis,
-    )
-    for minion_id in ordered:
-        slots = free_capacity.count_slots(available, step, minion_id, remaining)
-        if slots:
-            plan.append((minion_id, slots))
-            remaining -= slots
-        if not remaining:
-            return plan
-    return None
+    return free_capacity.plan_slots(available, step, usable, step.step.count)
 
 
 def _reserve_plan(
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 
 from hickoryreach.platform import minions
+from hickoryreach.scheduling import crash_records
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import runs
@@ -169,6 +170,11 @@
         step.highest_numbers.get(end.key.index, 0), end.number
     )
     yield from mark_started(record)
+    if crash_records.is_crash_row(end.kind, end.checkpoint):
+        crash_records.apply_row(
+            step.crashes, end.key.index, end.number, end.kind
+        )
+        return
     yield from apply_outcome(cell, step, end.key.index, end.number, end.kind)
     record_checkpoint(step, end.key.index, end.checkpoint)
 
@@ -202,7 +208,7 @@
 
 
 def requeue(cell: state.CellState, step: state.StepRecord, index: int) -> None:
-    """Queues a task for its next start.
+    """Queues a task for its next start unless a crash must be stored first.
 
     A step that is not ready yet gets all of its tasks queued once it is.
     """
@@ -210,6 +216,9 @@
         return
     if index in step.done or index in step.runs or step.job.state.is_final:
         return
+    crashed = step.crashes.get(index)
+    if crashed is not None and crashed.must_wait:
+        return
     step.waiting[index] = None
     step.waiting_since_ms = cell.now_ms
     cell.ready[id(step)] = step
--- a/packages/core/hickoryreach/scheduling/placement.py
+++ b/packages/core/hickoryreach/scheduling/placement.py
@@ -13,6 +13,7 @@
 from hickoryreach.scheduling import preemption
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import suspects
 from hickoryreach.scheduling import wait_causes
 from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import cells
@@ -95,9 +96,12 @@
 ) -> Iterator[effects.Effect]:
     """Starts as many tasks of a step as fit, and makes room for the others."""
     expired: list[str] = []
+    if step.crashes:
+        step.wait_cause = wait_causes.WaitCause.SOLITUDE
+        yield from suspects.place(cell, step, available, usable, terms)
     if free_capacity.may_start(cell, step, available):
         expired = yield from _start_tasks(cell, step, available, usable, terms)
-    if not step.waiting:
+    if not suspects.get_ordinary(step):
         return
     if not free_capacity.has_headroom(cell, step, available):
         step.wait_cause = wait_causes.WaitCause.LIMIT
@@ -124,8 +128,9 @@
     if step.need.cpu_millis > available.largest_free_cpu:
         return expired
     for minion_id in _sort_best_fit(available, step, usable):
+        waiting = suspects.get_ordinary(step)
         slots = free_capacity.count_slots(
-            available, step, minion_id, len(step.waiting)
+            available, step, minion_id, len(waiting)
         )
         if not slots:
             continue
@@ -134,7 +139,7 @@
         ):
             expired.append(minion_id)
             continue
-        for index in list(step.waiting)[:slots]:
+        for index in list(waiting)[:slots]:
             if not free_capacity.may_start(cell, step, available):
                 return expired
             number = runs.get_next_run_number(cell, step)
@@ -142,7 +147,7 @@
                 cell, step, index, cell.minions[minion_id], number
             )
             available.allocate(minion_id, step.need)
-        if not step.waiting:
+        if not suspects.get_ordinary(step):
             break
     return expired
 
@@ -165,7 +170,7 @@
         yield from eligibility.ask_about_unknown(cell, step, available)
     if step.rank == ordering.FIRST_RANK:
         yield from preemption.preempt_for_tasks(
-            cell, step, available, usable, len(step.waiting)
+            cell, step, available, usable, len(suspects.get_ordinary(step))
         )
 
 
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -1,17 +1,21 @@
 """Handling of poll replies: running tasks, ends and missing runs."""
 
+from collections.abc import Generator
 from collections.abc import Iterator
 
 from hickoryreach.platform import minions
+from hickoryreach.scheduling import crashes
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import orphans
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
 from hickoryreach.scheduling import throttling
 from hickoryreach.structure import resources
+from hickoryreach.structure import steps
 
 START_MARGIN_MS = 300
 
@@ -32,24 +36,29 @@
     if minion.incarnation and not minion.reachable:
         until_ms = cell.now_ms + cell.settings.return_quarantine_ms
         minion.quarantined_until_ms = max(minion.quarantined_until_ms, until_ms)
+    previous_incarnation = minion.incarnation
     minion.incarnation = reply.incarnation
     minion.polled = True
     minion.reachable = True
+    if cell.crashes.lapsed:
+        yield from crashes.handle_return(cell, minion)
     for end in reply.ends:
         yield from _handle_end(cell, minion, end)
     pace.update_speed(cell, minion, reply.running)
-    listed = set()
-    orphan_count = 0
-    for task in reply.running:
-        listed.add((task.key, task.run))
-        yield from _update_run(cell, minion, task)
-        run = minion.runs.get((task.key, task.run))
-        if run is not None and run.need == resources.ZERO:
-            orphan_count += run.step is None
-    minion.orphan_count = orphan_count
+    listed = yield from _update_runs(cell, minion, reply)
     yield from throttling.adjust_shares(minion, reply.running)
-    for name, run in list(minion.runs.items()):
-        if name in listed or name not in minion.runs:
+    missing = [run for name, run in minion.runs.items() if name not in listed]
+    if restarted and missing:
+        yield from crashes.count(
+            cell,
+            minion,
+            missing,
+            incarnation=previous_incarnation,
+            reason="minion_restarted",
+            is_certain=True,
+        )
+    for run in missing:
+        if (run.key, run.number) not in minion.runs:
             continue
         reason = _explain_absence(cell, run, event, restarted=restarted)
         if reason:
@@ -58,6 +67,32 @@
             )
 
 
+def _update_runs(
+    cell: state.CellState,
+    minion: state.MinionRecord,
+    reply: minions.PollReply,
+) -> Generator[effects.Effect, None, set[tuple[steps.TaskKey, int]]]:
+    """Updates or adopts all listed runs.
+
+    Returns:
+        The listed runs, by task and number.
+    """
+    listed = set()
+    orphan_count = 0
+    was_empty = not minion.runs
+    for task in reply.running:
+        name = (task.key, task.run)
+        listed.add(name)
+        yield from _update_run(cell, minion, task)
+        run = minion.runs.get(name)
+        if run is not None and run.need == resources.ZERO:
+            orphan_count += run.step is None
+    minion.orphan_count = orphan_count
+    if was_empty and len(minion.runs) == 1:
+        solitude.adopt(cell, minion)
+    return listed
+
+
 def _handle_end(
     cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
 ) -> Iterator[effects.Effect]:
@@ -198,6 +233,7 @@
         detail=f"run={task.run} minion={minion.minion.minion_id}",
     )
     if is_wanted:
+        crashes.note_adopted(run)
         lifecycle.record_checkpoint(step, task.key.index, task.checkpoint)
         yield from lifecycle.mark_started(step.job)
     elif orphans.is_unknown(cell, task.key.job_id):
@@ -264,6 +300,16 @@
     if minion is None:
         return
     minion.polled = False
+    if minion.runs:
+        counted = yield from crashes.count(
+            cell,
+            minion,
+            list(minion.runs.values()),
+            incarnation=minion.incarnation,
+            reason="lease_expired",
+            is_certain=minion.unregistered,
+        )
+        crashes.expect_return(cell, minion, counted)
     for run in list(minion.runs.values()):
         yield from lifecycle.drop_run(
             cell, run, "lease_expired", invalidate=True
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterator
 
 from hickoryreach.decisions import registry
+from hickoryreach.scheduling import crashes
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import evacuation
@@ -28,6 +29,7 @@
 handlers.register(events.LeaseExpired)(poll_replies.expire_lease)
 handlers.register(events.StartAnswered)(orders.handle_start_answer)
 handlers.register(events.StopAnswered)(orders.handle_stop_answer)
+handlers.register(events.CrashStored)(crashes.handle_stored)
 handlers.register(events.JobRecovered)(lifecycle.recover)
 handlers.register(events.AdviceCallEnded)(eligibility.handle_advice)
 handlers.register(events.JobNotFound)(orphans.handle_not_found)
@@ -87,7 +89,7 @@
     known = cell.minions.get(event.minion_id)
     if known is not None:
         known.unregistered = True
-    yield from ()
+    yield from crashes.confirm(cell, event.minion_id, "minion_unregistered")
 
 
 @handlers.register(events.MinionUnreachable)
@@ -162,4 +164,5 @@
     yield from evacuation.evacuate(cell)
     pace.update_median_speed(cell)
     yield from pace.stop_stalled_runs(cell)
+    crashes.end_doubts(cell)
     yield from waits.report(cell)
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/solitude.py
@@ -0,0 +1,119 @@
+"""Minions that are kept for tasks that must run alone."""
+
+from collections.abc import Set
+
+from hickoryreach.scheduling import crash_records
+from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import state
+
+SETTLED_MS = 3_000
+RESERVATION_LIMIT_MS = 30_000
+SOLITARY_SERVICE_MS = 30_000
+NONE: frozenset[str] = frozenset()
+
+
+def adopt(cell: state.CellState, minion: state.MinionRecord) -> None:
+    """Keeps a run alone that an earlier owner had started alone."""
+    (run,) = minion.runs.values()
+    task = run.step and run.step.crashes.get(run.key.index)
+    if task is not None and task.needs_solitude:
+        isolate(cell, run.step, run.key.index, run.number, run.minion_id)
+
+
+def isolate(
+    cell: state.CellState,
+    step: state.StepRecord,
+    index: int,
+    number: int,
+    minion_id: str,
+) -> None:
+    """Keeps other tasks off a minion on which a task runs alone."""
+    step.crashes[index].solitary_run = number
+    cell.crashes.solitary_minion_ids.add(minion_id)
+
+
+def list_closed(cell: state.CellState) -> Set[str]:
+    """Returns the minions that are kept for tasks that must run alone."""
+    crashes = cell.crashes
+    if not crashes.solitary_minion_ids and crashes.reservation is None:
+        return NONE
+    for minion_id in list(crashes.solitary_minion_ids):
+        minion = cell.minions.get(minion_id)
+        if minion is None or not _holds_solitary_run(cell, minion):
+            crashes.solitary_minion_ids.discard(minion_id)
+    reservation = crashes.reservation
+    if reservation is not None and not _is_needed(cell, reservation):
+        crashes.reservation = reservation = None
+    reserved = reservation.minion_ids if reservation is not None else ()
+    return crashes.solitary_minion_ids.union(reserved)
+
+
+def _holds_solitary_run(
+    cell: state.CellState, minion: state.MinionRecord
+) -> bool:
+    """Returns whether a run is still to be alone on a minion.
+
+    A service, which never ends, is alone only for a limited time.
+    """
+    solitary = [run for run in minion.runs.values() if is_solitary(run)]
+    earliest_ms = cell.now_ms - SOLITARY_SERVICE_MS
+    if any(
+        not run.step.step.lasting or run.sent_ms >= earliest_ms
+        for run in solitary
+    ):
+        return True
+    for run in solitary:
+        run.step.crashes[run.key.index].solitary_run = crash_records.NO_RUN
+    return False
+
+
+def _is_needed(
+    cell: state.CellState, reservation: crash_records.Reservation
+) -> bool:
+    """Returns whether a reservation may still serve its step."""
+    if cell.now_ms > reservation.reserved_ms + RESERVATION_LIMIT_MS:
+        return False
+    step = runs.find_step(cell, reservation.key)
+    if step is None or not list_solitary_tasks(step):
+        return False
+    open_minions = (cell.minions.get(each) for each in reservation.minion_ids)
+    return all(each is not None and each.is_open for each in open_minions)
+
+
+def list_solitary_tasks(step: state.StepRecord) -> list[int]:
+    """Returns the waiting tasks of a step that must run alone."""
+    return [
+        index
+        for index, task in step.crashes.items()
+        if task.needs_solitude and index in step.waiting
+    ]
+
+
+def is_solitary(run: state.Run) -> bool:
+    """Returns whether a run was started alone on its minion."""
+    task = run.step and run.step.crashes.get(run.key.index)
+    return task is not None and task.solitary_run == run.number
+
+
+def is_suspect(run: state.Run) -> bool:
+    """Returns whether a run's task has crashed minions."""
+    task = run.step and run.step.crashes.get(run.key.index)
+    return task is not None and task.is_suspect
+
+
+def is_settled(cell: state.CellState, run: state.Run) -> bool:
+    """Returns whether a run has gone on for too long to crash its minion."""
+    return 0 <= run.confirmed_ms < cell.now_ms - SETTLED_MS
+
+
+def is_harmless(cell: state.CellState, run: state.Run) -> bool:
+    """Returns whether a task counts as alone beside a run.
+
+    Services never end. Waiting for a minion without any could last for ever.
+    """
+    return (
+        run.step is not None
+        and run.step.step.lasting
+        and is_settled(cell, run)
+        and not is_suspect(run)
+    )
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -7,6 +7,7 @@
 import enum
 
 from hickoryreach.platform import minions
+from hickoryreach.scheduling import crash_records
 from hickoryreach.scheduling import settings as settings_module
 from hickoryreach.scheduling import wait_causes
 from hickoryreach.structure import cells
@@ -141,6 +142,7 @@
             -1 if none has since its last advice.
         wait_cause: What kept it from starting then.
         wait_reported_ms: When its wait was last logged, on the owner's clock.
+        crashes: Tasks under which minions crashed, by index of the task.
     """
 
     job: JobRecord
@@ -168,6 +170,9 @@
     considered_ms: int = -1
     wait_cause: wait_causes.WaitCause = wait_causes.WaitCause.NOT_CONSIDERED
     wait_reported_ms: int = -(2**53)
+    crashes: dict[int, crash_records.CrashedTask] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def is_done(self) -> bool:
@@ -341,6 +346,7 @@
             requested for recovered jobs before.
         deferred_ends: Ends that wait for their job to be looked up in the
             store, by id of the job.
+        crashes: Crashes of minions and their consequences.
         dirty: Whether a change since the last pass may let a task start.
         next_wait_report_ms: Earliest time of the next log lines on steps that
             wait, on the owner's clock.
@@ -377,5 +383,8 @@
     deferred_ends: dict[str, list[DeferredEnd]] = dataclasses.field(
         default_factory=dict
     )
+    crashes: crash_records.CrashState = dataclasses.field(
+        default_factory=crash_records.CrashState
+    )
     dirty: bool = False
     next_wait_report_ms: int = 0
--- /dev/null
+++ b/packages/core/hickoryreach/scheduling/suspects.py
@@ -0,0 +1,325 @@
+"""Placement of tasks under which several minions have crashed.
+
+Two suspects on one minion would both count its next crash, and several of one
+job would crash as many minions, so that they are kept apart. A task that must
+run alone gets a minion on which nothing else runs; in a busy cell one is left
+to empty for it.
+"""
+
+from collections.abc import Collection
+from collections.abc import Generator
+from collections.abc import Iterator
+
+from hickoryreach.scheduling import crash_records
+from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import eligibility
+from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import orders
+from hickoryreach.scheduling import runs
+from hickoryreach.scheduling import solitude
+from hickoryreach.scheduling import state
+from hickoryreach.structure import cells
+
+FULL_PERCENT = 100
+
+
+def get_ordinary(step: state.StepRecord) -> Collection[int]:
+    """Returns the waiting tasks that may run beside any other."""
+    if not step.crashes:
+        return step.waiting
+    return [index for index in step.waiting if not _is_suspect(step, index)]
+
+
+def has_suspects(step: state.StepRecord) -> bool:
+    """Returns whether a waiting task of a step is a suspect."""
+    return any(
+        task.is_suspect and index in step.waiting
+        for index, task in step.crashes.items()
+    )
+
+
+def _is_suspect(step: state.StepRecord, index: int) -> bool:
+    task = step.crashes.get(index)
+    return task is not None and task.is_suspect
+
+
+def place(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Iterator[effects.Effect]:
+    """Starts at most one suspect of a step that is no gang."""
+    if not has_suspects(step) or has_running_suspect(cell, step):
+        return
+    if not free_capacity.has_headroom(cell, step, available):
+        _drop_reservation(cell, step)
+        return
+    solitary = solitude.list_solitary_tasks(step)
+    if solitary:
+        yield from _place_alone(
+            cell, step, available, usable, terms, solitary[0]
+        )
+        return
+    index = next(each for each in step.waiting if _is_suspect(step, each))
+    yield from _place_apart(cell, step, available, usable, terms, index)
+
+
+def has_running_suspect(cell: state.CellState, step: state.StepRecord) -> bool:
+    """Returns whether a suspect of a step's job runs."""
+    return any(
+        _is_dangerous(cell, run)
+        for other in step.job.steps.values()
+        if other.crashes
+        for run in other.runs.values()
+    )
+
+
+def _is_dangerous(cell: state.CellState, run: state.Run) -> bool:
+    """Returns whether a run is of a suspect that may still crash its minion."""
+    if not solitude.is_suspect(run):
+        return False
+    return not (run.step.step.lasting and solitude.is_settled(cell, run))
+
+
+def list_without_suspects(
+    cell: state.CellState, minion_ids: list[str]
+) -> list[str]:
+    """Returns the minions on which no suspect runs."""
+    return [
+        minion_id
+        for minion_id in minion_ids
+        if not any(
+            _is_dangerous(cell, run)
+            for run in cell.minions[minion_id].runs.values()
+        )
+    ]
+
+
+def _place_apart(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+    index: int,
+) -> Iterator[effects.Effect]:
+    """Starts a suspect on the minion with the fewest runs, none a suspect's."""
+    if not free_capacity.may_start(cell, step, available):
+        return
+    fitting = [
+        minion_id
+        for minion_id in list_without_suspects(cell, usable)
+        if free_capacity.count_slots(available, step, minion_id, 1)
+    ]
+    chosen = yield from _choose(cell, step, fitting, terms)
+    if chosen:
+        yield from _start(cell, step, index, chosen)
+        available.allocate(chosen, step.need)
+
+
+def _choose(
+    cell: state.CellState,
+    step: state.StepRecord,
+    fitting: list[str],
+    terms: cells.AdviceTerms | None,
+) -> Generator[effects.Effect, None, str]:
+    """Returns the minion for a suspect, or "" after a request for tickets."""
+    fitting = sorted(
+        fitting,
+        key=lambda minion_id: (
+            minion_id in step.avoided_minions,
+            len(cell.minions[minion_id].runs),
+        ),
+    )
+    for minion_id in fitting:
+        if terms is None or eligibility.has_ticket(cell, step, minion_id):
+            return minion_id
+    if fitting:
+        yield from eligibility.refresh_tickets(cell, step, fitting)
+    return ""
+
+
+def _start(
+    cell: state.CellState, step: state.StepRecord, index: int, minion_id: str
+) -> Iterator[effects.Effect]:
+    number = runs.get_next_run_number(cell, step)
+    yield from orders.start(cell, step, index, cell.minions[minion_id], number)
+
+
+def _place_alone(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    terms: cells.AdviceTerms | None,
+    index: int,
+) -> Iterator[effects.Effect]:
+    """Starts a task on a minion of its own, or has one emptied for it."""
+    reserved = open_reserved(cell, step, available)
+    clear = [
+        minion_id
+        for minion_id in list_clear(cell, [*usable, *reserved])
+        if free_capacity.count_slots(available, step, minion_id, 1)
+    ]
+    chosen = yield from _choose(cell, step, clear, terms)
+    if chosen:
+        yield from _start(cell, step, index, chosen)
+        number = step.runs[index].number
+        solitude.isolate(cell, step, index, number, chosen)
+        _drop_reservation(cell, step)
+        close(available, [chosen])
+    elif cell.crashes.reservation is None:
+        yield from reserve(cell, step, available, clear or usable, 1)
+        if terms is not None and cell.crashes.reservation is None:
+            yield from eligibility.ask_about_unknown(cell, step, available)
+    close(available, reserved)
+
+
+def list_clear(cell: state.CellState, minion_ids: list[str]) -> list[str]:
+    """Returns the minions on which a task would run alone."""
+    return [
+        minion_id
+        for minion_id in minion_ids
+        if all(
+            solitude.is_harmless(cell, run)
+            for run in cell.minions[minion_id].runs.values()
+        )
+    ]
+
+
+def open_reserved(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+) -> list[str]:
+    """Opens the minions that are reserved for a step, and returns their ids."""
+    reservation = cell.crashes.reservation
+    if reservation is None or reservation.key != step.get_key(0):
+        return []
+    opened = []
+    for minion_id in reservation.minion_ids:
+        minion = cell.minions[minion_id]
+        if minion.quarantined_until_ms <= cell.now_ms:
+            room = minion.minion.capacity - minion.used
+            available.open_minion(minion_id, minion.minion.service, room)
+            opened.append(minion_id)
+    return opened
+
+
+def close(available: free_capacity.FreeCapacity, minion_ids: list[str]) -> None:
+    """Closes minions to other tasks for the rest of a pass."""
+    for minion_id in minion_ids:
+        available.close_minion(minion_id)
+
+
+def _drop_reservation(cell: state.CellState, step: state.StepRecord) -> None:
+    """Ends the reservation of a step, if it has one."""
+    reservation = cell.crashes.reservation
+    if reservation is not None and reservation.key == step.get_key(0):
+        cell.crashes.reservation = None
+
+
+def reserve(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    count: int,
+) -> Iterator[effects.Effect]:
+    """Reserves the minions that will be empty first for tasks of a step.
+
+    There is one reservation at a time, as it keeps capacity idle.
+    """
+    if cell.crashes.reservation is not None:
+        return
+    options = []
+    for minion_id in usable:
+        slots = _count_slots_when_clear(cell, step, minion_id, count)
+        if slots and minion_id in available.free:
+            left_ms = _estimate_clear_ms(cell.minions[minion_id])
+            options.append((left_ms, minion_id, slots))
+    options.sort()
+    chosen: list[str] = []
+    for _, minion_id, slots in options:
+        if count <= 0:
+            break
+        chosen.append(minion_id)
+        count -= slots
+    if count > 0:
+        return
+    cell.crashes.reservation = crash_records.Reservation(
+        key=step.get_key(0),
+        minion_ids=tuple(chosen),
+        reserved_ms=cell.now_ms,
+    )
+    close(available, chosen)
+    yield effects.LogDecision(
+        event_name="minions_reserved",
+        subject=step.job.job.job_id,
+        detail=f"crashes minions={','.join(chosen)}",
+    )
+
+
+def _count_slots_when_clear(
+    cell: state.CellState, step: state.StepRecord, minion_id: str, count: int
+) -> int:
+    """Returns how many tasks fit beside the services of a minion.
+
+    None do if one of these services is a suspect, as it doesn't end.
+    """
+    minion = cell.minions[minion_id]
+    room = minion.minion.capacity
+    for run in minion.runs.values():
+        if run.step is None or not run.step.step.lasting:
+            continue
+        if solitude.is_suspect(run):
+            return 0
+        room = room - run.need
+    return free_capacity.apply_minion_limit(
+        step, minion_id, runs.count_fitting(room, step.need, count)
+    )
+
+
+def _estimate_clear_ms(minion: state.MinionRecord) -> float:
+    """Returns how long the other tasks on a minion are likely to go on."""
+    return max(
+        (
+            run.step.step.estimate_ms * (1 - run.percent / FULL_PERCENT)
+            for run in minion.runs.values()
+            if run.step is not None and not run.step.step.lasting
+        ),
+        default=0.0,
+    )
+
+
+def plan_gang(
+    cell: state.CellState,
+    step: state.StepRecord,
+    available: free_capacity.FreeCapacity,
+    usable: list[str],
+    solitary_count: int,
+) -> list[tuple[str, int]] | None:
+    """Returns a plan for a gang with suspects, or None if not all fit.
+
+    The first `solitary_count` members of the plan are on minions without tasks
+    of other jobs; other members of the gang may join them.
+    """
+    allowed = list_without_suspects(cell, usable)
+    first = free_capacity.plan_slots(
+        available, step, list_clear(cell, allowed), solitary_count
+    )
+    if first is None:
+        return None
+    if step.step.minion_limit:
+        used = {minion_id for minion_id, _ in first}
+        allowed = [each for each in allowed if each not in used]
+    rooms = {minion_id: available.free[minion_id] for minion_id, _ in first}
+    for minion_id, count in first:
+        available.free[minion_id] = rooms[minion_id] - step.need.times(count)
+    rest = free_capacity.plan_slots(
+        available, step, allowed, step.step.count - solitary_count
+    )
+    available.free.update(rooms)
+    return None if rest is None else [*first, *rest]
--- a/packages/core/hickoryreach/scheduling/wait_causes.py
+++ b/packages/core/hickoryreach/scheduling/wait_causes.py
@@ -16,6 +16,8 @@
         URGENT_CAPACITY: Only tasks of the first rank may use what is free.
         CAPACITY: Its tasks don't fit on the minions that it may use.
         EARLIER_RUN: A run of the gang is not known to have ended.
+        SOLITUDE: Minions have crashed under its tasks, which must run apart
+            from others.
     """
 
     NOT_CONSIDERED = "not_considered"
@@ -27,3 +29,4 @@
     URGENT_CAPACITY = "urgent_capacity"
     CAPACITY = "capacity"
     EARLIER_RUN = "earlier_run"
+    SOLITUDE = "solitude"
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -136,6 +136,29 @@
         )
         self.owner.progress.append(row, acknowledge_end)
 
+    @handlers.register(effects.RecordCrash)
+    def record_crash(self, effect: effects.RecordCrash) -> None:
+        """Stores a crash under a run, or its retraction.
+
+        Its row is that of an end which is otherwise never stored, so that
+        entries of an earlier version read it as a task to start again.
+        """
+        kind = minions.EndKind.LEASE_EXPIRED
+        if effect.retracted:
+            kind = minions.EndKind.STOPPED
+        row = records.Row(
+            kind=records.END,
+            job_id=effect.key.job_id,
+            end=events.RecordedEnd(
+                key=effect.key,
+                number=effect.number,
+                kind=kind,
+                checkpoint="",
+            ),
+        )
+        stored = events.CrashStored(key=effect.key, number=effect.number)
+        self.owner.progress.append(row, lambda: self.owner.emit(stored))
+
     @handlers.register(effects.JobChanged)
     def publish_job_state(self, effect: effects.JobChanged) -> None:
         """Publishes the state of a job.
--- a/standins/users/checker.py
+++ b/standins/users/checker.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import collections
+from collections.abc import Collection
 from collections.abc import Iterable
 
 from standins.users import minions
 
+CRASHES_BEFORE_LIMIT = 3
+MAX_LATER_STARTS = 2
+
 
 def find_faults(
     seen: Iterable[minions.Begun], completed: dict[str, int]
@@ -53,6 +58,32 @@
     return faults
 
 
+def find_starts_after_crashes(
+    seen: Iterable[minions.Begun], job_ids: Collection[str]
+) -> list[str]:
+    """Returns tasks started too often after minions had crashed under them.
+
+    Args:
+        seen: What the minions have begun and ended, in order.
+        job_ids: Jobs whose tasks crash the minions that start them.
+    """
+    crashes: collections.Counter[str] = collections.Counter()
+    later: collections.Counter[str] = collections.Counter()
+    for each in seen:
+        if each.task.split(".", 1)[0] not in job_ids:
+            continue
+        if each.what == "end" and each.how == minions.CRASHED:
+            crashes[each.task] += 1
+        elif each.what == "start":
+            later[each.task] += crashes[each.task] >= CRASHES_BEFORE_LIMIT
+    return [
+        f"{task} was started {count} times more after "
+        f"{CRASHES_BEFORE_LIMIT} crashes"
+        for task, count in later.items()
+        if count > MAX_LATER_STARTS
+    ]
+
+
 def find_overcommits(
     seen: Iterable[minions.Begun], cpu: int, capacity: int
 ) -> list[str]:
--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 import dataclasses
 import itertools
 import json
@@ -12,6 +13,8 @@
 
 ENDS_AT_ONCE = 500
 CHECKPOINT_MS = 500
+CRASH_DELAY_S = 0.05
+CRASHED = "crashed"
 
 
 @dataclasses.dataclass(slots=True)
@@ -60,7 +63,9 @@
     """One life of a minion after another.
 
     What a task does stands in its payload, a JSON text: `work_ms`, `fails`
-    (numbers of runs that fail, counted from 1) and `members`.
+    (numbers of runs that fail, counted from 1), `members`, and `crashes`: the
+    minion crashes soon after each start and is back under the `same` id or a
+    `new` one. With `unanswered` it crashes before it has answered the start.
 
     Attributes:
         minion_id: Its id.
@@ -75,6 +80,7 @@
         starts: Starts by task, on all minions.
         silent: Whether it leaves calls unanswered.
         late_s: Time after which it carries out starts without answering.
+        on_crash: Called when it has crashed, with how it is to come back.
     """
 
     _lives = itertools.count(1_700_000_000_000)
@@ -96,6 +102,7 @@
         self.starts = starts if starts is not None else {}
         self.silent = False
         self.late_s = 0.0
+        self.on_crash: Callable[[Minion, str], None] | None = None
         self.be_reborn()
 
     def be_reborn(self) -> None:
@@ -112,6 +119,16 @@
         self.lapses_at: dict[int, int] = {}
         self.ended = gevent_event.Event()
 
+    def crash(self, life: int, how: str) -> None:
+        """Ends a life with all that runs; calls stay unanswered for now."""
+        if life != self.incarnation:
+            return
+        for run in list(self.runs.values()):
+            self.end(run, CRASHED)
+        self.be_reborn()
+        self.silent = True
+        self.on_crash(self, how)
+
     def get_clock(self) -> float:
         """Returns its steady clock in ms."""
         return (time.monotonic() - self.born_at) * 1000
@@ -205,7 +222,7 @@
         """Answers an order that is not carried out."""
         return 409, {"clockMs": int(self.get_clock()), "reason": reason}
 
-    def start(self, body: dict) -> tuple[int, dict]:
+    def start(self, body: dict) -> tuple[int, dict] | None:
         """Starts a task."""
         if not self.take_token(body):
             return self.refuse("fence")
@@ -231,6 +248,13 @@
         )
         self.runs[task] = run
         self.note("start", run)
+        if words.get("unanswered"):
+            self.crash(self.incarnation, words["crashes"])
+            return None
+        if "crashes" in words:
+            gevent.spawn_later(
+                CRASH_DELAY_S, self.crash, self.incarnation, words["crashes"]
+            )
         return self.confirm()
 
     def confirm(self) -> tuple[int, dict]:
@@ -264,7 +288,7 @@
                 )
             )
 
-    def hold(self, body: dict) -> tuple[int, dict]:
+    def hold(self, body: dict) -> tuple[int, dict] | None:
         """Renews the lease and lists what runs and what has ended."""
         if not self.take_token(body):
             return self.refuse("fence")
@@ -272,10 +296,13 @@
             self.forget(number)
         if "deadlineMs" in body:
             self.extend(body["deadlineMs"])
+        life = self.incarnation
         deadline = time.monotonic() + body.get("waitMs", 0) / 1000
         while not self.ends and time.monotonic() < deadline:
             self.ended.wait(min(0.02, max(0.0, deadline - time.monotonic())))
             self.advance()
+            if life != self.incarnation:
+                return None
         ends = [self.ends[number] for number in sorted(self.ends)]
         return 200, {
             "clockMs": int(self.get_clock()),
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -14,6 +14,7 @@
 from standins.users import store
 
 BEAT_S = 0.5
+RESTART_S = 1.5
 CONFIGURATION_KEY = "op/config"
 SERVICE = "ledger"
 HOST = "ledger.example"
@@ -109,6 +110,7 @@
             expected = environ.get("HTTP_EXPECT_INSTANCE", "")
             return minion.answer(path, body, expected)
 
+        minion.on_crash = self.plan_return
         self.minions[minion_id] = minion
         address = self.add_server(
             f"127.{self.block}.3.{index + 1}:8080", answer
@@ -117,6 +119,21 @@
         self.register(minion)
         return minion
 
+    def plan_return(self, minion: minions.Minion, how: str) -> None:
+        """Lets a minion that has crashed come back after a while."""
+        gevent.spawn_later(RESTART_S, self.bring_back, minion, how)
+
+    def bring_back(self, minion: minions.Minion, how: str) -> None:
+        """Brings a minion back, under the same id or as a new one."""
+        if how == "same":
+            minion.silent = False
+            self.register(minion)
+            return
+        self.gone.add(minion.minion_id)
+        self.store.delete(f"servers/{minion.minion_id}")
+        index = len(self.minions)
+        self.add_minion(f"i-{index:02d}", index)
+
     def register(self, minion: minions.Minion) -> None:
         """Writes a minion's registration."""
         index = list(self.minions).index(minion.minion_id)
--- a/tests/entry/cell/test_effect_executor.py
+++ b/tests/entry/cell/test_effect_executor.py
@@ -7,6 +7,7 @@
 
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import effect_executor
@@ -31,9 +32,11 @@
         )
         self.addCleanup(self.progress.close)
         self.link = mock.Mock()
+        self.emitted: list[events.Event] = []
         self.owner = types.SimpleNamespace(
             progress=self.progress,
             serving=False,
+            emit=self.emitted.append,
             published_states=mock.Mock(workspaces={JOB: "hydro"}),
             fleet=types.SimpleNamespace(links={"m0": self.link}),
         )
@@ -73,3 +76,42 @@
     def test_end_is_acknowledged_at_once_if_all_rows_are_stored(self) -> None:
         self.execute_unstored_end()
         self.link.acknowledge_end.assert_called_once_with(1, 1)
+
+    def read_rows(self) -> list[records.Row]:
+        """Returns the stored rows of the progress."""
+        parts = self.client.get_prefix(records.PROGRESS_PREFIX).unwrap()
+        return [
+            row
+            for item in parts.items
+            for row in records.decode_rows(item.data).unwrap()
+        ]
+
+    def test_a_crash_is_announced_only_once_it_is_stored(self) -> None:
+        key = steps.TaskKey(job_id=JOB, repeat=0, step=0, index=3)
+        self.model.faults.busy.add("*")
+        self.executor.execute(effects.RecordCrash(key=key, number=7))
+        gevent.sleep(0.2)
+        self.assertEqual(self.emitted, [])
+        self.model.faults.busy.clear()
+        with gevent.Timeout(5.0):
+            while not self.emitted:
+                gevent.sleep(0.01)
+        self.assertEqual(self.emitted, [events.CrashStored(key=key, number=7)])
+        (row,) = self.read_rows()
+        self.assertEqual(row.end.key, key)
+        self.assertEqual(row.end.number, 7)
+        self.assertEqual(row.end.kind, minions.EndKind.LEASE_EXPIRED)
+
+    def test_a_retracted_crash_is_stored_after_the_crash(self) -> None:
+        key = steps.TaskKey(job_id=JOB, repeat=0, step=0, index=3)
+        for retracted in (False, True):
+            self.executor.execute(
+                effects.RecordCrash(key=key, number=7, retracted=retracted)
+            )
+        with gevent.Timeout(5.0):
+            while len(self.emitted) < 2:
+                gevent.sleep(0.01)
+        self.assertEqual(
+            [row.end.kind for row in self.read_rows()],
+            [minions.EndKind.LEASE_EXPIRED, minions.EndKind.STOPPED],
+        )
