--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -154,6 +154,9 @@
     ) -> tuple[result.Result[minions.PollReply, minions.OrderFailure], int]:
         """Polls the minion once, and renews its lease if the terms allow it.
 
+        An immediate poll may reach another incarnation than the last one, and
+        acknowledges nothing, as each incarnation numbers its ends anew.
+
         Args:
             immediate: Whether the minion answers without waiting for an end.
 
@@ -169,7 +172,7 @@
         sent_ms = clock.now_ms()
         poll_result = self.client.poll(
             token=terms.token,
-            acknowledged=self.acknowledged,
+            acknowledged=0 if immediate else self.acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=0 if immediate else self.get_wait_ms(lease_ms),
             immediate=immediate,
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -212,6 +212,30 @@
         self.start('{"work_ms": 20}', number=2)
         self.wait(lambda: len(self.list_ends()) == 2)
 
+    def test_a_restarted_minion_forgets_no_end_that_it_has_not_listed(
+        self,
+    ) -> None:
+        self.start('{"work_ms": 20}')
+        self.wait(self.list_ends)
+        self.link.acknowledge_end(self.model.incarnation, 1)
+        self.wait(lambda: not self.model.ends)
+        self.model.silent = True
+        self.model.be_reborn()
+        self.model.start(
+            {
+                "task": "0a.0.0.0",
+                "run": 9,
+                "spec": '{"work_ms": 20}',
+                "deadlineMs": HOLD_LIMIT_MS,
+            }
+        )
+        gevent.sleep(0.1)
+        self.model.advance()
+        self.assertEqual(list(self.model.ends), [1])
+        self.model.silent = False
+        self.wait(lambda: self.link.incarnation == self.model.incarnation)
+        self.wait(lambda: len(self.list_ends()) == 2)
+
 
 class RestartedMinionTest(LinkCase):
     """A minion that crashes and restarts under the same id."""
