Keep runs that a minion's next incarnation may have confirmed (TWICE)

What callers would see: a task runs twice at once.

Cause: the first reply of a minion's next incarnation dropped every confirmed run that it didn't list. The start of run 2 was confirmed 2 ms before such a reply was handled, by the incarnation that had made the reply just before; its task was started elsewhere 5 ms later, and run 2 stopped when it was listed.

Evidence, before the fix: `test_poll_replies.AbsenceTest.test_a_run_that_the_ next_incarnation_may_have_confirmed_goes_on` found the run counted as crashed (`RecordCrash(... number=1 ...) != []`).

Why this works: such a reply says nothing of runs that were sent or confirmed after its poll was sent. The next poll lists them, or shows that they are gone, as it does without a restart.

--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -52,7 +52,7 @@
         yield from crashes.count(
             cell,
             minion,
-            missing,
+            [run for run in missing if not _may_be_newer(run, event)],
             incarnation=previous_incarnation,
             reason="minion_restarted",
             is_certain=True,
@@ -261,6 +261,14 @@
         yield from _adopt(cell, minion, task)
 
 
+def _may_be_newer(run: state.Run, event: events.MinionPolled) -> bool:
+    """Returns whether a run may have begun only after a reply was made.
+
+    The incarnation that has made the reply may have confirmed its start.
+    """
+    return max(run.sent_ms, run.confirmed_ms) > event.sent_ms
+
+
 def _explain_absence(
     cell: state.CellState,
     run: state.Run,
@@ -281,7 +289,7 @@
         run.confirmed_ms >= 0
     ):
         if restarted:
-            return "minion_restarted"
+            return "" if _may_be_newer(run, event) else "minion_restarted"
         if event.sent_ms > run.confirmed_ms and event.lists_all_ends:
             return "not_listed"
         return ""
--- a/tests/core/scheduling/test_poll_replies.py
+++ b/tests/core/scheduling/test_poll_replies.py
@@ -96,6 +96,18 @@
         self.assertEqual(len(self.list_running("m0")), 1)
         self.assertEqual(self.list_running("m0")[0].number, 2)
 
+    def test_a_run_that_the_next_incarnation_may_have_confirmed_goes_on(
+        self,
+    ) -> None:
+        self.submit()
+        before_ms = self.now_ms - 50
+        (start,) = self.confirm_starts()
+        self.poll("m0", incarnation=2, sent_ms=before_ms)
+        self.assertEqual(self.get_effects(effects.RecordCrash), [])
+        self.poll("m0", incarnation=2, running=(start,))
+        self.assertEqual(self.get_stops(), [])
+        self.assertEqual(len(self.list_running("m0")), 1)
+
 
 class LeaseTest(cases.CellCase):
     """Minions that do not answer or leave."""
