Revert "Start no task alone while starts of an earlier owner may be carried out (LOST)"

Its trace was wrong: the minion that convicted the innocent job had never answered the start, 9 s after the takeover, when minions refused the earlier owner's token.

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -89,8 +89,6 @@
     if suspects.has_running_suspect(cell, step):
         return
     solitary = solitude.list_solitary_tasks(step)
-    if solitary and not solitude.may_begin(cell):
-        return
     reserved = suspects.open_reserved(cell, step, available)
     candidates = list(dict.fromkeys([*usable, *reserved]))
     plan = None
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -17,6 +17,8 @@
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 
+START_MARGIN_MS = 300
+
 
 def handle_reply(
     cell: state.CellState, event: events.MinionPolled
@@ -31,8 +33,13 @@
     )
     if not minion.is_open or restarted:
         cell.dirty = True
+    if minion.incarnation and not minion.reachable:
+        until_ms = cell.now_ms + cell.settings.return_quarantine_ms
+        minion.quarantined_until_ms = max(minion.quarantined_until_ms, until_ms)
     previous_incarnation = minion.incarnation
-    _mark_reached(cell, minion, reply.incarnation)
+    minion.incarnation = reply.incarnation
+    minion.polled = True
+    minion.reachable = True
     if cell.crashes.lapsed:
         yield from crashes.handle_return(cell, minion)
     for end in reply.ends:
@@ -60,20 +67,6 @@
             )
 
 
-def _mark_reached(
-    cell: state.CellState, minion: state.MinionRecord, incarnation: int
-) -> None:
-    """Opens a minion for placement, after a quarantine if it was silent."""
-    if minion.incarnation and not minion.reachable:
-        until_ms = cell.now_ms + cell.settings.return_quarantine_ms
-        minion.quarantined_until_ms = max(minion.quarantined_until_ms, until_ms)
-    minion.incarnation = incarnation
-    minion.polled = True
-    minion.reachable = True
-    if cell.first_polled_ms < 0:
-        cell.first_polled_ms = cell.now_ms
-
-
 def _update_runs(
     cell: state.CellState,
     minion: state.MinionRecord,
@@ -288,6 +281,10 @@
     A reply that does not list all ends may lack that of a confirmed run, which
     is therefore not given up yet.
     """
+    settings = cell.settings
+    valid_ms = (
+        settings.start_valid_ms * (1 + settings.clock_drift) + START_MARGIN_MS
+    )
     if run.phase in (state.Phase.RUNNING, state.Phase.STOPPING) and (
         run.confirmed_ms >= 0
     ):
@@ -298,7 +295,7 @@
         return ""
     if 0 <= run.stopped_ms < event.sent_ms:
         return "stopped_before_start"
-    if event.sent_ms > run.sent_ms + cell.settings.start_void_ms:
+    if event.sent_ms > run.sent_ms + valid_ms:
         return "start_expired"
     return ""
 
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -4,8 +4,6 @@
 
 from hickoryreach.platform import advice
 
-START_MARGIN_MS = 300
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Settings:
@@ -72,9 +70,3 @@
     slow_quarantine_ms: int = 2_500
     stall_ms: int = 1_500
     stall_fraction: float = 0.5
-
-    @property
-    def start_void_ms(self) -> int:
-        """Time after which a start that was sent can no longer begin a run."""
-        valid_ms = int(self.start_valid_ms * (1 + self.clock_drift))
-        return valid_ms + START_MARGIN_MS
--- a/packages/core/hickoryreach/scheduling/solitude.py
+++ b/packages/core/hickoryreach/scheduling/solitude.py
@@ -20,16 +20,6 @@
         isolate(cell, run.step, run.key.index, run.number, run.minion_id)
 
 
-def may_begin(cell: state.CellState) -> bool:
-    """Returns whether a task can be alone on a minion that runs nothing.
-
-    A minion may still carry out a start that an earlier owner sent.
-    """
-    if cell.epoch == 1:
-        return True
-    return cell.now_ms > cell.first_polled_ms + cell.settings.start_void_ms
-
-
 def isolate(
     cell: state.CellState,
     step: state.StepRecord,
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -347,8 +347,6 @@
         deferred_ends: Ends that wait for their job to be looked up in the
             store, by id of the job.
         crashes: Crashes of minions and their consequences.
-        first_polled_ms: When a minion first answered a poll, on the owner's
-            clock, or -1.
         dirty: Whether a change since the last pass may let a task start.
         next_wait_report_ms: Earliest time of the next log lines on steps that
             wait, on the owner's clock.
@@ -388,6 +386,5 @@
     crashes: crash_records.CrashState = dataclasses.field(
         default_factory=crash_records.CrashState
     )
-    first_polled_ms: int = -1
     dirty: bool = False
     next_wait_report_ms: int = 0
--- a/packages/core/hickoryreach/scheduling/suspects.py
+++ b/packages/core/hickoryreach/scheduling/suspects.py
@@ -57,8 +57,6 @@
         _drop_reservation(cell, step)
         return
     solitary = solitude.list_solitary_tasks(step)
-    if solitary and not solitude.may_begin(cell):
-        return
     if solitary:
         yield from _place_alone(
             cell, step, available, usable, terms, solitary[0]
