Convict no task by one start that was never answered (LOST)

What callers would see: a job that does no harm is shown as `failed`.

Cause: a start without an answer may have met a minion that had crashed before, by whatever else; the owner learns of it only afterwards.

Why this works: such a crash counts, but only the second one in a row convicts. A task that always crashes its minion before the answer is started five times, two of them after three crashes, as `test_minion_crashes.MinionCrashTest.test_starts_and_writes_are_not_answered` shows.

The stand-in's minions beat on while one is being added; before, a new minion without an address ended the beats (KeyError in a trial).

--- a/packages/core/hickoryreach/scheduling/crash_records.py
+++ b/packages/core/hickoryreach/scheduling/crash_records.py
@@ -21,6 +21,8 @@
             minion, or -1.
         doubtful_run: Number of the run that was alone on a minion of which it
             is uncertain whether it crashed, or -1; the task waits meanwhile.
+        unanswered: Whether a minion crashed on which it was to run alone, but
+            its start was never answered.
         may_have_crashed: Whether another crash may have escaped a takeover.
     """
 
@@ -28,6 +30,7 @@
     unstored: set[int] = dataclasses.field(default_factory=set)
     solitary_run: int = NO_RUN
     doubtful_run: int = NO_RUN
+    unanswered: bool = False
     may_have_crashed: bool = False
 
     @property
--- a/packages/core/hickoryreach/scheduling/crashes.py
+++ b/packages/core/hickoryreach/scheduling/crashes.py
@@ -58,7 +58,7 @@
         )
         if run.number in task.runs or run.step.job.state.is_final:
             continue
-        is_cause = task.needs_solitude and _ran_alone(cell, minion, run)
+        is_cause = task.needs_solitude and _is_cause(cell, minion, run, task)
         task.runs.add(run.number)
         counted.append(run)
         detail = _describe(run.number, run.minion_id, incarnation, task)
@@ -223,6 +223,24 @@
     return run.step is not None and run.key.index not in run.step.done
 
 
+def _is_cause(
+    cell: state.CellState,
+    minion: state.MinionRecord,
+    run: state.Run,
+    task: crash_records.CrashedTask,
+) -> bool:
+    """Returns whether a run has crashed its minion.
+
+    A start that was never answered may have met a minion that had crashed
+    before; the second one in a row hardly has.
+    """
+    if not _ran_alone(cell, minion, run):
+        return False
+    was_unanswered = task.unanswered
+    task.unanswered = run.confirmed_ms < 0
+    return was_unanswered or not task.unanswered
+
+
 def _ran_alone(
     cell: state.CellState, minion: state.MinionRecord, run: state.Run
 ) -> bool:
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -162,7 +162,9 @@
             gevent.sleep(BEAT_S)
             for minion_id, minion in list(self.minions.items()):
                 minion.advance()
-                if minion_id not in self.gone and not minion.silent:
+                if minion_id not in self.addresses or minion.silent:
+                    continue
+                if minion_id not in self.gone:
                     self.register(minion)
 
     def remove(self, minion_id: str) -> None:
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -358,6 +358,17 @@
         self.tick(15_000)
         self.assertEqual(len(self.find_runs(job_id)), 1)
 
+    def test_a_start_that_may_have_met_a_crashed_minion_does_not_convict(
+        self,
+    ) -> None:
+        job_id = self.submit()
+        self.crash_until_solitary(job_id)
+        run = self.find_run(job_id)
+        start = cases.build_listed_run(run.key, run.number, run.minion_id)
+        self.answer(start, UNANSWERED)
+        self.restart(run.minion_id)
+        self.assertEqual(self.get_state(job_id), state.JobState.RUNNING)
+
     def test_a_draining_minion_that_crashes_does_not_count(self) -> None:
         job_id = self.submit()
         for _ in range(2 * MAX_STARTS):
