Hold no headroom for a step whose calls for advice fail

Cause: a step without advice holds headroom in each pass, also if every call for it fails, so that it is never given back. Head-of-line blocking. Now a failed call ends the hold until a later one succeeds. Failed before, test_a_step_whose_calls_fail_holds_no_headroom: AssertionError: Lists differ: [] != ['job2'] Remains: gangs.place reserves minions for late gangs likewise; reported.

--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -241,6 +241,7 @@
         return
     if not event.from_earlier_owner:
         step.advice_pending = False
+        step.advice_failed = event.tickets is None
     cell.dirty = True
     if event.tickets is None:
         return
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -130,6 +130,7 @@
             unknown.
         tickets: Tickets by minion id.
         advice_pending: Whether a call for advice is under way.
+        advice_failed: Whether the last call for advice failed.
         advice_asked_ms: When advice was last requested, on the owner's clock,
             or -1.
         avoided_minions: Ids of minions on which one of its runs failed or
@@ -163,6 +164,7 @@
     denied: dict[str, int] = dataclasses.field(default_factory=dict)
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     advice_pending: bool = False
+    advice_failed: bool = False
     advice_asked_ms: int = -1
     avoided_minions: set[str] = dataclasses.field(default_factory=set)
     invalidated: set[tuple[int, int]] = dataclasses.field(default_factory=set)
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -38,7 +38,12 @@
     step: state.StepRecord,
     available: free_capacity.FreeCapacity,
 ) -> None:
-    """Reserves headroom for a step that only waits for advice."""
+    """Reserves headroom for a step that only waits for advice.
+
+    Nothing is reserved after a failed call, as the next ones may fail too.
+    """
+    if step.advice_failed:
+        return
     need = _reserve_headroom(cell, step, available)
     if need is not None:
         workspace = step.job.job.workspace
--- a/tests/core/scheduling/test_late_advice.py
+++ b/tests/core/scheduling/test_late_advice.py
@@ -37,7 +37,7 @@
 
 
 class UnplaceableAdviceTest(test_placement.AdviceCase):
-    """Steps that wait for advice, but could not start with any."""
+    """Steps that wait for advice, but could not start or get none."""
 
     limit = resources.Resources(cpu_millis=8_000)
 
@@ -60,5 +60,22 @@
     ) -> None:
         self.check_task_starts_behind(cases.build_step(8, label="none"))
 
+    def test_a_step_whose_calls_fail_holds_no_headroom(self) -> None:
+        self.submit(cases.build_step(8), queue="checks")
+        (call,) = self.get_effects(effects.AskAdvice)
+        later = self.submit(cases.build_step())
+        self.assertFalse(self.get_starts())
+        self.apply(
+            events.AdviceCallEnded(
+                job_id=call.job_id,
+                repeat=call.repeat,
+                position=call.position,
+                asked=call.minion_ids,
+                tickets=None,
+            )
+        )
+        started = [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [later])
+
     def test_a_gang_above_the_limit_holds_no_headroom(self) -> None:
         self.check_task_starts_behind(cases.build_step(9, gang=True))
