Let late gangs reserve only what they can soon start on

Cause: a late gang that fits reserved its plan also where it could not start with it. Head-of-line blocking by a reservation. Tests that failed before: test_late_gangs, both ([] != ['job3']; 'job2' missing).

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -32,7 +32,7 @@
 
     Capacity that is still occupied is reserved only for gangs that can finish
     in time. Free capacity that a gang fits into is also reserved for a limited
-    number of late gangs while they request tickets.
+    number of late gangs while they request tickets, unless the calls fail.
     """
     if step.runs or len(step.waiting) < step.step.count:
         step.wait_cause = wait_causes.WaitCause.EARLIER_RUN
@@ -61,7 +61,7 @@
     may_reserve = _may_reserve(cell, step, available)
     if not free_capacity.may_start(cell, step, available, step.step.count):
         step.wait_cause = wait_causes.WaitCause.URGENT_CAPACITY
-        if may_reserve:
+        if ordering.is_in_time(cell, step):
             _reserve_plan(step, available, plan)
         return
     planned_ids = [minion_id for minion_id, _ in plan]
@@ -72,7 +72,7 @@
         step.wait_cause = wait_causes.WaitCause.TICKETS
         spare = _list_spare_minions(step, available, usable, planned_ids)
         yield from eligibility.refresh_tickets(cell, step, planned_ids + spare)
-        if may_reserve:
+        if may_reserve and not step.advice_failed:
             _reserve_plan(step, available, plan)
         return
     yield from _start_members(cell, step, available, plan, list(step.waiting))
