--- a/tests/entry/cell/test_effect_executor.py
+++ b/tests/entry/cell/test_effect_executor.py
@@ -81,9 +81,9 @@
         """Returns the stored rows of the progress."""
         parts = self.client.get_prefix(records.PROGRESS_PREFIX).unwrap()
         return [
-            row
+            row.unwrap()
             for item in parts.items
-            for row in records.decode_rows(item.data).unwrap()
+            for row in records.decode_rows(item.data)
         ]
 
     def test_a_crash_is_announced_only_once_it_is_stored(self) -> None:
