Calculate what a workspace may still start once for its many steps

Part of it is work that was not done before, as the passes now come to steps that could start; but each of the many blocked steps also calculated its workspace's limit, headroom and half use anew, several objects each. Now these are kept by workspace until its use or reservations change, which also takes the place of the latest refused need. No decision changes: 225 tests of scheduling pass unchanged.

--- a/packages/core/hickoryreach/scheduling/candidates.py
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -77,7 +77,7 @@
     ):
         return wait_causes.WaitCause.NOT_STORED
     count = step.step.count if step.step.gang else 1
-    if free_capacity.is_over_limit(cell, step, available, count):
+    if not free_capacity.has_headroom(cell, step, available, count):
         return wait_causes.WaitCause.LIMIT
     return None
 
@@ -91,8 +91,10 @@
 
     Where others have reserved all headroom, only the first rank preempts.
     """
+    if step.rank == ordering.FIRST_RANK:
+        return True
     headroom = available.get_headroom(cell, step.job.job.workspace)
-    return step.rank == ordering.FIRST_RANK or resources.ZERO.fits_in(headroom)
+    return resources.ZERO.fits_in(headroom)
 
 
 def _list_overdue(
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -12,6 +12,26 @@
 RESERVED_WAIT_MS = 2_000
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WorkspaceRoom:
+    """What a workspace may still start within its limit.
+
+    Attributes:
+        used: What it occupied when this was calculated.
+        reserved: What was reserved of its limit then.
+        held: What steps that only wait for advice had reserved of it.
+        headroom: What any step may start.
+        reserved_headroom: What steps may start that have waited long, with the
+            headroom that others have reserved; None above half of the limit.
+    """
+
+    used: resources.Resources
+    reserved: resources.Resources
+    held: resources.Resources
+    headroom: resources.Resources
+    reserved_headroom: resources.Resources | None
+
+
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class FreeCapacity:
     """Free and reserved capacity of the minions.
@@ -42,8 +62,7 @@
             advice, by workspace.
         lasting_usage: What lasting tasks occupied of the limit when it was
             first asked for, by workspace.
-        refused_needs: Latest need that exceeded the headroom, by workspace;
-            headroom only shrinks during a pass.
+        workspace_rooms: What workspaces may still start, as last calculated.
     """
 
     free: dict[str, resources.Resources]
@@ -70,7 +89,7 @@
     lasting_usage: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
-    refused_needs: dict[str, resources.Resources] = dataclasses.field(
+    workspace_rooms: dict[str, WorkspaceRoom] = dataclasses.field(
         default_factory=dict
     )
 
@@ -108,9 +127,37 @@
         self, cell: state.CellState, workspace: str
     ) -> resources.Resources:
         """Returns what a workspace may still start within its limit."""
+        return self.get_workspace_room(cell, workspace).headroom
+
+    def get_workspace_room(
+        self, cell: state.CellState, workspace: str
+    ) -> WorkspaceRoom:
+        """Returns what a workspace may still start.
+
+        A pass asks this for each step that waits, and it changes only with the
+        starts and reservations of the workspace.
+        """
         used = cell.usage.get(workspace, resources.ZERO)
         reserved = self.reserved_headroom.get(workspace, resources.ZERO)
-        return runs.get_limit(cell, workspace) - used - reserved
+        held = self.advice_headroom.get(workspace, resources.ZERO)
+        room = self.workspace_rooms.get(workspace)
+        if (
+            room is None
+            or room.used is not used
+            or room.reserved is not reserved
+            or room.held is not held
+        ):
+            limit = runs.get_limit(cell, workspace)
+            is_half_free = used.times(2).fits_in(limit)
+            room = WorkspaceRoom(
+                used=used,
+                reserved=reserved,
+                held=held,
+                headroom=limit - used - reserved,
+                reserved_headroom=limit - used - held if is_half_free else None,
+            )
+            self.workspace_rooms[workspace] = room
+        return room
 
     def reserve_headroom(
         self, workspace: str, need: resources.Resources
@@ -213,53 +260,22 @@
     available: FreeCapacity,
     count: int = 1,
 ) -> bool:
-    """Returns whether the workspace's limit permits starts of a step."""
-    headroom = available.get_headroom(cell, step.job.job.workspace)
-    need = step.need.times(count)
-    return need.fits_in(headroom) or _may_use_reserved(
-        cell, step, available, need
-    )
-
+    """Returns whether the workspace's limit permits starts of a step.
 
-def _may_use_reserved(
-    cell: state.CellState,
-    step: state.StepRecord,
-    available: FreeCapacity,
-    need: resources.Resources,
-) -> bool:
-    """Returns whether a step may use headroom that is reserved for others.
-
-    It may once it has waited RESERVED_WAIT_MS, while its workspace uses at most
-    half of its limit: what the others wait for may run for long. Steps that
-    only wait for advice keep theirs.
-    """
-    if cell.now_ms < step.waiting_since_ms + RESERVED_WAIT_MS:
-        return False
-    workspace = step.job.job.workspace
-    limit = runs.get_limit(cell, workspace)
-    used = cell.usage.get(workspace, resources.ZERO)
-    kept = available.advice_headroom.get(workspace, resources.ZERO)
-    return used.times(2).fits_in(limit) and need.fits_in(limit - used - kept)
-
-
-def is_over_limit(
-    cell: state.CellState,
-    step: state.StepRecord,
-    available: FreeCapacity,
-    count: int,
-) -> bool:
-    """Returns whether the workspace's limit forbids starts of a step.
-
-    Cheaper than `has_headroom` for many steps of one workspace.
+    A step that has waited RESERVED_WAIT_MS may use headroom that is reserved
+    for others while its workspace uses at most half of its limit: what the
+    others wait for may run for long. Steps that only wait for advice keep
+    theirs.
     """
-    workspace = step.job.job.workspace
-    need = step.need.times(count) if count > 1 else step.need
-    refused = available.refused_needs.get(workspace)
-    if refused is None or not refused.fits_in(need):
-        if need.fits_in(available.get_headroom(cell, workspace)):
-            return False
-        available.refused_needs[workspace] = need
-    return not _may_use_reserved(cell, step, available, need)
+    room = available.get_workspace_room(cell, step.job.job.workspace)
+    need = step.need if count == 1 else step.need.times(count)
+    if need.fits_in(room.headroom):
+        return True
+    return (
+        room.reserved_headroom is not None
+        and cell.now_ms >= step.waiting_since_ms + RESERVED_WAIT_MS
+        and need.fits_in(room.reserved_headroom)
+    )
 
 
 def may_start(
