Revert "Make the call for advice that has waited longest after some in order"

Tried: one call in five for steps whose calls had waited over a second. What remains is in the postmortem: while calls of steps in time keep all entries busy, those of late steps wait.

--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -28,11 +28,6 @@
 TIMEOUT_MARGIN_S = 1.0
 LOCAL_ENTRY = ""  # name of the entry that owns the cell
 MAX_STORED_ANSWERS = 500
-OVERDUE_S = 1.0
-CALLS_PER_OVERDUE_CALL = 4  # made in order before one that is overdue
-
-# Order, arrival, the call, and when it was queued on the monotonic clock in s.
-WaitingCall = tuple[tuple[bool, int, int, float], int, effects.AskAdvice, float]
 
 
 class LocalAdvisor:
@@ -98,10 +93,8 @@
 
     The service handles one call at a time per calling machine, and the
     durations of calls differ by a factor of fifty. Calls wait here, those for
-    the most urgent steps first, until an entry is free. After some calls comes
-    the one that has waited longest, if it is overdue: late steps would else
-    wait while others keep coming. Slow calls occupy only a share of the
-    entries, so that fast calls never wait behind them.
+    the most urgent steps first, until an entry is free. Slow calls occupy only
+    a share of the entries, so that fast calls never wait behind them.
 
     Attributes:
         load_us: Expected duration of the calls in progress by name of the
@@ -112,8 +105,6 @@
             on the monotonic clock in s; without entries whose last call
             succeeded.
         waiting: Calls that wait for an entry, by order and arrival.
-        made_in_order: Number of calls since the last overdue one, by whether
-            they are slow.
     """
 
     def __init__(
@@ -136,8 +127,9 @@
         self.load_us: dict[str, int] = {}
         self.slow_entries: set[str] = set()
         self.failed_at: dict[str, float] = {}
-        self.waiting: list[WaitingCall] = []
-        self.made_in_order = {False: 0, True: 0}
+        self.waiting: list[
+            tuple[tuple[bool, int, int, float], int, effects.AskAdvice, float]
+        ] = []
         self.arrivals = itertools.count()
 
     def ask(self, effect: effects.AskAdvice) -> None:
@@ -157,40 +149,21 @@
 
     def dispatch(self) -> None:
         """Starts the waiting calls for which an entry is free."""
-        made: set[int] = set()
+        kept = []
         blocked: set[bool] = set()
-        overdue = self._list_overdue()
-        for call in (*overdue, *self.waiting):
-            _, arrival, effect, queued_at = call
+        for call in self.waiting:
+            effect, queued_at = call[2:]
             slow = effect.cost_ms > SLOW_CALL_MS
-            if arrival in made or slow in blocked:
-                continue
-            name = self.choose_entry(slow=slow)
+            name = None if slow in blocked else self.choose_entry(slow=slow)
             if name is None:
                 blocked.add(slow)
+                kept.append(call)
                 continue
-            made.add(arrival)
-            self.made_in_order[slow] += 1
-            if call in overdue:
-                self.made_in_order[slow] = 0
             self.load_us[name] = self.load_us.get(name, 0) + get_cost_us(effect)
             if slow:
                 self.slow_entries.add(name)
             gevent.spawn(self._make_call, name, effect, queued_at)
-        self.waiting = [call for call in self.waiting if call[1] not in made]
-
-    def _list_overdue(self) -> list[WaitingCall]:
-        """Returns the overdue calls whose turn it is, one of a kind at most."""
-        horizon = time.monotonic() - OVERDUE_S
-        oldest: dict[bool, WaitingCall] = {}
-        for call in self.waiting:
-            slow = call[2].cost_ms > SLOW_CALL_MS
-            if self.made_in_order[slow] < CALLS_PER_OVERDUE_CALL:
-                continue
-            known = oldest.get(slow)
-            if call[3] < (known[3] if known else horizon):
-                oldest[slow] = call
-        return list(oldest.values())
+        self.waiting = kept
 
     def choose_entry(self, *, slow: bool) -> str | None:
         """Returns the entry to make a call, or None if none is free.
