Count the calls for advice of lasting steps as in time

Lasting steps are never too late to be of use. Now their calls count as in time, since when they wait. Test that failed before: test_calls_of_a_late_lasting_step_go_before_those_in_time ((False, WORTHLESS, 1, 11912.0) not less than (False, IN_TIME, 1, 72913.0)).

--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -75,7 +75,7 @@
         minion_ids: Ids of the minions to ask about.
         cost_ms: Expected processing time of the call in the advice service.
         valid_ms: How long its tickets are valid.
-        order: Sort key of the step; calls with a lower one go first.
+        order: Sort key of the call; those with a lower one go first.
     """
 
     job_id: str
--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -224,7 +224,7 @@
         minion_ids=tuple(minion_ids),
         cost_ms=terms.call_ms + terms.minion_ms * len(minion_ids),
         valid_ms=terms.valid_ms,
-        order=ordering.get_sort_key(cell, step),
+        order=ordering.get_call_order(cell, step),
     )
 
 
--- a/packages/core/hickoryreach/scheduling/ordering.py
+++ b/packages/core/hickoryreach/scheduling/ordering.py
@@ -49,6 +49,21 @@
     )
 
 
+def get_call_order(
+    cell: state.CellState, step: state.StepRecord
+) -> tuple[bool, int, int, float]:
+    """Returns the sort key of a step's calls for advice; lower ones go first.
+
+    It is that of the step, but lasting steps are never too late to be of use:
+    they count as in time, since when they wait.
+    """
+    key = get_sort_key(cell, step)
+    if not step.step.lasting:
+        return key
+    group = Group.URGENT if step.rank == FIRST_RANK else Group.IN_TIME
+    return key[0], group, step.rank, step.waiting_since_ms
+
+
 def get_latest_start_ms(step: state.StepRecord) -> float:
     """Returns the latest start of a step for its job to finish in time."""
     needed_ms = (
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -325,6 +325,20 @@
             calls += self.get_effects(effects.AskAdvice)
         self.assertEqual(len(calls), 2)
 
+    def test_calls_of_a_late_lasting_step_go_before_those_in_time(
+        self,
+    ) -> None:
+        for name in ("m0", "m1"):
+            self.apply(events.MinionUnreachable(minion_id=name))
+        self.submit(cases.build_step(lasting=True))
+        self.now_ms += 60_000
+        self.poll("m0")
+        self.tick(1_000)
+        (late,) = self.get_effects(effects.AskAdvice)
+        self.submit(cases.build_step())
+        (in_time,) = self.get_effects(effects.AskAdvice)
+        self.assertLess(late.order, in_time.order)
+
     def test_calls_carry_the_order_of_their_steps(self) -> None:
         self.submit(cases.build_step())
         (first,) = self.get_effects(effects.AskAdvice)
