Name apart what had one name, and use the percent that exists

What a first reader of the change would stumble on: two constants MAX_WHOLE of different size in one folder; reserved_headroom for what is reserved and, in the new WorkspaceRoom, for what may be started in spite of it; a second FULL_PERCENT; a setting explained by 'the next two'. Names, comments and one constant only; no behaviour and no check changes.

--- a/packages/core/hickoryreach/platform/documents.py
+++ b/packages/core/hickoryreach/platform/documents.py
@@ -9,6 +9,7 @@
 from pydantic import alias_generators
 from returns import result
 
+from hickoryreach.platform import numbers
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 
@@ -19,14 +20,14 @@
 READY = "ready"
 DRAINING = "draining"
 MAX_PORT = 65_535
-MAX_AMOUNT = 2**53  # the largest whole number that JSON readers agree on
-MAX_WHOLE = 2**63 - 1  # messages between entries carry 64-bit numbers
+MAX_AMOUNT = numbers.MAX_WHOLE
+MAX_INT64 = 2**63 - 1  # messages between entries carry 64-bit numbers
 MAX_NAME_LENGTH = 200
 MAX_LABELS = 100
 
 Count = Annotated[int, pydantic.Field(ge=0, le=MAX_AMOUNT)]
-Integer = Annotated[int, pydantic.Field(ge=-MAX_WHOLE, le=MAX_WHOLE)]
-Whole = Annotated[int, pydantic.Field(ge=0, le=MAX_WHOLE)]
+Integer = Annotated[int, pydantic.Field(ge=-MAX_INT64, le=MAX_INT64)]
+Whole = Annotated[int, pydantic.Field(ge=0, le=MAX_INT64)]
 Number = Annotated[
     float,
     pydantic.Field(ge=-(2.0**63), lt=2.0**63, allow_inf_nan=False),
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -21,15 +21,16 @@
         reserved: What was reserved of its limit then.
         held: What steps that only wait for advice had reserved of it.
         headroom: What any step may start.
-        reserved_headroom: What steps may start that have waited long, with the
-            headroom that others have reserved; None above half of the limit.
+        headroom_after_wait: What steps may start that have waited long, which
+            includes headroom that others have reserved; None if more than half
+            of the limit is used.
     """
 
     used: resources.Resources
     reserved: resources.Resources
     held: resources.Resources
     headroom: resources.Resources
-    reserved_headroom: resources.Resources | None
+    headroom_after_wait: resources.Resources | None
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -154,7 +155,9 @@
                 reserved=reserved,
                 held=held,
                 headroom=limit - used - reserved,
-                reserved_headroom=limit - used - held if is_half_free else None,
+                headroom_after_wait=limit - used - held
+                if is_half_free
+                else None,
             )
             self.workspace_rooms[workspace] = room
         return room
@@ -272,9 +275,9 @@
     if need.fits_in(room.headroom):
         return True
     return (
-        room.reserved_headroom is not None
+        room.headroom_after_wait is not None
         and cell.now_ms >= step.waiting_since_ms + RESERVED_WAIT_MS
-        and need.fits_in(room.reserved_headroom)
+        and need.fits_in(room.headroom_after_wait)
     )
 
 
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -22,8 +22,8 @@
             runs are stopped; covers the age of its registration and the order.
         stop_retry_ms: Time after which an unconfirmed stop is sent again.
         ticket_margin_ms: Validity that a ticket must have left at a start.
-        steps_per_pass: Most steps considered in one placement pass, without
-            those of the next two.
+        steps_per_pass: Most steps considered in one placement pass, besides
+            those that the next two settings allow.
         blocked_steps_per_pass: Most steps, of those that their workspace's
             limit blocks, for which a pass makes headroom.
         overdue_steps_per_pass: Most steps considered at the end of a pass
--- a/packages/core/hickoryreach/scheduling/suspects.py
+++ b/packages/core/hickoryreach/scheduling/suspects.py
@@ -15,13 +15,12 @@
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import free_capacity
 from hickoryreach.scheduling import orders
+from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 
-FULL_PERCENT = 100
-
 
 def get_ordinary(step: state.StepRecord) -> Collection[int]:
     """Returns the waiting tasks that may run beside any other."""
@@ -286,7 +285,7 @@
     """Returns how long the other tasks on a minion are likely to go on."""
     return max(
         (
-            run.step.step.estimate_ms * (1 - run.percent / FULL_PERCENT)
+            run.step.step.estimate_ms * (1 - run.percent / pace.FULL_PERCENT)
             for run in minion.runs.values()
             if run.step is not None and not run.step.step.lasting
         ),
--- a/packages/core/hickoryreach/scheduling/waits.py
+++ b/packages/core/hickoryreach/scheduling/waits.py
@@ -78,7 +78,7 @@
         subject=workspace,
         detail=(
             f"cause={wait_causes.WaitCause.LIMIT} steps={len(steps)} "
-            f"oldest={_name(oldest)} "
+            f"oldest={_format_name(oldest)} "
             f"waiting_ms={cell.now_ms - oldest.waiting_since_ms} "
             f"used_cpu={used.cpu_millis} limit_cpu={limit.cpu_millis} "
             f"used_memory={used.memory_mb} limit_memory={limit.memory_mb}"
@@ -86,7 +86,7 @@
     )
 
 
-def _name(step: state.StepRecord) -> str:
+def _format_name(step: state.StepRecord) -> str:
     return minions.format_step(step.job.job.job_id, step.repeat, step.position)
 
 
@@ -106,7 +106,7 @@
     )
     return effects.LogDecision(
         event_name="step_waits",
-        subject=_name(step),
+        subject=_format_name(step),
         detail=(
             f"cause={step.wait_cause} "
             f"waiting_ms={cell.now_ms - step.waiting_since_ms} "
--- a/packages/entry/hickoryreach_entry/cell/job_checks.py
+++ b/packages/entry/hickoryreach_entry/cell/job_checks.py
@@ -18,7 +18,7 @@
     numbers += [job.queue.stretch, job.queue.objective_ms]
     if (advice := job.queue.advice) is not None:
         numbers += [advice.call_ms, advice.minion_ms, advice.valid_ms]
-    limit = documents.MAX_WHOLE
+    limit = documents.MAX_INT64
     if not all(-limit <= number <= limit for number in numbers):
         yield "a number of the job or its queue is out of range"
     tasks = sum(step.count for step in job.steps) * max(1, job.repeats)
