--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -19,6 +19,7 @@
         checkpoint: Checkpoint to resume from, or empty.
         ticket: Ticket of the advice service, or empty.
         valid_ms: Time within which the minion may begin the run.
+        detail: Inputs of the decision, for logs.
     """
 
     key: steps.TaskKey
@@ -28,6 +29,7 @@
     checkpoint: str
     ticket: str
     valid_ms: int
+    detail: str = ""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -151,4 +151,18 @@
         checkpoint=step.checkpoints.get(0 if step.step.gang else index, ""),
         ticket=ticket.text if ticket else "",
         valid_ms=cell.settings.start_valid_ms,
+        detail=_describe_limit(cell, run),
+    )
+
+
+def _describe_limit(cell: state.CellState, run: state.Run) -> str:
+    """Returns what a workspace uses with a new run, and its limit, for logs."""
+    used = cell.usage[run.workspace]
+    limit = runs.get_limit(cell, run.workspace)
+    return (
+        f"workspace={run.workspace} used_cpu={used.cpu_millis} "
+        f"limit_cpu={limit.cpu_millis} used_memory={used.memory_mb} "
+        f"limit_memory={limit.memory_mb} "
+        f"configuration={cell.configuration.version} "
+        f"configuration_ms={cell.now_ms - cell.configured_ms}"
     )
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -230,7 +230,10 @@
     yield effects.LogDecision(
         event_name="run_adopted" if is_wanted else "run_unwanted",
         subject=minions.format_task(task.key),
-        detail=f"run={task.run} minion={minion.minion.minion_id}",
+        detail=(
+            f"run={task.run} minion={minion.minion.minion_id} "
+            f"workspace={run.workspace} cpu={run.need.cpu_millis}"
+        ),
     )
     if is_wanted:
         crashes.note_adopted(run)
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -55,6 +55,7 @@
 ) -> Iterator[effects.Effect]:
     """Activates a configuration."""
     cell.configuration = event.configuration
+    cell.configured_ms = cell.now_ms
     cell.dirty = True
     yield from ()
 
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -328,6 +328,7 @@
         now_ms: Time of the latest event, on the owner's clock.
         wall_ms: Wall-clock time of the latest tick, in ms since 1970.
         configuration: The active configuration, or None.
+        configured_ms: When it was activated, on the owner's clock.
         minions: Minions by id.
         jobs: Jobs by id.
         ready: Steps with tasks to start, by identity of the record.
@@ -359,6 +360,7 @@
     now_ms: int = 0
     wall_ms: int = 0
     configuration: cells.Configuration | None = None
+    configured_ms: int = 0
     minions: dict[str, MinionRecord] = dataclasses.field(default_factory=dict)
     jobs: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     ready: dict[int, StepRecord] = dataclasses.field(default_factory=dict)
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -48,6 +48,7 @@
                 "run": effect.number,
                 "minion": self.link.minion.minion_id,
                 "outcome": outcome,
+                "detail": effect.detail,
             },
         )
         self.link.emit(
--- a/standins/users/checker.py
+++ b/standins/users/checker.py
@@ -5,11 +5,49 @@
 import collections
 from collections.abc import Collection
 from collections.abc import Iterable
+from collections.abc import Mapping
+from collections.abc import Sequence
+import dataclasses
 
 from standins.users import minions
 
 CRASHES_BEFORE_LIMIT = 3
 MAX_LATER_STARTS = 2
+MAX_LIMIT_FACTOR = 1.1
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TaskSize:
+    """What each task of a job counts towards the limit of a workspace.
+
+    Attributes:
+        workspace: The workspace.
+        cpu: Processor capacity, in thousandths of a core.
+        memory_mb: Memory in MiB.
+    """
+
+    workspace: str
+    cpu: int
+    memory_mb: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Limit:
+    """A limit of a workspace and when it may have been in force.
+
+    Attributes:
+        workspace: The workspace.
+        cpu: Processor capacity, in thousandths of a core; 0 without a limit.
+        memory_mb: Memory in MiB; 0 without a limit.
+        from_s: When it was written.
+        until_s: When the next one must have replaced it.
+    """
+
+    workspace: str
+    cpu: int
+    memory_mb: int = 0
+    from_s: float = 0.0
+    until_s: float = float("inf")
 
 
 def find_faults(
@@ -108,6 +146,58 @@
     return faults
 
 
+def find_limit_breaches(
+    seen: Iterable[minions.Begun],
+    sizes: Mapping[str, TaskSize],
+    limits: Sequence[Limit],
+) -> list[str]:
+    """Returns starts that brought a workspace above its limit.
+
+    What is being stopped still counts. The highest limit that may have been in
+    force applies, with a tolerance of MAX_LIMIT_FACTOR and one task.
+
+    Args:
+        seen: What the minions have begun and ended, in order.
+        sizes: Sizes of the tasks by job.
+        limits: The limits of all workspaces.
+    """
+    faults = []
+    running: dict[str, set[tuple[str, str, int]]] = {}
+    for each in seen:
+        size = sizes.get(each.task.split(".", 1)[0])
+        if size is None or each.what not in ("start", "end"):
+            continue
+        present = running.setdefault(size.workspace, set())
+        name = (each.minion_id, each.task, each.number)
+        if each.what == "end":
+            present.discard(name)
+            continue
+        present.add(name)
+        members = [sizes[task.split(".", 1)[0]] for _, task, _ in present]
+        possible = [
+            limit
+            for limit in limits
+            if limit.workspace == size.workspace
+            and limit.from_s <= each.at_s <= limit.until_s
+        ]
+        for dimension in ("cpu", "memory_mb"):
+            used = sum(getattr(member, dimension) for member in members)
+            highest = _get_highest(possible, dimension)
+            allowed = highest * MAX_LIMIT_FACTOR + getattr(size, dimension)
+            if used > allowed:
+                faults.append(
+                    f"{size.workspace} runs {dimension}={used} with "
+                    f"{each.task} at {each.at_s:.3f}; it may {allowed:.0f}"
+                )
+    return faults
+
+
+def _get_highest(limits: Iterable[Limit], dimension: str) -> float:
+    """Returns the highest of some limits; one of 0 permits any use."""
+    amounts = [getattr(limit, dimension) for limit in limits]
+    return max(amounts) if amounts and all(amounts) else float("inf")
+
+
 def _find_incomplete(
     seen: Iterable[minions.Begun], completed: dict[str, int]
 ) -> list[str]:
--- a/tests/standins/test_users_checker.py
+++ b/tests/standins/test_users_checker.py
@@ -38,3 +38,54 @@
     def test_other_jobs_are_not_counted(self) -> None:
         seen = build_lives(6, "0b.0.0.0")
         self.assertEqual(checker.find_starts_after_crashes(seen, {"0a"}), [])
+
+
+class LimitTest(unittest.TestCase):
+    """What a workspace has running against its limits."""
+
+    sizes = {"0a": checker.TaskSize(workspace="hydro", cpu=1_000, memory_mb=50)}
+
+    def build_seen(self, what: str, index: int, at_s: float) -> minions.Begun:
+        """Returns the start or the end of a task of one job."""
+        return minions.Begun(
+            what=what,
+            task=f"0a.0.0.{index}",
+            number=1,
+            minion_id="m",
+            at_s=at_s,
+        )
+
+    def find(self, count: int, *limits: checker.Limit) -> list[str]:
+        """Returns what is wrong with some starts, one a second from 0 s on."""
+        seen = [
+            self.build_seen("start", index, float(index))
+            for index in range(count)
+        ]
+        return checker.find_limit_breaches(seen, self.sizes, limits)
+
+    def test_a_tenth_and_one_task_more_are_allowed(self) -> None:
+        limit = checker.Limit(workspace="hydro", cpu=10_000)
+        self.assertEqual(self.find(12, limit), [])
+        (fault,) = self.find(13, limit)
+        self.assertIn("cpu=13000", fault)
+
+    def test_each_resource_is_checked(self) -> None:
+        limit = checker.Limit(workspace="hydro", cpu=0, memory_mb=100)
+        self.assertEqual(len(self.find(4, limit)), 1)
+
+    def test_the_highest_limit_that_may_be_in_force_counts(self) -> None:
+        low = checker.Limit(workspace="hydro", cpu=1_000, from_s=2.0)
+        high = checker.Limit(workspace="hydro", cpu=4_000, until_s=3.0)
+        self.assertEqual(self.find(4, low, high), [])
+        self.assertEqual(len(self.find(5, low, high)), 1)
+
+    def test_what_has_ended_counts_no_longer(self) -> None:
+        limit = checker.Limit(workspace="hydro", cpu=1_000)
+        seen = [
+            self.build_seen(what, index, float(index))
+            for index in range(5)
+            for what in ("start", "end")
+        ]
+        self.assertEqual(
+            checker.find_limit_breaches(seen, self.sizes, [limit]), []
+        )
