--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,8 @@
 
 Fault = Callable[["Trouble"], None]
 
+LIMITS_CPU = (4_000, 8_000, 24_000)
+
 faults: dict[str, Fault] = {}
 
 
@@ -218,3 +220,11 @@
     """Puts a new configuration in force."""
     version = trouble.cell.users.store.revision
     trouble.cell.users.configure(version, targetLatencyMs=version % 5_000)
+
+
+@register
+def change_limit(trouble: Trouble) -> None:
+    """Puts another limit of the workspace in force."""
+    users = trouble.cell.users
+    users.limit_cpu = trouble.generator.choice(LIMITS_CPU)
+    users.configure(users.store.revision)
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -12,9 +12,11 @@
 from standins import proxy
 from standins.users import cell
 from standins.users import checker
+from standins.users import platform
 
 TASKS = 2
 TASK_CPU = 1_000
+SIZE = checker.TaskSize(workspace=platform.WORKSPACE, cpu=TASK_CPU)
 SETTLE_S = 40.0
 HAND_IN_GAP_S = 0.08
 CANCEL_EACH = 9
@@ -154,6 +156,9 @@
         return [
             *checker.find_faults(seen, completed),
             *checker.find_overcommits(seen, TASK_CPU, capacity),
+            *checker.find_limit_breaches(
+                seen, dict.fromkeys(begun, SIZE), self.cell.users.limits
+            ),
             *(
                 f"{job_id} ran though its hand-in was refused"
                 for job_id in self.refused
--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -168,10 +168,14 @@
         minion_count: int = 4,
         network: proxy.Network | None = None,
         module: str = MODULE,
+        limit_cpu: int = 0,
     ) -> None:
-        """Starts a cell, behind a proxy if one is given."""
+        """Starts a cell, behind a proxy if one is given.
+
+        A workspace may use `limit_cpu` thousandths of a core; 0 for any.
+        """
         self.users = platform.Platform(
-            minion_count=minion_count, network=network
+            minion_count=minion_count, network=network, limit_cpu=limit_cpu
         )
         self.users.configure()
         self.folder = tempfile.TemporaryDirectory(prefix="hickoryreach-")
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import dataclasses
 import json
 import socket
 import time
@@ -9,6 +10,7 @@
 import gevent
 
 from standins import proxy
+from standins.users import checker
 from standins.users import minions
 from standins.users import servers
 from standins.users import store
@@ -21,6 +23,8 @@
 KEY = "key-of-hydro"
 BLOCKS = range(20, 250)
 GUARD_PORT = 8199
+WORKSPACE = "hydro"
+LIMIT_IN_FORCE_S = 7.0  # an unavailable store delays a new configuration
 
 
 class Platform:
@@ -37,16 +41,25 @@
         advice_calls: Steps that were asked about.
         seen: What the minions have begun and ended.
         starts: Starts by task, on all minions.
+        limit_cpu: Limit of the workspace, in thousandths of a core; 0 for
+            none.
+        limits: The limits that were configured, the oldest first.
     """
 
     def __init__(
-        self, *, minion_count: int = 4, network: proxy.Network | None = None
+        self,
+        *,
+        minion_count: int = 4,
+        network: proxy.Network | None = None,
+        limit_cpu: int = 0,
     ) -> None:
         """Creates the platform on loopback addresses of a free block.
 
         Args:
             minion_count: Number of minions.
             network: Proxy between the entries and all else, or None.
+            limit_cpu: Limit of the workspace, in thousandths of a core; 0 for
+                none.
         """
         self.network = network
         self.guard = take_block()
@@ -54,6 +67,8 @@
         self.store = store.KeyValueStore()
         self.seen: list[minions.Begun] = []
         self.starts: dict[str, int] = {}
+        self.limit_cpu = limit_cpu
+        self.limits: list[checker.Limit] = []
         self.minions: dict[str, minions.Minion] = {}
         self.addresses: dict[str, str] = {}
         self.gone: set[str] = set()
@@ -178,6 +193,7 @@
 
     def configure(self, version: int = 1, **changes: object) -> None:
         """Puts a configuration in force; `changes` replace queue fields."""
+        self.record_limit()
         queue = {
             "name": "runs",
             "host": HOST,
@@ -201,15 +217,28 @@
             "limits": {"maxBodyBytes": 262_144},
             "tenants": [
                 {
-                    "name": "hydro",
+                    "name": WORKSPACE,
                     "apiKeys": [KEY],
                     "weight": 10,
-                    "ceiling": {"cpu": 0, "memMb": 0, "gpu": 0},
+                    "ceiling": {"cpu": self.limit_cpu, "memMb": 0, "gpu": 0},
                 }
             ],
         }
         self.store.put(CONFIGURATION_KEY, json.dumps(document).encode())
 
+    def record_limit(self) -> None:
+        """Records the present limit, which replaces the last one."""
+        now = time.monotonic()
+        if self.limits:
+            if self.limits[-1].cpu == self.limit_cpu:
+                return
+            self.limits[-1] = dataclasses.replace(
+                self.limits[-1], until_s=now + LIMIT_IN_FORCE_S
+            )
+        self.limits.append(
+            checker.Limit(workspace=WORKSPACE, cpu=self.limit_cpu, from_s=now)
+        )
+
     def answer_advice(self, method, path, words, body, environ):
         """Answers which minions may run a step."""
         self.advice_calls.append(body["step"])
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -6,7 +6,7 @@
 from soak import trial
 
 SECONDS = 10.0
-LATER = {"lose_registration"}  # drawn since these seeds failed
+LATER = {"lose_registration", "change_limit"}  # drawn since these seeds failed
 
 
 class SoakTest(unittest.TestCase):
