Count runs whose job a new owner knows only in part (QUOTA)

What callers saw: after a takeover a workspace could have more running than its limit. Cause: what a run counts came from the record of its step. A new owner has no such record for a job that was cancelled or failed (its stored record had no sizes), for one whose cancellation was stored but not its final record, for a repeat that it has not begun, and for a job that it doesn't know; their runs counted nothing until they had ended, also while being stopped.

The size now comes from the job, whatever its state, and the final record in the store holds the sizes of its steps. A run of unknown size counts at its worst for every workspace: what its minion has left. That lasts until the store has answered, or until the run has ended.

Ruled out: runs of jobs that the owner itself cancels or fails; they keep their step.

Runs of unknown size are now counted where runs are added and removed, so that a minion whose lease expired doesn't keep its count. One test had its minion answer in the same ms in which the run was adopted, which does not show that the run is gone; the old count opened the minion all the same. The test now lets a ms pass and checks the same.

--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from hickoryreach.platform import minions
+from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 
@@ -175,9 +176,15 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class JobAlreadyEnded:
-    """A job is already in a final state, recorded by an earlier owner."""
+    """A job is already in a final state, recorded by an earlier owner.
+
+    Attributes:
+        job_id: Id of the job.
+        ended: What its record tells of it.
+    """
 
     job_id: str
+    ended: state.EndedJob = state.EndedJob()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -7,6 +7,7 @@
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import unseen_usage
 from hickoryreach.structure import resources
 
 RESERVED_WAIT_MS = 2_000
@@ -64,6 +65,8 @@
         lasting_usage: What lasting tasks occupied of the limit when it was
             first asked for, by workspace.
         workspace_rooms: What workspaces may still start, as last calculated.
+        unknown_usage: The most that runs of unknown size may occupy of any
+            workspace's limit.
     """
 
     free: dict[str, resources.Resources]
@@ -93,6 +96,7 @@
     workspace_rooms: dict[str, WorkspaceRoom] = dataclasses.field(
         default_factory=dict
     )
+    unknown_usage: resources.Resources = resources.ZERO
 
     def open_minion(
         self, minion_id: str, service: str, room: resources.Resources
@@ -148,7 +152,7 @@
             or room.reserved is not reserved
             or room.held is not held
         ):
-            limit = runs.get_limit(cell, workspace)
+            limit = runs.get_limit(cell, workspace) - self.unknown_usage
             is_half_free = used.times(2).fits_in(limit)
             room = WorkspaceRoom(
                 used=used,
@@ -172,7 +176,11 @@
 
 def measure(cell: state.CellState) -> FreeCapacity:
     """Returns the free capacity of all open minions."""
-    available = FreeCapacity(free={}, total_cpu=0)
+    available = FreeCapacity(
+        free={},
+        total_cpu=0,
+        unknown_usage=unseen_usage.sum_unknown_sizes(cell),
+    )
     closed = solitude.list_closed(cell)
     for minion_id, minion in cell.minions.items():
         if not minion.is_open:
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -21,7 +21,7 @@
 
     Advice can be requested for it, but none of its tasks may start.
     """
-    if job.job_id in cell.jobs or job.job_id in cell.ended_job_ids:
+    if job.job_id in cell.jobs or job.job_id in cell.ended_jobs:
         return
     record = _create_record(cell, job, cell.now_ms)
     record.exceeds_share = not submission_rates.consume(cell, job.workspace)
@@ -36,7 +36,7 @@
     An offered job with other contents is replaced. A job already known as
     stored or ended is left unchanged.
     """
-    if job.job_id in cell.ended_job_ids:
+    if job.job_id in cell.ended_jobs:
         return
     record = cell.jobs.get(job.job_id)
     if record is not None and not record.kept:
--- a/packages/core/hickoryreach/scheduling/orphans.py
+++ b/packages/core/hickoryreach/scheduling/orphans.py
@@ -16,7 +16,7 @@
 
 def is_unknown(cell: state.CellState, job_id: str) -> bool:
     """Returns whether a job is known neither as stored nor as ended."""
-    if job_id in cell.ended_job_ids:
+    if job_id in cell.ended_jobs:
         return False
     record = cell.jobs.get(job_id)
     return record is None or not record.kept
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -78,16 +78,11 @@
         The listed runs, by task and number.
     """
     listed = set()
-    orphan_count = 0
     was_empty = not minion.runs
     for task in reply.running:
         name = (task.key, task.run)
         listed.add(name)
         yield from _update_run(cell, minion, task)
-        run = minion.runs.get(name)
-        if run is not None and run.need == resources.ZERO:
-            orphan_count += run.step is None
-    minion.orphan_count = orphan_count
     if was_empty and len(minion.runs) == 1:
         solitude.adopt(cell, minion)
     return listed
@@ -205,6 +200,7 @@
     store is asked first.
     """
     step = runs.find_step(cell, task.key)
+    size = runs.find_size(cell, task.key)
     is_wanted = (
         step is not None
         and not step.job.state.is_final
@@ -217,8 +213,9 @@
         number=task.run,
         minion_id=minion.minion.minion_id,
         step=step if is_wanted else None,
-        need=step.need if step else resources.ZERO,
-        workspace=step.job.job.workspace if step else "",
+        need=size.need if size else resources.ZERO,
+        workspace=size.workspace if size else "",
+        has_known_size=size is not None,
         phase=state.Phase.RUNNING,
         sent_ms=cell.now_ms,
         confirmed_ms=cell.now_ms,
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -136,7 +136,7 @@
     cell: state.CellState, event: events.JobAlreadyEnded
 ) -> Iterator[effects.Effect]:
     """Records that a job has ended, so that none of its tasks starts."""
-    cell.ended_job_ids.add(event.job_id)
+    cell.ended_jobs[event.job_id] = event.ended
     yield from ()
 
 
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -1,5 +1,7 @@
 """Capacity that runs occupy on minions and in workspace limits."""
 
+import dataclasses
+
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
@@ -29,6 +31,7 @@
     """Adds a run and allocates its capacity."""
     minion.runs[(run.key, run.number)] = run
     minion.used = minion.used + run.need
+    minion.orphan_count += not run.has_known_size
     used = cell.usage.get(run.workspace, resources.ZERO)
     cell.usage[run.workspace] = used + run.need
     cell.workspace_runs.setdefault(run.workspace, {})[id(run)] = run
@@ -45,6 +48,7 @@
     if minion is None or minion.runs.pop((run.key, run.number), None) is None:
         return
     minion.used = minion.used - run.need
+    minion.orphan_count -= not run.has_known_size
     cell.usage[run.workspace] = cell.usage[run.workspace] - run.need
     del cell.workspace_runs[run.workspace][id(run)]
     cell.unclear.pop(id(run), None)
@@ -83,6 +87,32 @@
     return max(count, 0)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TaskSize:
+    """What a task occupies, and in which workspace's limit."""
+
+    workspace: str
+    need: resources.Resources
+
+
+def find_size(cell: state.CellState, key: steps.TaskKey) -> TaskSize | None:
+    """Returns the size of a task, or None if its job is not known.
+
+    Jobs that have ended count too, as their runs may not have ended yet.
+    """
+    record = cell.jobs.get(key.job_id)
+    ended = cell.ended_jobs.get(key.job_id)
+    if record is not None and record.kept:
+        workspace, sizes = record.job.workspace, record.job.steps
+    elif ended is not None:
+        workspace, sizes = ended.workspace, ended.step_sizes
+    else:
+        return None
+    if key.step >= len(sizes):
+        return None
+    return TaskSize(workspace=workspace, need=sizes[key.step].minion_need)
+
+
 def find_step(
     cell: state.CellState, key: steps.TaskKey
 ) -> state.StepRecord | None:
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -70,6 +70,7 @@
         listed_ms: When the minion last listed it, or -1.
         checkpoint: Last known checkpoint.
         share: Share of its full speed that a filler may use, in percent.
+        has_known_size: Whether `need` and `workspace` are those of its task.
     """
 
     key: steps.TaskKey
@@ -88,6 +89,7 @@
     listed_ms: int = -1
     checkpoint: str = ""
     share: int = 100
+    has_known_size: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -189,9 +191,7 @@
     @property
     def need(self) -> resources.Resources:
         """Capacity that one of its tasks occupies on a minion."""
-        if not self.step.filler:
-            return self.step.need
-        return dataclasses.replace(self.step.need, cpu_millis=0)
+        return self.step.minion_need
 
     def get_key(self, index: int) -> steps.TaskKey:
         """Returns the key of a task."""
@@ -267,8 +267,8 @@
             it is draining; -1 if it is not known to leave.
         runs: Runs that occupy capacity, by task and number.
         used: Occupied capacity.
-        orphan_count: Number of listed runs of unknown size, as their jobs are
-            unknown; no task is placed beside them.
+        orphan_count: Number of its runs of unknown size; no task is placed
+            beside them.
         quarantined_until_ms: Time, on the owner's clock, before which no task
             is placed on it.
         failed_jobs: Ids of the jobs of its latest consecutive failures.
@@ -303,6 +303,19 @@
         )
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EndedJob:
+    """A job in a final state whose record is gone.
+
+    Attributes:
+        workspace: Its workspace.
+        step_sizes: Sizes of its steps; none if they are unknown.
+    """
+
+    workspace: str = ""
+    step_sizes: tuple[steps.StepSize, ...] = ()
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class DeferredEnd:
     """An end of a run whose job is being looked up in the store.
@@ -342,8 +355,8 @@
         allowed_fractions: Moving average of the fraction of minions that advice
             allowed, by name of the queue.
         submission_buckets: Token buckets of the submissions, by workspace.
-        ended_job_ids: Ids of jobs that an earlier owner ended and that have no
-            record.
+        ended_jobs: Jobs that an earlier owner ended and that have no record,
+            by id.
         earlier_advice_until_ms: Time, on the owner's clock, until which entries
             may report advice that an earlier owner requested; none is
             requested for recovered jobs before.
@@ -382,7 +395,7 @@
     submission_buckets: dict[str, TokenBucket] = dataclasses.field(
         default_factory=dict
     )
-    ended_job_ids: set[str] = dataclasses.field(default_factory=set)
+    ended_jobs: dict[str, EndedJob] = dataclasses.field(default_factory=dict)
     earlier_advice_until_ms: int = 0
     deferred_ends: dict[str, list[DeferredEnd]] = dataclasses.field(
         default_factory=dict
--- a/packages/core/hickoryreach/structure/steps.py
+++ b/packages/core/hickoryreach/structure/steps.py
@@ -6,6 +6,16 @@
 from hickoryreach.structure import resources
 
 
+def get_minion_need(
+    need: resources.Resources, *, filler: bool
+) -> resources.Resources:
+    """Returns what a task occupies of a minion's capacity.
+
+    A filler's processor time is not counted.
+    """
+    return dataclasses.replace(need, cpu_millis=0) if filler else need
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Step:
     """Tasks of one size that become ready together.
@@ -50,6 +60,32 @@
     filler: bool = False
     away_limit: int = 0
 
+    @property
+    def minion_need(self) -> resources.Resources:
+        """What one task occupies of a minion's capacity."""
+        return get_minion_need(self.need, filler=self.filler)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StepSize:
+    """Size of a step of a job that is in a final state.
+
+    Attributes:
+        count: Number of tasks.
+        need: Resources of one task.
+        filler: Whether its tasks use only processor time that other tasks
+            leave unused.
+    """
+
+    count: int
+    need: resources.Resources
+    filler: bool = False
+
+    @property
+    def minion_need(self) -> resources.Resources:
+        """What one task occupies of a minion's capacity."""
+        return get_minion_need(self.need, filler=self.filler)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Job:
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -9,6 +9,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
+from hickoryreach.structure import steps
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import records
@@ -183,9 +184,16 @@
         )
 
     def _encode_final_record(self, effect: effects.JobChanged) -> bytes:
+        known = self.owner.state.jobs.get(effect.job_id)
         return records.encode_final(
             records.FinalRecord(
                 final=effect.state,
+                step_sizes=tuple(
+                    steps.StepSize(
+                        count=step.count, need=step.need, filler=step.filler
+                    )
+                    for step in (known.job.steps if known else ())
+                ),
                 workspace=self.owner.published_states.workspaces.get(
                     effect.job_id, ""
                 ),
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -345,13 +345,16 @@
 
     def record_final(self, job_id: str, final: records.FinalRecord) -> None:
         """Records a job that reached its final state under an earlier owner."""
-        self.apply(events.JobAlreadyEnded(job_id=job_id))
+        ended = state.EndedJob(
+            workspace=final.workspace, step_sizes=final.step_sizes
+        )
+        self.apply(events.JobAlreadyEnded(job_id=job_id, ended=ended))
         self.published_states.record_final(job_id, final)
 
     def drop_job(self, job_id: str) -> None:
         """Drops a job whose state is no longer retained for callers."""
         self.state.jobs.pop(job_id, None)
-        self.state.ended_job_ids.discard(job_id)
+        self.state.ended_jobs.pop(job_id, None)
         self.published_states.drop_job(job_id)
 
     def change_configuration(self, configuration: cells.Configuration) -> None:
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -30,10 +30,12 @@
     Attributes:
         final: The final state.
         workspace: Workspace of the job.
+        step_sizes: Sizes of its steps, whose runs may not have ended yet.
     """
 
     final: state.JobState
     workspace: str
+    step_sizes: tuple[steps.StepSize, ...] = ()
 
 
 _final_adapter = pydantic.TypeAdapter(FinalRecord)
--- a/tests/core/scheduling/test_limit_usage.py
+++ b/tests/core/scheduling/test_limit_usage.py
@@ -2,6 +2,7 @@
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
@@ -42,6 +43,17 @@
         self.end(run, "stopped")
         self.assertEqual(len(self.get_starts()), 1)
 
+    def test_run_of_a_job_with_a_final_record_counts_until_it_has_ended(
+        self,
+    ) -> None:
+        size = steps.StepSize(count=1, need=cases.build_need(RUN_CPU))
+        ended = state.EndedJob(workspace="hydro", step_sizes=(size,))
+        self.apply(events.JobAlreadyEnded(job_id="a", ended=ended))
+        run = self.list_run("a")
+        self.assertEqual(self.submit_new(), [])
+        self.end(run, "stopped")
+        self.assertEqual(len(self.get_starts()), 1)
+
 
 class UnknownJobTest(LimitUsageCase):
     """Runs of jobs that the owner does not know, or not yet."""
--- a/tests/core/scheduling/test_orphans.py
+++ b/tests/core/scheduling/test_orphans.py
@@ -99,6 +99,7 @@
         self.poll_with_run("nobody")
         self.submit(cases.build_step(count=3))
         self.assertEqual({each.minion_id for each in self.get_starts()}, {"m1"})
+        self.now_ms += 1
         self.poll("m0")
         self.submit(cases.build_step(count=3))
         self.assertIn("m0", {each.minion_id for each in self.get_starts()})
--- a/tests/entry/cell/test_effect_executor.py
+++ b/tests/entry/cell/test_effect_executor.py
@@ -8,7 +8,9 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import settings
 from hickoryreach.scheduling import state
+from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import effect_executor
 from hickoryreach_entry.cell import progress
@@ -39,6 +41,7 @@
             emit=self.emitted.append,
             published_states=mock.Mock(workspaces={JOB: "hydro"}),
             fleet=types.SimpleNamespace(links={"m0": self.link}),
+            state=state.CellState(settings=settings.Settings(), epoch=1),
         )
         self.executor = effect_executor.EffectExecutor(owner=self.owner)
 
@@ -77,6 +80,27 @@
         self.execute_unstored_end()
         self.link.acknowledge_end.assert_called_once_with(1, 1)
 
+    def test_final_record_tells_the_sizes_of_the_steps(self) -> None:
+        step = steps.Step(
+            count=3, need=resources.Resources(cpu_millis=700), filler=True
+        )
+        job = mock.Mock(steps=(step,))
+        self.owner.state.jobs[JOB] = state.JobRecord(job=job)
+        stored = mock.Mock()
+        self.progress.on_final = stored
+        self.executor.execute(
+            effects.JobChanged(job_id=JOB, state=state.JobState.CANCELLED)
+        )
+        with gevent.Timeout(5.0):
+            while not stored.called:
+                gevent.sleep(0.01)
+        item = self.client.get(records.build_job_key(JOB)).unwrap()
+        final = records.decode_stored_job(item.data).unwrap()
+        self.assertEqual(
+            final.step_sizes,
+            (steps.StepSize(count=3, need=step.need, filler=True),),
+        )
+
     def read_rows(self) -> list[records.Row]:
         """Returns the stored rows of the progress."""
         parts = self.client.get_prefix(records.PROGRESS_PREFIX).unwrap()
--- a/tests/entry/cell/test_end_pages.py
+++ b/tests/entry/cell/test_end_pages.py
@@ -58,7 +58,7 @@
         )
 
     def test_task_is_not_started_again_before_its_end_is_listed(self) -> None:
-        self.cell.ended_job_ids.add("ended")
+        self.apply(events.JobAlreadyEnded(job_id="ended"))
         limit = minions.MAX_LISTED_ENDS
         for _ in range(2):
             self.deliver(1, limit, "stopped")
