Count the processor time of fillers towards their workspace's limit (QUOTA)

A run therefore has two figures now, what it occupies of its minion and of its workspace's limit; limits, headroom that is reserved and preemption within a workspace use the second.

Evidence: test_limit_usage.FillerTest failed before (4 tasks of 3 cores ran in a workspace that may use 4).

--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -279,7 +279,7 @@
     theirs.
     """
     room = available.get_workspace_room(cell, step.job.job.workspace)
-    need = step.need if count == 1 else step.need.times(count)
+    need = step.limit_need if count == 1 else step.limit_need.times(count)
     if need.fits_in(room.headroom):
         return True
     return (
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -135,6 +135,7 @@
         minion_id=minion_id,
         step=step,
         need=step.need,
+        limit_need=step.limit_need,
         workspace=step.job.job.workspace,
         phase=state.Phase.SENT,
         sent_ms=cell.now_ms,
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -214,6 +214,7 @@
         minion_id=minion.minion.minion_id,
         step=step if is_wanted else None,
         need=size.need if size else resources.ZERO,
+        limit_need=size.limit_need if size else resources.ZERO,
         workspace=size.workspace if size else "",
         has_known_size=size is not None,
         phase=state.Phase.RUNNING,
--- a/packages/core/hickoryreach/scheduling/preemption.py
+++ b/packages/core/hickoryreach/scheduling/preemption.py
@@ -39,17 +39,17 @@
 
 def get_releasing_capacity(minion: state.MinionRecord) -> resources.Resources:
     """Returns the capacity that pending stops will release on a minion."""
-    return _sum_releasing(minion.runs.values())
-
-
-def _sum_releasing(stopping: Iterable[state.Run]) -> resources.Resources:
     releasing = resources.ZERO
-    for run in stopping:
-        if run.phase is state.Phase.STOPPING:
-            releasing = releasing + run.need
+    for run in _list_releasing(minion.runs.values()):
+        releasing = releasing + run.need
     return releasing
 
 
+def _list_releasing(candidates: Iterable[state.Run]) -> Iterator[state.Run]:
+    """Yields the runs that are being stopped."""
+    return (run for run in candidates if run.phase is state.Phase.STOPPING)
+
+
 def preempt_for_tasks(
     cell: state.CellState,
     step: state.StepRecord,
@@ -144,7 +144,9 @@
         need: What the step is to occupy.
     """
     members = cell.workspace_runs.get(step.job.job.workspace, {}).values()
-    room = headroom + _sum_releasing(members)
+    room = headroom
+    for run in _list_releasing(members):
+        room = room + run.limit_need
     victims = _sort_victims(members, step.rank)
     allowed = step.allowed or set()
     victims.sort(key=lambda run: (-run.step.rank, run.minion_id not in allowed))
@@ -153,8 +155,8 @@
         if need.fits_in(room):
             break
         chosen.append(run)
-        room = room + run.need
-    least = need if step.step.gang else step.need
+        room = room + run.limit_need
+    least = need if step.step.gang else step.limit_need
     if least.fits_in(room):
         for run in chosen:
             yield from lifecycle.stop(cell, run, "preempted_in_workspace")
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -33,7 +33,7 @@
     minion.used = minion.used + run.need
     minion.orphan_count += not run.has_known_size
     used = cell.usage.get(run.workspace, resources.ZERO)
-    cell.usage[run.workspace] = used + run.need
+    cell.usage[run.workspace] = used + run.limit_need
     cell.workspace_runs.setdefault(run.workspace, {})[id(run)] = run
     if run.step is not None:
         run.step.runs[run.key.index] = run
@@ -49,7 +49,7 @@
         return
     minion.used = minion.used - run.need
     minion.orphan_count -= not run.has_known_size
-    cell.usage[run.workspace] = cell.usage[run.workspace] - run.need
+    cell.usage[run.workspace] = cell.usage[run.workspace] - run.limit_need
     del cell.workspace_runs[run.workspace][id(run)]
     cell.unclear.pop(id(run), None)
     if run.step is not None and run.step.runs.get(run.key.index) is run:
@@ -89,10 +89,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class TaskSize:
-    """What a task occupies, and in which workspace's limit."""
+    """What a task occupies.
+
+    Attributes:
+        workspace: Workspace whose limit it counts towards.
+        need: What it occupies of its minion's capacity.
+        limit_need: What it occupies of the limit.
+    """
 
     workspace: str
     need: resources.Resources
+    limit_need: resources.Resources
 
 
 def find_size(cell: state.CellState, key: steps.TaskKey) -> TaskSize | None:
@@ -110,7 +117,10 @@
         return None
     if key.step >= len(sizes):
         return None
-    return TaskSize(workspace=workspace, need=sizes[key.step].minion_need)
+    size = sizes[key.step]
+    return TaskSize(
+        workspace=workspace, need=size.minion_need, limit_need=size.need
+    )
 
 
 def find_step(
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -57,7 +57,8 @@
         number: Number of the run; increases with each start of the task.
         minion_id: Id of the minion that it was started on.
         step: The step, or None if the run belongs to no known step.
-        need: Capacity that it occupies.
+        need: What it occupies of the minion's capacity.
+        limit_need: What it occupies of its workspace's limit.
         workspace: Workspace whose limit it counts towards.
         phase: Its phase.
         sent_ms: When the start was sent.
@@ -78,6 +79,7 @@
     minion_id: str
     step: StepRecord | None
     need: resources.Resources
+    limit_need: resources.Resources
     workspace: str
     phase: Phase
     sent_ms: int
@@ -193,6 +195,14 @@
         """Capacity that one of its tasks occupies on a minion."""
         return self.step.minion_need
 
+    @property
+    def limit_need(self) -> resources.Resources:
+        """Part of its workspace's limit that one of its tasks occupies.
+
+        A filler's processor time counts, although its minion has it to spare.
+        """
+        return self.step.need
+
     def get_key(self, index: int) -> steps.TaskKey:
         """Returns the key of a task."""
         return steps.TaskKey(
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -64,11 +64,11 @@
     workspace = step.job.job.workspace
     limit = _get_reachable_limit(cell, available, workspace)
     count = step.step.count if step.step.gang else len(step.waiting)
-    fitting = runs.count_fitting(limit, step.need, count)
+    fitting = runs.count_fitting(limit, step.limit_need, count)
     least = count if step.step.gang else 1
     if fitting < least or not _fits_on_minions(cell, step, available, least):
         return None
-    need = step.need.times(fitting)
+    need = step.limit_need.times(fitting)
     available.reserve_headroom(workspace, need)
     return need
 
@@ -84,7 +84,7 @@
         lasting = resources.ZERO
         for run in cell.workspace_runs.get(workspace, {}).values():
             if run.step is not None and run.step.step.lasting:
-                lasting = lasting + run.need
+                lasting = lasting + run.limit_need
         available.lasting_usage[workspace] = lasting
     return runs.get_limit(cell, workspace) - lasting
 
