Hold back what silent minions may use of a limit after a takeover (QUOTA)

What callers saw: a workspace had more running than its limit, up to twice as much in the test, after the owner had been replaced while some minions did not answer. Cause: a new owner counts the runs that its minions list. Jobs that it recovers wait for the minions that have not answered; a job submitted after the takeover did not, and found a limit that looked free.

The new owner now knows which minions have not answered and until when something may run there, and holds back for each workspace the most that these runs may occupy: the tasks that may be among them (recovered tasks that neither run in sight nor are done, and those of jobs that were cancelled or failed), but no more than the silent minions can hold. Steps that fit beside that start at once; each answer, or the end of the time, releases the rest. Nothing is preempted to make up for it. task_start and workspace_waits tell the amount (unseen_cpu).

What an owner knows of its predecessors moves from scheduling.state, which had grown too large, to scheduling.predecessors.

--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -3,7 +3,7 @@
 import dataclasses
 
 from hickoryreach.platform import minions
-from hickoryreach.scheduling import state
+from hickoryreach.scheduling import predecessors
 from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 
@@ -184,7 +184,22 @@
     """
 
     job_id: str
-    ended: state.EndedJob = state.EndedJob()
+    ended: predecessors.EndedJob = predecessors.EndedJob()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class EarlierRunsUnconfirmed:
+    """Runs of earlier owners may execute on minions that don't answer.
+
+    Attributes:
+        until_ms: When they have ended for certain, on the owner's clock, by id
+            of the minion.
+        elsewhere_until_ms: The same for minions whose ids are not known; 0 if
+            all are.
+    """
+
+    until_ms: dict[str, int]
+    elsewhere_until_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -242,6 +257,7 @@
     | CrashStored
     | JobRecovered
     | JobAlreadyEnded
+    | EarlierRunsUnconfirmed
     | EarlierRunsConfirmed
     | AdviceCallEnded
     | Ticked
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -152,7 +152,9 @@
             or room.reserved is not reserved
             or room.held is not held
         ):
-            limit = runs.get_limit(cell, workspace) - self.unknown_usage
+            limit = runs.get_limit(cell, workspace) - self.get_unseen_usage(
+                cell, workspace
+            )
             is_half_free = used.times(2).fits_in(limit)
             room = WorkspaceRoom(
                 used=used,
@@ -166,6 +168,13 @@
             self.workspace_rooms[workspace] = room
         return room
 
+    def get_unseen_usage(
+        self, cell: state.CellState, workspace: str
+    ) -> resources.Resources:
+        """Returns the most that a workspace may use besides its known runs."""
+        earlier = unseen_usage.get_earlier_usage(cell, workspace)
+        return self.unknown_usage + earlier
+
     def reserve_headroom(
         self, workspace: str, need: resources.Resources
     ) -> None:
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -8,6 +8,7 @@
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import unseen_usage
 
 REFUSAL_QUARANTINE_MS = 500
 
@@ -160,10 +161,11 @@
     """Returns what a workspace uses with a new run, and its limit, for logs."""
     used = cell.usage[run.workspace]
     limit = runs.get_limit(cell, run.workspace)
+    unseen = unseen_usage.get_earlier_usage(cell, run.workspace)
     return (
         f"workspace={run.workspace} used_cpu={used.cpu_millis} "
         f"limit_cpu={limit.cpu_millis} used_memory={used.memory_mb} "
-        f"limit_memory={limit.memory_mb} "
+        f"limit_memory={limit.memory_mb} unseen_cpu={unseen.cpu_millis} "
         f"configuration={cell.configuration.version} "
         f"configuration_ms={cell.now_ms - cell.configured_ms}"
     )
--- a/packages/core/hickoryreach/scheduling/orphans.py
+++ b/packages/core/hickoryreach/scheduling/orphans.py
@@ -11,6 +11,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import state
 
 
@@ -35,7 +36,7 @@
     """Defers an end until the store has answered whether its job exists."""
     yield from request_job(cell, end.key.job_id)
     cell.deferred_ends[end.key.job_id].append(
-        state.DeferredEnd(
+        predecessors.DeferredEnd(
             minion_id=minion.minion.minion_id,
             incarnation=minion.incarnation,
             end=end,
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -14,6 +14,7 @@
 from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
 from hickoryreach.scheduling import throttling
+from hickoryreach.scheduling import unseen_usage
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 
@@ -40,6 +41,7 @@
     minion.incarnation = reply.incarnation
     minion.polled = True
     minion.reachable = True
+    unseen_usage.confirm(cell, event.minion_id)
     if cell.crashes.lapsed:
         yield from crashes.handle_return(cell, minion)
     for end in reply.ends:
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -16,6 +16,7 @@
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import placement
 from hickoryreach.scheduling import poll_replies
+from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import state
 from hickoryreach.scheduling import waits
 
@@ -140,11 +141,24 @@
     yield from ()
 
 
+@handlers.register(events.EarlierRunsUnconfirmed)
+def hold_back_for_earlier_runs(
+    cell: state.CellState, event: events.EarlierRunsUnconfirmed
+) -> Iterator[effects.Effect]:
+    """Counts what earlier owners may have running for the limits."""
+    cell.earlier_runs = predecessors.EarlierRuns(
+        until_ms=dict(event.until_ms),
+        elsewhere_until_ms=event.elsewhere_until_ms,
+    )
+    yield from ()
+
+
 @handlers.register(events.EarlierRunsConfirmed)
 def confirm_earlier_runs(
     cell: state.CellState, event: events.EarlierRunsConfirmed
 ) -> Iterator[effects.Effect]:
     """Lets the tasks of recovered jobs start."""
+    cell.earlier_runs = None
     for record in cell.jobs.values():
         record.unconfirmed_until_ms = 0
     cell.dirty = True
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -6,8 +6,8 @@
 import dataclasses
 import enum
 
-from hickoryreach.platform import minions
 from hickoryreach.scheduling import crash_records
+from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import settings as settings_module
 from hickoryreach.scheduling import wait_causes
 from hickoryreach.structure import cells
@@ -313,34 +313,6 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class EndedJob:
-    """A job in a final state whose record is gone.
-
-    Attributes:
-        workspace: Its workspace.
-        step_sizes: Sizes of its steps; none if they are unknown.
-    """
-
-    workspace: str = ""
-    step_sizes: tuple[steps.StepSize, ...] = ()
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class DeferredEnd:
-    """An end of a run whose job is being looked up in the store.
-
-    Attributes:
-        minion_id: Id of the minion that listed it.
-        incarnation: Incarnation of the minion.
-        end: The end.
-    """
-
-    minion_id: str
-    incarnation: int
-    end: minions.TaskEnd
-
-
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class CellState:
     """State that the reducer updates.
@@ -367,6 +339,8 @@
         submission_buckets: Token buckets of the submissions, by workspace.
         ended_jobs: Jobs that an earlier owner ended and that have no record,
             by id.
+        earlier_runs: Runs of earlier owners that may execute unseen; None if
+            there can be none.
         earlier_advice_until_ms: Time, on the owner's clock, until which entries
             may report advice that an earlier owner requested; none is
             requested for recovered jobs before.
@@ -405,11 +379,14 @@
     submission_buckets: dict[str, TokenBucket] = dataclasses.field(
         default_factory=dict
     )
-    ended_jobs: dict[str, EndedJob] = dataclasses.field(default_factory=dict)
-    earlier_advice_until_ms: int = 0
-    deferred_ends: dict[str, list[DeferredEnd]] = dataclasses.field(
+    ended_jobs: dict[str, predecessors.EndedJob] = dataclasses.field(
         default_factory=dict
     )
+    earlier_runs: predecessors.EarlierRuns | None = None
+    earlier_advice_until_ms: int = 0
+    deferred_ends: dict[str, list[predecessors.DeferredEnd]] = (
+        dataclasses.field(default_factory=dict)
+    )
     crashes: crash_records.CrashState = dataclasses.field(
         default_factory=crash_records.CrashState
     )
--- a/packages/core/hickoryreach/scheduling/unseen_usage.py
+++ b/packages/core/hickoryreach/scheduling/unseen_usage.py
@@ -1,12 +1,18 @@
-"""Use of limits that can't be counted, taken at its worst.
+"""Use of workspaces' limits that can't be counted, taken at its worst.
 
-Any workspace may be the one whose tasks a run of unknown size belongs to, so
-that no start may rely on the capacity that such a run can occupy.
+A run of unknown size may be of any workspace. After a takeover, minions that
+don't answer may run tasks of earlier owners. No start may rely on the part of a
+limit that these runs may occupy.
 """
 
+from collections.abc import Iterator
+
+from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
+SUMS_VALID_MS = 500
+
 
 def sum_unknown_sizes(cell: state.CellState) -> resources.Resources:
     """Returns the most that the runs of unknown size may occupy."""
@@ -16,3 +22,85 @@
             left = minion.minion.capacity - minion.used
             total = total + left.elementwise_max(resources.ZERO)
     return total
+
+
+def confirm(cell: state.CellState, minion_id: str) -> None:
+    """Records that a minion has listed what it runs."""
+    earlier = cell.earlier_runs
+    if earlier is not None and earlier.until_ms.pop(minion_id, 0):
+        cell.dirty = True
+
+
+def get_earlier_usage(
+    cell: state.CellState, workspace: str
+) -> resources.Resources:
+    """Returns the most that earlier runs may occupy unseen of a limit.
+
+    They occupy no more than the tasks that may be among them, nor than the
+    minions that have not answered offer, as far as all of these are known.
+    """
+    earlier = cell.earlier_runs
+    if earlier is None:
+        return resources.ZERO
+    silent_count = sum(
+        until_ms > cell.now_ms for until_ms in earlier.until_ms.values()
+    )
+    is_complete = earlier.elsewhere_until_ms <= cell.now_ms
+    if is_complete and not silent_count:
+        return resources.ZERO
+    if not 0 <= cell.now_ms - earlier.summed_ms < SUMS_VALID_MS:
+        _sum_tasks(cell, earlier)
+    usage = earlier.task_sums.get(workspace, resources.ZERO)
+    if not is_complete:
+        return usage
+    return usage.elementwise_min(
+        _get_largest_capacity(cell).times(silent_count)
+    )
+
+
+def _get_largest_capacity(cell: state.CellState) -> resources.Resources:
+    """Returns the largest registered capacity of each resource.
+
+    That of a silent minion may be unknown, or have shrunk below its use.
+    """
+    largest = resources.ZERO
+    for minion in cell.minions.values():
+        largest = largest.elementwise_max(minion.minion.capacity)
+    return largest
+
+
+def _sum_tasks(
+    cell: state.CellState, earlier: predecessors.EarlierRuns
+) -> None:
+    """Adds up the tasks that earlier owners may have running, by workspace."""
+    earlier.summed_ms = cell.now_ms
+    earlier.task_sums.clear()
+    for workspace, need in _list_tasks(cell):
+        known = earlier.task_sums.get(workspace, resources.ZERO)
+        earlier.task_sums[workspace] = known + need
+
+
+def _list_tasks(
+    cell: state.CellState,
+) -> Iterator[tuple[str, resources.Resources]]:
+    """Yields workspaces with what tasks of one step may occupy unseen.
+
+    The tasks of jobs that did not complete may still be running.
+    """
+    for record in cell.jobs.values():
+        if not record.recovered or record.state is state.JobState.COMPLETED:
+            continue
+        workspace = record.job.workspace
+        if record.state.is_final:
+            repeats = max(1, record.job.repeats)
+            for step in record.job.steps:
+                yield workspace, step.need.times(step.count * repeats)
+            continue
+        for each in record.steps.values():
+            count = each.step.count - len(each.done) - len(each.runs)
+            yield workspace, each.limit_need.times(count)
+    for ended in cell.ended_jobs.values():
+        if ended.completed:
+            continue
+        for size in ended.step_sizes:
+            yield ended.workspace, size.need.times(size.count)
--- a/packages/core/hickoryreach/scheduling/waits.py
+++ b/packages/core/hickoryreach/scheduling/waits.py
@@ -7,6 +7,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import unseen_usage
 from hickoryreach.scheduling import wait_causes
 from hickoryreach.structure import resources
 
@@ -73,6 +74,7 @@
     oldest = min(steps, key=lambda step: step.waiting_since_ms)
     used = cell.usage.get(workspace, resources.ZERO)
     limit = runs.get_limit(cell, workspace)
+    unseen = unseen_usage.get_earlier_usage(cell, workspace)
     return effects.LogDecision(
         event_name="workspace_waits",
         subject=workspace,
@@ -81,7 +83,8 @@
             f"oldest={_format_name(oldest)} "
             f"waiting_ms={cell.now_ms - oldest.waiting_since_ms} "
             f"used_cpu={used.cpu_millis} limit_cpu={limit.cpu_millis} "
-            f"used_memory={used.memory_mb} limit_memory={limit.memory_mb}"
+            f"used_memory={used.memory_mb} limit_memory={limit.memory_mb} "
+            f"unseen_cpu={unseen.cpu_millis}"
         ),
     )
 
--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -25,9 +25,12 @@
     """Reserves headroom for a step that its workspace's limit keeps waiting.
 
     Steps that are placed after it can't take that headroom. For steps of the
-    first rank, less urgent runs of the workspace are preempted.
+    first rank, less urgent runs of the workspace are preempted, but not to make
+    up for runs that are out of sight.
     """
-    headroom = available.get_headroom(cell, step.job.job.workspace)
+    workspace = step.job.job.workspace
+    unseen = available.get_unseen_usage(cell, workspace)
+    headroom = available.get_headroom(cell, workspace) + unseen
     need = _reserve_headroom(cell, step, available)
     if need is not None and step.rank == ordering.FIRST_RANK:
         yield from preemption.preempt_in_workspace(cell, step, headroom, need)
--- a/packages/core/hickoryreach/structure/resources.py
+++ b/packages/core/hickoryreach/structure/resources.py
@@ -47,6 +47,15 @@
             slots=max(self.slots, other.slots),
         )
 
+    def elementwise_min(self, other: Self) -> "Resources":
+        """Returns the minimum of each component."""
+        return Resources(
+            cpu_millis=min(self.cpu_millis, other.cpu_millis),
+            memory_mb=min(self.memory_mb, other.memory_mb),
+            accelerators=min(self.accelerators, other.accelerators),
+            slots=min(self.slots, other.slots),
+        )
+
     def times(self, count: int) -> "Resources":
         """Returns the amount multiplied by `count`."""
         return Resources(
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -9,7 +9,6 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
-from hickoryreach.structure import steps
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import records
@@ -188,12 +187,7 @@
         return records.encode_final(
             records.FinalRecord(
                 final=effect.state,
-                step_sizes=tuple(
-                    steps.StepSize(
-                        count=step.count, need=step.need, filler=step.filler
-                    )
-                    for step in (known.job.steps if known else ())
-                ),
+                step_sizes=records.list_sizes(known.job) if known else (),
                 workspace=self.owner.published_states.workspaces.get(
                     effect.job_id, ""
                 ),
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -13,6 +13,7 @@
 from hickoryreach.platform import store
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import reducer
 from hickoryreach.scheduling import settings as scheduling_settings
 from hickoryreach.scheduling import state
@@ -345,8 +346,10 @@
 
     def record_final(self, job_id: str, final: records.FinalRecord) -> None:
         """Records a job that reached its final state under an earlier owner."""
-        ended = state.EndedJob(
-            workspace=final.workspace, step_sizes=final.step_sizes
+        ended = predecessors.EndedJob(
+            workspace=final.workspace,
+            step_sizes=final.step_sizes,
+            completed=final.final is state.JobState.COMPLETED,
         )
         self.apply(events.JobAlreadyEnded(job_id=job_id, ended=ended))
         self.published_states.record_final(job_id, final)
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -91,6 +91,18 @@
     return result.Failure(fault) if fault else result.Success(job)
 
 
+def list_sizes(job: steps.Job) -> tuple[steps.StepSize, ...]:
+    """Returns the sizes of a job's steps, with the tasks of all repeats."""
+    return tuple(
+        steps.StepSize(
+            count=step.count * max(1, job.repeats),
+            need=step.need,
+            filler=step.filler,
+        )
+        for step in job.steps
+    )
+
+
 def encode_final(final: FinalRecord) -> bytes:
     """Returns the value that replaces a job's once its state is final."""
     return orjson.dumps(final)
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -58,6 +58,8 @@
             clock.now_ms() + EARLIER_ADVICE_WAIT_MS
         )
     recover_jobs(owner, jobs, kept, unconfirmed_until_ms)
+    if unconfirmed_until_ms:
+        owner.apply(describe_unconfirmed(owner))
     owner.fleet.watcher.start()
     if unconfirmed_until_ms:
         log.warning(
@@ -75,26 +77,35 @@
 def get_uncertain_until_ms(owner) -> int:
     """Returns until when runs of an earlier owner may be unconfirmed, in ms.
 
-    A minion that did not answer may still run what an earlier owner started:
-    for as long as that owner reported, or else for a whole lease. So may one
-    that the record of the known minions doesn't name because it is unreadable.
-
     Returns:
         The end of that time in ms, or 0 if every run is confirmed.
     """
     if owner.epoch == 1 or has_polled_all(owner):
         return 0
+    unconfirmed = describe_unconfirmed(owner)
+    return max([unconfirmed.elsewhere_until_ms, *unconfirmed.until_ms.values()])
+
+
+def describe_unconfirmed(owner) -> events.EarlierRunsUnconfirmed:
+    """Returns which minions may run tasks of earlier owners unseen.
+
+    A minion that did not answer may still run what an earlier owner started:
+    for as long as that owner reported, or else for a whole lease. So may one
+    that the record of the known minions doesn't name because it is unreadable.
+    """
+    now_ms = clock.now_ms()
     full_lease_ms = links.PREVIOUS_OWNER_LEASE_MS + LEASE_SLACK_MS
-    left_ms = max(
-        (
-            owner.silent.get(name, full_lease_ms)
-            for name in list_unpolled(owner)
-        ),
-        default=0,
+    left_ms = {
+        name: owner.silent.get(name, full_lease_ms)
+        for name in list_unpolled(owner)
+    }
+    complete = owner.known_minions.complete
+    return events.EarlierRunsUnconfirmed(
+        until_ms={
+            name: now_ms + each for name, each in left_ms.items() if each
+        },
+        elsewhere_until_ms=0 if complete else now_ms + full_lease_ms,
     )
-    if not owner.known_minions.complete:
-        left_ms = max(left_ms, full_lease_ms)
-    return clock.now_ms() + left_ms if left_ms else 0
 
 
 def read_fleet(owner) -> None:
--- a/tests/core/scheduling/test_limit_usage.py
+++ b/tests/core/scheduling/test_limit_usage.py
@@ -2,7 +2,7 @@
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
-from hickoryreach.scheduling import state
+from hickoryreach.scheduling import predecessors
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
@@ -47,7 +47,7 @@
         self,
     ) -> None:
         size = steps.StepSize(count=1, need=cases.build_need(RUN_CPU))
-        ended = state.EndedJob(workspace="hydro", step_sizes=(size,))
+        ended = predecessors.EndedJob(workspace="hydro", step_sizes=(size,))
         self.apply(events.JobAlreadyEnded(job_id="a", ended=ended))
         run = self.list_run("a")
         self.assertEqual(self.submit_new(), [])
@@ -93,3 +93,96 @@
         minion = self.cell.minions[starts[0].minion_id]
         self.assertEqual(minion.used.cpu_millis, 0)
         self.assertEqual(self.submit_new(), [])
+
+
+class SilentMinionTest(LimitUsageCase):
+    """Minions that have not answered the owner after a takeover."""
+
+    minion_count = 3
+    silent_ms = 5_000
+
+    def setUp(self) -> None:
+        """Recovers a job that may run on a silent minion."""
+        super().setUp()
+        self.until_ms = self.now_ms + self.silent_ms
+        self.recovered = self.recover()
+
+    def recover(self, **step: object) -> steps.Job:
+        """Recovers a job of two tasks that may run unseen."""
+        job = self.build_job(cases.build_step(2, cpu=1_500, **step))
+        self.apply(
+            events.JobRecovered(job=job, unconfirmed_until_ms=self.until_ms)
+        )
+        return job
+
+    def fall_silent(self, *names: str, elsewhere_until_ms: int = 0) -> None:
+        """Lets minions be those that have not answered."""
+        self.apply(
+            events.EarlierRunsUnconfirmed(
+                until_ms=dict.fromkeys(names, self.until_ms),
+                elsewhere_until_ms=elsewhere_until_ms,
+            )
+        )
+
+    def test_new_job_waits_for_what_a_silent_minion_may_run(self) -> None:
+        self.fall_silent("m9")
+        self.assertEqual(self.submit_new(), [])
+        self.tick(self.silent_ms)
+        self.assertEqual(len(self.get_starts()), 2)
+
+    def test_new_job_that_fits_beside_it_starts_at_once(self) -> None:
+        self.fall_silent("m9")
+        self.submit(cases.build_step(cpu=LIMIT_CPU - 3_000))
+        self.assertEqual(len(self.get_starts()), 1)
+
+    def test_new_job_starts_once_the_minion_has_answered(self) -> None:
+        self.fall_silent("m0")
+        self.assertEqual(self.submit_new(), [])
+        self.poll("m0")
+        self.assertEqual(len(self.get_starts()), 1)
+
+    def test_adopted_runs_are_not_counted_twice(self) -> None:
+        self.fall_silent("m9")
+        keys = [
+            steps.TaskKey(
+                job_id=self.recovered.job_id, repeat=0, step=0, index=index
+            )
+            for index in range(2)
+        ]
+        self.poll("m0", running=[cases.build_listed_run(k, 7) for k in keys])
+        self.submit(cases.build_step(cpu=LIMIT_CPU - 3_000))
+        self.assertEqual(len(self.get_starts()), 1)
+
+    def test_tasks_of_a_cancelled_job_may_run_there_too(self) -> None:
+        size = steps.StepSize(count=1, need=cases.build_need(LIMIT_CPU))
+        ended = predecessors.EndedJob(workspace="hydro", step_sizes=(size,))
+        self.apply(events.JobAlreadyEnded(job_id="a", ended=ended))
+        self.fall_silent("m9")
+        self.submit(cases.build_step(cpu=500))
+        self.assertEqual(self.get_starts(), [])
+
+    def test_no_more_than_the_silent_minions_offer_is_held_back(self) -> None:
+        self.limit = resources.Resources(cpu_millis=4 * LIMIT_CPU)
+        self.configure()
+        for _ in range(5):
+            self.recover()
+        self.fall_silent("m9")
+        self.submit(cases.build_step(4, cpu=LIMIT_CPU))
+        self.assertEqual(len(self.get_starts()), 3)
+
+    def test_minions_that_are_not_known_may_run_all_tasks(self) -> None:
+        self.limit = resources.Resources(cpu_millis=4 * LIMIT_CPU)
+        self.configure()
+        for _ in range(5):
+            self.recover()
+        self.fall_silent(elsewhere_until_ms=self.until_ms)
+        self.submit(cases.build_step(4, cpu=LIMIT_CPU))
+        self.assertEqual(self.get_starts(), [])
+
+    def test_nothing_is_preempted_for_what_is_out_of_sight(self) -> None:
+        self.submit(cases.build_step(cpu=1_000, saves=True))
+        self.assertEqual(len(self.confirm_starts()), 1)
+        self.fall_silent("m9")
+        self.submit(cases.build_step(cpu=500), queue="checks")
+        self.assertEqual(self.get_stops(), [])
+        self.assertEqual(self.get_starts(), [])
--- a/tests/entry/cell/test_effect_executor.py
+++ b/tests/entry/cell/test_effect_executor.py
@@ -84,7 +84,7 @@
         step = steps.Step(
             count=3, need=resources.Resources(cpu_millis=700), filler=True
         )
-        job = mock.Mock(steps=(step,))
+        job = mock.Mock(steps=(step,), repeats=0)
         self.owner.state.jobs[JOB] = state.JobRecord(job=job)
         stored = mock.Mock()
         self.progress.on_final = stored
