Let a start be valid from its decision, not from when it is sent

The owner gives an unanswered start up 2,000 ms (and margin) after it decided it; the deadline that the minion checks was calculated when the order was sent. An owner that stood still between the two, or was slow, gave the run up while its order could still begin: its room, its part of the workspace's limit and its one place were free, and the task could start elsewhere beside it (QUOTA, TWICE). The window was what the margin of 300 ms did not cover.

The order now carries the time until which it may begin, on the owner's clock; one that has passed is not sent and refused as not sent.

Evidence: test_links.LateStartTest, two tests; an order sent 150 ms after its decision was valid 150 ms too long, and an expired one was sent, as the field did not exist.

--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -18,7 +18,8 @@
         payload: Input of the task.
         checkpoint: Checkpoint to resume from, or empty.
         ticket: Ticket of the advice service, or empty.
-        valid_ms: Time within which the minion may begin the run.
+        valid_until_ms: Time, on the owner's clock, until which the minion may
+            begin the run.
         detail: Inputs of the decision, for logs.
     """
 
@@ -28,7 +29,7 @@
     payload: str
     checkpoint: str
     ticket: str
-    valid_ms: int
+    valid_until_ms: int
     detail: str = ""
 
 
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -152,7 +152,7 @@
         payload=step.job.job.payload,
         checkpoint=step.checkpoints.get(0 if step.step.gang else index, ""),
         ticket=ticket.text if ticket else "",
-        valid_ms=cell.settings.start_valid_ms,
+        valid_until_ms=cell.now_ms + cell.settings.start_valid_ms,
         detail=_describe_limit(cell, run),
     )
 
--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -10,8 +10,8 @@
     """Parameters of the scheduler.
 
     Attributes:
-        start_valid_ms: Time within which a minion may begin a run after its
-            start was sent.
+        start_valid_ms: Time within which a minion may begin a run after the
+            decision to start it.
         clock_drift: Fraction by which a minion's clock may be slow.
         offer_timeout_ms: Time after which an offered job that is not stored is
             dropped.
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -8,6 +8,7 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import metrics
 
 log = logging.getLogger(__name__)
@@ -65,6 +66,8 @@
     ) -> minions.OrderFailure | None:
         """Sends a start order, again if there is no response.
 
+        The owner gives an unanswered start up by the time of its decision, so
+        that the order must not be valid for longer, however late it is sent.
         Retries are safe because a minion accepts the same run only once.
         After an attempt without a response, a refusal of the next one does
         not prove that the run cannot begin, so its effect stays unknown.
@@ -72,7 +75,10 @@
         Returns:
             The failure, or None if the start was confirmed.
         """
-        deadline_ms = self.link.estimate_clock() + effect.valid_ms
+        left_ms = effect.valid_until_ms - clock.now_ms()
+        if left_ms <= 0:
+            return minions.OrderFailure(reason="start_expired")
+        deadline_ms = self.link.estimate_clock() + left_ms
         self.link.deadline_ms = max(self.link.deadline_ms, deadline_ms)
         order = minions.StartOrder(
             key=effect.key,
--- a/tests/core/scheduling/cases.py
+++ b/tests/core/scheduling/cases.py
@@ -41,7 +41,7 @@
         payload="",
         checkpoint="",
         ticket="",
-        valid_ms=0,
+        valid_until_ms=0,
     )
 
 
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -2,20 +2,24 @@
 
 import dataclasses
 import unittest
+from unittest import mock
 
 import gevent
+from returns import result
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
+from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import links
 from standins.users import minions as standin
 from standins.users import servers
 
 LEASE_MS = 800
 HOLD_LIMIT_MS = 6_000
+CLOCK_STEP_MS = 20  # by which a poll may correct the estimate of a clock
 
 
 class LinkCase(unittest.TestCase):
@@ -74,19 +78,23 @@
         """Returns the number of events of a type."""
         return sum(isinstance(event, kind) for event in self.events)
 
+    def build_start(
+        self, payload: str = "{}", number: int = 1, valid_ms: int = 500
+    ) -> effects.StartTask:
+        """Returns the decision to start a task."""
+        return effects.StartTask(
+            key=steps.TaskKey(job_id="j", repeat=0, step=0, index=0),
+            number=number,
+            minion_id="i-1",
+            payload=payload,
+            checkpoint="",
+            ticket="",
+            valid_until_ms=clock.now_ms() + valid_ms,
+        )
+
     def start(self, payload: str = "{}", number: int = 1) -> None:
         """Sends a start order."""
-        self.link.orders.start(
-            effects.StartTask(
-                key=steps.TaskKey(job_id="j", repeat=0, step=0, index=0),
-                number=number,
-                minion_id="i-1",
-                payload=payload,
-                checkpoint="",
-                ticket="",
-                valid_ms=500,
-            )
-        )
+        self.link.orders.start(self.build_start(payload, number))
 
     def list_ends(self) -> list:
         """Returns the ends that the link emitted."""
@@ -98,6 +106,31 @@
         ]
 
 
+class LateStartTest(LinkCase):
+    """Starts that are sent later than they were decided."""
+
+    def test_order_is_not_valid_for_longer_than_the_decision(self) -> None:
+        decision = self.build_start(valid_ms=300)
+        latest_ms = self.link.estimate_clock() + 300
+        gevent.sleep(0.15)
+        with mock.patch.object(self.link.client, "start") as send:
+            send.return_value = result.Success(None)
+            self.link.orders.start(decision)
+        (order,) = send.call_args.args
+        self.assertLessEqual(order.deadline_ms, latest_ms + CLOCK_STEP_MS)
+
+    def test_expired_start_is_not_sent(self) -> None:
+        self.link.orders.start(self.build_start(valid_ms=0))
+        (answer,) = [
+            event
+            for event in self.events
+            if isinstance(event, events.StartAnswered)
+        ]
+        self.assertEqual(answer.failure.reason, "start_expired")
+        self.assertFalse(answer.failure.effect_unknown)
+        self.assertEqual(self.model.starts, {})
+
+
 class OddReplyTest(LinkCase):
     """A reply with numbers that no order can carry is one without answer."""
 
