Let no owner use a limit from an outdated configuration (QUOTA)

The owner's limits were those of its entry's watch. An entry that had been cut off from the store may become the owner while its watch still waits on a dead connection, up to 2.4 s; and the watch of an owner may be dead while its other calls are served. A limit that had fallen meanwhile was exceeded, above the 2 s after which a configuration must be in force. Callers' keys were guarded against that (is_current), starts were not.

A new owner reads the configuration beside all else that it reads, before its first start. Every owner reads it once the watch has been silent for 1 s, which costs about one reading in 2 s. While the store answers nobody, the last configuration stays in force, as before.

look_up_job moves from the owner to recovery, where the other readings are.

--- a/packages/entry/hickoryreach_entry/cell/configuration_watch.py
+++ b/packages/entry/hickoryreach_entry/cell/configuration_watch.py
@@ -4,6 +4,7 @@
 import logging
 import time
 
+import gevent
 from returns import result
 
 from hickoryreach.platform import documents
@@ -15,6 +16,8 @@
 
 WATCH_WAIT_S = 1.8
 ANSWER_MARGIN_S = 0.6
+MAX_SILENCE_S = 1.0
+CHECK_INTERVAL_S = 0.25
 
 
 class ConfigurationWatch:
@@ -48,8 +51,12 @@
         """Starts the watch."""
         self.watcher.start()
 
-    def refresh(self) -> None:
-        """Reads the configuration once, besides the watch."""
+    def refresh(self) -> bool:
+        """Reads the configuration once, besides the watch.
+
+        Returns:
+            Whether the store answered.
+        """
         read = self.client.get(documents.CONFIGURATION_KEY)
         if isinstance(read, result.Failure):
             log.warning(
@@ -59,18 +66,34 @@
                     "reason": read.failure().reason,
                 },
             )
-            return
+            return False
         self.watcher.answered_at = time.monotonic()
         self.handle_item(read.unwrap())
+        return True
+
+    def confirm_forever(self) -> None:
+        """Reads the configuration whenever the watch has been silent.
 
-    def is_current(self) -> bool:
+        Its connection may be dead without a sign while the store serves others,
+        and a limit that has fallen must not be used for long.
+        """
+        while True:
+            gevent.sleep(CHECK_INTERVAL_S)
+            if not self.is_current(MAX_SILENCE_S):
+                self.refresh()
+
+    def is_current(
+        self, max_age_s: float = WATCH_WAIT_S + ANSWER_MARGIN_S
+    ) -> bool:
         """Returns whether a newer configuration would be known by now.
 
         The store answers the watch when there is a change, and otherwise at
         regular intervals.
+
+        Args:
+            max_age_s: Longest time since the last answer, in s.
         """
-        age_s = time.monotonic() - self.watcher.answered_at
-        return age_s < WATCH_WAIT_S + ANSWER_MARGIN_S
+        return time.monotonic() - self.watcher.answered_at < max_age_s
 
     def handle_item(self, item: store.Item) -> None:
         """Passes a configuration on unless it is invalid or an older one."""
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -12,6 +12,7 @@
 from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import recovery
 
 log = logging.getLogger(__name__)
 
@@ -94,7 +95,7 @@
     @handlers.register(effects.FindStoredJob)
     def look_up_job(self, effect: effects.FindStoredJob) -> None:
         """Looks up in the store a job that a minion lists."""
-        gevent.spawn(self.owner.look_up_job, effect.job_id)
+        gevent.spawn(recovery.look_up_job, self.owner, effect.job_id)
 
     @handlers.register(effects.AcknowledgeEnd)
     def record_end(self, effect: effects.AcknowledgeEnd) -> None:
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -362,6 +362,7 @@
             epoch=ownership.epoch,
             revision=revision,
             configuration=self.member.configuration,
+            configuration_source=self.member.configuration_source,
             local_advisor=self.member.advisor,
             get_channels=lambda: self.member.followers,
             silent=silent,
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -16,6 +16,7 @@
 from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import election
 from hickoryreach_entry.cell import fitness_review
 from hickoryreach_entry.cell import owner as owner_module
@@ -51,10 +52,12 @@
         *,
         settings: node_module.NodeSettings,
         client: store.Store,
+        configuration_source: configuration_watch.ConfigurationWatch,
     ) -> None:
         """Creates a member that is not started yet."""
         self.settings = settings
         self.client = client
+        self.configuration_source = configuration_source
         self.own_info = frames.PeerInfo(
             name=settings.node,
             address=settings.listen.control,
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -6,7 +6,6 @@
 
 import gevent
 from gevent import queue as gevent_queue
-from returns import result
 
 from hickoryreach.platform import minions
 from hickoryreach.platform import node as node_module
@@ -24,6 +23,7 @@
 from hickoryreach_entry.cell import advisors
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import clock
+from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import effect_executor
 from hickoryreach_entry.cell import fleet
 from hickoryreach_entry.cell import known_minions
@@ -47,7 +47,6 @@
 MAX_PASS_GAP_S = 0.05
 HANDOVER_TIMEOUT_S = 0.8
 HANDOVER_POLL_S = 0.02
-LOOKUP_RETRY_S = 0.1
 
 
 class Owner:
@@ -77,6 +76,7 @@
         epoch: int,
         revision: int,
         configuration: cells.Configuration | None,
+        configuration_source: configuration_watch.ConfigurationWatch,
         local_advisor: advisors.LocalAdvisor,
         get_channels: Callable[[], dict[str, channel.Channel]],
         silent: dict[str, int],
@@ -90,6 +90,7 @@
         self.epoch = epoch
         self.revision = revision
         self.configuration = configuration
+        self.configuration_source = configuration_source
         self.get_channels = get_channels
         self.silent = silent
         self.get_wall_ms = get_wall_ms
@@ -196,6 +197,9 @@
         self.greenlets.append(
             greenlets.spawn_vital(self.known_minions.save_forever)
         )
+        self.greenlets.append(
+            greenlets.spawn_vital(self.configuration_source.confirm_forever)
+        )
         self.jobs_watcher.start()
         while not self.inbox.empty():
             self.apply(self.inbox.get_nowait())
@@ -292,27 +296,6 @@
         )
         self.jobs_watcher.pause_s = JOBS_WATCH_PAUSE_S if all_reported else 0.0
 
-    def look_up_job(self, job_id: str) -> None:
-        """Looks up whether a job that a minion lists is in the store."""
-        while not self.stopped:
-            read = self.client.get(records.build_job_key(job_id))
-            if isinstance(read, result.Success):
-                break
-            gevent.sleep(LOOKUP_RETRY_S)
-        else:
-            return
-        item = read.unwrap()
-        job = recovery.decode_item(item) if item.data else None
-        found = isinstance(job, steps.Job)
-        log.info(
-            "job_sought",
-            extra={"job": job_id, "found": found, "revision": item.revision},
-        )
-        if found:
-            self.emit(events.JobAccepted(job=job))
-        else:
-            self.emit(events.JobNotFound(job_id=job_id))
-
     def apply_past_advice(self, advice_news: frames.AdviceNews) -> None:
         """Queues advice that an earlier owner asked for."""
         for past in advice_news.answers or ():
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -41,13 +41,14 @@
         owner.apply(
             events.ConfigurationChanged(configuration=owner.configuration)
         )
+    configuration = gevent.spawn(read_configuration, owner)
     fleet = gevent.spawn(read_fleet, owner)
     known_minions = gevent.spawn(owner.known_minions.read)
     progress = gevent.spawn(
         read_with_retries, owner.client, records.PROGRESS_PREFIX
     )
     jobs = read_with_retries(owner.client, records.JOBS_PREFIX).unwrap()
-    gevent.joinall([fleet, progress, known_minions])
+    gevent.joinall([configuration, fleet, progress, known_minions])
     kept = progress.value.unwrap()
     owner.jobs_watcher.revision = jobs.revision
     deadline = time.monotonic() + FIRST_POLLS_TIMEOUT_S
@@ -114,6 +115,37 @@
     owner.fleet.watcher.accept(read.unwrap())
 
 
+def read_configuration(owner) -> None:
+    """Reads the configuration, retrying until it works.
+
+    The watch of an entry that was cut off from the store may lag behind.
+    """
+    while not owner.configuration_source.refresh():
+        gevent.sleep(RETRY_S)
+
+
+def look_up_job(owner, job_id: str) -> None:
+    """Looks up whether a job that a minion lists is in the store."""
+    while not owner.stopped:
+        read = owner.client.get(records.build_job_key(job_id))
+        if isinstance(read, result.Success):
+            break
+        gevent.sleep(RETRY_S)
+    else:
+        return
+    item = read.unwrap()
+    job = decode_item(item) if item.data else None
+    found = isinstance(job, steps.Job)
+    log.info(
+        "job_sought",
+        extra={"job": job_id, "found": found, "revision": item.revision},
+    )
+    if found:
+        owner.emit(events.JobAccepted(job=job))
+    else:
+        owner.emit(events.JobNotFound(job_id=job_id))
+
+
 def read_with_retries(
     client: store.Store, prefix: str
 ) -> result.Result[store.Page, store.StoreFailure]:
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -55,10 +55,14 @@
         self.draining = False
         self.stopped = gevent_event.Event()
         self.client = store.Store(address=settings.platform.address)
-        self.member = member.Member(settings=settings, client=self.client)
         self.configuration_watch = configuration_watch.ConfigurationWatch(
             client=self.client, on_configuration=self.change_configuration
         )
+        self.member = member.Member(
+            settings=settings,
+            client=self.client,
+            configuration_source=self.configuration_watch,
+        )
         self.caller_api = caller_api.CallerApi(
             member=self.member,
             client=self.client,
--- a/tests/entry/cell/test_configuration_watch.py
+++ b/tests/entry/cell/test_configuration_watch.py
@@ -9,9 +9,11 @@
 from hickoryreach_entry.cell import configuration_watch
 from tests.entry.cell import cases
 
+LIMIT_IN_FORCE_S = 2.0
 
-class OddConfigurationTest(cases.StoreCase):
-    """A configuration that can't be used leaves the last one in force."""
+
+class WatchCase(cases.StoreCase):
+    """A store with a configuration that is watched."""
 
     def setUp(self) -> None:
         """Watches a store with a configuration."""
@@ -42,6 +44,10 @@
             while self.watch.version < version:
                 gevent.sleep(0.01)
 
+
+class OddConfigurationTest(WatchCase):
+    """A configuration that can't be used leaves the last one in force."""
+
     def test_the_last_one_stays_in_force_until_a_sound_one(self) -> None:
         for odd in (
             json.dumps(self.build(2, apiKeys=["k", 5])),
@@ -59,3 +65,24 @@
         self.assertEqual([each.version for each in self.applied], [1, 3])
         self.assertEqual(self.applied[-1].workspaces["t"].keys, ("k", "l"))
         self.assertEqual(self.model.calls["/kv-range"], 1)
+
+
+class SilentWatchTest(WatchCase):
+    """A watch whose connection is dead without a sign."""
+
+    def test_a_new_limit_is_known_before_the_watch_times_out(self) -> None:
+        self.watch.watcher.close()
+        confirming = gevent.spawn(self.watch.confirm_forever)
+        self.addCleanup(confirming.kill)
+        self.put(json.dumps(self.build(2)))
+        with gevent.Timeout(LIMIT_IN_FORCE_S):
+            while self.watch.version < 2:
+                gevent.sleep(0.01)
+
+    def test_a_failing_store_is_asked_again(self) -> None:
+        self.watch.watcher.close()
+        self.model.faults.busy.add("*")
+        with self.assertLogs(configuration_watch.log, "WARNING"):
+            self.assertFalse(self.watch.refresh())
+        self.model.faults.busy.clear()
+        self.assertTrue(self.watch.refresh())
--- a/tests/entry/cell/test_malformed_frames.py
+++ b/tests/entry/cell/test_malformed_frames.py
@@ -64,7 +64,11 @@
         )
         client = mock.Mock()
         client.health.failing_since = 0.0
-        self.member = member_module.Member(settings=settings, client=client)
+        self.member = member_module.Member(
+            settings=settings,
+            client=client,
+            configuration_source=mock.Mock(),
+        )
         self.member.owner = mock.Mock(
             epoch=3, begun_at=0.0, leaving=False, serving=True
         )
