Let unanswered starts expire before a fallen limit must be in force (QUOTA)

A start was valid for 2,000 ms on a clock that may be 2% slow, and a configuration must be in force after 2,000 ms. A start that was decided just before its owner learned of a lower limit, and that a minion carried out late, could begin when only the lower limit counted.

Evidence: test_limit_usage.FallenLimitTest failed before (2040 not less than 1600).

--- a/packages/core/hickoryreach/scheduling/settings.py
+++ b/packages/core/hickoryreach/scheduling/settings.py
@@ -11,7 +11,8 @@
 
     Attributes:
         start_valid_ms: Time within which a minion may begin a run after the
-            decision to start it.
+            decision to start it; shorter than the time in which a configuration
+            must be in force, as its limits may fall meanwhile.
         clock_drift: Fraction by which a minion's clock may be slow.
         offer_timeout_ms: Time after which an offered job that is not stored is
             dropped.
@@ -48,7 +49,7 @@
             fraction of its estimate; the longer of both times applies.
     """
 
-    start_valid_ms: int = 2_000
+    start_valid_ms: int = 1_500
     clock_drift: float = 0.02
     offer_timeout_ms: int = 5_000
     return_quarantine_ms: int = 400
--- a/tests/core/scheduling/test_limit_usage.py
+++ b/tests/core/scheduling/test_limit_usage.py
@@ -10,6 +10,8 @@
 LIMIT_CPU = 4_000
 RUN_CPU = 3_000
 NEW_CPU = 2_000
+LIMIT_IN_FORCE_MS = 2_000
+DETECTION_MS = 400  # for the owner to learn of a new configuration
 
 
 class LimitUsageCase(cases.CellCase):
@@ -186,3 +188,16 @@
         self.submit(cases.build_step(cpu=500), queue="checks")
         self.assertEqual(self.get_stops(), [])
         self.assertEqual(self.get_starts(), [])
+
+
+class FallenLimitTest(LimitUsageCase):
+    """Starts that were decided under a higher limit."""
+
+    def test_start_can_no_longer_begin_once_a_lower_limit_must_be_in_force(
+        self,
+    ) -> None:
+        self.submit(cases.build_step(cpu=RUN_CPU))
+        (start,) = self.get_starts()
+        slowest = 1 + self.cell.settings.clock_drift
+        left_ms = (start.valid_until_ms - self.now_ms) * slowest
+        self.assertLess(left_ms, LIMIT_IN_FORCE_MS - DETECTION_MS)
