Test random takeovers against what the minions run

A model of a cell over the real reducer: minions that are cut off, restart and carry starts out late, orders without an answer, writes that an owner's end loses, owners replaced, limits that rise and fall, jobs cancelled.

--- /dev/null
+++ b/tests/core/scheduling/model/__init__.py
@@ -0,0 +1,1 @@
+"""Model of a cell for random tests of the reducer."""
--- /dev/null
+++ b/tests/core/scheduling/model/workers.py
@@ -0,0 +1,116 @@
+"""Minions of the model: runs, leases and ends."""
+
+from __future__ import annotations
+
+import dataclasses
+import itertools
+
+from hickoryreach.platform import minions
+from hickoryreach.structure import steps
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Run:
+    """A run on a minion; all times in ms.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        ends_ms: When its work is done.
+        stops_ms: When a stop takes effect, or -1.
+    """
+
+    key: steps.TaskKey
+    number: int
+    ends_ms: int
+    stops_ms: int = -1
+
+
+@dataclasses.dataclass(kw_only=True, eq=False)
+class Minion:
+    """A minion.
+
+    Attributes:
+        name: Its id.
+        reachable_ms: When it answers again, in ms.
+        incarnation: Number of its present life.
+        token: Highest epoch that it has seen.
+        lease_ms: End of its lease, in ms.
+        runs: Present runs by task.
+        barred: Highest number of a run that was stopped or ended, by task.
+        ends: Ends that were not acknowledged.
+        end_numbers: Numbers of its ends.
+    """
+
+    name: str
+    reachable_ms: int = 0
+    incarnation: int = 1
+    token: int = 0
+    lease_ms: int = 0
+    runs: dict[steps.TaskKey, Run] = dataclasses.field(default_factory=dict)
+    barred: dict[steps.TaskKey, int] = dataclasses.field(default_factory=dict)
+    ends: list[minions.TaskEnd] = dataclasses.field(default_factory=list)
+    end_numbers: itertools.count = dataclasses.field(
+        default_factory=lambda: itertools.count(1)
+    )
+
+    def end(self, run: Run, kind: minions.EndKind) -> None:
+        """Ends a run and lists its end."""
+        del self.runs[run.key]
+        self.barred[run.key] = max(self.barred.get(run.key, 0), run.number)
+        self.ends.append(
+            minions.TaskEnd(
+                number=next(self.end_numbers),
+                key=run.key,
+                run=run.number,
+                kind=kind,
+                checkpoint="",
+            )
+        )
+
+    def advance(self, now_ms: int) -> None:
+        """Ends what has ended by now."""
+        for run in list(self.runs.values()):
+            if now_ms > self.lease_ms:
+                self.end(run, minions.EndKind.LEASE_EXPIRED)
+            elif 0 <= run.stops_ms <= now_ms:
+                self.end(run, minions.EndKind.STOPPED)
+            elif run.ends_ms <= now_ms:
+                self.end(run, minions.EndKind.DONE)
+
+    def restart(self) -> None:
+        """Begins a new life that holds and knows nothing."""
+        self.incarnation += 1
+        self.token = 0
+        self.lease_ms = 0
+        self.runs.clear()
+        self.barred.clear()
+        self.ends.clear()
+
+    def begin(
+        self, run: Run, epoch: int, valid_until_ms: int, now_ms: int
+    ) -> minions.OrderFailure | None:
+        """Begins a run, or returns why the order is refused."""
+        if epoch < self.token:
+            return refuse(minions.Refusal.FENCED)
+        if now_ms > valid_until_ms:
+            return refuse(minions.Refusal.DEADLINE_PASSED)
+        self.token = epoch
+        self.lease_ms = max(self.lease_ms, valid_until_ms)
+        if run.key in self.runs or run.number <= self.barred.get(run.key, 0):
+            return refuse(minions.Refusal.STALE_RUN)
+        self.runs[run.key] = run
+        return None
+
+    def stop(self, key: steps.TaskKey, number: int, at_ms: int) -> None:
+        """Stops a run at a time, or bars one that has not begun."""
+        run = self.runs.get(key)
+        if run is None or run.number != number:
+            self.barred[key] = max(self.barred.get(key, 0), number)
+        elif run.stops_ms < 0:
+            run.stops_ms = at_ms
+
+
+def refuse(refusal: minions.Refusal) -> minions.OrderFailure:
+    """Returns the answer to an order that is not carried out."""
+    return minions.OrderFailure(reason=str(refusal), refusal=refusal)
