Let members of a gang work and end together in the stand-in

The stand-in ran each member by itself: the others of a gang that had lost one went on and ended done. On the platform a gang works only from when all members are present, one end done stands for all, and the others are broken when one ends otherwise. The stand-in now does the same; the field for the members was there and unused.

--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -15,6 +15,7 @@
 CHECKPOINT_MS = 500
 CRASH_DELAY_S = 0.05
 CRASHED = "crashed"
+GANG_WAIT_MS = 3_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -24,7 +25,8 @@
     Attributes:
         task: Name of the task.
         number: Number of the run.
-        begun_ms: When it began, on the minion's clock.
+        begun_ms: When it began, on the minion's clock; that of a gang when all
+            of its members were present.
         work_ms: How long it works.
         fails: Whether it fails at its end.
         members: Members of its gang; 1 without one.
@@ -47,6 +49,39 @@
         return self.task.rsplit(".", 1)[0], self.number
 
 
+class Gangs:
+    """Members of gangs that are present on any minion.
+
+    They work only together, and end together.
+
+    Attributes:
+        present: Present members with their minions, by gang.
+    """
+
+    def __init__(self) -> None:
+        """Knows no gang."""
+        self.present: dict[tuple[str, int], dict[str, Minion]] = {}
+
+    def join(self, minion: Minion, run: Run) -> None:
+        """Adds a member; all begin their work with the last one."""
+        members = self.present.setdefault(run.gang, {})
+        members[run.task] = minion
+        if self.is_complete(run):
+            for task, other in members.items():
+                other.runs[task].begun_ms = other.get_clock()
+
+    def is_complete(self, run: Run) -> bool:
+        """Returns whether all members of a run's gang are present."""
+        return len(self.present.get(run.gang, ())) >= run.members
+
+    def leave(self, run: Run, how: str) -> None:
+        """Ends the other members of a gang of which one has ended."""
+        members = self.present.pop(run.gang, {})
+        for task, other in members.items():
+            if task != run.task and task in other.runs:
+                other.end(other.runs[task], how if how == "done" else "broken")
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Begun:
     """What a checker looks at: a start, an end, or an end's being noted."""
@@ -78,6 +113,7 @@
         incarnation: Start of its life, in ms since 1970.
         seen: What has begun and ended, for checks.
         starts: Starts by task, on all minions.
+        gangs: Gangs on all minions.
         silent: Whether it leaves calls unanswered.
         late_s: Time after which it carries out starts without answering.
         on_crash: Called when it has crashed, with how it is to come back.
@@ -93,6 +129,7 @@
         hold_limit_ms: int = 6_000,
         seen: list[Begun] | None = None,
         starts: dict[str, int] | None = None,
+        gangs: Gangs | None = None,
     ) -> None:
         """Creates a minion that runs nothing."""
         self.minion_id = minion_id
@@ -100,6 +137,7 @@
         self.hold_limit_ms = hold_limit_ms
         self.seen = seen if seen is not None else []
         self.starts = starts if starts is not None else {}
+        self.gangs = gangs if gangs is not None else Gangs()
         self.silent = False
         self.late_s = 0.0
         self.on_crash: Callable[[Minion, str], None] | None = None
@@ -142,10 +180,15 @@
         else:
             lapsed = not self.lease_ms
         for run in list(self.runs.values()):
+            if self.runs.get(run.task) is not run:
+                continue
             if lapsed:
                 self.end(run, "lapsed")
             elif run.stops_ms and now >= run.stops_ms:
                 self.end(run, "stopped")
+            elif run.members > 1 and not self.gangs.is_complete(run):
+                if now - run.begun_ms >= GANG_WAIT_MS:
+                    self.end(run, "alone")
             elif now - run.begun_ms >= run.work_ms - run.done_ms:
                 self.end(run, "failed" if run.fails else "done")
 
@@ -163,6 +206,8 @@
         self.highest[run.task] = max(self.highest.get(run.task, 0), run.number)
         self.lapses_at[self.number] = self.lapses
         self.note("end", run, how)
+        if run.members > 1:
+            self.gangs.leave(run, how)
         self.ended.set()
         self.ended = gevent_event.Event()
 
@@ -244,10 +289,13 @@
             begun_ms=self.get_clock(),
             work_ms=words.get("work_ms", 100),
             fails=self.starts[task] <= words.get("fails", 0),
+            members=words.get("members", 1),
             done_ms=float(checkpoint.rsplit(":", 1)[1]) if checkpoint else 0.0,
         )
         self.runs[task] = run
         self.note("start", run)
+        if run.members > 1:
+            self.gangs.join(self, run)
         if words.get("unanswered"):
             self.crash(self.incarnation, words["crashes"])
             return None
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -41,6 +41,7 @@
         advice_calls: Steps that were asked about.
         seen: What the minions have begun and ended.
         starts: Starts by task, on all minions.
+        gangs: Gangs on all minions.
         limit_cpu: Limit of the workspace, in thousandths of a core; 0 for
             none.
         limits: The limits that were configured, the oldest first.
@@ -67,6 +68,7 @@
         self.store = store.KeyValueStore()
         self.seen: list[minions.Begun] = []
         self.starts: dict[str, int] = {}
+        self.gangs = minions.Gangs()
         self.limit_cpu = limit_cpu
         self.limits: list[checker.Limit] = []
         self.minions: dict[str, minions.Minion] = {}
@@ -118,7 +120,10 @@
     def add_minion(self, minion_id: str, index: int) -> minions.Minion:
         """Adds a minion and registers it."""
         minion = minions.Minion(
-            minion_id=minion_id, seen=self.seen, starts=self.starts
+            minion_id=minion_id,
+            seen=self.seen,
+            starts=self.starts,
+            gangs=self.gangs,
         )
 
         def answer(method, path, words, body, environ):
