--- a/packages/core/hickoryreach/scheduling/crash_records.py
+++ b/packages/core/hickoryreach/scheduling/crash_records.py
@@ -23,7 +23,7 @@
             is uncertain whether it crashed, or -1; the task waits meanwhile.
         unanswered: Whether a minion crashed on which it was to run alone, but
             its start was never answered.
-        may_have_crashed: Whether another crash may have escaped a takeover.
+        hidden_limit: Number of further crashes that takeovers may have hidden.
     """
 
     runs: set[int] = dataclasses.field(default_factory=set)
@@ -31,12 +31,12 @@
     solitary_run: int = NO_RUN
     doubtful_run: int = NO_RUN
     unanswered: bool = False
-    may_have_crashed: bool = False
+    hidden_limit: int = 0
 
     @property
     def count(self) -> int:
-        """Number of crashes, with one that a takeover may have hidden."""
-        return len(self.runs) + (self.may_have_crashed and bool(self.runs))
+        """Number of crashes, with those that takeovers may have hidden."""
+        return len(self.runs) + self.hidden_limit if self.runs else 0
 
     @property
     def is_suspect(self) -> bool:
@@ -122,9 +122,16 @@
     index: int,
     number: int,
     kind: minions.EndKind,
+    hidden_limit: int,
 ) -> None:
-    """Applies a row of an earlier owner to the crashed tasks of a step."""
-    task = tasks.setdefault(index, CrashedTask(may_have_crashed=True))
+    """Applies a row of an earlier owner to the crashed tasks of a step.
+
+    The takeover itself may have hidden one crash at least, as the task was in
+    danger.
+    """
+    task = tasks.setdefault(
+        index, CrashedTask(hidden_limit=max(1, hidden_limit))
+    )
     if kind is minions.EndKind.STOPPED:
         task.runs.discard(number)
     else:
--- a/packages/core/hickoryreach/scheduling/crashes.py
+++ b/packages/core/hickoryreach/scheduling/crashes.py
@@ -54,7 +54,8 @@
         return counted
     for run in [each for each in lost if _can_be_cause(each)]:
         task = run.step.crashes.setdefault(
-            run.key.index, crash_records.CrashedTask()
+            run.key.index,
+            crash_records.CrashedTask(hidden_limit=_count_hidden(cell, run)),
         )
         if run.number in task.runs or run.step.job.state.is_final:
             continue
@@ -208,10 +209,20 @@
 
 
 def note_adopted(run: state.Run) -> None:
-    """Notes that no crash of a task has escaped a takeover."""
+    """Notes that the latest takeover has hidden no crash of a task."""
     task = run.step and run.step.crashes.get(run.key.index)
     if task is not None:
-        task.may_have_crashed = False
+        task.hidden_limit = run.step.job.hidden_crashes
+
+
+def _count_hidden(cell: state.CellState, run: state.Run) -> int:
+    """Returns how many crashes of a run's task takeovers may have hidden.
+
+    A run that has outlived the latest takeover shows that it hid none.
+    """
+    job = run.step.job
+    is_adopted = run.number <= (cell.epoch - 1) * runs.RUNS_PER_EPOCH
+    return job.hidden_crashes + (job.takeover_hides and not is_adopted)
 
 
 def _can_be_cause(run: state.Run) -> bool:
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -82,6 +82,8 @@
     record = _create_record(cell, job, cell.now_ms - age_ms)
     record.unconfirmed_until_ms = event.unconfirmed_until_ms
     record.recovered = True
+    record.hidden_crashes = event.hidden_crashes
+    record.takeover_hides = event.takeover_hides
     if event.cancelled:
         yield from finish(cell, record, state.JobState.CANCELLED, "restored")
         return
@@ -172,7 +174,11 @@
     yield from mark_started(record)
     if crash_records.is_crash_row(end.kind, end.checkpoint):
         crash_records.apply_row(
-            step.crashes, end.key.index, end.number, end.kind
+            step.crashes,
+            end.key.index,
+            end.number,
+            end.kind,
+            record.hidden_crashes + record.takeover_hides,
         )
         return
     yield from apply_outcome(cell, step, end.key.index, end.number, end.kind)
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -230,6 +230,14 @@
             if link.silent
         }
 
+    def list_incarnations(self) -> dict[str, int]:
+        """Returns the incarnations of the minions that have answered."""
+        return {
+            minion_id: link.incarnation
+            for minion_id, link in self.links.items()
+            if link.polled.is_set()
+        }
+
     def close(self) -> None:
         """Closes every link."""
         self.watcher.close()
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -36,6 +36,7 @@
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import recovery
 from hickoryreach_entry.cell import retention
+from hickoryreach_entry.cell import takeover_history
 
 log = logging.getLogger(__name__)
 
@@ -136,6 +137,11 @@
             revision=revision,
             get_linked_ids=self.fleet.links.keys,
         )
+        self.takeover_history = takeover_history.TakeoverHistory(
+            client=client,
+            revision=revision,
+            get_incarnations=self.fleet.list_incarnations,
+        )
         self.effect_executor = effect_executor.EffectExecutor(owner=self)
         self.retention = retention.Retention(
             client=client,
@@ -197,6 +203,9 @@
         self.greenlets.append(
             greenlets.spawn_vital(self.known_minions.save_forever)
         )
+        self.greenlets.append(
+            greenlets.spawn_vital(self.takeover_history.save_forever)
+        )
         self.greenlets.append(
             greenlets.spawn_vital(self.configuration_source.confirm_forever)
         )
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -18,6 +18,7 @@
 JOBS_PREFIX = "hickoryreach/jobs/"
 PROGRESS_PREFIX = "hickoryreach/progress/"
 MINIONS_KEY = "hickoryreach/minions"
+TAKEOVERS_KEY = "hickoryreach/takeovers"
 FINAL_PREFIX = b'{"final":'
 END = "end"
 CANCELLED = "cancelled"
@@ -61,6 +62,24 @@
 _ownership_adapter = pydantic.TypeAdapter(Ownership)
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Takeovers:
+    """Value of the takeovers' key.
+
+    Attributes:
+        incarnations: Start of the present incarnation of each minion, in ms
+            since 1970, by id.
+        hiding_ms: When takeovers may have hidden crashes of minions, in ms
+            since 1970, the oldest first.
+    """
+
+    incarnations: dict[str, int] = dataclasses.field(default_factory=dict)
+    hiding_ms: tuple[int, ...] = ()
+
+
+_takeovers_adapter = pydantic.TypeAdapter(Takeovers)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Row:
     """Row of the progress: the end of a task's run, or a cancelled job.
@@ -135,6 +154,21 @@
         return None
 
 
+def encode_takeovers(takeovers: Takeovers) -> bytes:
+    """Returns the value of the takeovers' key."""
+    return orjson.dumps(takeovers, option=orjson.OPT_SORT_KEYS)
+
+
+def decode_takeovers(data: bytes | None) -> result.Result[Takeovers, str]:
+    """Returns the takeovers in a value, or why it is invalid."""
+    if data is None:
+        return result.Success(Takeovers())
+    try:
+        return result.Success(_takeovers_adapter.validate_json(data))
+    except pydantic.ValidationError as error:
+        return result.Failure(str(error.errors(include_input=False)[:2]))
+
+
 def encode_minion_ids(minion_ids: Iterable[str]) -> bytes:
     """Returns the value that lists the known minions."""
     return orjson.dumps(sorted(minion_ids))
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -47,13 +47,16 @@
     progress = gevent.spawn(
         read_with_retries, owner.client, records.PROGRESS_PREFIX
     )
+    history = gevent.spawn(owner.takeover_history.read)
     jobs = read_with_retries(owner.client, records.JOBS_PREFIX).unwrap()
-    gevent.joinall([configuration, fleet, progress, known_minions])
+    gevent.joinall([configuration, fleet, progress, known_minions, history])
     kept = progress.value.unwrap()
     owner.jobs_watcher.revision = jobs.revision
     deadline = time.monotonic() + FIRST_POLLS_TIMEOUT_S
     wait_until(lambda: has_attempted_all_polls(owner), deadline)
     unconfirmed_until_ms = get_uncertain_until_ms(owner)
+    if owner.epoch > 1:
+        owner.takeover_history.record(list_unpolled(owner), owner.get_wall_ms())
     if owner.may_recall_advice:
         owner.state.earlier_advice_until_ms = (
             clock.now_ms() + EARLIER_ADVICE_WAIT_MS
@@ -200,6 +203,8 @@
             ends=tuple(ends.get(job.job_id, ())),
             cancelled=job.job_id in cancelled,
             unconfirmed_until_ms=unconfirmed_until_ms,
+            hidden_crashes=owner.takeover_history.count_hiding(job.accepted_ms),
+            takeover_hides=owner.takeover_history.hides,
         )
         owner.execute(reducer.reduce(owner.state, event, clock.now_ms()))
 
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -664,6 +664,53 @@
         self.submit(cases.build_step(count=24))
         self.assertEqual(len(self.list_running("m0")), 4)
 
+    def recover_after_hidden(self, **words: object) -> str:
+        """Recovers a job whose earlier crashes takeovers may have hidden."""
+        job = self.build_job()
+        self.apply(events.JobRecovered(job=job, **words))
+        return job.job_id
+
+    def is_alone_after_a_crash(self, job_id: str) -> bool:
+        """Crashes the minion of a job's run; returns whether it runs alone."""
+        self.confirm_all()
+        self.restart(self.find_run(job_id).minion_id)
+        host = self.find_run(job_id).minion_id
+        self.submit(cases.build_step(count=24))
+        return len(self.list_running(host)) == 1
+
+    def test_crashes_that_two_takeovers_may_have_hidden_are_assumed(
+        self,
+    ) -> None:
+        job_id = self.recover_after_hidden(
+            hidden_crashes=1, takeover_hides=True
+        )
+        self.assertTrue(self.is_alone_after_a_crash(job_id))
+
+    def test_takeovers_alone_make_no_suspect(self) -> None:
+        job_id = self.recover_after_hidden(
+            hidden_crashes=4, takeover_hides=True
+        )
+        host = self.find_run(job_id).minion_id
+        self.submit(cases.build_step(count=24))
+        self.assertEqual(len(self.list_running(host)), 4)
+
+    def test_first_crash_after_calm_takeovers_does_not_isolate(self) -> None:
+        job_id = self.recover_after_hidden()
+        self.assertFalse(self.is_alone_after_a_crash(job_id))
+
+    def test_a_run_that_outlived_the_takeover_excludes_a_hidden_crash(
+        self,
+    ) -> None:
+        job_id = self.recover_after_hidden(
+            hidden_crashes=1,
+            takeover_hides=True,
+            unconfirmed_until_ms=self.now_ms + 60_000,
+        )
+        key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=0)
+        self.poll("m0", running=(cases.build_listed_run(key, 3),))
+        self.apply(events.EarlierRunsConfirmed())
+        self.assertFalse(self.is_alone_after_a_crash(job_id))
+
     def test_a_recorded_crash_starts_nothing_before_its_turn(self) -> None:
         row = self.build_row(1, minions.EndKind.LEASE_EXPIRED)
         key = steps.TaskKey(job_id="job1", repeat=0, step=1, index=0)
--- a/tests/integration/test_minion_crashes.py
+++ b/tests/integration/test_minion_crashes.py
@@ -15,6 +15,7 @@
 LEAST_JOBS = 20
 TASKS = 2
 MINIONS = 6
+HIDDEN_CRASHES = (1, 2)
 
 
 class MinionCrashCase(unittest.TestCase):
@@ -117,5 +118,49 @@
         self.cell.find_owner().kill()
         self.check(job_id)
 
+    def test_owners_are_killed_as_minions_crash(self) -> None:
+        job_id = self.submit_deadly(crashes="same")
+        for count in HIDDEN_CRASHES:
+            self.hand_in_until(
+                lambda count=count: self.count_crashes(job_id) >= count
+            )
+            owner = self.cell.find_owner()
+            owner.kill()
+            self.cell.wait_for(
+                lambda owner=owner: self.cell.find_owner() is not owner
+            )
+            owner.start()
+        self.check(job_id)
+
+
+class GangCrashTest(MinionCrashCase):
+    """A gang one of whose minions crashes by itself."""
+
+    members = 3
+
+    def test_gang_is_completed_by_one_run_of_all_members(self) -> None:
+        job_id = self.cell.submit(
+            self.cell.entries[0],
+            payload={"work_ms": 1_500, "members": self.members},
+            count=self.members,
+            gang=True,
+            antiAffinity=1,
+        )
+        users = self.cell.users
+        self.cell.wait_for(lambda: self.count_running() == self.members)
+        minion = next(each for each in users.minions.values() if each.runs)
+        minion.crash(minion.incarnation, "same")
+        self.cell.wait_state(job_id, "completed")
+        tasks = {job_id: self.members}
+        self.assertEqual(checker.find_faults(users.seen, tasks), [])
+        done = {each.number for each in users.seen if each.how == "done"}
+        self.assertEqual(len(done), 1)
+
+    def count_running(self) -> int:
+        """Returns how many tasks all minions run."""
+        return sum(
+            len(minion.runs) for minion in self.cell.users.minions.values()
+        )
+
 
 del MinionCrashCase
