Keep one clock module, and one way to read the store at a takeover

hickoryreach_entry.clock and cell.clock held the same now_ms; the one with the three clocks stays. Three loops that read the store until it answers are one (store_reads), with one log line. The lines census_* had a name that nothing else has; they are known_minions_*. No behaviour changes.

--- a/packages/entry/hickoryreach_entry/cell/cell_clock.py
+++ b/packages/entry/hickoryreach_entry/cell/cell_clock.py
@@ -2,7 +2,7 @@
 
 import statistics
 
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 
 MIN_SAMPLES = 3
 MS_PER_S = 1_000
--- a/packages/entry/hickoryreach_entry/cell/channel.py
+++ b/packages/entry/hickoryreach_entry/cell/channel.py
@@ -12,7 +12,7 @@
 import gevent.server
 
 from hickoryreach.wire import frames
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import metrics
 
 log = logging.getLogger(__name__)
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -9,7 +9,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import state
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import recovery
--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -10,8 +10,8 @@
 
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import channel
-from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import failure_detector
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_lookup
--- a/packages/entry/hickoryreach_entry/cell/known_minions.py
+++ b/packages/entry/hickoryreach_entry/cell/known_minions.py
@@ -14,11 +14,11 @@
 
 from hickoryreach.platform import store
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import store_reads
 
 log = logging.getLogger(__name__)
 
 SAVE_INTERVAL_S = 0.5
-READ_RETRY_S = 0.1
 
 
 class KnownMinions:
@@ -57,15 +57,7 @@
 
     def read(self) -> None:
         """Reads the minions of the previous owner, retrying until it works."""
-        while True:
-            read = self.client.get(records.MINIONS_KEY)
-            if isinstance(read, result.Success):
-                break
-            log.warning(
-                "census_read_failed", extra={"reason": read.failure().reason}
-            )
-            gevent.sleep(READ_RETRY_S)
-        item = read.unwrap()
+        item = store_reads.read_key(self.client, records.MINIONS_KEY)
         minion_ids, reason = records.decode_minion_ids(item.data)
         self.known = set(minion_ids)
         self.kept = set(self.known)
@@ -73,7 +65,7 @@
             self.complete = False
             self.kept = None
             log.error(
-                "census_unreadable",
+                "known_minions_unreadable",
                 extra={"revision": item.revision, "reason": reason},
             )
 
@@ -115,7 +107,7 @@
             self.kept = minion_ids
             return
         log.warning(
-            "census_write_failed",
+            "known_minions_write_failed",
             extra={
                 "minions": len(minion_ids),
                 "reason": written.failure().reason,
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -13,7 +13,7 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import orders
 
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -11,11 +11,11 @@
 from hickoryreach.platform import store
 from hickoryreach.structure import cells
 from hickoryreach.wire import frames
+from hickoryreach_entry import clock
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
 from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import channel
-from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import election
 from hickoryreach_entry.cell import fitness_review
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -8,7 +8,7 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import metrics
 
 log = logging.getLogger(__name__)
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -19,10 +19,10 @@
 from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
+from hickoryreach_entry import clock
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
 from hickoryreach_entry.cell import channel
-from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import effect_executor
 from hickoryreach_entry.cell import fleet
--- a/packages/entry/hickoryreach_entry/cell/owner_status.py
+++ b/packages/entry/hickoryreach_entry/cell/owner_status.py
@@ -4,7 +4,7 @@
 import time
 
 from hickoryreach.wire import frames
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 
 STATUS_MAX_AGE_S = 2.5
 
--- a/packages/entry/hickoryreach_entry/cell/ownership_validity.py
+++ b/packages/entry/hickoryreach_entry/cell/ownership_validity.py
@@ -5,8 +5,8 @@
 import gevent
 
 from hickoryreach.platform import store
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import channel
-from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import records
 
 CONFIRM_INTERVAL_S = 0.5
--- a/packages/entry/hickoryreach_entry/cell/pause_detector.py
+++ b/packages/entry/hickoryreach_entry/cell/pause_detector.py
@@ -5,7 +5,7 @@
 
 import gevent
 
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 
 log = logging.getLogger(__name__)
 
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -13,9 +13,10 @@
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import reducer
 from hickoryreach.structure import steps
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import store_reads
 
 log = logging.getLogger(__name__)
 
@@ -45,12 +46,12 @@
     fleet = gevent.spawn(read_fleet, owner)
     known_minions = gevent.spawn(owner.known_minions.read)
     progress = gevent.spawn(
-        read_with_retries, owner.client, records.PROGRESS_PREFIX
+        store_reads.read_prefix, owner.client, records.PROGRESS_PREFIX
     )
     history = gevent.spawn(owner.takeover_history.read)
-    jobs = read_with_retries(owner.client, records.JOBS_PREFIX).unwrap()
+    jobs = store_reads.read_prefix(owner.client, records.JOBS_PREFIX)
     gevent.joinall([configuration, fleet, progress, known_minions, history])
-    kept = progress.value.unwrap()
+    kept = progress.value
     owner.jobs_watcher.revision = jobs.revision
     deadline = time.monotonic() + FIRST_POLLS_TIMEOUT_S
     wait_until(lambda: has_attempted_all_polls(owner), deadline)
@@ -114,8 +115,8 @@
 
 def read_fleet(owner) -> None:
     """Reads the registrations and creates a link to each minion."""
-    read = read_with_retries(owner.client, documents.MINIONS_PREFIX)
-    owner.fleet.watcher.accept(read.unwrap())
+    page = store_reads.read_prefix(owner.client, documents.MINIONS_PREFIX)
+    owner.fleet.watcher.accept(page)
 
 
 def read_configuration(owner) -> None:
@@ -149,21 +150,6 @@
         owner.emit(events.JobNotFound(job_id=job_id))
 
 
-def read_with_retries(
-    client: store.Store, prefix: str
-) -> result.Result[store.Page, store.StoreFailure]:
-    """Reads a prefix of the store, retrying until it works."""
-    while True:
-        read = client.get_prefix(prefix)
-        if isinstance(read, result.Success):
-            return read
-        log.warning(
-            "takeover_read_failed",
-            extra={"prefix": prefix, "reason": read.failure().reason},
-        )
-        gevent.sleep(RETRY_S)
-
-
 def recover_jobs(
     owner,
     jobs: store.Page,
--- a/packages/entry/hickoryreach_entry/cell/takeover_history.py
+++ b/packages/entry/hickoryreach_entry/cell/takeover_history.py
@@ -12,11 +12,11 @@
 
 from hickoryreach.platform import store
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import store_reads
 
 log = logging.getLogger(__name__)
 
 SAVE_INTERVAL_S = 0.5
-READ_RETRY_S = 0.1
 MAX_TAKEOVERS = 50
 
 
@@ -56,16 +56,7 @@
 
     def read(self) -> None:
         """Reads what earlier owners have recorded, retrying until it works."""
-        while True:
-            read = self.client.get(records.TAKEOVERS_KEY)
-            if isinstance(read, result.Success):
-                break
-            log.warning(
-                "takeovers_read_failed",
-                extra={"reason": read.failure().reason},
-            )
-            gevent.sleep(READ_RETRY_S)
-        item = read.unwrap()
+        item = store_reads.read_key(self.client, records.TAKEOVERS_KEY)
         decoded = records.decode_takeovers(item.data)
         if isinstance(decoded, result.Failure):
             log.error(
--- a/tests/entry/cell/test_cell_clock.py
+++ b/tests/entry/cell/test_cell_clock.py
@@ -4,8 +4,8 @@
 from unittest import mock
 
 from hickoryreach.wire import frames
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import cell_clock
-from hickoryreach_entry.cell import clock
 from hickoryreach_entry.cell import member as member_module
 
 STEP_MS = 4_000
--- a/tests/entry/cell/test_fitness_review.py
+++ b/tests/entry/cell/test_fitness_review.py
@@ -10,7 +10,7 @@
 
 from hickoryreach.platform import store
 from hickoryreach.wire import frames
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import fitness_review
 from hickoryreach_entry.cell import member as member_module
--- a/tests/entry/cell/test_known_minions.py
+++ b/tests/entry/cell/test_known_minions.py
@@ -7,7 +7,7 @@
 from gevent import event as gevent_event
 
 from hickoryreach.scheduling import events
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import known_minions
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import records
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -12,7 +12,7 @@
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
-from hickoryreach_entry.cell import clock
+from hickoryreach_entry import clock
 from hickoryreach_entry.cell import links
 from standins.users import minions as standin
 from standins.users import servers
