--- a/standins/cell.py
+++ b/standins/cell.py
@@ -1,36 +1,28 @@
 """Starts a store, workers and entries as processes on loopback."""
 
 import dataclasses
-import fcntl
-import functools
-import itertools
 import json
 import os
 import pathlib
 import re
 import signal
-import socket
 import subprocess
 import sys
-import tempfile
 import time
 import urllib.error
 import urllib.request
 
+from standins import ports
+
 READY_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 10.0
 POLL_S = 0.05
 WORKERS_PER_RACK = 6
 LOG_TAIL_LINES = 12
-FIRST_PORT = 10_000
-PORT_BLOCKS = 100
-PORTS_PER_BLOCK = 200
 ADVERTISE_VARIABLE = "HICKORYREACH_PEER_ADVERTISE"
 SHARD_TAKEN = re.compile(r"=shard_taken\b.*?\bshard=(\d+)\b.*?\bterm=(\d+)")
 ENTRY_MODULE = "hickoryreach_entry"
 
-searched = itertools.count()
-
 
 @dataclasses.dataclass(kw_only=True)
 class Deployment:
@@ -54,38 +46,6 @@
     workers_per_rack: int = WORKERS_PER_RACK
 
 
-@functools.cache
-def lock_block() -> tuple[int, object]:
-    """Returns the first port of a block, and the lock this process holds.
-
-    Raises:
-        RuntimeError: Every block is held by another process.
-    """
-    folder = pathlib.Path(tempfile.gettempdir())
-    for block in range(PORT_BLOCKS):
-        lock = (folder / f"hickoryreach-ports-{block}.lock").open("w")
-        try:
-            fcntl.flock(lock, fcntl.LOCK_EX | fcntl.LOCK_NB)
-        except OSError:
-            lock.close()
-            continue
-        return FIRST_PORT + block * PORTS_PER_BLOCK, lock
-    raise RuntimeError("every block of ports is taken")
-
-
-def find_port() -> int:
-    """Returns a free port out of this process's own block."""
-    first, _ = lock_block()
-    while True:
-        port = first + next(searched) % PORTS_PER_BLOCK
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        return port
-
-
 def call(
     method: str,
     url: str,
@@ -238,7 +198,7 @@
 
     def start_proxy(self) -> None:
         """Starts the proxy."""
-        port = find_port()
+        port = ports.find_port()
         self.proxy = Process(
             name="proxy",
             url=f"http://127.0.0.1:{port}",
@@ -258,7 +218,7 @@
 
     def start_store(self) -> None:
         """Starts the store stand-in."""
-        port = find_port()
+        port = ports.find_port()
         self.store = Process(
             name="store",
             url=f"http://127.0.0.1:{port}",
@@ -272,8 +232,8 @@
         """Starts one worker stand-in."""
         domains = self.deployment.failure_domains
         rack = number // self.deployment.workers_per_rack
-        port = find_port()
-        minion_port = find_port()
+        port = ports.find_port()
+        minion_port = ports.find_port()
         name = f"worker-{number}"
         flags = {
             "worker-id": name,
@@ -298,8 +258,8 @@
     def start_entry(self, number: int, module: str = "") -> Process:
         """Starts one entry."""
         domains = self.deployment.failure_domains
-        port = find_port()
-        peer_port = find_port()
+        port = ports.find_port()
+        peer_port = ports.find_port()
         name = f"entry-{number}"
         listed = self.expose(f"peer-{number}", peer_port)
         flags = {
