Keep sizes in the final records of unfinished work alone

A completed job has no runs left, and most jobs complete: their records stay as short as they were, for the store and for a takeover that reads them. A run that is nevertheless listed of such a job has no known size and counts at its worst until it has been stopped.

--- a/packages/core/hickoryreach/scheduling/predecessors.py
+++ b/packages/core/hickoryreach/scheduling/predecessors.py
@@ -13,12 +13,11 @@
 
     Attributes:
         workspace: Its workspace.
-        step_sizes: Sizes of its steps; none if they are unknown.
-        completed: Whether all of its tasks are done.
+        step_sizes: Sizes of its steps; none if they are unknown, or if all of
+            its tasks are done.
     """
 
     workspace: str = ""
-    completed: bool = False
     step_sizes: tuple[steps.StepSize, ...] = ()
 
 
--- a/packages/core/hickoryreach/scheduling/unseen_usage.py
+++ b/packages/core/hickoryreach/scheduling/unseen_usage.py
@@ -100,7 +100,5 @@
             count = each.step.count - len(each.done) - len(each.runs)
             yield workspace, each.limit_need.times(count)
     for ended in cell.ended_jobs.values():
-        if ended.completed:
-            continue
         for size in ended.step_sizes:
             yield ended.workspace, size.need.times(size.count)
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -185,10 +185,11 @@
 
     def _encode_final_record(self, effect: effects.JobChanged) -> bytes:
         known = self.owner.state.jobs.get(effect.job_id)
+        has_runs = known and effect.state is not state.JobState.COMPLETED
         return records.encode_final(
             records.FinalRecord(
                 final=effect.state,
-                step_sizes=records.list_sizes(known.job) if known else (),
+                step_sizes=records.list_sizes(known.job) if has_runs else (),
                 workspace=self.owner.published_states.workspaces.get(
                     effect.job_id, ""
                 ),
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -339,9 +339,7 @@
     def record_final(self, job_id: str, final: records.FinalRecord) -> None:
         """Records a job that reached its final state under an earlier owner."""
         ended = predecessors.EndedJob(
-            workspace=final.workspace,
-            step_sizes=final.step_sizes,
-            completed=final.final is state.JobState.COMPLETED,
+            workspace=final.workspace, step_sizes=final.step_sizes
         )
         self.apply(events.JobAlreadyEnded(job_id=job_id, ended=ended))
         self.published_states.record_final(job_id, final)
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -31,7 +31,8 @@
     Attributes:
         final: The final state.
         workspace: Workspace of the job.
-        step_sizes: Sizes of its steps, whose runs may not have ended yet.
+        step_sizes: Sizes of its steps unless it completed, as their runs may
+            not have ended yet.
     """
 
     final: state.JobState
--- a/tests/core/scheduling/model/cell.py
+++ b/tests/core/scheduling/model/cell.py
@@ -344,12 +344,12 @@
         job = self.jobs[effect.job_id]
         if effect.state is state.JobState.CANCELLED:
             self.write(lambda: self.cancelled.add(effect.job_id))
+        completed = effect.state is state.JobState.COMPLETED
         ended = predecessors.EndedJob(
             workspace=job.workspace,
-            completed=effect.state is state.JobState.COMPLETED,
             step_sizes=tuple(
                 steps.StepSize(count=each.count, need=each.need)
-                for each in job.steps
+                for each in (() if completed else job.steps)
             ),
         )
         self.write(lambda: self.finals.update({effect.job_id: ended}))
