Hold back the processor time of fillers on silent minions too (QUOTA)

The hold-back after a takeover was bounded by what the silent minions offer. The processor time of fillers counts towards the limit and is not bounded by that, so that fillers out of sight could bring a workspace above its limit. It is added up by itself now. test_limit_usage has the case; it failed before (a task of 4 cores started).

--- a/packages/core/hickoryreach/scheduling/predecessors.py
+++ b/packages/core/hickoryreach/scheduling/predecessors.py
@@ -48,7 +48,9 @@
         elsewhere_until_ms: The same for minions whose ids are not known; 0 if
             all are.
         task_sums: What the tasks whose runs may be among them would occupy
-            together, by workspace.
+            together of their minions, by workspace.
+        filler_sums: What they would occupy of the limit beyond that, by
+            workspace.
         summed_ms: When that was last calculated, or -1.
     """
 
@@ -57,4 +59,7 @@
     task_sums: dict[str, resources.Resources] = dataclasses.field(
         default_factory=dict
     )
+    filler_sums: dict[str, resources.Resources] = dataclasses.field(
+        default_factory=dict
+    )
     summed_ms: int = -1
--- a/packages/core/hickoryreach/scheduling/unseen_usage.py
+++ b/packages/core/hickoryreach/scheduling/unseen_usage.py
@@ -10,6 +10,7 @@
 from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
+from hickoryreach.structure import steps
 
 SUMS_VALID_MS = 500
 
@@ -37,7 +38,8 @@
     """Returns the most that earlier runs may occupy unseen of a limit.
 
     They occupy no more than the tasks that may be among them, nor than the
-    minions that have not answered offer, as far as all of these are known.
+    minions that have not answered offer, as far as all of these are known. The
+    processor time of fillers is not limited by what a minion offers.
     """
     earlier = cell.earlier_runs
     if earlier is None:
@@ -51,11 +53,10 @@
     if not 0 <= cell.now_ms - earlier.summed_ms < SUMS_VALID_MS:
         _sum_tasks(cell, earlier)
     usage = earlier.task_sums.get(workspace, resources.ZERO)
-    if not is_complete:
-        return usage
-    return usage.elementwise_min(
-        _get_largest_capacity(cell).times(silent_count)
-    )
+    if is_complete:
+        capacity = _get_largest_capacity(cell).times(silent_count)
+        usage = usage.elementwise_min(capacity)
+    return usage + earlier.filler_sums.get(workspace, resources.ZERO)
 
 
 def _get_largest_capacity(cell: state.CellState) -> resources.Resources:
@@ -75,15 +76,20 @@
     """Adds up the tasks that earlier owners may have running, by workspace."""
     earlier.summed_ms = cell.now_ms
     earlier.task_sums.clear()
-    for workspace, need in _list_tasks(cell):
+    earlier.filler_sums.clear()
+    for workspace, size, count in _list_tasks(cell):
         known = earlier.task_sums.get(workspace, resources.ZERO)
-        earlier.task_sums[workspace] = known + need
+        earlier.task_sums[workspace] = known + size.minion_need.times(count)
+        if size.filler:
+            beyond = size.need - size.minion_need
+            known = earlier.filler_sums.get(workspace, resources.ZERO)
+            earlier.filler_sums[workspace] = known + beyond.times(count)
 
 
 def _list_tasks(
     cell: state.CellState,
-) -> Iterator[tuple[str, resources.Resources]]:
-    """Yields workspaces with what tasks of one step may occupy unseen.
+) -> Iterator[tuple[str, steps.Step | steps.StepSize, int]]:
+    """Yields workspaces, steps and the number of tasks that may run unseen.
 
     The tasks of jobs that did not complete may still be running.
     """
@@ -94,11 +100,11 @@
         if record.state.is_final:
             repeats = max(1, record.job.repeats)
             for step in record.job.steps:
-                yield workspace, step.need.times(step.count * repeats)
+                yield workspace, step, step.count * repeats
             continue
         for each in record.steps.values():
             count = each.step.count - len(each.done) - len(each.runs)
-            yield workspace, each.limit_need.times(count)
+            yield workspace, each.step, count
     for ended in cell.ended_jobs.values():
         for size in ended.step_sizes:
-            yield ended.workspace, size.need.times(size.count)
+            yield ended.workspace, size, size.count
--- a/tests/core/scheduling/test_limit_usage.py
+++ b/tests/core/scheduling/test_limit_usage.py
@@ -172,6 +172,17 @@
         self.submit(cases.build_step(4, cpu=LIMIT_CPU))
         self.assertEqual(len(self.get_starts()), 3)
 
+    def test_fillers_may_occupy_more_than_the_silent_minions_offer(
+        self,
+    ) -> None:
+        self.limit = resources.Resources(cpu_millis=4 * LIMIT_CPU)
+        self.configure()
+        for _ in range(5):
+            self.recover(filler=True)
+        self.fall_silent("m9")
+        self.submit(cases.build_step(4, cpu=LIMIT_CPU))
+        self.assertEqual(self.get_starts(), [])
+
     def test_minions_that_are_not_known_may_run_all_tasks(self) -> None:
         self.limit = resources.Resources(cpu_millis=4 * LIMIT_CPU)
         self.configure()
