Guard a reading of the configuration as its watch is guarded

refresh passed what it read straight on; an unexpected error in applying it would have ended the process, as the owner's regular reading is vital. It now goes through the watch, which logs such an item and passes it by.

Evidence: test_configuration_watch, a configuration that fails to apply; it raised before.

--- a/packages/entry/hickoryreach_entry/cell/configuration_watch.py
+++ b/packages/entry/hickoryreach_entry/cell/configuration_watch.py
@@ -68,7 +68,7 @@
             )
             return False
         self.watcher.answered_at = time.monotonic()
-        self.handle_item(read.unwrap())
+        self.watcher.handle_item(read.unwrap())
         return True
 
     def confirm_forever(self) -> None:
--- a/tests/entry/cell/test_configuration_watch.py
+++ b/tests/entry/cell/test_configuration_watch.py
@@ -1,12 +1,14 @@
 """Tests of the watch of the operator's configuration."""
 
 import json
+from unittest import mock
 
 import gevent
 
 from hickoryreach.platform import documents
 from hickoryreach.structure import cells
 from hickoryreach_entry.cell import configuration_watch
+from hickoryreach_entry.cell import prefix_watcher
 from tests.entry.cell import cases
 
 LIMIT_IN_FORCE_S = 2.0
@@ -79,6 +81,13 @@
             while self.watch.version < 2:
                 gevent.sleep(0.01)
 
+    def test_a_configuration_that_fails_to_apply_ends_nothing(self) -> None:
+        self.watch.watcher.close()
+        self.watch.on_configuration = mock.Mock(side_effect=RuntimeError)
+        self.put(json.dumps(self.build(2)))
+        with self.assertLogs(prefix_watcher.log, "ERROR"):
+            self.assertTrue(self.watch.refresh())
+
     def test_a_failing_store_is_asked_again(self) -> None:
         self.watch.watcher.close()
         self.model.faults.busy.add("*")
