Hold no headroom for a call for advice that waits for long (LOST)

One part of it: headroom is held for steps that only wait for advice.

A call that has waited for 2 s holds nothing any more. The step asks no more than before, and its advice serves it when it comes.

Evidence: test_late_advice, a step whose call waits for long; it failed before (nothing started).

--- a/packages/core/hickoryreach/scheduling/workspace_limits.py
+++ b/packages/core/hickoryreach/scheduling/workspace_limits.py
@@ -16,6 +16,8 @@
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
+ADVICE_HOLD_MS = 2_000
+
 
 def await_headroom(
     cell: state.CellState,
@@ -43,9 +45,14 @@
 ) -> None:
     """Reserves headroom for a step that only waits for advice.
 
-    Nothing is reserved after a failed call, as the next ones may fail too.
+    Nothing is reserved after a failed call, as the next ones may fail too. Nor
+    is it for a call that has waited for ADVICE_HOLD_MS, which may wait behind
+    those of other workspaces for much longer.
     """
-    if step.advice_failed:
+    held_until_ms = step.advice_asked_ms + ADVICE_HOLD_MS
+    if step.advice_failed or (
+        step.advice_pending and cell.now_ms >= held_until_ms
+    ):
         return
     need = _reserve_headroom(cell, step, available)
     if need is not None:
--- a/tests/core/scheduling/test_late_advice.py
+++ b/tests/core/scheduling/test_late_advice.py
@@ -77,5 +77,20 @@
         started = [each.key.job_id for each in self.get_starts()]
         self.assertEqual(started, [later])
 
+    def test_a_step_whose_call_waits_for_long_holds_no_headroom(self) -> None:
+        self.submit(cases.build_step(8), queue="checks")
+        later = self.submit(cases.build_step())
+        started = []
+        for _ in range(25):
+            self.tick()
+            started += [each.key.job_id for each in self.get_starts()]
+        self.assertEqual(started, [later])
+
+    def test_a_step_whose_call_is_recent_holds_headroom(self) -> None:
+        self.submit(cases.build_step(8), queue="checks")
+        self.submit(cases.build_step())
+        self.tick(1_000)
+        self.assertEqual(self.get_starts(), [])
+
     def test_a_gang_above_the_limit_holds_no_headroom(self) -> None:
         self.check_task_starts_behind(cases.build_step(9, gang=True))
