--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -90,6 +90,23 @@
     order: tuple[bool, int, int, float]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ReorderAdvice:
+    """Change the order of a call for advice that may still wait.
+
+    Attributes:
+        job_id: Id of the job.
+        repeat: Number of the repeat, from 0.
+        position: Position of the step in the job.
+        order: New sort key of the call.
+    """
+
+    job_id: str
+    repeat: int
+    position: int
+    order: tuple[bool, int, int, float]
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PollMinion:
     """Poll a minion at once, to find out whether a run exists."""
@@ -171,6 +188,7 @@
     | StopTask
     | SetTaskShare
     | AskAdvice
+    | ReorderAdvice
     | PollMinion
     | FindStoredJob
     | AcknowledgeEnd
--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -217,6 +217,7 @@
     terms = get_advice_terms(cell, step)
     step.advice_pending = True
     step.advice_asked_ms = cell.now_ms
+    step.advice_order = ordering.get_call_order(cell, step)
     yield effects.AskAdvice(
         job_id=step.job.job.job_id,
         repeat=step.repeat,
@@ -224,10 +225,31 @@
         minion_ids=tuple(minion_ids),
         cost_ms=terms.call_ms + terms.minion_ms * len(minion_ids),
         valid_ms=terms.valid_ms,
-        order=ordering.get_call_order(cell, step),
+        order=step.advice_order,
     )
 
 
+def reorder_calls(cell: state.CellState) -> Iterator[effects.Effect]:
+    """Moves the waiting calls of steps whose urgency has changed.
+
+    Else a call that was urgent when it was made would go before others for as
+    long as it waits.
+    """
+    for step in cell.ready.values():
+        if not step.advice_pending:
+            continue
+        order = ordering.get_call_order(cell, step)
+        if order == step.advice_order:
+            continue
+        step.advice_order = order
+        yield effects.ReorderAdvice(
+            job_id=step.job.job.job_id,
+            repeat=step.repeat,
+            position=step.position,
+            order=order,
+        )
+
+
 def handle_advice(
     cell: state.CellState, event: events.AdviceCallEnded
 ) -> Iterator[effects.Effect]:
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -177,6 +177,7 @@
     yield from orders.resend_stops(cell)
     yield from gangs.stop_partial_gangs(cell)
     yield from evacuation.evacuate(cell)
+    yield from eligibility.reorder_calls(cell)
     pace.update_median_speed(cell)
     yield from pace.stop_stalled_runs(cell)
     crashes.end_doubts(cell)
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -130,11 +130,11 @@
         checkpoints: Newest checkpoint by index of the task; that of a gang
             under 0.
         allowed: Ids of minions that may run it, or None before any advice.
-        denied: Incarnations, by id, of minions that may not run it; 0 if
-            unknown.
+        denied: Incarnations of minions that may not run it, by id, or 0.
         tickets: Tickets by minion id.
         advice_pending: Whether a call for advice is under way.
         advice_failed: Whether the last call for advice failed.
+        advice_order: Sort key of the last call for advice.
         advice_asked_ms: When advice was last requested, on the owner's clock,
             or -1.
         avoided_minions: Ids of minions on which one of its runs failed or
@@ -169,6 +169,7 @@
     tickets: dict[str, Ticket] = dataclasses.field(default_factory=dict)
     advice_pending: bool = False
     advice_failed: bool = False
+    advice_order: tuple[bool, int, int, float] = (False, 0, 0, 0.0)
     advice_asked_ms: int = -1
     avoided_minions: set[str] = dataclasses.field(default_factory=set)
     invalidated: set[tuple[int, int]] = dataclasses.field(default_factory=set)
--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -147,6 +147,15 @@
         bisect.insort(self.waiting, (effect.order, arrival, effect, queued_at))
         self.dispatch()
 
+    def reorder(self, effect: effects.ReorderAdvice) -> None:
+        """Changes the order of a call if it still waits."""
+        step = get_step(effect)
+        for call in self.waiting:
+            if get_step(call[2]) == step:
+                self.waiting.remove(call)
+                bisect.insort(self.waiting, (effect.order, *call[1:]))
+                return
+
     def dispatch(self) -> None:
         """Starts the waiting calls for which an entry is free."""
         kept = []
@@ -284,7 +293,9 @@
     return int(effect.cost_ms * 1_000)
 
 
-def get_step(effect: effects.AskAdvice) -> tuple[str, int, int]:
+def get_step(
+    effect: effects.AskAdvice | effects.ReorderAdvice,
+) -> tuple[str, int, int]:
     """Returns job, repeat and position of the step that a call is for."""
     return effect.job_id, effect.repeat, effect.position
 
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -85,6 +85,11 @@
         """Queues a call for advice."""
         self.owner.advice_dispatcher.ask(effect)
 
+    @handlers.register(effects.ReorderAdvice)
+    def reorder_advice(self, effect: effects.ReorderAdvice) -> None:
+        """Changes the order of a call for advice that still waits."""
+        self.owner.advice_dispatcher.reorder(effect)
+
     @handlers.register(effects.PollMinion)
     def poll_now(self, effect: effects.PollMinion) -> None:
         """Polls a minion at once."""
--- a/tests/core/scheduling/test_late_advice.py
+++ b/tests/core/scheduling/test_late_advice.py
@@ -36,6 +36,27 @@
         self.assertEqual(started, [late])
 
 
+class StaleCallTest(test_placement.AdviceCase):
+    """A call for advice waits while its step becomes late."""
+
+    def test_it_is_moved_behind_calls_of_steps_in_time(self) -> None:
+        job_id = self.submit(cases.build_step(), queue="checks")
+        (call,) = self.get_effects(effects.AskAdvice)
+        moved = []
+        for _ in range(40):
+            self.tick()
+            moved += self.get_effects(effects.ReorderAdvice)
+        self.assertGreater(len(moved), 0)
+        self.assertEqual({each.job_id for each in moved}, {job_id})
+        orders = [call.order, *(each.order for each in moved)]
+        self.assertEqual(orders, sorted(set(orders)))
+
+    def test_a_call_whose_step_is_as_urgent_stays(self) -> None:
+        self.submit(cases.build_step(estimate_ms=600_000))
+        self.tick()
+        self.assertEqual(self.get_effects(effects.ReorderAdvice), [])
+
+
 class UnplaceableAdviceTest(test_placement.AdviceCase):
     """Steps that wait for advice, but could not start or get none."""
 
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -148,6 +148,29 @@
             [("long2", 600.0), ("long3", 500.0)],
         )
 
+    def test_a_waiting_call_goes_on_in_its_new_order(self) -> None:
+        for number in range(4):
+            self.ask(f"busy-{number}", 20.0)
+        self.ask("stale", 20.0, rank=0)
+        self.ask("fresh", 20.0, rank=1)
+        self.dispatcher.reorder(
+            effects.ReorderAdvice(
+                job_id="stale", repeat=0, position=0, order=(False, 4, 0, 0.0)
+            )
+        )
+        waiting = [call[2].job_id for call in self.dispatcher.waiting]
+        self.assertEqual(waiting, ["fresh", "stale"])
+
+    def test_a_call_that_does_not_wait_is_not_repeated(self) -> None:
+        self.ask("a", 20.0)
+        self.dispatcher.reorder(
+            effects.ReorderAdvice(
+                job_id="a", repeat=0, position=0, order=(False, 4, 0, 0.0)
+            )
+        )
+        self.assertEqual(self.dispatcher.waiting, [])
+        self.assertEqual(len(self.calls), 1)
+
     def test_load_returns_to_zero_after_costs_of_any_size(self) -> None:
         for entry in (*self.entries.values(), self.local):
             entry.released.set()
