Let the model's owners never go back to an older configuration

The watch of the product ignores older versions; the model now passes on the newest one at each change.

--- a/tests/core/scheduling/model/cell.py
+++ b/tests/core/scheduling/model/cell.py
@@ -102,11 +102,7 @@
         self.renewed_ms: dict[str, int] = {}
         self.expired: set[str] = set()
         self.last_ends: dict[tuple[str, int], int] = {}
-        self.apply(
-            events.ConfigurationChanged(
-                configuration=self.limits.build_configuration()
-            )
-        )
+        self.configure()
         silent = [
             minion.name
             for minion in self.minions.values()
@@ -126,6 +122,11 @@
             )
             self.await_answers(until_ms)
 
+    def configure(self) -> None:
+        """Passes the newest configuration to the owner."""
+        configuration = self.limits.build_configuration()
+        self.apply(events.ConfigurationChanged(configuration=configuration))
+
     def register(self, minion: workers.Minion) -> None:
         """Registers a minion with the owner."""
         self.apply(
--- a/tests/core/scheduling/model/faults.py
+++ b/tests/core/scheduling/model/faults.py
@@ -47,10 +47,7 @@
     workspace = model.draw.choice(sorted(model.limits.choices_cpu))
     amount = model.draw.choice(model.limits.choices_cpu[workspace])
     model.limits.change(workspace, amount, model.now_ms)
-    changed = events.ConfigurationChanged(
-        configuration=model.limits.build_configuration()
-    )
-    model.later(model.draw.choice((0, 50, 300)), lambda: model.apply(changed))
+    model.later(model.draw.choice((0, 50, 300)), model.configure)
 
 
 def cut_minions(model) -> None:
