Let the stand-in's minion forget the starts that it held back when it crashes

The stand-in now drops what an earlier life held back; what a life itself holds back is carried out as before, and test_users_minions has both.

--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -239,7 +239,9 @@
         if expected and expected != self.minion_id:
             return 421, None
         if path == "/run-start" and self.late_s:
-            gevent.spawn_later(self.late_s, self.start, body)
+            gevent.spawn_later(
+                self.late_s, self.start_late, self.incarnation, body
+            )
             return None
         self.advance()
         if path == "/run-start":
@@ -267,6 +269,11 @@
         """Answers an order that is not carried out."""
         return 409, {"clockMs": int(self.get_clock()), "reason": reason}
 
+    def start_late(self, life: int, body: dict) -> None:
+        """Carries out a start that this life has held back unanswered."""
+        if life == self.incarnation:
+            self.start(body)
+
     def start(self, body: dict) -> tuple[int, dict] | None:
         """Starts a task."""
         if not self.take_token(body):
--- a/tests/standins/test_users_minions.py
+++ b/tests/standins/test_users_minions.py
@@ -3,6 +3,8 @@
 import json
 import unittest
 
+import gevent
+
 from standins.users import minions
 
 WORK_MS = 100
@@ -62,3 +64,32 @@
         first.crash(first.incarnation, "same")
         self.assertEqual(self.wait(WORK_MS), ["broken"])
         self.assertEqual(second.runs, {})
+
+
+class LateStartTest(unittest.TestCase):
+    """Starts that are carried out late and unanswered."""
+
+    def order(self) -> minions.Minion:
+        """Returns a minion that holds back a start."""
+        minion = minions.Minion(minion_id="m0")
+        minion.late_s = 0.02
+        body = {
+            "task": "0a.0.0.0",
+            "run": 1,
+            "spec": "{}",
+            "deadlineMs": minion.get_clock() + 5_000,
+        }
+        self.assertIsNone(minion.answer("/run-start", body, "m0"))
+        return minion
+
+    def test_a_start_is_carried_out_later(self) -> None:
+        minion = self.order()
+        self.assertEqual(len(minion.runs), 0)
+        gevent.sleep(0.05)
+        self.assertEqual(len(minion.runs), 1)
+
+    def test_the_next_life_holds_no_start_of_before(self) -> None:
+        minion = self.order()
+        minion.be_reborn()
+        gevent.sleep(0.05)
+        self.assertEqual(len(minion.runs), 0)
