Log the size of an adopted run as it counts for the limit

And a reason for how long a watch may be silent. Lines of the log and a comment only; no decision changes.

--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -232,7 +232,7 @@
         subject=minions.format_task(task.key),
         detail=(
             f"run={task.run} minion={minion.minion.minion_id} "
-            f"workspace={run.workspace} cpu={run.need.cpu_millis}"
+            f"workspace={run.workspace} cpu={run.limit_need.cpu_millis}"
         ),
     )
     if is_wanted:
--- a/packages/entry/hickoryreach_entry/cell/configuration_watch.py
+++ b/packages/entry/hickoryreach_entry/cell/configuration_watch.py
@@ -16,7 +16,7 @@
 
 WATCH_WAIT_S = 1.8
 ANSWER_MARGIN_S = 0.6
-MAX_SILENCE_S = 1.0
+MAX_SILENCE_S = 1.0  # well below the time in which a limit must be in force
 CHECK_INTERVAL_S = 0.25
 
 
