--- a/review/standin.py
+++ b/review/standin.py
@@ -59,7 +59,6 @@
         super().__init__(hold_limit_ms=HOLD_LIMIT_MS, **options)
         self.machine = machine
         self.kind = kind
-        self.silent_since = 0.0
 
     def hold(self, body: dict) -> tuple[int, dict] | None:
         """Answers a poll with the progress of each run."""
