--- a/review/4/trial.py
+++ b/review/4/trial.py
@@ -1,5 +1,6 @@
 """A minion returns as another kind: does it get tasks that need its old one?"""
 
+import os
 import pathlib
 import sys
 
@@ -7,7 +8,7 @@
 
 from review import standin
 
-KINDS = ["a", "b", "b", "b", "b", "b"]
+KINDS = ["a"] + ["b"] * 7
 CHOSEN = 0
 WORK_MS = 6_000
 RUN_BEFORE_S = 1.5
@@ -15,11 +16,14 @@
 WATCH_S = 20.0
 WATCH_STEP_S = 0.1
 TERMS = {"decideMs": 46, "periodMs": 1, "validMs": standin.VALID_MS}
+TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
 def build() -> standin.Trial:
     """Starts a deployment with one minion of the kind `a`."""
-    return standin.Trial(users=standin.Platform(kinds=KINDS, terms=TERMS))
+    return standin.Trial(
+        users=standin.Platform(kinds=KINDS, terms=TERMS), trouble=TROUBLE
+    )
 
 
 def crash(trial: standin.Trial, minion: standin.Minion) -> None:
