Empty no minion for a gang that fits on none (LOST)

Cause: a gang with a member that must run alone has a minion left to empty for that member, also if its members together fit nowhere, as too few minions have its label or antiAffinity spreads them. The gang's wait isn't noted then, since it doesn't fit now, so that only the reservation's own limit of 30 s ends it.

Fix: nothing is reserved unless the whole gang would fit once others have ended; a reservation ends as soon as it wouldn't any more.

Test, failed before: test_suspect_waits.GangWithoutRoomTest, both tests ("['m0'] != []").

--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -175,12 +175,19 @@
     candidates: list[str],
     solitary: list[int],
 ) -> Iterator[effects.Effect]:
-    """Notes why a gang with suspects waits, and has minions emptied for it."""
+    """Notes why a gang with suspects waits, and has minions emptied for it.
+
+    None are if the whole gang fits on no minions that it may use.
+    """
     if free_capacity.plan_slots(available, step, candidates, step.step.count):
         solitude.note_wait(cell, step)
     if not solitary:
         step.wait_cause = wait_causes.WaitCause.SUSPECT_CAPACITY
         return
+    if _plan_after_ends(cell, step, available, candidates) is None:
+        step.wait_cause = wait_causes.WaitCause.CAPACITY
+        reservations.drop(cell, step)
+        return
     step.wait_cause = suspects.get_cause_alone(cell, step, available)
     yield from reservations.reserve(
         cell, step, available, candidates, len(solitary)
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -213,6 +213,42 @@
         self.assertEqual(len(self.find_runs(other_id)), 12)
 
 
+class GangWithoutRoomTest(test_crashes.CrashCase):
+    """A gang with a member that must run alone, which fits on no minions."""
+
+    minion_count = 2
+
+    def test_it_keeps_no_minion_idle(self) -> None:
+        """Guards against others that wait for what can't be used (LOST)."""
+        gang_id = self.submit(
+            cases.build_step(3, cpu=1_000, gang=True, minion_limit=1)
+        )
+        count_crashes(self, gang_id, 3)
+        self.tick()
+        self.assertEqual(solitude.list_reserved(self.cell), [])
+        other_id = self.submit(cases.build_step(4, cpu=2_000))
+        self.tick()
+        self.assertEqual(self.find_runs(gang_id), [])
+        self.assertEqual(len(self.find_runs(other_id)), 4)
+
+    def test_it_gives_up_a_minion_once_others_have_left(self) -> None:
+        self.add_minion("m2")
+        self.poll("m2")
+        busy = self.submit(cases.build_step(3, cpu=3_000, minion_limit=1))
+        self.confirm_all()
+        self.assertEqual(len(self.find_runs(busy)), 3)
+        gang_id = self.submit(
+            cases.build_step(3, cpu=2_000, gang=True, minion_limit=1)
+        )
+        count_crashes(self, gang_id, 3)
+        self.tick()
+        (reserved,) = solitude.list_reserved(self.cell)
+        other = next(name for name in self.cell.minions if name != reserved)
+        self.apply(events.MinionUnreachable(minion_id=other))
+        self.tick()
+        self.assertEqual(solitude.list_reserved(self.cell), [])
+
+
 class RecordedGivenUpTest(test_crashes.CrashCase):
     """A takeover follows a crash of a task that had started beside others."""
 
