Model: minions that return under their id as another kind, judged for ROUTE

The random model let minions come back under other ids, or under the same one as the same kind, and had no judge of labels or antiAffinity. The scenario `kinds` has jobs that require a kind, with and without advice, single tasks, gangs, services and limits per minion; minions crash and come back under their id as any kind. The owner polls the new life before it has read its registration, reads that first, or learns of both late; owners are replaced meanwhile. The judge looks at each start on the minion itself.

An outage lasts 1.4 s at least, so that a poll fails: a start that meets a restart which no poll has shown is looked at in the links, not here. The judge of waits counts only minions with the label and within antiAffinity as capacity.

--- a/tests/core/scheduling/model/advice.py
+++ b/tests/core/scheduling/model/advice.py
@@ -16,6 +16,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import advisors
+from tests.core.scheduling.model import workers
 
 ENTRIES = 6
 NETWORK_MS = 20
@@ -179,7 +180,7 @@
         tickets = {}
         for minion_id in effect.minion_ids:
             minion = self.model.minions.get(minion_id)
-            if minion and minion.up and is_allowed(step, minion_id):
+            if minion and minion.up and is_allowed(step, minion):
                 tickets[minion_id] = f"{step}/{minion.incarnation}/{until_ms}"
         past = frames.PastAdvice(
             step=step, minions=list(effect.minion_ids), tickets=tickets
@@ -188,9 +189,16 @@
         return frames.AdviceReport(tickets=tickets, valid_ms=effect.valid_ms)
 
 
-def is_allowed(step: str, minion_id: str) -> bool:
-    """Returns whether a minion may run a step, which never changes."""
-    return zlib.crc32(f"{step}/{minion_id}/".encode()) % ALLOWED_OF == 0
+def is_allowed(step: str, minion: workers.Minion) -> bool:
+    """Returns whether a minion may run a step.
+
+    The policies of some steps go by the kind of a minion, those of others only
+    by its id, so that they allow it whatever it has become.
+    """
+    by_kind = zlib.crc32(step.encode()) % 2
+    is_default = minion.kind == workers.DEFAULT_KIND
+    kind = minion.kind if by_kind and not is_default else ""
+    return zlib.crc32(f"{step}/{minion.name}/{kind}".encode()) % ALLOWED_OF == 0
 
 
 def is_valid(ticket: str, step: str, incarnation: int, now_ms: int) -> bool:
--- a/tests/core/scheduling/model/cell.py
+++ b/tests/core/scheduling/model/cell.py
@@ -46,6 +46,7 @@
         calm: Whether all trouble has ended.
         starts: Number of starts that minions have carried out.
         takeovers: Number of owners after the first.
+        kind_changes: Number of minions that have returned as another kind.
         refused_tickets: Number of starts refused for their ticket.
         complete_gangs: Gangs whose members have all begun, by id of the job,
             position of the step and number of the run.
@@ -83,6 +84,7 @@
         self.epoch = 0
         self.starts = 0
         self.takeovers = -1
+        self.kind_changes = 0
         self.calm = False
         self.refused_tickets = 0
         self.complete_gangs: set[tuple[str, int, int]] = set()
@@ -99,9 +101,14 @@
 
     def add_minion(self, rack: str) -> workers.Minion:
         """Adds a minion under a new id."""
-        name = f"m{next(self.minion_numbers)}"
-        self.minions[name] = workers.Minion(name=name, rack=rack)
-        return self.minions[name]
+        number = next(self.minion_numbers)
+        kinds = self.scenario.kinds
+        minion = workers.Minion(
+            name=f"m{number}", rack=rack, kind=kinds[number % len(kinds)]
+        )
+        minion.write_registration()
+        self.minions[minion.name] = minion
+        return minion
 
     def later(
         self, delay_ms: int, action: Callable[[], None], owned: bool = True
@@ -175,6 +182,7 @@
         )
         return (
             f"starts={self.starts} takeovers={self.takeovers} "
+            f"kind_changes={self.kind_changes} "
             f"jobs={len(self.jobs)} outcomes={outcomes} "
             f"refused_tickets={self.refused_tickets} "
             f"advice_calls={self.advice.calls} "
--- a/tests/core/scheduling/model/faults.py
+++ b/tests/core/scheduling/model/faults.py
@@ -9,6 +9,9 @@
 RETURN_MS = (1_000, 4_000)
 DOOM_MS = (100, 900)
 LEAVE_MS = (2_500, 6_000)
+OUTAGE_MS = (1_400, 4_000)
+REGISTERED_AFTER_MS = (0, 0, 200, 1_500)
+UNREACHABLE_MS = (0, 0, 300, 2_000)
 
 
 def cancel_jobs(model) -> None:
@@ -39,7 +42,42 @@
     """Lets a minion crash and start again under its id."""
     present = list_up(model)
     if present:
-        model.draw.choice(present).restart()
+        minion = model.draw.choice(present)
+        minion.restart()
+        register_life(model, minion)
+
+
+def change_kind(model) -> None:
+    """Lets a minion crash and return under its id, of any kind.
+
+    Its outage is long enough for a poll to fail. The owner may poll the new
+    life before it has read its registration, or read that first.
+    """
+    present = [each for each in list_up(model) if not each.draining]
+    if not present:
+        return
+    minion = model.draw.choice(present)
+    minion.lose_power()
+
+    def come_back() -> None:
+        minion.restart()
+        kind = model.draw.choice(model.scenario.kinds)
+        model.kind_changes += kind != minion.kind
+        minion.kind = kind
+        minion.reachable_ms = model.now_ms + model.draw.choice(UNREACHABLE_MS)
+        model.later(
+            model.draw.choice(REGISTERED_AFTER_MS),
+            lambda: register_life(model, minion),
+            owned=False,
+        )
+
+    model.later(model.draw.randint(*OUTAGE_MS), come_back, owned=False)
+
+
+def register_life(model, minion: workers.Minion) -> None:
+    """Lets a minion register its present life, and the owner read that."""
+    minion.write_registration()
+    read_registration(model, minion)
 
 
 def crash_minion(model) -> None:
--- a/tests/core/scheduling/model/judge.py
+++ b/tests/core/scheduling/model/judge.py
@@ -39,6 +39,24 @@
             self.faults.append(f"{now_ms}: {key} starts again")
         self.check_limit(key, present, now_ms)
 
+    def check_route(self, key: steps.TaskKey, minion: workers.Minion) -> None:
+        """Checks that a minion may run a task that it has just begun."""
+        step = self.jobs[key.job_id].steps[key.step]
+        if step.label and step.label not in minion.labels:
+            self.faults.append(
+                f"{key} requires {step.label} and starts on {minion.name} of "
+                f"kind {minion.kind}, life {minion.incarnation}"
+            )
+        count = sum(
+            (each.job_id, each.step) == (key.job_id, key.step)
+            for each in minion.runs
+        )
+        if step.minion_limit and count > step.minion_limit:
+            self.faults.append(
+                f"{minion.name} runs {count} tasks with {key}, "
+                f"{step.minion_limit} may"
+            )
+
     def check_limit(
         self, key: steps.TaskKey, present: Sequence[workers.Run], now_ms: int
     ) -> None:
--- a/tests/core/scheduling/model/lost.py
+++ b/tests/core/scheduling/model/lost.py
@@ -12,6 +12,7 @@
 from hickoryreach.structure import steps
 from tests.core.scheduling.model import advice
 from tests.core.scheduling.model import orders
+from tests.core.scheduling.model import workers
 
 FINISH_MS = 14_000
 IDLE_MS = 3_000
@@ -148,20 +149,21 @@
             is_empty: Whether to count as if nothing ran.
         """
         step = job.steps[position]
-        name = minions.format_step(job.job_id, 0, position)
         count = 0
         for minion in self.model.minions.values():
             usable = minion.registered and not minion.draining and minion.up
-            if not usable or (
-                job.queue.advice is not None
-                and not advice.is_allowed(name, minion.name)
-            ):
+            if not usable or not may_run(job, position, minion):
                 continue
             used = self.sum_needs(() if is_empty else minion.runs)
             room = self.model.scenario.minion_capacity - used
             fitting = room.cpu_millis // step.need.cpu_millis
             if step.need.memory_mb:
                 fitting = min(fitting, room.memory_mb // step.need.memory_mb)
+            if step.minion_limit:
+                present = (
+                    0 if is_empty else count_members(job, position, minion)
+                )
+                fitting = min(fitting, step.minion_limit - present)
             count += max(0, fitting)
         return count
 
@@ -198,6 +200,22 @@
         )
 
 
+def may_run(job: steps.Job, position: int, minion: workers.Minion) -> bool:
+    """Returns whether a minion has the label and the advice for a step."""
+    step = job.steps[position]
+    if step.label and step.label not in minion.labels:
+        return False
+    name = minions.format_step(job.job_id, 0, position)
+    return job.queue.advice is None or advice.is_allowed(name, minion)
+
+
+def count_members(job: steps.Job, position: int, minion: workers.Minion) -> int:
+    """Returns how many tasks of a step run on a minion."""
+    return sum(
+        (key.job_id, key.step) == (job.job_id, position) for key in minion.runs
+    )
+
+
 def describe(model, job: steps.Job) -> str:
     """Returns what the owner knows of a job."""
     record = model.cell.jobs.get(job.job_id)
@@ -221,12 +239,9 @@
 def describe_minions(model, job: steps.Job, position: int) -> str:
     """Returns what runs on the minions that may run a step."""
     closed = solitude.list_closed(model.cell)
-    name = minions.format_step(job.job_id, 0, position)
     parts = []
     for minion in model.minions.values():
-        if not minion.registered or not (
-            job.queue.advice is None or advice.is_allowed(name, minion.name)
-        ):
+        if not minion.registered or not may_run(job, position, minion):
             continue
         known = model.cell.minions.get(minion.name)
         runs = [
--- a/tests/core/scheduling/model/orders.py
+++ b/tests/core/scheduling/model/orders.py
@@ -111,6 +111,7 @@
         model.starts += 1
         present = list_runs(model)
         model.judge.check(effect.key, present, model.now_ms)
+        model.judge.check_route(effect.key, minion)
         faults.doom(model, minion, run)
     return failure
 
--- a/tests/core/scheduling/model/owners.py
+++ b/tests/core/scheduling/model/owners.py
@@ -124,7 +124,8 @@
                     address="127.0.0.1:1",
                     failure_domain="z",
                     capacity=self.model.scenario.minion_capacity,
-                    labels=("a", minion.rack),
+                    labels=(minion.registered_kind, minion.rack),
+                    incarnation=minion.registered_incarnation,
                     draining=minion.draining,
                     remaining_ms=max(0, remaining_ms)
                     if minion.draining
--- a/tests/core/scheduling/model/scenarios.py
+++ b/tests/core/scheduling/model/scenarios.py
@@ -12,6 +12,7 @@
 from tests.core.scheduling.model import faults
 from tests.core.scheduling.model import limits
 from tests.core.scheduling.model import traffic
+from tests.core.scheduling.model import workers
 
 MEMORY_MB = 32_768
 
@@ -37,6 +38,7 @@
         cancelled_share: Share of the jobs that a wave of cancels meets.
         settles: Whether it is judged what waits once trouble has ended.
         dooms: Whether some jobs crash the minions that run them.
+        kinds: Kinds of the minions, in turn.
         faults: What happens, with its probability in each step.
         closing: What happens last, before all trouble ends.
     """
@@ -55,6 +57,7 @@
     stall_share: float = 0.0
     cancelled_share: float = 0.5
     dooms: bool = False
+    kinds: tuple[str, ...] = (workers.DEFAULT_KIND,)
     settles: bool = False
     faults: tuple[tuple[float, Callable], ...] = ()
     closing: tuple[Callable, ...] = ()
@@ -201,10 +204,30 @@
     closing=(faults.crash_rack,),
 )
 
+KINDS = dataclasses.replace(
+    ADVICE,
+    minion_count=12,
+    kinds=("a", "b", "a", "c"),
+    faults=(
+        (0.12, traffic.submit_labelled),
+        (0.03, traffic.submit_check),
+        (0.01, traffic.submit_annual),
+        (0.005, traffic.submit_lasting),
+        (0.003, faults.cancel_jobs),
+        (0.004, faults.cut_minions),
+        (0.04, faults.change_kind),
+        (0.002, faults.crash_minion),
+        (0.004, faults.drain_minion),
+        (0.004, faults.kill_entry),
+        (0.01, faults.take_over),
+    ),
+)
+
 BY_NAME = {
     "takeovers": TAKEOVERS,
     "few_jobs": FEW_JOBS,
     "advice": ADVICE,
     "gangs": GANGS,
     "racks": RACKS,
+    "kinds": KINDS,
 }
--- a/tests/core/scheduling/model/traffic.py
+++ b/tests/core/scheduling/model/traffic.py
@@ -11,6 +11,7 @@
 BURST = 6
 DOOMED_SHARE = 0.08
 DOOMED_CHANCE = 0.8
+MAX_LASTING = 3
 
 
 def submit(model, queue: str, wanted: Sequence[steps.Step]) -> None:
@@ -54,6 +55,30 @@
     submit(model, "checks", (step,))
 
 
+def submit_labelled(model) -> None:
+    """Submits a job for minions of one kind, a few tasks on each of them."""
+    gang = model.draw.random() < 0.25
+    lasting = (
+        not gang
+        and not has_enough_lasting(model)
+        and model.draw.random() < 0.05
+    )
+    step = steps.Step(
+        count=model.draw.randint(1, 4),
+        need=resources.Resources(
+            cpu_millis=model.draw.choice((980, 2_000, 4_000)), memory_mb=900
+        ),
+        estimate_ms=0 if lasting else 1_500,
+        gang=gang,
+        lasting=lasting,
+        saves=model.draw.random() < 0.3,
+        label=model.draw.choice(model.scenario.kinds),
+        minion_limit=model.draw.choice((0, 1, 2)),
+    )
+    queue = model.draw.choice(("checks", "transfers", "annual", "open", "open"))
+    submit(model, queue, (step,))
+
+
 def submit_transfer(model) -> None:
     """Submits a job of many small tasks."""
     need = resources.Resources(
@@ -99,9 +124,15 @@
         submit_annual(model)
 
 
+def has_enough_lasting(model) -> bool:
+    """Returns whether no further job whose tasks last is to be submitted."""
+    lasting = [job for job in model.jobs.values() if job.steps[0].lasting]
+    return len(lasting) >= MAX_LASTING
+
+
 def submit_lasting(model) -> None:
     """Submits a job whose tasks last, unless there are enough of them."""
-    if sum(job.steps[0].lasting for job in model.jobs.values()) >= 3:
+    if has_enough_lasting(model):
         return
     step = steps.Step(
         count=model.draw.randint(1, 3),
--- a/tests/core/scheduling/model/workers.py
+++ b/tests/core/scheduling/model/workers.py
@@ -11,6 +11,7 @@
 GANG_WAIT_MS = 3_000
 FULL_PERCENT = 100
 NEVER_MS = 2**53
+DEFAULT_KIND = "a"
 
 
 @dataclasses.dataclass(kw_only=True, eq=False)
@@ -52,8 +53,11 @@
     Attributes:
         name: Its id.
         rack: Its rack.
+        kind: Its kind, which is one of its labels.
         up: Whether it has power.
         registered: Whether the store holds its registration.
+        registered_kind: Kind that its registration tells.
+        registered_incarnation: Life that its registration is of.
         draining: Whether its registration says that it is about to leave.
         leaves_ms: When a draining minion leaves, in ms.
         reachable_ms: When it answers again, in ms.
@@ -68,8 +72,11 @@
 
     name: str
     rack: str = "r1"
+    kind: str = DEFAULT_KIND
     up: bool = True
     registered: bool = True
+    registered_kind: str = DEFAULT_KIND
+    registered_incarnation: int = 1
     draining: bool = False
     leaves_ms: int = NEVER_MS
     reachable_ms: int = 0
@@ -83,6 +90,16 @@
         default_factory=lambda: itertools.count(1)
     )
 
+    @property
+    def labels(self) -> tuple[str, str]:
+        """Its labels."""
+        return self.kind, self.rack
+
+    def write_registration(self) -> None:
+        """Registers its present life."""
+        self.registered_kind = self.kind
+        self.registered_incarnation = self.incarnation
+
     def is_reachable(self, now_ms: int) -> bool:
         """Returns whether it answers."""
         return self.up and self.reachable_ms <= now_ms
