--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -172,55 +172,72 @@
         _update_allowed_fraction(
             cell, step, len(event.tickets) / len(event.asked)
         )
-    for minion_id in event.asked:
-        minion = cell.minions.get(minion_id)
-        if minion is None or _has_restarted_since(minion, step, event):
-            continue
+    for minion_id, incarnation in _list_advised(cell, step, event):
         text = event.tickets.get(minion_id)
         if text is None:
             step.allowed.pop(minion_id, None)
             step.tickets.pop(minion_id, None)
-            step.denied[minion_id] = minion.incarnation
+            step.denied[minion_id] = incarnation
             continue
         step.denied.pop(minion_id, None)
-        step.allowed[minion_id] = minion.incarnation
-        _update_ticket(step, minion, text, cell.now_ms + event.valid_ms)
+        step.allowed[minion_id] = incarnation
+        _update_ticket(
+            step,
+            minion_id,
+            advice_tickets.Ticket(
+                text=text,
+                until_ms=cell.now_ms + event.valid_ms,
+                incarnation=incarnation,
+            ),
+        )
     yield from ()
 
 
+def _list_advised(
+    cell: state.CellState, step: state.StepRecord, event: events.AdviceCallEnded
+) -> Iterator[tuple[str, int]]:
+    """Yields the minions that advice holds for, and their incarnations.
+
+    A minion that an earlier owner asked about may not have answered this owner
+    yet. What it answers then shows whether the advice is about it.
+    """
+    for minion_id in event.asked:
+        minion = cell.minions.get(minion_id)
+        if minion is None:
+            continue
+        incarnation = minion.incarnation
+        if event.from_earlier_owner:
+            incarnation = event.earlier_incarnations.get(minion_id, 0)
+            is_current = minion.incarnation in (0, incarnation)
+        else:
+            is_current = not _has_restarted_since(minion, step, event)
+        if is_current:
+            yield minion_id, incarnation
+
+
 def _has_restarted_since(
     minion: state.MinionRecord,
     step: state.StepRecord,
     event: events.AdviceCallEnded,
 ) -> bool:
-    """Returns whether a minion has restarted since a call for advice began.
-
-    When an earlier owner made its calls is not known.
-    """
+    """Returns whether a minion has restarted since a call for advice began."""
     started_ms = event.started_ms
     if started_ms < 0:
         started_ms = step.advice_call.asked_ms
-    return (
-        not event.from_earlier_owner
-        and minion.incarnation_known_ms > started_ms
-    )
+    return minion.incarnation_known_ms > started_ms
 
 
 def _update_ticket(
-    step: state.StepRecord, minion: state.MinionRecord, text: str, until_ms: int
+    step: state.StepRecord, minion_id: str, ticket: advice_tickets.Ticket
 ) -> None:
     """Stores a ticket unless a stored one is valid for at least as long."""
-    minion_id = minion.minion.minion_id
     known = step.tickets.get(minion_id)
     if (
-        known
-        and known.incarnation == minion.incarnation
-        and known.until_ms >= until_ms
+        known is None
+        or known.incarnation != ticket.incarnation
+        or known.until_ms < ticket.until_ms
     ):
-        return
-    step.tickets[minion_id] = advice_tickets.Ticket(
-        text=text, until_ms=until_ms, incarnation=minion.incarnation
-    )
+        step.tickets[minion_id] = ticket
 
 
 def _update_allowed_fraction(
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -226,6 +226,8 @@
         started_ms: When an entry began the call, on the owner's clock; -1 means
             when it was requested.
         from_earlier_owner: Whether an earlier owner made the call.
+        earlier_incarnations: Incarnations, by id, of the minions that an
+            earlier owner asked about; those it lacks are not known.
     """
 
     job_id: str
@@ -236,6 +238,9 @@
     valid_ms: int = 0
     started_ms: int = -1
     from_earlier_owner: bool = False
+    earlier_incarnations: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -92,6 +92,8 @@
   2: list<string> minions,
   3: double cost_ms = 0,
   4: i64 valid_ms = 0,
+  // Incarnations of the minions that the owner knows as the call begins.
+  5: map<string, i64> incarnations,
 }
 
 // entry -> owner: response to AdviceCall.
@@ -107,6 +109,8 @@
   2: list<string> minions,
   3: map<string, string> tickets,
   4: i64 left_ms = 0,
+  // Incarnations of the minions that the answer is about.
+  5: map<string, i64> incarnations,
 }
 
 // entry -> a new owner: valid answers that an earlier owner asked for.
--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -63,6 +63,7 @@
         *,
         local: local_advisor.LocalAdvisor,
         get_channels: Callable[[], dict[str, channel.Channel]],
+        get_incarnation: Callable[[str], int],
         emit: Callable[[events.Event], None],
     ) -> None:
         """Creates the dispatcher of one ownership.
@@ -70,10 +71,12 @@
         Args:
             local: Advisor of the owner's own entry.
             get_channels: Returns the channels to the other entries, by name.
+            get_incarnation: Returns the incarnation of a minion, or 0.
             emit: Receives an event when a call has ended.
         """
         self.local = local
         self.get_channels = get_channels
+        self.get_incarnation = get_incarnation
         self.emit = emit
         self.load_us: dict[str, int] = {}
         self.slow_entries: set[str] = set()
@@ -280,6 +283,10 @@
             minions=list(effect.minion_ids),
             cost_ms=effect.cost_ms,
             valid_ms=effect.valid_ms,
+            incarnations={
+                minion_id: self.get_incarnation(minion_id)
+                for minion_id in effect.minion_ids
+            },
         )
         if name == LOCAL_ENTRY:
             return self.local.ask(call)
--- a/packages/entry/hickoryreach_entry/cell/local_advisor.py
+++ b/packages/entry/hickoryreach_entry/cell/local_advisor.py
@@ -68,7 +68,10 @@
         found = response.unwrap()
         valid_s = (found.valid_ms or call.valid_ms) / 1000
         past = frames.PastAdvice(
-            step=call.step, minions=call.minions, tickets=found.tickets
+            step=call.step,
+            minions=call.minions,
+            tickets=found.tickets,
+            incarnations=call.incarnations,
         )
         self.answers.append((time.monotonic() + valid_s, past))
         return frames.AdviceReport(
--- a/tests/core/scheduling/model/advice.py
+++ b/tests/core/scheduling/model/advice.py
@@ -54,6 +54,7 @@
         super().__init__(
             local=None,
             get_channels=service.list_channels,
+            get_incarnation=service.model.owner.get_incarnation,
             emit=service.model.apply,
         )
         self.reports: dict[str, frames.AdviceReport | None] = {}
@@ -112,6 +113,7 @@
                 tickets=dict(past.tickets),
                 valid_ms=until_ms - self.model.now_ms,
                 from_earlier_owner=True,
+                earlier_incarnations=past.incarnations,
             )
         )
 
@@ -156,11 +158,15 @@
         entry.busy_until_ms = begins_ms + length_ms
         epoch, dispatcher = self.model.epoch, self.dispatcher
         asked_ms = now_ms - int(now_ms - 1_000 * words[-1])
+        incarnations = {
+            each: self.model.owner.get_incarnation(each)
+            for each in effect.minion_ids
+        }
         self.calls += 1
 
         def end() -> None:
             lost = failed or entry.down_until_ms > now_ms
-            report = None if lost else self.answer(effect, entry)
+            report = None if lost else self.answer(effect, entry, incarnations)
             if epoch != self.model.epoch:
                 return
             wait_ms = self.model.now_ms - asked_ms
@@ -172,9 +178,18 @@
         self.model.later(entry.busy_until_ms - now_ms, end, owned=False)
 
     def answer(
-        self, effect: effects.AskAdvice, entry: Entry
+        self,
+        effect: effects.AskAdvice,
+        entry: Entry,
+        incarnations: dict[str, int],
     ) -> frames.AdviceReport:
-        """Returns the tickets of the minions that may run a step."""
+        """Returns the tickets of the minions that may run a step.
+
+        Args:
+            effect: The call.
+            entry: The entry that makes it.
+            incarnations: Those that the owner knew as it began, by minion.
+        """
         step = advisors.format_step(effect)
         until_ms = self.model.now_ms + effect.valid_ms
         tickets = {}
@@ -183,7 +198,10 @@
             if minion and minion.up and is_allowed(step, minion):
                 tickets[minion_id] = f"{step}/{minion.incarnation}/{until_ms}"
         past = frames.PastAdvice(
-            step=step, minions=list(effect.minion_ids), tickets=tickets
+            step=step,
+            minions=list(effect.minion_ids),
+            tickets=tickets,
+            incarnations=incarnations,
         )
         entry.answers.append((until_ms, past))
         return frames.AdviceReport(tickets=tickets, valid_ms=effect.valid_ms)
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -228,6 +228,7 @@
                 tickets={"m1": "t-m1"},
                 valid_ms=900,
                 from_earlier_owner=True,
+                earlier_incarnations={"m0": 1, "m1": 1},
             )
         )
         self.assertEqual({each.ticket for each in self.get_starts()}, {"t-m1"})
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -15,6 +15,8 @@
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import local_advisor
 
+INCARNATIONS = {"m0": 1_700_000_000_001}
+
 
 def build_call(
     job_id: str, cost_ms: float, rank: int = 1, slack_ms: float = 0.0
@@ -81,6 +83,7 @@
         self.dispatcher = advisors.AdviceDispatcher(
             local=self.local,
             get_channels=lambda: self.entries,
+            get_incarnation=INCARNATIONS.get,
             emit=self.emitted.append,
         )
 
@@ -276,7 +279,10 @@
         self.asked: list[str] = []
         self.emitted: list = []
         self.dispatcher = advisors.AdviceDispatcher(
-            local=self, get_channels=dict, emit=self.emitted.append
+            local=self,
+            get_channels=dict,
+            get_incarnation=INCARNATIONS.get,
+            emit=self.emitted.append,
         )
 
     def ask(self, advice_call) -> object:
@@ -332,6 +338,7 @@
         self.dispatcher = advisors.AdviceDispatcher(
             local=self.entries[advisors.LOCAL_ENTRY],
             get_channels=lambda: self.channels,
+            get_incarnation=INCARNATIONS.get,
             emit=self.emitted.append,
         )
 
@@ -424,6 +431,7 @@
         self.dispatcher = advisors.AdviceDispatcher(
             local=local_advisor.LocalAdvisor(address=None),
             get_channels=lambda: self.channels,
+            get_incarnation=INCARNATIONS.get,
             emit=self.emitted.append,
         )
 
@@ -434,6 +442,7 @@
 
         def handle(_, __, message) -> frames.AdviceReport | None:
             self.received.append(message.step.split(".")[0])
+            self.incarnations = message.incarnations
             if not answers:
                 return None
             return frames.AdviceReport(tickets={"m0": "t"}, valid_ms=1)
@@ -450,6 +459,12 @@
         self.channels[name] = near
         return near, far
 
+    def test_a_call_tells_the_incarnations_that_it_is_about(self) -> None:
+        self.add_entry("b", answers=True)
+        self.dispatcher.ask(build_call("job", 500.0))
+        self.wait_for_ends(1)
+        self.assertEqual(self.incarnations, INCARNATIONS)
+
     def list_results(self) -> list[tuple[str, bool]]:
         """Returns the jobs whose calls have ended, and whether in success."""
         return [
--- a/tests/entry/cell/test_local_advisor.py
+++ b/tests/entry/cell/test_local_advisor.py
@@ -12,6 +12,7 @@
 COST_MS = 50.0
 PROMPT_S = 0.8  # sooner than a call of this cost times out
 LIMIT_S = 10.0
+INCARNATIONS = {"m0": 1_700_000_000_001}
 
 
 class Service:
@@ -55,7 +56,11 @@
         with gevent.Timeout(LIMIT_S):
             return self.advisor.ask(
                 frames.AdviceCall(
-                    step=step, minions=["m0"], cost_ms=COST_MS, valid_ms=2_000
+                    step=step,
+                    minions=["m0"],
+                    cost_ms=COST_MS,
+                    valid_ms=2_000,
+                    incarnations=INCARNATIONS,
                 )
             )
 
@@ -68,6 +73,13 @@
                 gevent.sleep(0.01)
         return calls
 
+    def test_valid_advice_tells_the_incarnations_that_it_is_about(
+        self,
+    ) -> None:
+        self.ask()
+        (past,) = self.advisor.collect_valid_advice().answers
+        self.assertEqual(past.incarnations, INCARNATIONS)
+
     def test_next_call_goes_to_the_new_address(self) -> None:
         self.assertEqual(self.ask().tickets, {"m0": "old"})
         self.advisor.change_address(self.new.address)
