--- a/packages/core/hickoryreach/scheduling/crashes.py
+++ b/packages/core/hickoryreach/scheduling/crashes.py
@@ -16,6 +16,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
@@ -28,7 +29,7 @@
 
 def count(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     lost: Iterable[state.Run],
     *,
     incarnation: int,
@@ -90,7 +91,7 @@
 
 def expect_return(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     counted: list[state.Run],
 ) -> None:
     """Records which runs count no longer if a silent minion answers again."""
@@ -115,7 +116,7 @@
 
 
 def handle_return(
-    cell: state.CellState, minion: state.MinionRecord
+    cell: state.CellState, minion: minion_records.MinionRecord
 ) -> Iterator[effects.Effect]:
     """Retracts the crashes of a minion that was only silent or cut off.
 
@@ -249,7 +250,7 @@
 
 def _is_cause(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     run: state.Run,
     task: crash_records.CrashedTask,
 ) -> bool:
@@ -267,7 +268,7 @@
 
 
 def _ran_alone(
-    cell: state.CellState, minion: state.MinionRecord, run: state.Run
+    cell: state.CellState, minion: minion_records.MinionRecord, run: state.Run
 ) -> bool:
     """Returns whether nothing else can have crashed a run's minion.
 
--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -6,6 +6,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 
@@ -216,7 +217,7 @@
 
 
 def _has_restarted_since(
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     step: state.StepRecord,
     event: events.AdviceCallEnded,
 ) -> bool:
--- a/packages/core/hickoryreach/scheduling/evacuation.py
+++ b/packages/core/hickoryreach/scheduling/evacuation.py
@@ -10,6 +10,7 @@
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import state
 
@@ -31,7 +32,7 @@
 
 
 def _must_move(
-    minion: state.MinionRecord, run: state.Run, left_ms: int
+    minion: minion_records.MinionRecord, run: state.Run, left_ms: int
 ) -> bool:
     """Returns whether a run is to be stopped before its minion leaves.
 
@@ -46,7 +47,9 @@
     return step.saves and _estimate_remaining_ms(minion, run) > left_ms
 
 
-def _estimate_remaining_ms(minion: state.MinionRecord, run: state.Run) -> float:
+def _estimate_remaining_ms(
+    minion: minion_records.MinionRecord, run: state.Run
+) -> float:
     """Returns how long a run is likely to go on, in ms."""
     fraction = 1 - run.percent / pace.FULL_PERCENT
     estimate_ms = run.step.step.estimate_ms * fraction
--- a/packages/core/hickoryreach/scheduling/free_capacity.py
+++ b/packages/core/hickoryreach/scheduling/free_capacity.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from hickoryreach.scheduling import advice_calls
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import ordering
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import solitude
@@ -236,7 +237,9 @@
     return cell.configuration.queues.get(stored.name, stored).service
 
 
-def has_label(minion: state.MinionRecord, step: state.StepRecord) -> bool:
+def has_label(
+    minion: minion_records.MinionRecord, step: state.StepRecord
+) -> bool:
     """Returns whether a minion carries the label that a step requires."""
     required_label = step.step.label
     return not required_label or required_label in minion.minion.labels
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -6,6 +6,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.scheduling import unseen_usage
@@ -60,7 +61,7 @@
 
 def _handle_refusal(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     run: state.Run,
     failure: minions.OrderFailure,
 ) -> Iterator[effects.Effect]:
@@ -123,7 +124,7 @@
     cell: state.CellState,
     step: state.StepRecord,
     index: int,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     number: int,
 ) -> Iterator[effects.Effect]:
     """Starts a task on a minion."""
--- a/packages/core/hickoryreach/scheduling/orphans.py
+++ b/packages/core/hickoryreach/scheduling/orphans.py
@@ -11,6 +11,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import state
 
@@ -31,7 +32,9 @@
 
 
 def hold(
-    cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
+    cell: state.CellState,
+    minion: minion_records.MinionRecord,
+    end: minions.TaskEnd,
 ) -> Iterator[effects.Effect]:
     """Defers an end until the store has answered whether its job exists."""
     yield from request_job(cell, end.key.job_id)
@@ -46,7 +49,7 @@
 
 def list_orphaned_runs(
     cell: state.CellState, job_id: str
-) -> list[tuple[state.MinionRecord, state.Run]]:
+) -> list[tuple[minion_records.MinionRecord, state.Run]]:
     """Returns the runs of a job that are not attached to a step."""
     return [
         (minion, run)
--- a/packages/core/hickoryreach/scheduling/pace.py
+++ b/packages/core/hickoryreach/scheduling/pace.py
@@ -7,6 +7,7 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import state
 
 MIN_OBSERVED_MS = 400
@@ -16,7 +17,7 @@
 
 def update_speed(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     tasks: Iterable[minions.RunningTask],
 ) -> None:
     """Updates a minion's speed from its tasks' progress and estimates.
@@ -47,7 +48,7 @@
         minion.quarantined_until_ms = max(minion.quarantined_until_ms, until_ms)
 
 
-def is_slow(cell: state.CellState, minion: state.MinionRecord) -> bool:
+def is_slow(cell: state.CellState, minion: minion_records.MinionRecord) -> bool:
     """Returns whether a minion is much slower than the median."""
     return minion.speed < cell.settings.slow_fraction * cell.median_speed
 
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -8,6 +8,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import orphans
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
@@ -71,7 +72,7 @@
 
 def _update_runs(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     reply: minions.PollReply,
 ) -> Generator[effects.Effect, None, set[tuple[steps.TaskKey, int]]]:
     """Updates or adopts all listed runs.
@@ -91,7 +92,9 @@
 
 
 def _handle_end(
-    cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
+    cell: state.CellState,
+    minion: minion_records.MinionRecord,
+    end: minions.TaskEnd,
 ) -> Iterator[effects.Effect]:
     """Releases a run that has ended and applies its outcome."""
     run = minion.runs.get((end.key, end.run))
@@ -152,7 +155,9 @@
 
 
 def _count_failure(
-    cell: state.CellState, minion: state.MinionRecord, end: minions.TaskEnd
+    cell: state.CellState,
+    minion: minion_records.MinionRecord,
+    end: minions.TaskEnd,
 ) -> None:
     """Quarantines a minion after failures of several jobs in a row."""
     if end.kind is minions.EndKind.DONE:
@@ -168,7 +173,7 @@
 
 def _update_run(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     task: minions.RunningTask,
 ) -> Iterator[effects.Effect]:
     """Updates a listed run, or adopts it if it is new."""
@@ -193,7 +198,7 @@
 
 def _adopt(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     task: minions.RunningTask,
 ) -> Iterator[effects.Effect]:
     """Adopts a run that another owner started.
--- a/packages/core/hickoryreach/scheduling/preemption.py
+++ b/packages/core/hickoryreach/scheduling/preemption.py
@@ -6,12 +6,15 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import free_capacity
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 
 
-def list_victims(minion: state.MinionRecord, rank: int) -> list[state.Run]:
+def list_victims(
+    minion: minion_records.MinionRecord, rank: int
+) -> list[state.Run]:
     """Returns the runs on a minion that may be preempted for a rank.
 
     The least urgent runs come first, then the most recent ones.
@@ -37,7 +40,9 @@
     return victims
 
 
-def get_releasing_capacity(minion: state.MinionRecord) -> resources.Resources:
+def get_releasing_capacity(
+    minion: minion_records.MinionRecord,
+) -> resources.Resources:
     """Returns the capacity that pending stops will release on a minion."""
     releasing = resources.ZERO
     for run in _list_releasing(minion.runs.values()):
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -12,6 +12,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import gangs
 from hickoryreach.scheduling import lifecycle
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import orders
 from hickoryreach.scheduling import orphans
 from hickoryreach.scheduling import pace
@@ -69,7 +70,7 @@
     """Adds a minion or updates its registration."""
     known = cell.minions.get(event.minion.minion_id)
     if known is None:
-        known = state.MinionRecord(minion=event.minion)
+        known = minion_records.MinionRecord(minion=event.minion)
         cell.minions[event.minion.minion_id] = known
     known.minion = event.minion
     known.unregistered = False
--- a/packages/core/hickoryreach/scheduling/reservations.py
+++ b/packages/core/hickoryreach/scheduling/reservations.py
@@ -6,6 +6,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import solitude
@@ -155,7 +156,7 @@
     )
 
 
-def _estimate_clear_ms(minion: state.MinionRecord) -> float:
+def _estimate_clear_ms(minion: minion_records.MinionRecord) -> float:
     """Returns how long the other tasks on a minion are likely to go on."""
     return max(
         (
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import state
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
@@ -25,7 +26,7 @@
 
 def add(
     cell: state.CellState,
-    minion: state.MinionRecord,
+    minion: minion_records.MinionRecord,
     run: state.Run,
 ) -> None:
     """Adds a run and allocates its capacity."""
--- a/packages/core/hickoryreach/scheduling/solitude.py
+++ b/packages/core/hickoryreach/scheduling/solitude.py
@@ -7,6 +7,7 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import crash_records
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import runs
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
@@ -21,7 +22,7 @@
 NONE: frozenset[str] = frozenset()
 
 
-def adopt(cell: state.CellState, minion: state.MinionRecord) -> None:
+def adopt(cell: state.CellState, minion: minion_records.MinionRecord) -> None:
     """Keeps a run alone that an earlier owner had started alone."""
     (run,) = minion.runs.values()
     task = run.step and run.step.crashes.get(run.key.index)
@@ -69,7 +70,7 @@
 
 
 def _holds_solitary_run(
-    cell: state.CellState, minion: state.MinionRecord
+    cell: state.CellState, minion: minion_records.MinionRecord
 ) -> bool:
     """Returns whether a run is still to be alone on a minion.
 
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -9,6 +9,7 @@
 from hickoryreach.scheduling import advice_calls
 from hickoryreach.scheduling import advice_tickets
 from hickoryreach.scheduling import crash_records
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import settings as settings_module
 from hickoryreach.scheduling import token_buckets
@@ -244,79 +245,6 @@
     takeover_hides: bool = False
 
 
-@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
-class MinionRecord:
-    """A minion with its runs and its health.
-
-    Attributes:
-        minion: Its registration.
-        incarnation: Incarnation that last answered a poll, or 0.
-        incarnation_known_ms: When that one answered first, on the owner's
-            clock.
-        polled: Whether it has listed its running tasks since its last lease
-            expired.
-        reachable: Whether it answers polls.
-        unregistered: Whether its registration was removed.
-        leaves_ms: Earliest time, on the owner's clock, at which it leaves if
-            it is draining; -1 if it is not known to leave.
-        runs: Runs that occupy capacity, by task and number.
-        used: Occupied capacity.
-        orphan_count: Number of its runs of unknown size; no task is placed
-            beside them.
-        quarantined_until_ms: Time, on the owner's clock, before which no task
-            is placed on it.
-        failed_jobs: Ids of the jobs of its latest consecutive failures.
-        speed: Moving average of its tasks' progress relative to their
-            estimates.
-    """
-
-    minion: cells.Minion
-    incarnation: int = 0
-    incarnation_known_ms: int = 0
-    polled: bool = False
-    reachable: bool = False
-    unregistered: bool = False
-    leaves_ms: int = -1
-    runs: dict[tuple[steps.TaskKey, int], Run] = dataclasses.field(
-        default_factory=dict
-    )
-    used: resources.Resources = resources.ZERO
-    orphan_count: int = 0
-    quarantined_until_ms: int = 0
-    failed_jobs: dict[str, None] = dataclasses.field(default_factory=dict)
-    speed: float = 1.0
-
-    @property
-    def is_open(self) -> bool:
-        """Whether tasks may be placed on it unless it is quarantined."""
-        return (
-            self.polled
-            and self.reachable
-            and self._is_registration_current
-            and not self.unregistered
-            and not self.minion.draining
-            and not self.orphan_count
-        )
-
-    def set_incarnation(self, incarnation: int, now_ms: int) -> None:
-        """Records the incarnation that has answered a poll."""
-        if incarnation != self.incarnation:
-            self.incarnation = incarnation
-            self.incarnation_known_ms = now_ms
-
-    @property
-    def _is_registration_current(self) -> bool:
-        """Whether the incarnation that answers polls is the registered one.
-
-        Another one may be of another kind; which of the two is the later one
-        shows only once both agree.
-        """
-        registered = self.minion.incarnation
-        return registered == self.incarnation or not (
-            registered and self.incarnation
-        )
-
-
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class CellState:
     """State that the reducer updates.
@@ -362,7 +290,9 @@
     wall_ms: int = 0
     configuration: cells.Configuration | None = None
     configured_ms: int = 0
-    minions: dict[str, MinionRecord] = dataclasses.field(default_factory=dict)
+    minions: dict[str, minion_records.MinionRecord] = dataclasses.field(
+        default_factory=dict
+    )
     jobs: dict[str, JobRecord] = dataclasses.field(default_factory=dict)
     ready: dict[int, StepRecord] = dataclasses.field(default_factory=dict)
     usage: dict[str, resources.Resources] = dataclasses.field(
--- a/packages/core/hickoryreach/scheduling/throttling.py
+++ b/packages/core/hickoryreach/scheduling/throttling.py
@@ -5,6 +5,7 @@
 
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import state
 
 FULL_SHARE = 100
@@ -13,7 +14,7 @@
 
 
 def adjust_shares(
-    minion: state.MinionRecord, tasks: Iterable[minions.RunningTask]
+    minion: minion_records.MinionRecord, tasks: Iterable[minions.RunningTask]
 ) -> Iterator[effects.Effect]:
     """Adjusts the speed shares of the fillers on a minion after a poll.
 
@@ -41,7 +42,7 @@
 
 
 def _get_latency_ratio(
-    minion: state.MinionRecord, tasks: Iterable[minions.RunningTask]
+    minion: minion_records.MinionRecord, tasks: Iterable[minions.RunningTask]
 ) -> float | None:
     """Returns the highest ratio of tail latency to its limit, or None."""
     ratios = []
--- a/tests/core/scheduling/test_random_kinds.py
+++ b/tests/core/scheduling/test_random_kinds.py
@@ -5,6 +5,7 @@
 
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import free_capacity
+from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import state
 from tests.core.scheduling.model import cell
 from tests.core.scheduling.model import scenarios
@@ -62,6 +63,6 @@
 
     def test_an_earlier_registration_that_counts_is_found(self) -> None:
         with mock.patch.object(
-            state.MinionRecord, "_is_registration_current", True
+            minion_records.MinionRecord, "_is_registration_current", True
         ):
             self.check_is_found()
