Let a denial end when its minion becomes of another kind (LOST, ROUTE's class)

What callers would see: shown by tests. Advice denied a step the only minion with room; it restarts under its id as another kind, which the advice may allow, and the step waits for up to 5 s before it asks again.

Fix: a minion's record keeps the incarnation that first registered its present service and labels; a denial of an earlier one ends with it. For the same kind it stands for 5 s as before ("which doesn't change", PROTOCOL.md on who may run a step). An owner that has not seen the earlier registration asks.

Ruled out: dropping denials at each restart. Each waiting step would make a call more for a minion that has most likely been denied for good; test_denials_stand_for_steps_that_wait_shortly holds that it doesn't.

Tests, failed before: test_restarted_minions.EarlierDenialTest, registration first and poll first ("[] != ['m0']"), and that the new kind's own denial stands (it was never asked about).

--- a/packages/core/hickoryreach/scheduling/eligibility.py
+++ b/packages/core/hickoryreach/scheduling/eligibility.py
@@ -126,15 +126,16 @@
 ) -> bool:
     """Returns whether a step must not use a minion, as far as is known.
 
-    An earlier incarnation may have been of another kind. Yet most restarts
-    change nothing, so that only a step that waits long asks again.
+    Advice is likely to be the same for a later incarnation of the same kind,
+    so that only a step that waits long asks about it again.
     """
     denied_incarnation = step.denied.get(minion_id)
     if denied_incarnation is None:
         return False
-    return (
-        denied_incarnation == cell.minions[minion_id].incarnation
-        or cell.now_ms < step.waiting_since_ms + RECHECK_WAIT_MS
+    minion = cell.minions[minion_id]
+    return denied_incarnation == minion.incarnation or (
+        denied_incarnation >= minion.kind_since
+        and cell.now_ms < step.waiting_since_ms + RECHECK_WAIT_MS
     )
 
 
--- a/packages/core/hickoryreach/scheduling/minion_records.py
+++ b/packages/core/hickoryreach/scheduling/minion_records.py
@@ -22,6 +22,8 @@
         incarnation: Incarnation that last answered a poll, or 0.
         incarnation_known_ms: When that one answered first, on the owner's
             clock.
+        kind_since: Incarnation that was the first one to register its present
+            service and labels, as far as this owner has seen.
         polled: Whether it has listed its running tasks since its last lease
             expired.
         reachable: Whether it answers polls.
@@ -42,6 +44,7 @@
     minion: cells.Minion
     incarnation: int = 0
     incarnation_known_ms: int = 0
+    kind_since: int = 0
     polled: bool = False
     reachable: bool = False
     unregistered: bool = False
@@ -67,6 +70,14 @@
             and not self.orphan_count
         )
 
+    def register(self, minion: cells.Minion) -> None:
+        """Records a registration."""
+        present = self.minion.service, self.minion.labels
+        if (minion.service, minion.labels) != present:
+            self.kind_since = minion.incarnation
+        self.minion = minion
+        self.unregistered = False
+
     def set_incarnation(self, incarnation: int, now_ms: int) -> None:
         """Records the incarnation that has answered a poll."""
         if incarnation != self.incarnation:
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -70,10 +70,11 @@
     """Adds a minion or updates its registration."""
     known = cell.minions.get(event.minion.minion_id)
     if known is None:
-        known = minion_records.MinionRecord(minion=event.minion)
+        known = minion_records.MinionRecord(
+            minion=event.minion, kind_since=event.minion.incarnation
+        )
         cell.minions[event.minion.minion_id] = known
-    known.minion = event.minion
-    known.unregistered = False
+    known.register(event.minion)
     known.leaves_ms = -1
     if event.minion.draining and event.minion.remaining_ms >= 0:
         known.leaves_ms = cell.now_ms + event.minion.remaining_ms
--- a/tests/core/scheduling/test_restarted_minions.py
+++ b/tests/core/scheduling/test_restarted_minions.py
@@ -234,6 +234,44 @@
         self.assertEqual(self.list_started(self.pass_time(1_000)), ["m0"])
 
 
+class EarlierDenialTest(RestartCase):
+    """A step's only minion was denied before it became of another kind (LOST).
+
+    Guards against a wait for a minion that a new kind may have opened.
+    """
+
+    minion_count = 1
+
+    def test_another_kind_is_asked_about_at_once(self) -> None:
+        self.advise(self.ask())
+        self.restart("m0", labels=("b", "r1"))
+        self.assertEqual(self.list_started(self.pass_time(1_000)), ["m0"])
+
+    def test_another_kind_is_asked_about_if_a_poll_shows_it_first(
+        self,
+    ) -> None:
+        self.advise(self.ask())
+        self.now_ms += 10
+        self.poll("m0", incarnation=LATER_BORN)
+        self.pass_time(500)
+        self.add_minion("m0", incarnation=LATER_BORN, labels=("b", "r1"))
+        self.assertEqual(self.list_started(self.pass_time(1_000)), ["m0"])
+
+    def test_same_kind_is_not_asked_about_at_once(self) -> None:
+        self.advise(self.ask())
+        self.restart("m0")
+        self.assertEqual(self.list_started(self.pass_time(1_000)), [])
+
+    def test_denial_of_the_new_kind_stands(self) -> None:
+        call = self.ask()
+        self.advise(call)
+        self.restart("m0", labels=("b", "r1"))
+        self.tick()
+        (call,) = self.get_effects(effects.AskAdvice)
+        self.advise(call)
+        self.assertEqual(self.list_started(self.pass_time(10_000)), [])
+
+
 class LimitTest(RestartCase):
     """A step whose only minion was denied before its restart."""
 
