Judge a restarted minion by its present incarnation alone

What callers would see: shown by tests. A minion that was slow, or on which a job had failed, restarts under its id and is sound. It counts as slow still, so that it is quarantined for 2.5 s with the next progress and its work evacuated early; one more failed job quarantines it for 4 s. Capacity that jobs wait for stays unused.

The record of a minion is kept under its id; its measured speed and its failed jobs were not reset with its incarnation.

Tests, failed before: test_pace, both new ones ("True is not false" for slowness, "['m1'] != ['m0']" for the failures).

--- a/tests/core/scheduling/test_pace.py
+++ b/tests/core/scheduling/test_pace.py
@@ -2,6 +2,7 @@
 
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import pace
 from tests.core.scheduling import cases
 
 
@@ -70,3 +71,37 @@
                 self.end(again)
         self.submit(cases.build_step())
         self.assertEqual([each.minion_id for each in self.get_starts()], ["m1"])
+
+    def test_the_slowness_of_an_earlier_incarnation_does_not_count(
+        self,
+    ) -> None:
+        """Guards against work kept off a minion that has become sound."""
+        self.submit(cases.build_step(estimate_ms=4_000))
+        (start,) = self.confirm_starts()
+        for percent in (0, 1, 2, 3):
+            self.poll_with_progress(start, percent, 500)
+        minion = self.cell.minions[start.minion_id]
+        self.assertTrue(pace.is_slow(self.cell, minion))
+        self.poll(start.minion_id, incarnation=2)
+        self.assertFalse(pace.is_slow(self.cell, minion))
+
+    def test_failures_of_an_earlier_incarnation_do_not_count(self) -> None:
+        """Guards against work kept off a minion that has become sound."""
+        for incarnation in (1, 2):
+            self.poll("m0", incarnation=incarnation)
+            self.submit(cases.build_step())
+            (start,) = self.confirm_starts()
+            self.assertEqual(start.minion_id, "m0")
+            self.poll("m0", incarnation=incarnation, running=(start,))
+            end = minions.TaskEnd(
+                number=1,
+                key=start.key,
+                run=start.number,
+                kind=minions.EndKind.FAILED,
+                checkpoint="",
+            )
+            self.poll("m0", incarnation=incarnation, ends=(end,))
+            for again in self.confirm_starts():
+                self.end(again)
+        self.submit(cases.build_step())
+        self.assertEqual([each.minion_id for each in self.get_starts()], ["m0"])
