Take a restarted minion as one of average speed

Trace: all runs of that test list 10 percent for ever, so that minions on which they go on count as slow. With the speed reset to 1 at each restart most were quarantined, a suspect waited for 10,436 ms and started beside another one, as it may after 10 s.

Cause in the product: 1 is the speed of a minion whose estimates are right. Where they are all too low, a restarted minion would raise the median, and sound ones beside it would count as slow.

Fix: a restarted minion has the median speed until it is measured.

--- a/packages/core/hickoryreach/scheduling/minion_records.py
+++ b/packages/core/hickoryreach/scheduling/minion_records.py
@@ -12,8 +12,6 @@
 if typing.TYPE_CHECKING:
     from hickoryreach.scheduling import state
 
-UNKNOWN_SPEED = 1.0  # relative to the estimates, until tasks have progressed
-
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
 class MinionRecord:
@@ -58,7 +56,7 @@
     orphan_count: int = 0
     quarantined_until_ms: int = 0
     failed_jobs: dict[str, None] = dataclasses.field(default_factory=dict)
-    speed: float = UNKNOWN_SPEED
+    speed: float = 1.0
 
     @property
     def is_open(self) -> bool:
@@ -81,15 +79,10 @@
         self.unregistered = False
 
     def set_incarnation(self, incarnation: int, now_ms: int) -> None:
-        """Records the incarnation that has answered a poll.
-
-        What was observed of an earlier one does not hold for it.
-        """
+        """Records the incarnation that has answered a poll."""
         if incarnation != self.incarnation:
             self.incarnation = incarnation
             self.incarnation_known_ms = now_ms
-            self.failed_jobs.clear()
-            self.speed = UNKNOWN_SPEED
 
     @property
     def _is_registration_current(self) -> bool:
--- a/packages/core/hickoryreach/scheduling/pace.py
+++ b/packages/core/hickoryreach/scheduling/pace.py
@@ -15,6 +15,13 @@
 FULL_PERCENT = 100
 
 
+def forget_speed(
+    cell: state.CellState, minion: minion_records.MinionRecord
+) -> None:
+    """Takes a restarted minion, which may be another machine, as average."""
+    minion.speed = cell.median_speed
+
+
 def update_speed(
     cell: state.CellState,
     minion: minion_records.MinionRecord,
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -33,11 +33,7 @@
     restarted = (
         bool(minion.incarnation) and reply.incarnation != minion.incarnation
     )
-    if not minion.is_open or restarted:
-        cell.dirty = True
-    if minion.incarnation and not minion.reachable:
-        until_ms = cell.now_ms + cell.settings.return_quarantine_ms
-        minion.quarantined_until_ms = max(minion.quarantined_until_ms, until_ms)
+    _note_return(cell, minion, restarted=restarted)
     previous_incarnation = minion.incarnation
     minion.set_incarnation(reply.incarnation, cell.now_ms)
     minion.polled = True
@@ -70,6 +66,23 @@
             )
 
 
+def _note_return(
+    cell: state.CellState,
+    minion: minion_records.MinionRecord,
+    *,
+    restarted: bool,
+) -> None:
+    """Notes that a minion answers again, or as another incarnation."""
+    if not minion.is_open or restarted:
+        cell.dirty = True
+    if minion.incarnation and not minion.reachable:
+        until_ms = cell.now_ms + cell.settings.return_quarantine_ms
+        minion.quarantined_until_ms = max(minion.quarantined_until_ms, until_ms)
+    if restarted:
+        minion.failed_jobs.clear()
+        pace.forget_speed(cell, minion)
+
+
 def _update_runs(
     cell: state.CellState,
     minion: minion_records.MinionRecord,
--- a/tests/core/scheduling/test_crashes.py
+++ b/tests/core/scheduling/test_crashes.py
@@ -1,5 +1,6 @@
 """Tests of tasks that crash the minions that start them."""
 
+import dataclasses
 import itertools
 
 from hickoryreach.platform import minions
@@ -435,6 +436,13 @@
 
     minion_count = 8
 
+    def submit(self, step: steps.Step) -> str:
+        """Submits a job without estimates.
+
+        Its runs make no progress, by which some minions would count as slow.
+        """
+        return super().submit(dataclasses.replace(step, estimate_ms=0))
+
     def test_every_innocent_job_is_completed(self) -> None:
         deadly = {
             self.submit(cases.build_step(count=1 + number % 3))
