--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -53,6 +53,7 @@
         minion: The minion.
         incarnation: Start of the minion's present incarnation, in ms since
             1970.
+        incarnation_known_ms: When that one first answered a poll.
         last_end_number: Number of the last end that was emitted.
         acknowledged: Ends up to this number are acknowledged with the next
             poll.
@@ -100,6 +101,7 @@
         )
         self.created_ms = clock.now_ms()
         self.incarnation = 0
+        self.incarnation_known_ms = 0
         self.clock_ms = 0
         self.clock_read_ms = 0
         self.deadline_ms = 0
@@ -117,6 +119,7 @@
         self.orders = orders.OrderSender(link=self)
         if previous is not None:
             self.incarnation = previous.incarnation
+            self.incarnation_known_ms = previous.incarnation_known_ms
             self.clock_ms = previous.clock_ms
             self.clock_read_ms = previous.clock_read_ms
             self.deadline_ms = previous.deadline_ms
@@ -220,14 +223,8 @@
         return min(POLL_WAIT_MS, (lease_ms or LEASE_MS) // POLLS_PER_LEASE)
 
     def handle_poll_reply(self, reply: minions.PollReply, sent_ms: int) -> None:
-        """Emits the running tasks and the new ends of a poll reply.
-
-        Ignores replies older than the last one by the minion's clock.
-        """
-        if (
-            reply.incarnation == self.incarnation
-            and reply.clock_ms < self.clock_ms
-        ):
+        """Emits the running tasks and the new ends of a poll reply."""
+        if self.is_outdated(reply, sent_ms):
             return
         if self.silent:
             log.info(
@@ -239,6 +236,7 @@
             )
         if reply.incarnation != self.incarnation:
             self.incarnation = reply.incarnation
+            self.incarnation_known_ms = clock.now_ms()
             self.last_end_number = self.acknowledged = 0
             self.deadline_ms = reply.clock_ms + self.get_unknown_lease_ms(reply)
             self.unsettled.clear()
@@ -263,6 +261,27 @@
         )
         self.polled.set()
 
+    def is_outdated(self, reply: minions.PollReply, sent_ms: int) -> bool:
+        """Returns whether a reply may be older than the last one.
+
+        Of two incarnations that answer overlapping polls, it is not known
+        which is the later one; the next poll shows it.
+        """
+        if reply.incarnation == self.incarnation:
+            return reply.clock_ms < self.clock_ms
+        if not self.incarnation or sent_ms > self.incarnation_known_ms:
+            return False
+        log.warning(
+            "reply_outdated",
+            extra={
+                "minion": self.minion.minion_id,
+                "incarnation": reply.incarnation,
+                "known": self.incarnation,
+                "age_ms": clock.now_ms() - sent_ms,
+            },
+        )
+        return True
+
     def get_unknown_lease_ms(self, reply: minions.PollReply) -> int:
         """Returns how long orders unknown to this link may hold a lease, in ms.
 
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -115,7 +115,7 @@
         latest_ms = self.link.estimate_clock() + 300
         gevent.sleep(0.15)
         with mock.patch.object(self.link.client, "start") as send:
-            send.return_value = result.Success(None)
+            send.return_value = result.Success(self.link.clock_ms)
             self.link.orders.start(decision)
         (order,) = send.call_args.args
         self.assertLessEqual(order.deadline_ms, latest_ms + CLOCK_STEP_MS)
@@ -310,6 +310,19 @@
         (answer,) = self.list_start_answers()
         self.assertTrue(answer.failure.effect_unknown)
 
+    def test_a_late_reply_of_the_previous_incarnation_is_ignored(self) -> None:
+        """Guards against runs that count as lost and start twice."""
+        late = self.events[-1]
+        self.model.be_reborn()
+        self.wait(lambda: self.link.incarnation == self.model.incarnation)
+        sent_ms = self.link.incarnation_known_ms - 1
+        known = self.count(events.MinionPolled)
+        with self.assertLogs(links.log) as logged:
+            self.link.handle_poll_reply(late.reply, sent_ms)
+        self.assertIn("reply_outdated", logged.output[0])
+        self.assertEqual(self.link.incarnation, self.model.incarnation)
+        self.assertEqual(self.count(events.MinionPolled), known)
+
     def learn_of_restart(self, order: minions.StartOrder) -> result.Result:
         """Leaves a start unanswered until a poll shows the restart."""
         self.wait(lambda: self.link.incarnation == self.model.incarnation)
