Send no start once the registration tells of a restart (ROUTE)

What callers would see: shown by a test. A start that was decided before its minion restarted under its id waits for a connection; the store tells of the new registration before a poll does. The start is sent and carried out by a minion that may be of another kind.

Cause: compares the incarnation that a start was decided for only with the one that answers polls. The reducer closes the minion at the registration already, so that only starts under way were left.

Fix: before each attempt both are compared.

Test, failed before: test_links.RestartedMinionTest. test_a_start_is_not_sent_once_the_restart_is_registered (the run was there).

--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -282,6 +282,15 @@
         )
         return True
 
+    def may_have_restarted(self, incarnation: int) -> bool:
+        """Returns whether a poll or the registration shows another incarnation.
+
+        Args:
+            incarnation: Incarnation of the minion, or 0 if it is not known.
+        """
+        shown = {self.incarnation, self.minion.incarnation}
+        return bool(incarnation) and not shown <= {0, incarnation}
+
     def get_unknown_lease_ms(self, reply: minions.PollReply) -> int:
         """Returns how long orders unknown to this link may hold a lease, in ms.
 
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -93,7 +93,7 @@
         )
         unclear = False
         for _ in range(START_ATTEMPTS):
-            if effect.incarnation not in (0, self.link.incarnation):
+            if self.link.may_have_restarted(effect.incarnation):
                 failure = minions.OrderFailure(reason="minion_restarted")
                 break
             failure = self.extract_failure(self.link.client.start(order))
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -115,7 +115,7 @@
         latest_ms = self.link.estimate_clock() + 300
         gevent.sleep(0.15)
         with mock.patch.object(self.link.client, "start") as send:
-            send.return_value = result.Success(self.link.clock_ms)
+            send.return_value = result.Success(None)
             self.link.orders.start(decision)
         (order,) = send.call_args.args
         self.assertLessEqual(order.deadline_ms, latest_ms + CLOCK_STEP_MS)
@@ -310,6 +310,18 @@
         (answer,) = self.list_start_answers()
         self.assertTrue(answer.failure.effect_unknown)
 
+    def test_a_start_is_not_sent_once_the_restart_is_registered(self) -> None:
+        """Guards against a start on another kind that registers first."""
+        self.link.greenlet.kill()
+        decision = self.build_earlier_start()
+        self.link.minion = dataclasses.replace(
+            self.link.minion, incarnation=self.model.incarnation
+        )
+        self.link.orders.start(decision)
+        self.assertEqual(self.model.runs, {})
+        (answer,) = self.list_start_answers()
+        self.assertFalse(answer.failure.effect_unknown)
+
     def test_a_late_reply_of_the_previous_incarnation_is_ignored(self) -> None:
         """Guards against runs that count as lost and start twice."""
         late = self.events[-1]
