Stop a run that a restarted minion of another kind has begun (ROUTE)

What callers would see: shown by tests. A minion crashes and is back under its id, as another kind, before any poll fails.

Fix: a run keeps the incarnation that it was decided for. If its minion answers as another one, and the registration of that one lacks the step's label or service, the run is stopped at once and its task waits again, without an attempt. A confirmation with a clock that has gone back polls the minion at once. A run on a minion of the same kind goes on, as asks (TWICE).

LateStartTest's stub answers with a clock now, as StartOrder's result says, instead of None.

--- a/packages/core/hickoryreach/scheduling/minion_records.py
+++ b/packages/core/hickoryreach/scheduling/minion_records.py
@@ -64,7 +64,7 @@
         return (
             self.polled
             and self.reachable
-            and self._is_registration_current
+            and self.is_registration_current
             and not self.unregistered
             and not self.minion.draining
             and not self.orphan_count
@@ -85,7 +85,7 @@
             self.incarnation_known_ms = now_ms
 
     @property
-    def _is_registration_current(self) -> bool:
+    def is_registration_current(self) -> bool:
         """Whether the incarnation that answers polls is the registered one.
 
         Another one may be of another kind; which of the two is the later one
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -135,6 +135,7 @@
         key=key,
         number=number,
         minion_id=minion_id,
+        incarnation=minion.incarnation,
         step=step,
         need=step.need,
         limit_need=step.limit_need,
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -9,6 +9,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import minion_records
+from hickoryreach.scheduling import misplaced_runs
 from hickoryreach.scheduling import orphans
 from hickoryreach.scheduling import pace
 from hickoryreach.scheduling import runs
@@ -64,6 +65,7 @@
             yield from lifecycle.drop_run(
                 cell, run, reason, invalidate=restarted
             )
+    yield from misplaced_runs.stop_all(cell, minion)
 
 
 def _note_return(
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -13,6 +13,7 @@
 from hickoryreach.scheduling import gangs
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import minion_records
+from hickoryreach.scheduling import misplaced_runs
 from hickoryreach.scheduling import orders
 from hickoryreach.scheduling import orphans
 from hickoryreach.scheduling import pace
@@ -79,7 +80,7 @@
     if event.minion.draining and event.minion.remaining_ms >= 0:
         known.leaves_ms = cell.now_ms + event.minion.remaining_ms
     cell.dirty = True
-    yield from ()
+    yield from misplaced_runs.stop_all(cell, known)
 
 
 @handlers.register(events.MinionUnregistered)
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -60,6 +60,8 @@
         key: The task.
         number: Number of the run; increases with each start of the task.
         minion_id: Id of the minion that it was started on.
+        incarnation: Incarnation of the minion that it was decided for; 0 if
+            that is not known.
         step: The step, or None if the run belongs to no known step.
         need: What it occupies of the minion's capacity.
         limit_need: What it occupies of its workspace's limit.
@@ -93,6 +95,7 @@
     percent: int = 0
     progress_ms: int = 0
     listed_ms: int = -1
+    incarnation: int = 0
     checkpoint: str = ""
     share: int = 100
     has_known_size: bool = True
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -96,7 +96,7 @@
             if self.link.may_have_restarted(effect.incarnation):
                 failure = minions.OrderFailure(reason="minion_restarted")
                 break
-            failure = self.extract_failure(self.link.client.start(order))
+            failure = self.try_start(order)
             if failure is None or failure.refusal is minions.Refusal.STALE_RUN:
                 return failure
             if not failure.effect_unknown:
@@ -108,6 +108,34 @@
             )
         return failure
 
+    def try_start(
+        self, order: minions.StartOrder
+    ) -> minions.OrderFailure | None:
+        """Sends a start order once; returns the failure, or None.
+
+        A clock that is behind what the minion has told before has started
+        anew, and the minion with it; what it has become is asked at once.
+        """
+        known_ms = self.link.clock_ms
+        order_result = self.link.client.start(order)
+        if isinstance(order_result, result.Failure):
+            return self.extract_failure(order_result)
+        clock_ms = order_result.unwrap()
+        if clock_ms < known_ms:
+            log.warning(
+                "start_met_restart",
+                extra={
+                    "task": minions.format_task(order.key),
+                    "run": order.run,
+                    "minion": self.link.minion.minion_id,
+                    "incarnation": self.link.incarnation,
+                    "clock_ms": clock_ms,
+                    "known_ms": known_ms,
+                },
+            )
+            self.link.poll_now()
+        return None
+
     def stop(self, effect: effects.StopTask) -> None:
         """Sends a stop order and emits whether it was confirmed."""
         order_result = self.link.client.stop(
--- a/tests/core/scheduling/test_random_kinds.py
+++ b/tests/core/scheduling/test_random_kinds.py
@@ -63,6 +63,6 @@
 
     def test_an_earlier_registration_that_counts_is_found(self) -> None:
         with mock.patch.object(
-            minion_records.MinionRecord, "_is_registration_current", True
+            minion_records.MinionRecord, "is_registration_current", True
         ):
             self.check_is_found()
--- a/tests/core/scheduling/test_restarted_minions.py
+++ b/tests/core/scheduling/test_restarted_minions.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
 from hickoryreach.scheduling import events
@@ -114,6 +115,79 @@
         self.assertEqual(self.list_started(self.pass_time(3_000)), ["m0"])
 
 
+class UnseenRestartTest(cases.CellCase):
+    """A start is carried out by an incarnation that it was not decided for.
+
+    Guards against work that goes on on a minion of another kind (ROUTE).
+    """
+
+    minion_count = 1
+
+    def begin(self) -> effects.StartTask:
+        """Returns a start that has not been answered yet."""
+        self.add_minion("m0", incarnation=STORED_BORN)
+        self.submit(cases.build_step(label="a"))
+        (start,) = self.get_starts()
+        return start
+
+    def become(self, kind: str) -> None:
+        """Lets the minion register its next incarnation."""
+        self.add_minion("m0", incarnation=LATER_BORN, labels=(kind, "r1"))
+
+    def show(self, start: effects.StartTask) -> None:
+        """Lets the minion list a run in its next incarnation."""
+        self.poll("m0", incarnation=LATER_BORN, running=(start,))
+
+    def test_a_run_is_stopped_once_the_registration_follows(self) -> None:
+        start = self.begin()
+        self.show(start)
+        self.assertEqual(self.get_stops(), [])
+        self.become("b")
+        self.assertEqual([each.key for each in self.get_stops()], [start.key])
+
+    def test_a_run_is_stopped_once_a_poll_shows_it(self) -> None:
+        start = self.begin()
+        self.become("b")
+        self.assertEqual(self.get_stops(), [])
+        self.show(start)
+        self.assertEqual([each.key for each in self.get_stops()], [start.key])
+
+    def test_a_confirmed_run_is_stopped(self) -> None:
+        start = self.begin()
+        sent_ms = self.now_ms
+        self.confirm(start)
+        self.poll("m0", incarnation=LATER_BORN, sent_ms=sent_ms)
+        self.become("b")
+        self.assertEqual([each.key for each in self.get_stops()], [start.key])
+
+    def test_a_run_on_a_minion_of_the_same_kind_goes_on(self) -> None:
+        start = self.begin()
+        self.show(start)
+        self.become("a")
+        self.show(start)
+        self.assertEqual(self.get_stops(), [])
+        self.assertEqual(len(self.list_running("m0")), 1)
+
+    def test_its_task_waits_for_its_end_and_for_a_minion_of_its_kind(
+        self,
+    ) -> None:
+        start = self.begin()
+        self.show(start)
+        self.become("b")
+        self.add_minion("m1")
+        self.poll("m1")
+        self.assertEqual(self.get_starts(), [])
+        end = minions.TaskEnd(
+            number=1,
+            key=start.key,
+            run=start.number,
+            kind=minions.EndKind.STOPPED,
+            checkpoint="",
+        )
+        self.poll("m0", incarnation=LATER_BORN, ends=(end,))
+        self.assertEqual([each.minion_id for each in self.get_starts()], ["m1"])
+
+
 class EarlierAdviceTest(RestartCase):
     """Advice on an earlier incarnation is none on the present one."""
 
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -115,7 +115,7 @@
         latest_ms = self.link.estimate_clock() + 300
         gevent.sleep(0.15)
         with mock.patch.object(self.link.client, "start") as send:
-            send.return_value = result.Success(None)
+            send.return_value = result.Success(self.link.clock_ms)
             self.link.orders.start(decision)
         (order,) = send.call_args.args
         self.assertLessEqual(order.deadline_ms, latest_ms + CLOCK_STEP_MS)
@@ -322,6 +322,24 @@
         (answer,) = self.list_start_answers()
         self.assertFalse(answer.failure.effect_unknown)
 
+    def test_a_start_that_the_next_incarnation_confirms_shows_it(self) -> None:
+        """Guards against work that goes on on a minion of another kind."""
+        self.link.greenlet.kill()
+        with self.assertLogs(links.orders.log) as logged:
+            self.link.orders.start(self.build_earlier_start())
+        self.assertIn("start_met_restart", logged.output[0])
+        self.wait(lambda: self.link.incarnation == self.model.incarnation)
+        reply = self.events[-1].reply
+        self.assertEqual([each.key.job_id for each in reply.running], ["j"])
+
+    def test_starts_of_the_same_incarnation_show_no_restart(self) -> None:
+        with self.assertNoLogs(links.orders.log, "WARNING"):
+            for number in range(1, 20):
+                self.start('{"work_ms": 10}', number)
+                gevent.sleep(0.02)
+        failures = [each.failure for each in self.list_start_answers()]
+        self.assertEqual(failures, 19 * [None])
+
     def test_a_late_reply_of_the_previous_incarnation_is_ignored(self) -> None:
         """Guards against runs that count as lost and start twice."""
         late = self.events[-1]
