Stop an adopted run on a minion without its label (ROUTE)

What callers would see: shown by a test. A minion that restarts as another kind carries out a start before its restart is known, and the cell is taken over before the owner could stop it. The new owner adopts the run, which goes on there.

Cause: the new owner doesn't know which incarnation a listed run was decided for. It knows what the run's step requires and what the minion is.

Fix: an adopted run is stopped if its minion lacks the label. The service isn't looked at for it: the run may have begun while its queue had another one.

Test, failed before: test_restarted_minions.AdoptedRunTest. test_a_run_without_its_label_is_stopped (no stop).

--- a/packages/core/hickoryreach/scheduling/misplaced_runs.py
+++ b/packages/core/hickoryreach/scheduling/misplaced_runs.py
@@ -4,6 +4,7 @@
 
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import eligibility
+from hickoryreach.scheduling import free_capacity
 from hickoryreach.scheduling import lifecycle
 from hickoryreach.scheduling import minion_records
 from hickoryreach.scheduling import state
@@ -20,7 +21,19 @@
     if cell.configuration is None or not minion.is_registration_current:
         return
     for run in list(minion.runs.values()):
-        if run.step is None or run.incarnation in (0, minion.incarnation):
+        if run.step is None or run.incarnation == minion.incarnation:
             continue
-        if not eligibility.is_of_kind(cell, run.step, run.minion_id):
+        if not _may_run(cell, minion, run):
             yield from lifecycle.stop(cell, run, "other_kind")
+
+
+def _may_run(
+    cell: state.CellState, minion: minion_records.MinionRecord, run: state.Run
+) -> bool:
+    """Returns whether a minion has the label and service that a run needs.
+
+    An adopted run may have begun when its queue had another service.
+    """
+    if not run.incarnation:
+        return free_capacity.has_label(minion, run.step)
+    return eligibility.is_of_kind(cell, run.step, run.minion_id)
--- a/tests/core/scheduling/test_restarted_minions.py
+++ b/tests/core/scheduling/test_restarted_minions.py
@@ -9,6 +9,7 @@
 from hickoryreach.scheduling import free_capacity
 from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import workspace_limits
+from hickoryreach.structure import steps
 from tests.core.scheduling import cases
 from tests.core.scheduling import test_crashes
 from tests.core.scheduling import test_placement
@@ -188,6 +189,34 @@
         self.assertEqual([each.minion_id for each in self.get_starts()], ["m1"])
 
 
+class AdoptedRunTest(cases.CellCase):
+    """A new owner finds a run of its predecessor on a minion of another kind.
+
+    Guards against work that goes on there after a takeover (ROUTE).
+    """
+
+    minion_count = 1
+
+    def adopt(self, *labels: str) -> list[effects.StopTask]:
+        """Lets a minion list a run of a recovered job; returns the stops."""
+        self.add_minion("m0", incarnation=STORED_BORN, labels=labels)
+        self.cell.minions["m0"].polled = False
+        job = self.build_job(cases.build_step(label="a"))
+        self.apply(events.JobRecovered(job=job))
+        key = steps.TaskKey(job_id=job.job_id, repeat=0, step=0, index=0)
+        run = cases.build_listed_run(key, 7, "m0")
+        self.poll("m0", incarnation=STORED_BORN, running=(run,))
+        return self.get_stops()
+
+    def test_a_run_without_its_label_is_stopped(self) -> None:
+        (stop,) = self.adopt("b", "r1")
+        self.assertEqual(stop.number, 7)
+
+    def test_a_run_with_its_label_goes_on(self) -> None:
+        self.assertEqual(self.adopt("a", "r1"), [])
+        self.assertEqual(len(self.list_running("m0")), 1)
+
+
 class EarlierAdviceTest(RestartCase):
     """Advice on an earlier incarnation is none on the present one."""
 
