Keep suspects apart for 2 s only in a calm cell (LOST)

What callers would see: shown by a test.

Cause: gave the wait for an empty minion a shorter bound in a calm cell, not the wait for one without suspects.

Fix: one bound of 2 s for both while most of the service is idle. The price is that a crash there counts for both.

Test, failed before: test_suspect_waits.CalmCellTest. test_a_suspect_starts_within_three_seconds_of_another_one ("[1, 0] != [1, 1]").

--- a/packages/core/hickoryreach/scheduling/solitude.py
+++ b/packages/core/hickoryreach/scheduling/solitude.py
@@ -16,8 +16,8 @@
 RESERVATION_LIMIT_MS = 30_000
 SOLITARY_SERVICE_MS = 5_000
 SOLITUDE_LIMIT_MS = 6_000
-CALM_SOLITUDE_LIMIT_MS = 2_000  # while most of the service is idle
 APART_LIMIT_MS = 10_000
+CALM_LIMIT_MS = 2_000  # in place of these two while most of a service is idle
 SERVICE_LIMIT_MS = 1_000  # for services, whose absence counts after seconds
 NONE: frozenset[str] = frozenset()
 
@@ -117,10 +117,7 @@
 
     One crash more is better than a wait without a bound.
     """
-    limit_ms = SOLITUDE_LIMIT_MS
-    if _is_calm(cell, step):
-        limit_ms = CALM_SOLITUDE_LIMIT_MS
-    return _has_waited(cell, step, limit_ms)
+    return _has_waited(cell, step, SOLITUDE_LIMIT_MS)
 
 
 def may_join_suspects(cell: state.CellState, step: state.StepRecord) -> bool:
@@ -138,9 +135,17 @@
 def _has_waited(
     cell: state.CellState, step: state.StepRecord, limit_ms: int
 ) -> bool:
-    """Returns whether a step has lacked a minion for a suspect for a time."""
+    """Returns whether a step has lacked a minion for a suspect for too long.
+
+    Args:
+        cell: State of the cell.
+        step: The step.
+        limit_ms: How long it may in a busy cell.
+    """
     if step.step.lasting:
         limit_ms = SERVICE_LIMIT_MS
+    elif _is_calm(cell, step):
+        limit_ms = CALM_LIMIT_MS
     return 0 <= step.suspect_since_ms <= cell.now_ms - limit_ms
 
 
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -341,6 +341,23 @@
 
     minion_count = 4
 
+    def test_a_suspect_starts_within_three_seconds_of_another_one(
+        self,
+    ) -> None:
+        """Guards against a wait for a minion without suspects (LOST)."""
+        self.add_minion("m0", labels=("only", "r1"))
+        self.apply(events.MinionUnreachable(minion_id="m0"))
+        long = cases.build_step(label="only", estimate_ms=600_000)
+        job_ids = [self.submit(long) for _ in range(2)]
+        for job_id in job_ids:
+            count_crashes(self, job_id, 2)
+        for _ in range(32):
+            self.confirm_all()
+            self.tick()
+        self.assertEqual(
+            [len(self.find_runs(job_id)) for job_id in job_ids], [1, 1]
+        )
+
     def test_a_task_that_must_run_alone_starts_within_three_seconds(
         self,
     ) -> None:
