--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,10 +12,13 @@
 
 from standins import proxy
 from standins.users import cell
+from standins.users import platform
 
 Fault = Callable[["Trouble"], None]
 
 LIMITS_CPU = (4_000, 8_000, 24_000)
+KINDS = ("a", "b")
+HEARTBEAT_S = 1.5
 
 faults: dict[str, Fault] = {}
 
@@ -204,6 +207,38 @@
     users.register(minion)
 
 
+@register
+def change_kind(trouble: Trouble) -> None:
+    """Lets a minion crash and return under its id, of any kind.
+
+    It is away for long enough for a poll to fail. It may answer polls before
+    it is registered anew, or the other way round. A cut minion is left out, as
+    what the proxy holds back for it would reach its next life. One minion of
+    each kind keeps it.
+    """
+    users = trouble.cell.users
+    minion_id = trouble.pick_minion()
+    if any(rule.target == minion_id for rule in trouble.network.rules):
+        return
+    minion = users.minions[minion_id]
+    users.gone.add(minion_id)
+    for run in list(minion.runs.values()):
+        minion.end(run, "crashed")
+    minion.silent = True
+    trouble.wait(1.5, 4.0)
+    minion.be_reborn()
+    if minion_id not in list(users.minions)[: len(KINDS)]:
+        minion.kind = trouble.generator.choice(KINDS)
+    answers_first = trouble.generator.random() < 0.5
+    minion.silent = not answers_first
+    if not answers_first:
+        users.register(minion)
+    trouble.wait(0.0, HEARTBEAT_S)
+    minion.silent = False
+    users.register(minion)
+    users.gone.discard(minion_id)
+
+
 @register
 def lose_registration(trouble: Trouble) -> None:
     """Lets a minion's registration expire while the minion works on."""
@@ -228,3 +263,10 @@
     users = trouble.cell.users
     users.limit_cpu = trouble.generator.choice(LIMITS_CPU)
     users.configure(users.store.revision)
+
+
+def assign_kinds(users: platform.Platform) -> None:
+    """Registers the minions as of each kind in turn."""
+    for index, minion in enumerate(users.minions.values()):
+        minion.kind = KINDS[index % len(KINDS)]
+        users.register(minion)
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -9,6 +9,7 @@
 from gevent import pool
 
 from soak import faults
+from soak import waits
 from standins import proxy
 from standins.users import cell
 from standins.users import checker
@@ -20,6 +21,7 @@
 SETTLE_S = 40.0
 HAND_IN_GAP_S = 0.08
 CANCEL_EACH = 9
+LABEL_EACH = 4
 STRIKES_AT_ONCE = 2
 
 
@@ -30,6 +32,8 @@
         accepted: Ids of accepted jobs that nobody cancels.
         cancelled: Ids of jobs that were cancelled.
         refused: Ids of jobs of which each hand-in was refused.
+        labels: Labels that jobs require, by job.
+        has_kinds: Whether minions are of several kinds and jobs require them.
         seed: Seed of what is drawn.
         struck: Faults in the order in which they began.
     """
@@ -65,9 +69,13 @@
         self.accepted: list[str] = []
         self.cancelled: list[str] = []
         self.refused: list[str] = []
+        self.labels: dict[str, str] = {}
         self.struck: list[str] = []
         self.callers = pool.Group()
         self.stopping = False
+        self.has_kinds = faults.change_kind.__name__ in self.names
+        if self.has_kinds:
+            faults.assign_kinds(self.cell.users)
 
     def run(self, seconds: float) -> list[str]:
         """Runs callers and faults, waits for calm; returns what is wrong."""
@@ -112,9 +120,13 @@
         """Hands one job in."""
         job_id = f"{self.generator.getrandbits(64):016x}"
         work_ms = self.generator.choice([50, 300, 1_500])
+        step = {"count": TASKS, "cpu": TASK_CPU}
+        if self.has_kinds and number % LABEL_EACH == 0:
+            label = faults.KINDS[number // LABEL_EACH % len(faults.KINDS)]
+            self.labels[job_id] = step["requires"] = label
         try:
             status = self.cell.submit_as(
-                entry, job_id, {"work_ms": work_ms}, count=TASKS, cpu=TASK_CPU
+                entry, job_id, {"work_ms": work_ms}, **step
             )
         except OSError:
             return
@@ -132,10 +144,17 @@
             return
 
     def find_unfinished(self) -> list[str]:
-        """Returns the accepted jobs that are not completed in time."""
+        """Returns the accepted jobs that wait or are not completed in time."""
         deadline = time.monotonic() + SETTLE_S
         left = list(self.accepted)
+        judge = waits.Judge(
+            whole=self.cell,
+            labels=self.labels,
+            tasks=TASKS,
+            task_cpu=TASK_CPU,
+        )
         while left and time.monotonic() < deadline:
+            judge.watch(left)
             left = [
                 job_id
                 for job_id in left
@@ -143,8 +162,11 @@
             ]
             gevent.sleep(0.2)
         return [
-            f"{job_id} is {self.cell.get_state(job_id) or 'unknown'}"
-            for job_id in left
+            *judge.found.values(),
+            *(
+                f"{job_id} is {self.cell.get_state(job_id) or 'unknown'}"
+                for job_id in left
+            ),
         ]
 
     def find_faults(self) -> list[str]:
@@ -155,6 +177,7 @@
         capacity = next(iter(self.cell.users.minions.values())).cpu
         return [
             *checker.find_faults(seen, completed),
+            *checker.find_misplaced(seen, self.labels),
             *checker.find_overcommits(seen, TASK_CPU, capacity),
             *checker.find_limit_breaches(
                 seen, dict.fromkeys(begun, SIZE), self.cell.users.limits
--- a/standins/users/checker.py
+++ b/standins/users/checker.py
@@ -146,6 +146,25 @@
     return faults
 
 
+def find_misplaced(
+    seen: Iterable[minions.Begun], labels: Mapping[str, str]
+) -> list[str]:
+    """Returns starts on minions without the label that their job requires.
+
+    Args:
+        seen: What the minions have begun and ended, in order.
+        labels: Labels by job; jobs without one require none.
+    """
+    return [
+        f"{each.task} requires {labels[job_id]} and starts on "
+        f"{each.minion_id} of kind {each.kind} at {each.at_s:.3f}"
+        for each in seen
+        if each.what == "start"
+        and (job_id := each.task.split(".", 1)[0]) in labels
+        and labels[job_id] != each.kind
+    ]
+
+
 def find_limit_breaches(
     seen: Iterable[minions.Begun],
     sizes: Mapping[str, TaskSize],
--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -16,6 +16,7 @@
 CRASH_DELAY_S = 0.05
 CRASHED = "crashed"
 GANG_WAIT_MS = 3_000
+DEFAULT_KIND = "a"
 
 
 @dataclasses.dataclass(slots=True)
@@ -84,7 +85,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Begun:
-    """What a checker looks at: a start, an end, or an end's being noted."""
+    """What a checker looks at: a start, an end, or an end's being noted.
+
+    `kind` is that of the minion in the life in which it happened.
+    """
 
     what: str
     task: str
@@ -92,6 +96,7 @@
     minion_id: str
     at_s: float
     how: str = ""
+    kind: str = ""
 
 
 class Minion:
@@ -104,6 +109,7 @@
 
     Attributes:
         minion_id: Its id.
+        kind: Its kind, which is one of its labels.
         runs: Present runs by task.
         ends: Ends that were not acknowledged, by number.
         token: Highest fencing token seen.
@@ -133,6 +139,7 @@
     ) -> None:
         """Creates a minion that runs nothing."""
         self.minion_id = minion_id
+        self.kind = DEFAULT_KIND
         self.cpu = cpu
         self.hold_limit_ms = hold_limit_ms
         self.seen = seen if seen is not None else []
@@ -227,6 +234,7 @@
                 minion_id=self.minion_id,
                 at_s=time.monotonic(),
                 how=how,
+                kind=self.kind,
             )
         )
 
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -167,7 +167,7 @@
             "state": "draining" if draining else "ready",
             "coldLeftMs": 0,
             "capacity": {"cpu": minion.cpu, "memMb": 32_768, "gpu": 0},
-            "labels": ["a", f"r1-{index // 6}"],
+            "labels": [minion.kind, f"r1-{index // 6}"],
             "clockMs": int(minion.get_clock()),
             "born": minion.incarnation,
             "seq": int(time.monotonic() * 1000),
--- a/tests/integration/broken_cell.py
+++ b/tests/integration/broken_cell.py
@@ -11,8 +11,10 @@
 import sys  # noqa: E402
 
 from hickoryreach.decisions import registry  # noqa: E402
+from hickoryreach.scheduling import minion_records  # noqa: E402
 from hickoryreach.scheduling import runs  # noqa: E402
 from hickoryreach_entry import __main__ as entry_main  # noqa: E402
+from hickoryreach_entry.cell import links  # noqa: E402
 from hickoryreach_entry.cell import progress  # noqa: E402
 from hickoryreach_entry.cell import recovery  # noqa: E402
 
@@ -41,6 +43,13 @@
     recovery.get_uncertain_until_ms = lambda owner: 0
 
 
+@removals.register("incarnations")
+def remove_incarnations() -> None:
+    """A registration counts for whichever incarnation answers polls."""
+    minion_records.MinionRecord.is_registration_current = True
+    links.MinionLink.may_have_restarted = lambda self, incarnation: False
+
+
 @removals.register("room")
 def remove_room() -> None:
     """Runs take up no room."""
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -6,7 +6,11 @@
 from soak import trial
 
 SECONDS = 10.0
-LATER = {"lose_registration", "change_limit"}  # drawn since these seeds failed
+LATER = {  # drawn since these seeds failed
+    "lose_registration",
+    "change_limit",
+    "change_kind",
+}
 
 
 class SoakTest(unittest.TestCase):
--- a/tests/integration/test_soak_removed.py
+++ b/tests/integration/test_soak_removed.py
@@ -1,7 +1,9 @@
 """The soak finds each protection that is taken out."""
 
+from collections.abc import Iterable
 import unittest
 
+from soak import faults
 from soak import trial
 from tests.integration import cases
 
@@ -12,15 +14,27 @@
 
 @cases.long_only
 class SoakRemovedTest(unittest.TestCase):
-    """One test for each of three protections of the users' cell."""
-
-    def find_without(self, protection: str, words: str) -> None:
-        """Runs seeds until one finds faults that hold some words."""
+    """One test for each of four protections of the users' cell."""
+
+    def find_without(
+        self,
+        protection: str,
+        words: str,
+        names: Iterable[str] = tuple(faults.faults),
+    ) -> None:
+        """Runs seeds until one finds faults that hold some words.
+
+        Args:
+            protection: What is taken out.
+            words: Part of a line that must be found.
+            names: Faults to draw from.
+        """
         for seed in SEEDS:
             soak = trial.Soak(
                 seed=seed,
                 entries=4,
                 minions=6,
+                names=names,
                 module=f"{MODULE} {protection}",
             )
             try:
@@ -37,5 +51,8 @@
     def test_a_takeover_that_asks_no_minion(self) -> None:
         self.find_without("looks", "runs twice")
 
+    def test_a_registration_of_another_incarnation(self) -> None:
+        self.find_without("incarnations", " requires ", {"change_kind"})
+
     def test_runs_that_take_no_room(self) -> None:
         self.find_without("room", " tasks")
--- /dev/null
+++ b/tests/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the soak's own judges."""
--- a/tests/standins/test_users_checker.py
+++ b/tests/standins/test_users_checker.py
@@ -89,3 +89,19 @@
         self.assertEqual(
             checker.find_limit_breaches(seen, self.sizes, [limit]), []
         )
+
+
+class MisplacedTest(unittest.TestCase):
+    """Starts on minions that may lack the label of a job."""
+
+    def find(self, kind: str, what: str = "start") -> list[str]:
+        """Returns what is found of one start on a minion of a kind."""
+        begun = minions.Begun(what, TASK, 1, "m", 0.0, "", kind)
+        return checker.find_misplaced([begun], {"0a": "a"})
+
+    def test_a_start_without_the_label_is_found(self) -> None:
+        (fault,) = self.find("b")
+        self.assertIn("requires a", fault)
+
+    def test_a_start_with_it_and_an_end_are_not(self) -> None:
+        self.assertEqual(self.find("a") + self.find("b", "end"), [])
