Withdraw starts that wait for a connection to a restarted minion (ROUTE)

A minion crashes, is silent for 1.5 to 4 s, and is back under its id as another kind.

Fix: whether a start may be sent is asked once its call has a connection: not if the minion is silent, has restarted by a poll or by its registration, or the decision has expired. What was not sent is known not to run, so that its task is placed elsewhere at once, not after it expires.

Tests, failed before: test_links.RestartedMinionTest. test_a_start_that_waits_for_a_connection_is_not_sent_after_a_restart and test_a_start_that_waits_is_not_sent_to_a_silent_minion (the runs were there). test_a_start_is_not_repeated_to_the_next_incarnation counts the orders that may be sent, as the comparison is now made by the client; still exactly one.

--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -1,5 +1,6 @@
 """HTTP client for JSON bodies over persistent connections."""
 
+from collections.abc import Callable
 import dataclasses
 import http.client
 import logging
@@ -140,15 +141,31 @@
             headers=dict(headers or {}),
         )
 
-    def call(self, method: str, path: str, body: object = None) -> CallResult:
+    def call(
+        self,
+        method: str,
+        path: str,
+        body: object = None,
+        *,
+        may_send: Callable[[], bool] = lambda: True,
+    ) -> CallResult:
         """Sends one request and reads the whole response.
 
         A call of a closed client fails and is not sent.
+
+        Args:
+            method: HTTP method.
+            path: Path with its query.
+            body: What the body encodes, or None without one.
+            may_send: Returns whether the call is still to be sent, once there
+                is a connection for it.
         """
         self.free_connections.acquire()
         try:
             if self.closed:
                 return self._build_failure("client closed", is_sent=False)
+            if not may_send():
+                return self._build_failure("withdrawn", is_sent=False)
             return self._send(method, path, body)
         finally:
             self.free_connections.release()
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -10,6 +10,7 @@
 from gevent import event as gevent_event
 from returns import result
 
+from hickoryreach.platform import minion_client
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
@@ -94,7 +95,7 @@
         self.get_terms = get_terms
         self.emit = emit
         self.on_fenced = on_fenced
-        self.client = minions.MinionClient(
+        self.client = minion_client.MinionClient(
             minion_id=minion.minion_id,
             address=minion.address,
             poll_wait_ms=POLL_WAIT_MS,
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -71,8 +71,8 @@
         Retries are safe because a minion accepts the same run only once.
         After an attempt without a response, a refusal of the next one does
         not prove that the run cannot begin, so its effect stays unknown.
-        Nothing is sent to another incarnation than it was decided for, which
-        may be of another kind under the same id.
+        Nothing is sent to a silent minion, nor to another incarnation than it
+        was decided for, which may be of another kind under the same id.
 
         Returns:
             The failure, or None if the start was confirmed.
@@ -93,10 +93,7 @@
         )
         unclear = False
         for _ in range(START_ATTEMPTS):
-            if self.link.may_have_restarted(effect.incarnation):
-                failure = minions.OrderFailure(reason="minion_restarted")
-                break
-            failure = self.try_start(order)
+            failure = self.try_start(effect, order)
             if failure is None or failure.refusal is minions.Refusal.STALE_RUN:
                 return failure
             if not failure.effect_unknown:
@@ -108,8 +105,20 @@
             )
         return failure
 
+    def may_send(self, effect: effects.StartTask) -> bool:
+        """Returns whether a start may be sent now.
+
+        It may have waited for a connection while the minion fell silent or
+        restarted.
+        """
+        return (
+            not self.link.silent
+            and clock.now_ms() < effect.valid_until_ms
+            and not self.link.may_have_restarted(effect.incarnation)
+        )
+
     def try_start(
-        self, order: minions.StartOrder
+        self, effect: effects.StartTask, order: minions.StartOrder
     ) -> minions.OrderFailure | None:
         """Sends a start order once; returns the failure, or None.
 
@@ -117,7 +126,9 @@
         anew, and the minion with it; what it has become is asked at once.
         """
         known_ms = self.link.clock_ms
-        order_result = self.link.client.start(order)
+        order_result = self.link.client.start(
+            order, lambda: self.may_send(effect)
+        )
         if isinstance(order_result, result.Failure):
             return self.extract_failure(order_result)
         clock_ms = order_result.unwrap()
--- a/tests/core/platform/test_minions.py
+++ b/tests/core/platform/test_minions.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from hickoryreach.platform import http
+from hickoryreach.platform import minion_client
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import events
 from tests.core.scheduling import cases
@@ -47,7 +48,7 @@
         super().setUp()
         self.submit(cases.build_step(2))
         self.starts = self.confirm_starts()
-        self.client = minions.MinionClient(
+        self.client = minion_client.MinionClient(
             minion_id="m0", address="127.0.0.1:1", poll_wait_ms=100
         )
         self.addCleanup(self.client.close)
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -1,5 +1,6 @@
 """Tests of the link to a minion, against a stand-in of the minion."""
 
+from collections.abc import Callable
 import dataclasses
 import unittest
 from unittest import mock
@@ -20,6 +21,7 @@
 
 LEASE_MS = 800
 HOLD_LIMIT_MS = 6_000
+ORDER_CONNECTIONS = 4
 CLOCK_STEP_MS = 20  # by which a poll may correct the estimate of a clock
 
 
@@ -117,7 +119,7 @@
         with mock.patch.object(self.link.client, "start") as send:
             send.return_value = result.Success(self.link.clock_ms)
             self.link.orders.start(decision)
-        (order,) = send.call_args.args
+        order, _ = send.call_args.args
         self.assertLessEqual(order.deadline_ms, latest_ms + CLOCK_STEP_MS)
 
     def test_expired_start_is_not_sent(self) -> None:
@@ -302,11 +304,12 @@
 
     def test_a_start_is_not_repeated_to_the_next_incarnation(self) -> None:
         decision = self.build_earlier_start()
+        self.sent: list[minions.StartOrder] = []
         with mock.patch.object(
             self.link.client, "start", side_effect=self.learn_of_restart
-        ) as sent:
+        ):
             self.link.orders.start(decision)
-        self.assertEqual(sent.call_count, 1)
+        self.assertEqual(len(self.sent), 1)
         (answer,) = self.list_start_answers()
         self.assertTrue(answer.failure.effect_unknown)
 
@@ -340,6 +343,56 @@
         failures = [each.failure for each in self.list_start_answers()]
         self.assertEqual(failures, 19 * [None])
 
+    def start_while_connections_are_taken(self) -> gevent.Greenlet:
+        """Begins a start that waits until others have got no answer."""
+        self.link.greenlet.kill()
+        self.model.silent = True
+        decisions = [
+            dataclasses.replace(
+                self.build_start(number=number, valid_ms=3_000),
+                key=steps.TaskKey(job_id="j", repeat=0, step=0, index=number),
+                incarnation=self.link.incarnation,
+            )
+            for number in range(1, ORDER_CONNECTIONS + 2)
+        ]
+        sent = [
+            gevent.spawn(self.link.orders.start, each) for each in decisions
+        ]
+        gevent.sleep(0.1)
+        self.assertFalse(any(each.ready() for each in sent))
+        return sent[-1]
+
+    def check_not_sent(self, waiting: gevent.Greenlet) -> None:
+        """Checks that the start that has waited is known not to execute."""
+        waiting.join(5.0)
+        self.assertEqual(self.model.runs, {})
+        (answer,) = [
+            each
+            for each in self.list_start_answers()
+            if each.number == ORDER_CONNECTIONS + 1
+        ]
+        self.assertFalse(answer.failure.effect_unknown)
+
+    def test_a_start_that_waits_for_a_connection_is_not_sent_after_a_restart(
+        self,
+    ) -> None:
+        """Guards against a start on a minion that has become another kind."""
+        waiting = self.start_while_connections_are_taken()
+        self.model.be_reborn()
+        self.link.minion = dataclasses.replace(
+            self.link.minion, incarnation=self.model.incarnation
+        )
+        self.model.silent = False
+        self.check_not_sent(waiting)
+
+    def test_a_start_that_waits_is_not_sent_to_a_silent_minion(self) -> None:
+        """Guards against a start that meets a restart not known yet."""
+        waiting = self.start_while_connections_are_taken()
+        self.link.silent = True
+        self.model.be_reborn()
+        self.model.silent = False
+        self.check_not_sent(waiting)
+
     def test_a_late_reply_of_the_previous_incarnation_is_ignored(self) -> None:
         """Guards against runs that count as lost and start twice."""
         late = self.events[-1]
@@ -353,8 +406,13 @@
         self.assertEqual(self.link.incarnation, self.model.incarnation)
         self.assertEqual(self.count(events.MinionPolled), known)
 
-    def learn_of_restart(self, order: minions.StartOrder) -> result.Result:
+    def learn_of_restart(
+        self, order: minions.StartOrder, may_send: Callable[[], bool]
+    ) -> result.Result:
         """Leaves a start unanswered until a poll shows the restart."""
+        if not may_send():
+            return result.Failure(minions.OrderFailure(reason="withdrawn"))
+        self.sent.append(order)
         self.wait(lambda: self.link.incarnation == self.model.incarnation)
         return result.Failure(
             minions.OrderFailure(reason="timeout", effect_unknown=True)
--- a/tests/entry/cell/test_odd_registrations.py
+++ b/tests/entry/cell/test_odd_registrations.py
@@ -10,6 +10,7 @@
 from returns import result
 
 from hickoryreach.platform import documents
+from hickoryreach.platform import minion_client
 from hickoryreach.platform import minions
 from hickoryreach.platform import store
 from hickoryreach.scheduling import events
@@ -90,7 +91,7 @@
         """Creates a state and a fleet whose minions never answer."""
         failed = result.Failure(minions.OrderFailure(reason="no answer"))
         patch = mock.patch.object(
-            minions.MinionClient, "poll", return_value=failed
+            minion_client.MinionClient, "poll", return_value=failed
         )
         patch.start()
         self.addCleanup(patch.stop)
