--- a/tests/core/scheduling/test_restarted_minions.py
+++ b/tests/core/scheduling/test_restarted_minions.py
@@ -11,7 +11,7 @@
 from hickoryreach.scheduling import workspace_limits
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
-from tests.core.scheduling import test_crashes
+from tests.core.scheduling import crash_cases
 from tests.core.scheduling import test_placement
 
 STORED_BORN = 1
@@ -392,7 +392,7 @@
         self.assertEqual(list(available.reserved_headroom), ["hydro"])
 
 
-class ReservedMinionTest(test_crashes.CrashCase):
+class ReservedMinionTest(crash_cases.CrashCase):
     """A minion that is reserved for a task restarts as another kind."""
 
     minion_count = 2
--- a/tests/core/scheduling/test_solitary_services.py
+++ b/tests/core/scheduling/test_solitary_services.py
@@ -2,14 +2,14 @@
 
 from hickoryreach.scheduling import events
 from tests.core.scheduling import cases
-from tests.core.scheduling import test_crashes
+from tests.core.scheduling import crash_cases
 
 FINISH_MS = 14_000
 LONG_MS = 120_000
 TICK_MS = 500
 
 
-class SolitaryServiceTest(test_crashes.CrashCase):
+class SolitaryServiceTest(crash_cases.CrashCase):
     """A service with counted crashes keeps nothing waiting for long."""
 
     minion_count = 1
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -11,7 +11,7 @@
 from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 from tests.core.scheduling import cases
-from tests.core.scheduling import test_crashes
+from tests.core.scheduling import crash_cases
 from tests.core.scheduling import test_suspects
 
 
@@ -90,7 +90,7 @@
         self.check_others_start(gang=True)
 
 
-class SuspectsOfOneJobTest(test_crashes.CrashCase):
+class SuspectsOfOneJobTest(crash_cases.CrashCase):
     """All tasks of a job are suspects, and each goes on for long."""
 
     minion_count = 6
@@ -139,7 +139,7 @@
         self.assertEqual(len(set(hosts)), 3)
 
 
-class GivenUpTest(test_crashes.CrashCase):
+class GivenUpTest(crash_cases.CrashCase):
     """A task that must run alone has started beside others."""
 
     minion_count = 4
@@ -173,7 +173,7 @@
         self.check_next_start(gang=True)
 
 
-class SilentMinionTest(test_crashes.CrashCase):
+class SilentMinionTest(crash_cases.CrashCase):
     """The minion of a service that runs alone falls silent."""
 
     minion_count = 4
@@ -191,7 +191,7 @@
         self.assertEqual(len(self.find_runs(job_id)), 1)
 
 
-class ReservedForGangTest(test_crashes.CrashCase):
+class ReservedForGangTest(crash_cases.CrashCase):
     """Minions are left to empty for a gang, and one does not empty."""
 
     minion_count = 4
@@ -213,7 +213,7 @@
         self.assertEqual(len(self.find_runs(other_id)), 12)
 
 
-class GangWithoutRoomTest(test_crashes.CrashCase):
+class GangWithoutRoomTest(crash_cases.CrashCase):
     """A gang with a member that must run alone, which fits on no minions."""
 
     minion_count = 2
@@ -249,7 +249,7 @@
         self.assertEqual(solitude.list_reserved(self.cell), [])
 
 
-class RecordedGivenUpTest(test_crashes.CrashCase):
+class RecordedGivenUpTest(crash_cases.CrashCase):
     """A takeover follows a crash of a task that had started beside others."""
 
     minion_count = 4
@@ -287,7 +287,7 @@
         self.assertEqual(self.get_state(job_id), state.JobState.RUNNING)
 
 
-class OneWaitTest(test_crashes.CrashCase):
+class OneWaitTest(crash_cases.CrashCase):
     """Several tasks of a step must run alone, and empty minions are few."""
 
     minion_count = 4
@@ -336,7 +336,7 @@
         self.assertEqual(len(self.find_runs(job_id)), 1)
 
 
-class CalmCellTest(test_crashes.CrashCase):
+class CalmCellTest(crash_cases.CrashCase):
     """Little is running, but something on each minion."""
 
     minion_count = 4
--- a/tests/core/scheduling/test_suspects.py
+++ b/tests/core/scheduling/test_suspects.py
@@ -9,11 +9,11 @@
 from hickoryreach.scheduling import state
 from hickoryreach.structure import cells
 from tests.core.scheduling import cases
-from tests.core.scheduling import test_crashes
+from tests.core.scheduling import crash_cases
 from tests.core.scheduling import test_placement
 
 
-class AdvisedCrashCase(test_crashes.CrashCase, test_placement.AdviceCase):
+class AdvisedCrashCase(crash_cases.CrashCase, test_placement.AdviceCase):
     """A cell with crashing minions whose queues need advice.
 
     Attributes:
@@ -78,7 +78,7 @@
         self.assertEqual(self.find_run(job_id).minion_id, "m101")
 
 
-class SolitudeTest(test_crashes.CrashCase):
+class SolitudeTest(crash_cases.CrashCase):
     """Tasks that must run alone wait for empty minions."""
 
     minion_count = 12
@@ -133,7 +133,7 @@
             self.tick()
 
 
-class SuspectsCase(test_crashes.CrashCase):
+class SuspectsCase(crash_cases.CrashCase):
     """Many suspects wait, each of which goes on for long."""
 
     crash_count = 2
--- a/tests/core/scheduling/test_waits.py
+++ b/tests/core/scheduling/test_waits.py
@@ -5,7 +5,7 @@
 from hickoryreach.scheduling import waits
 from hickoryreach.structure import resources
 from tests.core.scheduling import cases
-from tests.core.scheduling import test_crashes
+from tests.core.scheduling import crash_cases
 
 
 class WaitReportTest(cases.CellCase):
@@ -65,7 +65,7 @@
         self.assertEqual(self.collect_reports(5), [])
 
 
-class SuspectWaitTest(test_crashes.CrashCase):
+class SuspectWaitTest(crash_cases.CrashCase):
     """The log tells the reasons apart for which suspects wait."""
 
     minion_count = 3
