--- a/tests/core/scheduling/cases.py
+++ b/tests/core/scheduling/cases.py
@@ -246,6 +246,24 @@
             self.confirm(start)
         return starts
 
+    def end_call(
+        self,
+        call: effects.AskAdvice,
+        tickets: dict[str, str] | None,
+        **words: int,
+    ) -> None:
+        """Ends a call for advice; it has failed without tickets."""
+        self.apply(
+            events.AdviceCallEnded(
+                job_id=call.job_id,
+                repeat=call.repeat,
+                position=call.position,
+                asked=call.minion_ids,
+                tickets=tickets,
+                **words,
+            )
+        )
+
     def get_starts(self) -> list[effects.StartTask]:
         """Returns the starts among the last effects."""
         return self.get_effects(effects.StartTask)
--- a/tests/core/scheduling/test_eligibility.py
+++ b/tests/core/scheduling/test_eligibility.py
@@ -212,15 +212,7 @@
             self.tick()
             for call in self.get_effects(effects.AskAdvice):
                 asked_at.append(self.now_ms)
-                self.apply(
-                    events.AdviceCallEnded(
-                        job_id=call.job_id,
-                        repeat=0,
-                        position=0,
-                        asked=call.minion_ids,
-                        tickets=None,
-                    )
-                )
+                self.end_call(call, None)
         self.assertGreater(len(asked_at), 2)
         gaps = [later - asked_at[n] for n, later in enumerate(asked_at[1:])]
         self.assertGreaterEqual(min(gaps), gangs.LATE_CALL_INTERVAL_MS)
--- a/tests/core/scheduling/test_late_advice.py
+++ b/tests/core/scheduling/test_late_advice.py
@@ -132,15 +132,7 @@
         (call,) = self.get_effects(effects.AskAdvice)
         later = self.submit(cases.build_step())
         self.assertFalse(self.get_starts())
-        self.apply(
-            events.AdviceCallEnded(
-                job_id=call.job_id,
-                repeat=call.repeat,
-                position=call.position,
-                asked=call.minion_ids,
-                tickets=None,
-            )
-        )
+        self.end_call(call, None)
         started = [each.key.job_id for each in self.get_starts()]
         self.assertEqual(started, [later])
 
--- a/tests/core/scheduling/test_late_gangs.py
+++ b/tests/core/scheduling/test_late_gangs.py
@@ -90,13 +90,5 @@
         """Lets each call that is under way fail, then applies a tick."""
         pending, self.pending = self.pending, []
         for call in pending:
-            self.apply(
-                events.AdviceCallEnded(
-                    job_id=call.job_id,
-                    repeat=call.repeat,
-                    position=call.position,
-                    asked=call.minion_ids,
-                    tickets=None,
-                )
-            )
+            self.end_call(call, None)
         self.tick()
--- a/tests/core/scheduling/test_placement.py
+++ b/tests/core/scheduling/test_placement.py
@@ -179,15 +179,10 @@
 
     def advise(self, call: effects.AskAdvice, *allowed: str) -> None:
         """Answers a call for advice with tickets for some minions."""
-        self.apply(
-            events.AdviceCallEnded(
-                job_id=call.job_id,
-                repeat=call.repeat,
-                position=call.position,
-                asked=call.minion_ids,
-                tickets={name: f"t-{name}" for name in allowed},
-                valid_ms=call.valid_ms,
-            )
+        self.end_call(
+            call,
+            {name: f"t-{name}" for name in allowed},
+            valid_ms=call.valid_ms,
         )
 
 
@@ -285,15 +280,7 @@
 
     def test_failed_advice_is_requested_again(self) -> None:
         call = self.submit_for_advice()
-        self.apply(
-            events.AdviceCallEnded(
-                job_id=call.job_id,
-                repeat=0,
-                position=0,
-                asked=call.minion_ids,
-                tickets=None,
-            )
-        )
+        self.end_call(call, None)
         self.tick(200)
         self.assertEqual(len(self.get_effects(effects.AskAdvice)), 1)
 
--- a/tests/core/scheduling/test_request_limits.py
+++ b/tests/core/scheduling/test_request_limits.py
@@ -92,15 +92,7 @@
 
     def fail_call(self, call: effects.AskAdvice) -> None:
         """Lets a call for advice fail."""
-        self.apply(
-            events.AdviceCallEnded(
-                job_id=call.job_id,
-                repeat=call.repeat,
-                position=call.position,
-                asked=call.minion_ids,
-                tickets=None,
-            )
-        )
+        self.end_call(call, None)
 
     def test_steps_whose_calls_fail_do_not_keep_others_from_asking(
         self,
--- a/tests/core/scheduling/test_restarted_minions.py
+++ b/tests/core/scheduling/test_restarted_minions.py
@@ -242,16 +242,8 @@
     def test_answer_to_a_call_that_waited_during_a_restart_counts(self) -> None:
         call = self.ask(label="a")
         self.restart("m0")
-        self.apply(
-            events.AdviceCallEnded(
-                job_id=call.job_id,
-                repeat=call.repeat,
-                position=call.position,
-                asked=call.minion_ids,
-                tickets={"m0": "t"},
-                valid_ms=call.valid_ms,
-                started_ms=self.now_ms,
-            )
+        self.end_call(
+            call, {"m0": "t"}, valid_ms=call.valid_ms, started_ms=self.now_ms
         )
         self.assertEqual(self.list_started(self.get_starts()), ["m0"])
 
--- a/tests/core/scheduling/test_suspect_placement.py
+++ b/tests/core/scheduling/test_suspect_placement.py
@@ -113,15 +113,8 @@
         for asked in unanswered:
             if not isinstance(asked, effects.AskAdvice):
                 continue
-            self.apply(
-                events.AdviceCallEnded(
-                    job_id=asked.job_id,
-                    repeat=asked.repeat,
-                    position=asked.position,
-                    asked=asked.minion_ids,
-                    tickets=dict.fromkeys(asked.minion_ids, "t"),
-                    valid_ms=2_000,
-                )
+            self.end_call(
+                asked, dict.fromkeys(asked.minion_ids, "t"), valid_ms=2_000
             )
 
     def test_a_deadly_task_with_tickets_is_given_up(self) -> None:
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -56,15 +56,7 @@
         """Lets the calls that are made during some ticks fail."""
         for _ in range(ticks):
             for call in self.get_effects(effects.AskAdvice):
-                self.apply(
-                    events.AdviceCallEnded(
-                        job_id=call.job_id,
-                        repeat=call.repeat,
-                        position=call.position,
-                        asked=call.minion_ids,
-                        tickets=None,
-                    )
-                )
+                self.end_call(call, None)
             self.tick()
 
     def check_others_start(self, **words) -> None:
