--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -329,3 +329,8 @@
     )
     dirty: bool = False
     next_wait_report_ms: int = 0
+
+    def get_incarnation(self, minion_id: str) -> int:
+        """Returns the incarnation that a minion last answered in, or 0."""
+        record = self.minions.get(minion_id)
+        return record.incarnation if record is not None else 0
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -128,7 +128,7 @@
         self.advice_dispatcher = advisors.AdviceDispatcher(
             local=local_advisor,
             get_channels=get_channels,
-            get_incarnation=self.get_incarnation,
+            get_incarnation=self.state.get_incarnation,
             emit=self.emit,
         )
         self.fleet = fleet.Fleet(
@@ -311,11 +311,6 @@
         )
         self.jobs_watcher.pause_s = JOBS_WATCH_PAUSE_S if all_reported else 0.0
 
-    def get_incarnation(self, minion_id: str) -> int:
-        """Returns the incarnation that a minion last answered in, or 0."""
-        record = self.state.minions.get(minion_id)
-        return record.incarnation if record is not None else 0
-
     def apply_past_advice(self, advice_news: frames.AdviceNews) -> None:
         """Queues advice that an earlier owner asked for."""
         for past in advice_news.answers or ():
--- a/tests/core/scheduling/model/advice.py
+++ b/tests/core/scheduling/model/advice.py
@@ -54,7 +54,7 @@
         super().__init__(
             local=None,
             get_channels=service.list_channels,
-            get_incarnation=service.model.owner.get_incarnation,
+            get_incarnation=service.model.cell.get_incarnation,
             emit=service.model.apply,
         )
         self.reports: dict[str, frames.AdviceReport | None] = {}
@@ -159,7 +159,7 @@
         epoch, dispatcher = self.model.epoch, self.dispatcher
         asked_ms = now_ms - int(now_ms - 1_000 * words[-1])
         incarnations = {
-            each: self.model.owner.get_incarnation(each)
+            each: self.model.cell.get_incarnation(each)
             for each in effect.minion_ids
         }
         self.calls += 1
--- a/tests/core/scheduling/model/owners.py
+++ b/tests/core/scheduling/model/owners.py
@@ -134,11 +134,6 @@
             )
         )
 
-    def get_incarnation(self, minion_id: str) -> int:
-        """Returns the incarnation that a minion last answered in, or 0."""
-        record = self.cell.minions.get(minion_id)
-        return record.incarnation if record is not None else 0
-
     def unregister(self, minion: workers.Minion) -> None:
         """Reads that a registration is gone."""
         link = self.links.get(minion.name)
