--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -236,17 +236,15 @@
                 },
             )
         if reply.incarnation != self.incarnation:
-            self.incarnation = reply.incarnation
-            self.incarnation_known_ms = clock.now_ms()
-            self.last_end_number = self.acknowledged = 0
-            self.deadline_ms = reply.clock_ms + self.get_unknown_lease_ms(reply)
-            self.unsettled.clear()
+            self.begin_incarnation(reply)
         self.silent = self.lapsed = False
         self.clock_ms = reply.clock_ms
         self.clock_read_ms = clock.now_ms()
         new_ends = tuple(
             end for end in reply.ends if end.number > self.last_end_number
         )
+        if self.polled.is_set():
+            self.check_numbers(new_ends)
         for end in new_ends:
             self.last_end_number = max(self.last_end_number, end.number)
             self.unsettled.add(end.number)
@@ -262,6 +260,42 @@
         )
         self.polled.set()
 
+    def begin_incarnation(self, reply: minions.PollReply) -> None:
+        """Forgets what was true of the previous incarnation only."""
+        previous_deadline_ms = self.deadline_ms
+        self.deadline_ms = reply.clock_ms + self.get_unknown_lease_ms(reply)
+        if self.incarnation:
+            log.warning(
+                "minion_restarted",
+                extra={
+                    "minion": self.minion.minion_id,
+                    "incarnation": reply.incarnation,
+                    "previous": self.incarnation,
+                    "clock_ms": reply.clock_ms,
+                    "deadline_ms": self.deadline_ms,
+                    "previous_deadline_ms": previous_deadline_ms,
+                    "acknowledged": self.acknowledged,
+                },
+            )
+        self.incarnation = reply.incarnation
+        self.incarnation_known_ms = clock.now_ms()
+        self.last_end_number = self.acknowledged = 0
+        self.unsettled.clear()
+
+    def check_numbers(self, new_ends: tuple[minions.TaskEnd, ...]) -> None:
+        """Logs ends that the minion has deleted before it listed them here."""
+        first_number = min((end.number for end in new_ends), default=0)
+        if first_number > self.last_end_number + 1:
+            log.warning(
+                "ends_missed",
+                extra={
+                    "minion": self.minion.minion_id,
+                    "incarnation": self.incarnation,
+                    "last": self.last_end_number,
+                    "first": first_number,
+                },
+            )
+
     def is_outdated(self, reply: minions.PollReply, sent_ms: int) -> bool:
         """Returns whether a reply may be older than the last one.
 
