Stand-ins: a restart ends a minion's connections and draws a new clock

The stand-in's connections outlived its restarts, its clock always began at 0, and the proxy opened connections to a minion whose bytes it held back. So nothing could reach the next incarnation over a new connection, and every clock looked young. Now a restart ends the connections, the clock begins anywhere in an hour, and new connections wait with the bytes.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -212,14 +212,11 @@
     """Lets a minion crash and return under its id, of any kind.
 
     It is away for long enough for a poll to fail. It may answer polls before
-    it is registered anew, or the other way round. A cut minion is left out, as
-    what the proxy holds back for it would reach its next life. One minion of
-    each kind keeps it.
+    it is registered anew, or the other way round. One minion of each kind keeps
+    it.
     """
     users = trouble.cell.users
     minion_id = trouble.pick_minion()
-    if any(rule.target == minion_id for rule in trouble.network.rules):
-        return
     minion = users.minions[minion_id]
     users.gone.add(minion_id)
     for run in list(minion.runs.values()):
@@ -239,6 +236,26 @@
     users.gone.discard(minion_id)
 
 
+@register
+def cut_reborn_minion(trouble: Trouble) -> None:
+    """Lets a minion start again under its id and cuts it off soon after.
+
+    What is sent meanwhile over new connections reaches its next life.
+    """
+    users = trouble.cell.users
+    minion_id = trouble.pick_minion()
+    minion = users.minions[minion_id]
+    rule = proxy.Rule(target=minion_id, hold_up=True)
+    for run in list(minion.runs.values()):
+        minion.end(run, "crashed")
+    minion.be_reborn()
+    trouble.apply_rule(rule, 0.3, 1.0)
+    users.register(minion)
+    trouble.wait(0.2, 2.0)
+    way = trouble.generator.choice(["cut", "hold_up"])
+    trouble.apply_rule(proxy.Rule(target=minion_id, **{way: True}), 4.0, 9.0)
+
+
 @register
 def lose_registration(trouble: Trouble) -> None:
     """Lets a minion's registration expire while the minion works on."""
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -41,7 +41,8 @@
         source: Pattern of source names.
         target: Pattern of target names.
         cut: Whether connections are reset and new ones refused.
-        hold_up: Whether bytes towards the target are held back.
+        hold_up: Whether bytes towards the target are held back, and new
+            connections with them.
         hold_down: Whether bytes towards the source are held back.
         delay_ms: Time each chunk waits.
         jitter_ms: Most that is added to it.
@@ -181,6 +182,7 @@
         if any(rule.cut for rule in self.get_rules()):
             reset_socket(self.near)
             return
+        self.wait(down=False)
         try:
             self.far = socket.create_connection(self.address)
         except OSError:
--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -123,6 +123,7 @@
         silent: Whether it leaves calls unanswered.
         late_s: Time after which it carries out starts without answering.
         on_crash: Called when it has crashed, with how it is to come back.
+        on_rebirth: Called when a new life has begun.
     """
 
     _lives = itertools.count(1_700_000_000_000)
@@ -136,8 +137,12 @@
         seen: list[Begun] | None = None,
         starts: dict[str, int] | None = None,
         gangs: Gangs | None = None,
+        draw_clock_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
-        """Creates a minion that runs nothing."""
+        """Creates a minion that runs nothing.
+
+        `draw_clock_s` draws where the clock of each life starts.
+        """
         self.minion_id = minion_id
         self.kind = DEFAULT_KIND
         self.cpu = cpu
@@ -148,12 +153,14 @@
         self.silent = False
         self.late_s = 0.0
         self.on_crash: Callable[[Minion, str], None] | None = None
+        self.on_rebirth: Callable[[], None] = lambda: None
+        self.draw_clock_s = draw_clock_s
         self.be_reborn()
 
     def be_reborn(self) -> None:
         """Starts a new life that holds and knows nothing."""
         self.incarnation = next(self._lives)
-        self.born_at = time.monotonic()
+        self.born_at = time.monotonic() - self.draw_clock_s()
         self.runs: dict[str, Run] = {}
         self.ends: dict[int, list] = {}
         self.highest: dict[str, int] = {}
@@ -163,6 +170,7 @@
         self.lapses = 0
         self.lapses_at: dict[int, int] = {}
         self.ended = gevent_event.Event()
+        self.on_rebirth()
 
     def crash(self, life: int, how: str) -> None:
         """Ends a life with all that runs; calls stay unanswered for now."""
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -4,6 +4,7 @@
 
 import dataclasses
 import json
+import random
 import socket
 import time
 
@@ -17,6 +18,7 @@
 
 BEAT_S = 0.5
 RESTART_S = 1.5
+FIRST_CLOCK_S = 3_600.0
 CONFIGURATION_KEY = "op/config"
 SERVICE = "ledger"
 HOST = "ledger.example"
@@ -124,6 +126,7 @@
             seen=self.seen,
             starts=self.starts,
             gangs=self.gangs,
+            draw_clock_s=lambda: random.uniform(0.0, FIRST_CLOCK_S),
         )
 
         def answer(method, path, words, body, environ):
@@ -135,6 +138,7 @@
         address = self.add_server(
             f"127.{self.block}.3.{index + 1}:8080", answer
         )
+        minion.on_rebirth = self.servers[-1].disconnect
         self.addresses[minion_id] = self.front("entry", minion_id, address, 6)
         self.register(minion)
         return minion
--- a/standins/users/servers.py
+++ b/standins/users/servers.py
@@ -1,6 +1,7 @@
 """Serves the stand-ins of the users' platform over HTTP."""
 
 from collections.abc import Callable
+import contextlib
 import json
 import socket
 import urllib.parse
@@ -16,15 +17,39 @@
 
 
 class QuickHandler(gevent.pywsgi.WSGIHandler):
-    """Counts the connections that were opened."""
+    """Serves a connection, which its server can end."""
 
     def handle(self) -> None:
         """Serves one connection."""
         self.socket.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        super().handle()
+        connection = self.socket
+        self.server.connections.add(connection)
+        try:
+            super().handle()
+        finally:
+            self.server.connections.discard(connection)
 
 
-def serve(address: str, handle: Handler) -> gevent.pywsgi.WSGIServer:
+class Server(gevent.pywsgi.WSGIServer):
+    """Server at one address.
+
+    Attributes:
+        connections: Connections that are open.
+    """
+
+    def __init__(self, *args: object, **options: object) -> None:
+        """Serves nothing yet."""
+        super().__init__(*args, **options)
+        self.connections: set[socket.socket] = set()
+
+    def disconnect(self) -> None:
+        """Ends all connections, as the end of a process does."""
+        for connection in list(self.connections):
+            with contextlib.suppress(OSError):  # its other end is gone already
+                connection.shutdown(socket.SHUT_RDWR)
+
+
+def serve(address: str, handle: Handler) -> Server:
     """Returns a started server; a handler's None leaves a call unanswered.
 
     Args:
@@ -58,7 +83,7 @@
         return [payload]
 
     host, port = address.rsplit(":", 1)
-    server = gevent.pywsgi.WSGIServer(
+    server = Server(
         (host, int(port)), answer, handler_class=QuickHandler, log=None
     )
     server.start()
