--- a/packages/core/hickoryreach/exceptions.py
+++ b/packages/core/hickoryreach/exceptions.py
@@ -7,6 +7,10 @@
     """Base of the exceptions that this project raises."""
 
 
+class NotConnectedError(HickoryreachError, ConnectionError):
+    """A call that may not open a connection found none that is open."""
+
+
 class InvariantError(HickoryreachError):
     """A violated invariant of the system; the process must stop."""
 
--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -13,6 +13,8 @@
 import prometheus_client
 from returns import result
 
+from hickoryreach import exceptions
+
 log = logging.getLogger(__name__)
 
 CONNECT_TIMEOUT_S = 0.6
@@ -41,10 +43,12 @@
         reason: What went wrong, for logs.
         effect_unknown: Whether the call may have been executed, or may
             still be.
+        not_connected: Whether it was not sent for want of an open connection.
     """
 
     reason: str
     effect_unknown: bool
+    not_connected: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -102,6 +106,8 @@
         closed: Whether no further call is sent.
     """
 
+    http_class = geventhttpclient.HTTPClient
+
     def __init__(
         self,
         *,
@@ -131,7 +137,7 @@
         self.connections = connections
         # The pool of connections never wakes calls that wait when it closes.
         self.free_connections = lock.Semaphore(connections)
-        self.http = geventhttpclient.HTTPClient(
+        self.http = self.http_class(
             host.strip("[]"),
             port=int(port),
             concurrency=connections,
@@ -182,6 +188,12 @@
             )
             status = response.status_code
             data = bytes(response.read())
+        except exceptions.NotConnectedError as error:
+            return result.Failure(
+                CallFailure(
+                    reason=str(error), effect_unknown=False, not_connected=True
+                )
+            )
         except (OSError, ValueError, http.client.HTTPException) as error:
             self.health.record_failure(sent_at)
             return self._record_failure(error)
--- a/packages/core/hickoryreach/platform/minion_client.py
+++ b/packages/core/hickoryreach/platform/minion_client.py
@@ -1,17 +1,22 @@
 """Client of the HTTP interface through which minions run tasks."""
 
 from collections.abc import Callable
+from collections.abc import Iterator
+import contextlib
+import time
 
+from gevent import queue
 from returns import result
 
-from hickoryreach.platform import http
+from hickoryreach.platform import connections
+from hickoryreach.platform import minion_connection
+from hickoryreach.platform import minion_replies
 from hickoryreach.platform import minions
-from hickoryreach.platform import numbers
 from hickoryreach.structure import steps
 
 ORDER_TIMEOUT_S = 0.4
 POLL_MARGIN_S = 0.35
-MEASUREMENT_COLUMN = 4
+CONNECTION_ATTEMPTS = 2
 
 
 class MinionClient:
@@ -20,8 +25,12 @@
     Attributes:
         minion_id: Id of the minion; a minion with another id refuses the
             call.
-        orders: Client for orders and immediate polls.
-        polls: Client for polls that wait for an end.
+        address: `host:port` of the minion.
+        on_introduced: Called with each reply to a poll that was made for an
+            order, over a new connection, and the ms since it was sent.
+        polls: Connection for polls that wait for an end.
+        orders: Connections for orders and immediate polls.
+        free_orders: Those of them that no call uses.
     """
 
     def __init__(
@@ -30,7 +39,8 @@
         minion_id: str,
         address: str,
         poll_wait_ms: int,
-        connections: int = 4,
+        on_introduced: Callable[[minions.PollReply, int], None],
+        order_connections: int = 4,
     ) -> None:
         """Creates a client without opening a connection.
 
@@ -38,29 +48,49 @@
             minion_id: Id of the minion.
             address: `host:port` of the minion.
             poll_wait_ms: Longest wait of a poll, at most 2,000 ms.
-            connections: Maximum number of concurrent orders.
+            on_introduced: Called with each reply to a poll that was made for
+                an order, and the ms since it was sent.
+            order_connections: Maximum number of concurrent orders.
         """
         self.minion_id = minion_id
-        headers = {"Expect-Instance": minion_id}
-        self.orders = http.Client(
-            address=address,
-            kind="minion_order",
-            timeout_s=ORDER_TIMEOUT_S,
-            connections=connections,
-            headers=headers,
+        self.address = address
+        self.on_introduced = on_introduced
+        self.polls = self.build_connection(
+            "minion_look", poll_wait_ms / 1000 + POLL_MARGIN_S
         )
-        self.polls = http.Client(
-            address=address,
-            kind="minion_look",
-            timeout_s=poll_wait_ms / 1000 + POLL_MARGIN_S,
-            connections=1,
-            headers=headers,
+        self.orders = [
+            self.build_connection("minion_order", ORDER_TIMEOUT_S)
+            for _ in range(order_connections)
+        ]
+        self.free_orders = queue.LifoQueue(items=list(self.orders))
+
+    def build_connection(
+        self, kind: str, timeout_s: float
+    ) -> minion_connection.MinionConnection:
+        """Returns a connection that is not open yet."""
+        return minion_connection.MinionConnection(
+            minion_id=self.minion_id,
+            connection=connections.Connection(
+                address=self.address,
+                kind=kind,
+                timeout_s=timeout_s,
+                headers={"Expect-Instance": self.minion_id},
+            ),
         )
 
+    @contextlib.contextmanager
+    def borrow(self) -> Iterator[minion_connection.MinionConnection]:
+        """Takes a connection for one order, once there is a free one."""
+        connection = self.free_orders.get()
+        try:
+            yield connection
+        finally:
+            self.free_orders.put(connection)
+
     def start(
         self, order: minions.StartOrder, may_send: Callable[[], bool]
     ) -> minions.OrderResult:
-        """Starts a task.
+        """Starts a task on the incarnation that the order is meant for.
 
         Args:
             order: The order.
@@ -70,18 +100,45 @@
         Returns:
             The minion's clock in ms.
         """
-        body = {
-            "task": minions.format_task(order.key),
-            "run": order.run,
-            "spec": order.payload,
-            "deadlineMs": order.deadline_ms,
-            "fencingToken": order.token,
-        }
-        if order.checkpoint:
-            body["lastCheckpoint"] = order.checkpoint
-        if order.ticket:
-            body["ticket"] = order.ticket
-        return self._send_order("/run-start", body, may_send)
+        with self.borrow() as connection:
+            for _ in range(CONNECTION_ATTEMPTS):
+                failure = self.connect(connection, order)
+                if failure is not None:
+                    return result.Failure(failure)
+                call_result = connection.call_incarnation(
+                    "/run-start", build_start(order), may_send
+                )
+                if not minion_connection.is_unconnected(call_result):
+                    break
+        return minion_replies.parse_order(call_result)
+
+    def connect(
+        self,
+        connection: minion_connection.MinionConnection,
+        order: minions.StartOrder,
+    ) -> minions.OrderFailure | None:
+        """Connects to the incarnation that an order is meant for.
+
+        Returns:
+            Why the order can't be sent, or None.
+        """
+        connection.disconnect_others(order.incarnation)
+        if connection.incarnation is None:
+            sent_at = time.monotonic()
+            poll_result = connection.introduce(order.token)
+            if isinstance(poll_result, result.Failure):
+                failure = poll_result.failure()
+                return minions.OrderFailure(
+                    reason=failure.reason, refusal=failure.refusal
+                )
+            elapsed_ms = int((time.monotonic() - sent_at) * 1000)
+            self.on_introduced(poll_result.unwrap(), elapsed_ms)
+        if connection.incarnation != order.incarnation:
+            return minions.OrderFailure(
+                reason="other_incarnation",
+                refusal=minions.Refusal.OTHER_INCARNATION,
+            )
+        return None
 
     def stop(
         self, key: steps.TaskKey, run: int, token: int
@@ -110,15 +167,21 @@
         self,
         *,
         token: int,
+        incarnation: int,
         acknowledged: int,
         deadline_ms: int | None,
         wait_ms: int,
         immediate: bool = False,
-    ) -> result.Result[minions.PollReply, minions.OrderFailure]:
+    ) -> minion_connection.PollResult:
         """Renews the lease and reads running tasks and ends.
 
+        Over a new connection, or if another incarnation is at its other end, no
+        lease is renewed and no end acknowledged.
+
         Args:
             token: Fencing token.
+            incarnation: Incarnation of which deadline and number are; 0 if it
+                is not known.
             acknowledged: Ends up to this number are acknowledged, so that
                 the minion may delete them.
             deadline_ms: New end of the lease on the minion's clock; None
@@ -132,117 +195,32 @@
             body["deadlineMs"] = deadline_ms
         if wait_ms:
             body["waitMs"] = wait_ms
-        client = self.orders if immediate else self.polls
-        call_result = client.call("POST", "/hold", body)
-        return call_result.lash(_convert_failure).bind(_parse_poll_reply)
+        if not immediate:
+            return self.polls.poll(incarnation, body)
+        with self.borrow() as connection:
+            return connection.poll(incarnation, body)
 
-    def _send_order(
-        self,
-        path: str,
-        body: dict,
-        may_send: Callable[[], bool] = lambda: True,
-    ) -> minions.OrderResult:
-        return (
-            self.orders.call("POST", path, body, may_send=may_send)
-            .lash(_convert_failure)
-            .bind(_parse_order)
-        )
+    def _send_order(self, path: str, body: dict) -> minions.OrderResult:
+        with self.borrow() as connection:
+            return minion_replies.parse_order(connection.call(path, body))
 
     def close(self) -> None:
         """Closes the connections to the minion."""
-        self.orders.close()
-        self.polls.close()
-
-
-def _convert_failure(failure: http.CallFailure) -> result.Result:
-    return result.Failure(
-        minions.OrderFailure(
-            reason=failure.reason, effect_unknown=failure.effect_unknown
-        )
-    )
-
-
-def _build_refusal(answer: http.Answer) -> result.Result:
-    if answer.status in (http.TOO_MANY, http.UNAVAILABLE):
-        refusal = minions.Refusal.UNHEALTHY
-    elif answer.status == http.MISDIRECTED:
-        refusal = minions.Refusal.OTHER_INCARNATION
-    elif answer.status == http.CONFLICT:
-        refusal = _parse_reason(answer)
-    else:
-        refusal = minions.Refusal.MALFORMED
-    return result.Failure(
-        minions.OrderFailure(reason=f"status {answer.status}", refusal=refusal)
-    )
-
-
-def _parse_reason(answer: http.Answer) -> minions.Refusal:
-    try:
-        return minions.Refusal(answer.body["reason"])
-    except (KeyError, TypeError, ValueError):
-        return minions.Refusal.MALFORMED
-
-
-def _parse_order(answer: http.Answer) -> minions.OrderResult:
-    if answer.status != http.OK:
-        return _build_refusal(answer)
-    try:
-        return result.Success(numbers.parse_whole(answer.body["clockMs"]))
-    except (ArithmeticError, KeyError, TypeError, ValueError) as error:
-        return _build_malformed_failure(error)
-
-
-def _build_malformed_failure(error: Exception) -> result.Result:
-    return result.Failure(
-        minions.OrderFailure(
-            reason=f"malformed answer: {type(error).__name__}: {error}",
-            effect_unknown=True,
-        )
-    )
-
-
-def _parse_poll_reply(
-    answer: http.Answer,
-) -> result.Result[minions.PollReply, minions.OrderFailure]:
-    if answer.status != http.OK:
-        return _build_refusal(answer)
-    try:
-        body = answer.body
-        return result.Success(
-            minions.PollReply(
-                incarnation=numbers.parse_whole(body.get("born") or 0),
-                clock_ms=numbers.parse_whole(body["clockMs"]),
-                running=tuple(_parse_running(row) for row in body["running"]),
-                ends=tuple(_parse_end(row) for row in body["finished"]),
-            )
-        )
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as error:
-        return _build_malformed_failure(error)
-
-
-def _parse_running(row: list) -> minions.RunningTask:
-    return minions.RunningTask(
-        key=minions.parse_task(row[0]),
-        run=numbers.parse_whole(row[1]),
-        checkpoint=str(row[2] or ""),
-        percent=numbers.parse_whole(row[3]),
-        measurement=float(row[4] or 0.0)
-        if len(row) > MEASUREMENT_COLUMN
-        else 0.0,
-    )
-
-
-def _parse_end(row: list) -> minions.TaskEnd:
-    return minions.TaskEnd(
-        number=numbers.parse_whole(row[0]),
-        key=minions.parse_task(row[1]),
-        run=numbers.parse_whole(row[2]),
-        kind=minions.EndKind(row[3]),
-        checkpoint=str(row[4] or ""),
-    )
+        for connection in (self.polls, *self.orders):
+            connection.close()
+
+
+def build_start(order: minions.StartOrder) -> dict:
+    """Returns the body of a start order."""
+    body = {
+        "task": minions.format_task(order.key),
+        "run": order.run,
+        "spec": order.payload,
+        "deadlineMs": order.deadline_ms,
+        "fencingToken": order.token,
+    }
+    if order.checkpoint:
+        body["lastCheckpoint"] = order.checkpoint
+    if order.ticket:
+        body["ticket"] = order.ticket
+    return body
--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -141,6 +141,7 @@
         key: The task.
         run: Number of the run.
         payload: Input of the task.
+        incarnation: Incarnation of the minion that may get the order.
         deadline_ms: Time on the minion's clock at which the order expires.
         token: Fencing token.
         checkpoint: Checkpoint to resume from, or empty.
@@ -150,6 +151,7 @@
     key: steps.TaskKey
     run: int
     payload: str
+    incarnation: int
     deadline_ms: int
     token: int
     checkpoint: str = ""
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -55,6 +55,8 @@
         incarnation: Start of the minion's present incarnation, in ms since
             1970.
         incarnation_known_ms: When that one first answered a poll.
+        saw_restart: Whether the present incarnation followed another one that
+            had answered polls, so that all of its ends are listed here.
         last_end_number: Number of the last end that was emitted.
         acknowledged: Ends up to this number are acknowledged with the next
             poll.
@@ -99,6 +101,7 @@
             minion_id=minion.minion_id,
             address=minion.address,
             poll_wait_ms=POLL_WAIT_MS,
+            on_introduced=self.handle_introduction,
         )
         self.created_ms = clock.now_ms()
         self.incarnation = 0
@@ -106,6 +109,7 @@
         self.clock_ms = 0
         self.clock_read_ms = 0
         self.deadline_ms = 0
+        self.saw_restart = False
         self.last_end_number = 0
         self.acknowledged = 0
         self.unsettled: set[int] = set()
@@ -188,6 +192,7 @@
         sent_ms = clock.now_ms()
         poll_result = self.client.poll(
             token=terms.token,
+            incarnation=self.incarnation,
             acknowledged=0 if immediate else self.acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=0 if immediate else self.get_wait_ms(lease_ms),
@@ -209,6 +214,13 @@
         finally:
             self.polling_now = False
 
+    def handle_introduction(
+        self, reply: minions.PollReply, elapsed_ms: int
+    ) -> None:
+        """Handles the reply to a poll that was made for an order."""
+        if not self.stopped:
+            self.handle_poll_reply(reply, clock.now_ms() - elapsed_ms)
+
     def limit_lease(self, lease_ms: int) -> int:
         """Returns the length of the next lease, in ms.
 
@@ -243,7 +255,7 @@
         new_ends = tuple(
             end for end in reply.ends if end.number > self.last_end_number
         )
-        if self.polled.is_set():
+        if self.last_end_number or self.saw_restart:
             self.check_numbers(new_ends)
         for end in new_ends:
             self.last_end_number = max(self.last_end_number, end.number)
@@ -265,6 +277,7 @@
         previous_deadline_ms = self.deadline_ms
         self.deadline_ms = reply.clock_ms + self.get_unknown_lease_ms(reply)
         if self.incarnation:
+            self.saw_restart = True
             log.warning(
                 "minion_restarted",
                 extra={
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -86,6 +86,7 @@
             key=effect.key,
             run=effect.number,
             payload=effect.payload,
+            incarnation=self.link.incarnation,
             deadline_ms=deadline_ms,
             token=token,
             checkpoint=effect.checkpoint,
--- a/tests/core/platform/test_minions.py
+++ b/tests/core/platform/test_minions.py
@@ -49,7 +49,10 @@
         self.submit(cases.build_step(2))
         self.starts = self.confirm_starts()
         self.client = minion_client.MinionClient(
-            minion_id="m0", address="127.0.0.1:1", poll_wait_ms=100
+            minion_id="m0",
+            address="127.0.0.1:1",
+            poll_wait_ms=100,
+            on_introduced=lambda reply, elapsed_ms: None,
         )
         self.addCleanup(self.client.close)
 
@@ -67,9 +70,13 @@
         """Returns what a poll makes of a reply's body."""
         answer = http.Answer(status=http.OK, body=body)
         call = mock.Mock(return_value=result.Success(answer))
-        self.client.polls.call = call
+        self.client.polls.connection.call = call
         return self.client.poll(
-            token=1, acknowledged=0, deadline_ms=None, wait_ms=100
+            token=1,
+            incarnation=0,
+            acknowledged=0,
+            deadline_ms=None,
+            wait_ms=100,
         )
 
     def test_valid_reply_is_parsed(self) -> None:
@@ -111,9 +118,10 @@
         for number in (1e30, -1e30, float("inf")):
             with self.subTest(number):
                 answer = http.Answer(status=http.OK, body={"clockMs": number})
-                self.client.orders.call = mock.Mock(
-                    return_value=result.Success(answer)
-                )
+                for each in self.client.orders:
+                    each.connection.call = mock.Mock(
+                        return_value=result.Success(answer)
+                    )
                 ordered = self.client.stop(self.starts[0].key, 1, 1)
                 self.assertTrue(ordered.failure().effect_unknown)
 
