Give a minion's lease and the numbers of its ends modules of their own

The lease with its clock is in leases.Lease, the numbers in end_numbers.EndNumbers; a link at a new address copies the lease of the old one as before. No behaviour changes. tests.entry.cell (links, fleet, end pages, effects) and core.platform.test_minions pass.

--- a/packages/core/hickoryreach/platform/minion_client.py
+++ b/packages/core/hickoryreach/platform/minion_client.py
@@ -172,7 +172,7 @@
         deadline_ms: int | None,
         wait_ms: int,
         immediate: bool = False,
-    ) -> minion_connection.PollResult:
+    ) -> minions.PollResult:
         """Renews the lease and reads running tasks and ends.
 
         Over a new connection, or if another incarnation is at its other end, no
--- a/packages/core/hickoryreach/platform/minion_connection.py
+++ b/packages/core/hickoryreach/platform/minion_connection.py
@@ -14,8 +14,6 @@
 
 POLL_PATH = "/hold"
 
-PollResult = result.Result[minions.PollReply, minions.OrderFailure]
-
 
 class MinionConnection:
     """A connection to one incarnation of a minion.
@@ -64,7 +62,7 @@
             self.incarnation = None
         return call_result
 
-    def introduce(self, token: int) -> PollResult:
+    def introduce(self, token: int) -> minions.PollResult:
         """Polls whoever is at the other end, without any other effect.
 
         Args:
@@ -79,7 +77,7 @@
             self.connection.disconnect()
             self.incarnation = None
 
-    def poll(self, incarnation: int, body: dict) -> PollResult:
+    def poll(self, incarnation: int, body: dict) -> minions.PollResult:
         """Polls an incarnation; one that is not known to be it is introduced.
 
         Args:
@@ -93,7 +91,7 @@
                 return self._read_reply(call_result)
         return self.introduce(body["fencingToken"])
 
-    def _read_reply(self, call_result: http.CallResult) -> PollResult:
+    def _read_reply(self, call_result: http.CallResult) -> minions.PollResult:
         poll_result = minion_replies.parse_poll(call_result)
         if isinstance(poll_result, result.Success):
             self._identify(poll_result.unwrap().incarnation)
--- a/packages/core/hickoryreach/platform/minion_replies.py
+++ b/packages/core/hickoryreach/platform/minion_replies.py
@@ -16,7 +16,7 @@
 
 def parse_poll(
     call_result: http.CallResult,
-) -> result.Result[minions.PollReply, minions.OrderFailure]:
+) -> minions.PollResult:
     """Returns what the answer to a poll lists."""
     return call_result.lash(_convert_failure).bind(_parse_poll_reply)
 
@@ -70,7 +70,7 @@
 
 def _parse_poll_reply(
     answer: http.Answer,
-) -> result.Result[minions.PollReply, minions.OrderFailure]:
+) -> minions.PollResult:
     if answer.status != http.OK:
         return _build_refusal(answer)
     try:
--- a/packages/core/hickoryreach/platform/minions.py
+++ b/packages/core/hickoryreach/platform/minions.py
@@ -131,6 +131,15 @@
 
 
 OrderResult = result.Result[int, OrderFailure]
+PollResult = result.Result[PollReply, OrderFailure]
+
+
+def is_unanswered(call_result: OrderResult | PollResult) -> bool:
+    """Returns whether an order or a poll got no response at all."""
+    return (
+        isinstance(call_result, result.Failure)
+        and call_result.failure().refusal is None
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -218,7 +218,7 @@
         minion_id = link.minion.minion_id
         if self.links.get(minion_id) is not link or not link.removed:
             return
-        if link.lapsed or (link.silent and not link.clock_read_ms):
+        if link.lapsed or (link.silent and not link.lease.is_known):
             del self.links[minion_id]
             self.registered_at.pop(minion_id, None)
             link.close()
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+import copy
 import dataclasses
 import logging
 
@@ -15,6 +16,8 @@
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
 from hickoryreach_entry import clock
+from hickoryreach_entry.cell import end_numbers
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import orders
 
@@ -27,8 +30,6 @@
 POLLS_PER_LEASE = 4
 ACKNOWLEDGE_WAIT_S = 0.1
 RETRY_S = 0.2
-CLOCK_DRIFT = 0.02
-EXPIRY_MARGIN_MS = 100
 UNREACHED_MARGIN_MS = 1_500
 
 
@@ -55,15 +56,8 @@
         incarnation: Start of the minion's present incarnation, in ms since
             1970.
         incarnation_known_ms: When that one first answered a poll.
-        saw_restart: Whether the present incarnation followed another one that
-            had answered polls, so that all of its ends are listed here.
-        last_end_number: Number of the last end that was emitted.
-        acknowledged: Ends up to this number are acknowledged with the next
-            poll.
-        unsettled: Numbers of emitted ends that may not be acknowledged yet.
-        all_acknowledged: Set once no emitted end is unsettled; cleared by
-            each reply.
-        deadline_ms: Latest deadline sent, on the minion's clock.
+        ends: Which of its ends were listed and may be acknowledged.
+        lease: Its lease and its clock.
         polled: Set once the minion has answered a poll.
         poll_attempted: Set once a poll was answered or failed.
         orders: Sender of orders to the minion.
@@ -106,14 +100,8 @@
         self.created_ms = clock.now_ms()
         self.incarnation = 0
         self.incarnation_known_ms = 0
-        self.clock_ms = 0
-        self.clock_read_ms = 0
-        self.deadline_ms = 0
-        self.saw_restart = False
-        self.last_end_number = 0
-        self.acknowledged = 0
-        self.unsettled: set[int] = set()
-        self.all_acknowledged = gevent_event.Event()
+        self.lease = leases.Lease()
+        self.ends = end_numbers.EndNumbers()
         self.polled = gevent_event.Event()
         self.poll_attempted = gevent_event.Event()
         self.silent = True
@@ -125,17 +113,10 @@
         if previous is not None:
             self.incarnation = previous.incarnation
             self.incarnation_known_ms = previous.incarnation_known_ms
-            self.clock_ms = previous.clock_ms
-            self.clock_read_ms = previous.clock_read_ms
-            self.deadline_ms = previous.deadline_ms
+            self.lease = copy.copy(previous.lease)
             self.lapsed = previous.lapsed
         self.greenlet = gevent.spawn(self.poll_forever)
 
-    def estimate_clock(self) -> int:
-        """Returns a lower bound of the time on the minion's clock, in ms."""
-        elapsed_ms = clock.now_ms() - self.clock_read_ms
-        return self.clock_ms + int(elapsed_ms * (1 - CLOCK_DRIFT))
-
     def poll_forever(self) -> None:
         """Polls the minion until the link is closed."""
         while not self.stopped:
@@ -157,7 +138,7 @@
         answered either, because single responses get lost.
         """
         poll_result, sent_ms = self.poll(immediate=self.silent)
-        if not self.silent and has_no_response(poll_result):
+        if not self.silent and minions.is_unanswered(poll_result):
             poll_result, sent_ms = self.poll(immediate=True)
         if self.stopped:
             return
@@ -165,13 +146,11 @@
             reply = poll_result.unwrap()
             self.handle_poll_reply(reply, sent_ms)
             if reply.ends:
-                self.all_acknowledged.wait(ACKNOWLEDGE_WAIT_S)
+                self.ends.all_settled.wait(ACKNOWLEDGE_WAIT_S)
         else:
             self.handle_poll_failure(poll_result.failure())
 
-    def poll(
-        self, *, immediate: bool
-    ) -> tuple[result.Result[minions.PollReply, minions.OrderFailure], int]:
+    def poll(self, *, immediate: bool) -> tuple[minions.PollResult, int]:
         """Polls the minion once, and renews its lease if the terms allow it.
 
         An immediate poll may reach another incarnation than the last one, and
@@ -186,14 +165,13 @@
         terms = self.get_terms()
         lease_ms = self.limit_lease(terms.lease_ms)
         deadline_ms = None
-        if self.clock_read_ms and not self.silent and lease_ms:
-            deadline_ms = self.estimate_clock() + lease_ms
-            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        if self.lease.is_known and not self.silent and lease_ms:
+            deadline_ms = self.lease.extend(lease_ms)
         sent_ms = clock.now_ms()
         poll_result = self.client.poll(
             token=terms.token,
             incarnation=self.incarnation,
-            acknowledged=0 if immediate else self.acknowledged,
+            acknowledged=0 if immediate else self.ends.acknowledged,
             deadline_ms=deadline_ms,
             wait_ms=0 if immediate else self.get_wait_ms(lease_ms),
             immediate=immediate,
@@ -250,18 +228,11 @@
         if reply.incarnation != self.incarnation:
             self.begin_incarnation(reply)
         self.silent = self.lapsed = False
-        self.clock_ms = reply.clock_ms
-        self.clock_read_ms = clock.now_ms()
-        new_ends = tuple(
-            end for end in reply.ends if end.number > self.last_end_number
-        )
-        if self.last_end_number or self.saw_restart:
-            self.check_numbers(new_ends)
+        self.lease.read_clock(reply.clock_ms)
+        self.report_missed_ends(reply)
+        new_ends = self.ends.take(reply.ends)
         for end in new_ends:
-            self.last_end_number = max(self.last_end_number, end.number)
-            self.unsettled.add(end.number)
             metrics.task_ends.labels(str(end.kind)).inc()
-        self.all_acknowledged.clear()
         self.emit(
             events.MinionPolled(
                 minion_id=self.minion.minion_id,
@@ -274,10 +245,9 @@
 
     def begin_incarnation(self, reply: minions.PollReply) -> None:
         """Forgets what was true of the previous incarnation only."""
-        previous_deadline_ms = self.deadline_ms
-        self.deadline_ms = reply.clock_ms + self.get_unknown_lease_ms(reply)
+        previous_deadline_ms = self.lease.deadline_ms
+        self.lease.begin(reply.clock_ms, self.get_unknown_lease_ms(reply))
         if self.incarnation:
-            self.saw_restart = True
             log.warning(
                 "minion_restarted",
                 extra={
@@ -285,27 +255,26 @@
                     "incarnation": reply.incarnation,
                     "previous": self.incarnation,
                     "clock_ms": reply.clock_ms,
-                    "deadline_ms": self.deadline_ms,
+                    "deadline_ms": self.lease.deadline_ms,
                     "previous_deadline_ms": previous_deadline_ms,
-                    "acknowledged": self.acknowledged,
+                    "acknowledged": self.ends.acknowledged,
                 },
             )
+        self.ends.begin(from_first=bool(self.incarnation))
         self.incarnation = reply.incarnation
         self.incarnation_known_ms = clock.now_ms()
-        self.last_end_number = self.acknowledged = 0
-        self.unsettled.clear()
 
-    def check_numbers(self, new_ends: tuple[minions.TaskEnd, ...]) -> None:
+    def report_missed_ends(self, reply: minions.PollReply) -> None:
         """Logs ends that the minion has deleted before it listed them here."""
-        first_number = min((end.number for end in new_ends), default=0)
-        if first_number > self.last_end_number + 1:
+        missed = self.ends.count_missed(reply.ends)
+        if missed:
             log.warning(
                 "ends_missed",
                 extra={
                     "minion": self.minion.minion_id,
                     "incarnation": self.incarnation,
-                    "last": self.last_end_number,
-                    "first": first_number,
+                    "last": self.ends.last,
+                    "missed": missed,
                 },
             )
 
@@ -316,7 +285,7 @@
         which is the later one; the next poll shows it.
         """
         if reply.incarnation == self.incarnation:
-            return reply.clock_ms < self.clock_ms
+            return reply.clock_ms < self.lease.clock_ms
         if not self.incarnation or sent_ms > self.incarnation_known_ms:
             return False
         log.warning(
@@ -368,17 +337,10 @@
         self.emit(events.MinionUnreachable(minion_id=self.minion.minion_id))
         if failure.refusal is minions.Refusal.OTHER_INCARNATION:
             self.report_expiry("other_life")
-        elif self.is_expired():
+        elif self.lease.is_expired():
             self.report_expiry("lease")
         gevent.sleep(RETRY_S)
 
-    def is_expired(self) -> bool:
-        """Returns whether the lease is over even with maximal clock drift."""
-        return (
-            bool(self.clock_read_ms)
-            and self.estimate_clock() > self.deadline_ms + EXPIRY_MARGIN_MS
-        )
-
     def get_remaining_ms(self) -> int:
         """Returns how long a run may still be active there, in ms.
 
@@ -387,17 +349,16 @@
         """
         if self.lapsed:
             return 0
-        if not self.clock_read_ms:
+        if not self.lease.is_known:
             age_ms = clock.now_ms() - self.created_ms
             return max(
                 0, PREVIOUS_OWNER_LEASE_MS + UNREACHED_MARGIN_MS - age_ms
             )
-        left_ms = self.deadline_ms + EXPIRY_MARGIN_MS - self.estimate_clock()
-        return max(0, int(left_ms / (1 - CLOCK_DRIFT)))
+        return self.lease.get_remaining_ms()
 
     def report_expiry(self, cause: str) -> None:
         """Emits, once, that the lease has expired and nothing runs there."""
-        if self.lapsed or not self.clock_read_ms:
+        if self.lapsed or not self.lease.is_known:
             return
         self.lapsed = True
         log.warning(
@@ -405,8 +366,8 @@
             extra={
                 "minion": self.minion.minion_id,
                 "cause": cause,
-                "deadline_ms": self.deadline_ms,
-                "clock_ms": self.estimate_clock(),
+                "deadline_ms": self.lease.deadline_ms,
+                "clock_ms": self.lease.estimate_clock(),
             },
         )
         self.emit(events.LeaseExpired(minion_id=self.minion.minion_id))
@@ -419,27 +380,11 @@
                 end of another one is ignored.
             number: Number of the end.
         """
-        if incarnation != self.incarnation:
-            return
-        self.unsettled.discard(number)
-        if self.unsettled:
-            self.acknowledged = min(self.unsettled) - 1
-        else:
-            self.acknowledged = self.last_end_number
-            self.all_acknowledged.set()
+        if incarnation == self.incarnation:
+            self.ends.settle(number)
 
     def close(self) -> None:
         """Stops polling and closes the connection."""
         self.stopped = True
         self.greenlet.kill(block=False)
         self.client.close()
-
-
-def has_no_response(
-    poll_result: result.Result[minions.PollReply, minions.OrderFailure],
-) -> bool:
-    """Returns whether a poll got no response at all."""
-    return (
-        isinstance(poll_result, result.Failure)
-        and poll_result.failure().refusal is None
-    )
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -80,8 +80,7 @@
         left_ms = effect.valid_until_ms - clock.now_ms()
         if left_ms <= 0:
             return minions.OrderFailure(reason="start_expired")
-        deadline_ms = self.link.estimate_clock() + left_ms
-        self.link.deadline_ms = max(self.link.deadline_ms, deadline_ms)
+        deadline_ms = self.link.lease.extend(left_ms)
         order = minions.StartOrder(
             key=effect.key,
             run=effect.number,
@@ -126,7 +125,7 @@
         A clock that is behind what the minion has told before has started
         anew, and the minion with it; what it has become is asked at once.
         """
-        known_ms = self.link.clock_ms
+        known_ms = self.link.lease.clock_ms
         order_result = self.link.client.start(
             order, lambda: self.may_send(effect)
         )
--- a/tests/entry/cell/test_earlier_calls.py
+++ b/tests/entry/cell/test_earlier_calls.py
@@ -77,7 +77,7 @@
     def check_lease(self) -> None:
         """Checks that the link knows how long runs may go on."""
         self.assertLessEqual(
-            self.model.lease_ms, self.link.deadline_ms + CLOCK_MARGIN_MS
+            self.model.lease_ms, self.link.lease.deadline_ms + CLOCK_MARGIN_MS
         )
 
     def test_no_poll_for_the_earlier_incarnation_extends_it(self) -> None:
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -19,10 +19,10 @@
 
     def test_order_is_not_valid_for_longer_than_the_decision(self) -> None:
         decision = self.build_start(valid_ms=300)
-        latest_ms = self.link.estimate_clock() + 300
+        latest_ms = self.link.lease.estimate_clock() + 300
         gevent.sleep(0.15)
         with mock.patch.object(self.link.client, "start") as send:
-            send.return_value = result.Success(self.link.clock_ms)
+            send.return_value = result.Success(self.link.lease.clock_ms)
             self.link.orders.start(decision)
         order, _ = send.call_args.args
         self.assertLessEqual(order.deadline_ms, latest_ms + CLOCK_STEP_MS)
--- a/tests/entry/cell/test_restarted_links.py
+++ b/tests/entry/cell/test_restarted_links.py
@@ -23,12 +23,12 @@
     age_s = 60
 
     def test_deadline_of_previous_incarnation_may_hold_a_lease(self) -> None:
-        self.wait(lambda: self.link.deadline_ms > 60_000)
+        self.wait(lambda: self.link.lease.deadline_ms > 60_000)
         self.model.be_reborn()
         self.wait(lambda: self.link.incarnation == self.model.incarnation)
         self.assertGreaterEqual(
-            self.link.deadline_ms,
-            self.link.clock_ms + link_cases.HOLD_LIMIT_MS - 100,
+            self.link.lease.deadline_ms,
+            self.link.lease.clock_ms + link_cases.HOLD_LIMIT_MS - 100,
         )
 
     def build_earlier_start(self) -> effects.StartTask:
