--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -246,7 +246,7 @@
     def begin_incarnation(self, reply: minions.PollReply) -> None:
         """Forgets what was true of the previous incarnation only."""
         previous_deadline_ms = self.lease.deadline_ms
-        self.lease.begin(reply.clock_ms, self.get_unknown_lease_ms(reply))
+        self.lease.begin(reply.clock_ms, self.get_unknown_lease_ms())
         if self.incarnation:
             log.warning(
                 "minion_restarted",
@@ -308,16 +308,15 @@
         shown = {self.incarnation, self.minion.incarnation}
         return bool(incarnation) and not shown <= {0, incarnation}
 
-    def get_unknown_lease_ms(self, reply: minions.PollReply) -> int:
+    def get_unknown_lease_ms(self) -> int:
         """Returns how long orders unknown to this link may hold a lease, in ms.
 
-        A deadline meant for the previous incarnation lies far ahead of a clock
-        that has just restarted; the minion cuts it to the longest lease.
+        One meant for the previous incarnation that has reached this one counts
+        on another clock; the minion cuts its deadline to the longest lease.
         """
-        limit_ms = self.get_terms().hold_limit_ms
-        return (
-            limit_ms if reply.clock_ms < limit_ms else PREVIOUS_OWNER_LEASE_MS
-        )
+        if self.incarnation:
+            return self.get_terms().hold_limit_ms
+        return PREVIOUS_OWNER_LEASE_MS
 
     def handle_poll_failure(self, failure: minions.OrderFailure) -> None:
         """Handles a poll that was not answered or was refused."""
--- a/tests/entry/cell/test_earlier_calls.py
+++ b/tests/entry/cell/test_earlier_calls.py
@@ -75,7 +75,11 @@
     """The lease of the next incarnation."""
 
     def check_lease(self) -> None:
-        """Checks that the link knows how long runs may go on."""
+        """Checks that only calls for this incarnation hold its lease."""
+        self.assertLessEqual(
+            self.model.lease_ms,
+            self.model.get_clock() + link_cases.LEASE_MS,
+        )
         self.assertLessEqual(
             self.model.lease_ms, self.link.lease.deadline_ms + CLOCK_MARGIN_MS
         )
@@ -95,9 +99,7 @@
         decision = self.build_start(valid_ms=3_000)
         self.restart()
         self.link.orders.start(decision)
-        self.assertLessEqual(
-            self.model.lease_ms, self.model.get_clock() + link_cases.LEASE_MS
-        )
+        self.check_lease()
         self.assertEqual(self.model.runs, {})
 
 
--- a/tests/entry/cell/test_restarted_links.py
+++ b/tests/entry/cell/test_restarted_links.py
@@ -31,6 +31,18 @@
             self.link.lease.clock_ms + link_cases.HOLD_LIMIT_MS - 100,
         )
 
+    def test_a_lease_may_be_the_longest_wherever_the_next_clock_starts(
+        self,
+    ) -> None:
+        """Guards against runs that outlive the lease the owner counts with."""
+        self.model.draw_clock_s = lambda: 30.0
+        self.model.be_reborn()
+        self.wait(lambda: self.link.incarnation == self.model.incarnation)
+        self.assertGreaterEqual(
+            self.link.lease.deadline_ms,
+            self.link.lease.clock_ms + link_cases.HOLD_LIMIT_MS - 100,
+        )
+
     def build_earlier_start(self) -> effects.StartTask:
         """Returns a start that was decided for the incarnation before."""
         decision = dataclasses.replace(
