--- a/tests/entry/cell/link_cases.py
+++ b/tests/entry/cell/link_cases.py
@@ -92,6 +92,13 @@
         """Sends a start order."""
         self.link.orders.start(self.build_start(payload, number))
 
+    def end_and_acknowledge(self) -> None:
+        """Runs the first task to its end, which is acknowledged."""
+        self.start('{"work_ms": 20}')
+        self.wait(self.list_ends)
+        self.link.acknowledge_end(self.model.incarnation, 1)
+        self.wait(lambda: not self.model.ends)
+
     def list_start_answers(self) -> list[events.StartAnswered]:
         """Returns the answers to starts that the link emitted."""
         return [
--- a/tests/entry/cell/test_earlier_calls.py
+++ b/tests/entry/cell/test_earlier_calls.py
@@ -110,10 +110,7 @@
         self,
     ) -> None:
         """Guards against a task that is done and starts again."""
-        self.start('{"work_ms": 20}')
-        self.wait(self.list_ends)
-        self.link.acknowledge_end(self.model.incarnation, 1)
-        self.wait(lambda: not self.model.ends)
+        self.end_and_acknowledge()
         self.link.greenlet.kill()
         self.model.seen.clear()
         self.restart()
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -144,10 +144,7 @@
         self.assertEqual(self.count(events.MinionUnreachable), 0)
 
     def test_end_numbers_restart_with_a_new_incarnation(self) -> None:
-        self.start('{"work_ms": 20}')
-        self.wait(self.list_ends)
-        self.link.acknowledge_end(self.model.incarnation, 1)
-        self.wait(lambda: not self.model.ends)
+        self.end_and_acknowledge()
         self.model.be_reborn()
         self.wait(lambda: self.link.incarnation == self.model.incarnation)
         self.start('{"work_ms": 20}', number=2)
@@ -156,10 +153,7 @@
     def test_a_restarted_minion_forgets_no_end_that_it_has_not_listed(
         self,
     ) -> None:
-        self.start('{"work_ms": 20}')
-        self.wait(self.list_ends)
-        self.link.acknowledge_end(self.model.incarnation, 1)
-        self.wait(lambda: not self.model.ends)
+        self.end_and_acknowledge()
         self.model.silent = True
         self.model.be_reborn()
         self.model.start(
