Keep connections beyond file descriptor 1,023 open

Cause: before each call the library asks select() whether an idle connection is alive. It takes no descriptor from 1,024 on, and the error counts as a dead connection. The owner of a large cell holds more. Before that opened a new connection for each such call, unseen; since then a start found none that is open. Ruled out: connections that the minion ends.

All clients now use a pool that asks poll(). It is the platform's one pool for the store and the advice service as well, which opened a connection a call in the same way.

Failed before: test_pools.DescriptorTest.

--- a/packages/core/hickoryreach/platform/connections.py
+++ b/packages/core/hickoryreach/platform/connections.py
@@ -1,55 +1,10 @@
 """One connection to an address, which calls may be forbidden to open."""
 
 from collections.abc import Callable
-import socket
 
-import geventhttpclient
-from geventhttpclient import connectionpool
-
-from hickoryreach import exceptions
 from hickoryreach.platform import http
 
 
-class _Pool(connectionpool.ConnectionPool):
-    """Pool of one connection.
-
-    Attributes:
-        may_connect: Whether a connection may be opened.
-    """
-
-    may_connect = True
-
-    def _create_socket(self) -> socket.socket:
-        if not self.may_connect:
-            raise exceptions.NotConnectedError("not connected")
-        return super()._create_socket()
-
-    def disconnect(self) -> None:
-        """Closes the connection if it is open and not in use."""
-        while not self._socket_queue.empty():
-            self._socket_queue.get(block=False).close()
-
-
-class _SingleConnectionClient(geventhttpclient.HTTPClient):
-    """HTTP client with one connection.
-
-    Attributes:
-        pool: What opens the connection.
-    """
-
-    def __init__(self, host: str, **options: object) -> None:
-        super().__init__(host, **options)
-        self.pool = self._connection_pool = _Pool(
-            host,
-            self.port,
-            host,
-            self.port,
-            size=1,
-            connection_timeout=options["connection_timeout"],
-            network_timeout=options["network_timeout"],
-        )
-
-
 class Connection(http.Client):
     """One connection, used by one call at a time.
 
@@ -57,8 +12,6 @@
     that is open already reaches the process that has answered over it, or none.
     """
 
-    http_class = _SingleConnectionClient
-
     def __init__(
         self,
         *,
--- a/packages/core/hickoryreach/platform/http.py
+++ b/packages/core/hickoryreach/platform/http.py
@@ -8,12 +8,12 @@
 from typing import Any
 
 from gevent import lock
-import geventhttpclient
 import orjson
 import prometheus_client
 from returns import result
 
 from hickoryreach import exceptions
+from hickoryreach.platform import pools
 
 log = logging.getLogger(__name__)
 
@@ -106,8 +106,6 @@
         closed: Whether no further call is sent.
     """
 
-    http_class = geventhttpclient.HTTPClient
-
     def __init__(
         self,
         *,
@@ -137,7 +135,7 @@
         self.connections = connections
         # The pool of connections never wakes calls that wait when it closes.
         self.free_connections = lock.Semaphore(connections)
-        self.http = self.http_class(
+        self.http = pools.PooledClient(
             host.strip("[]"),
             port=int(port),
             concurrency=connections,
