--- a/packages/core/hickoryreach/platform/advice.py
+++ b/packages/core/hickoryreach/platform/advice.py
@@ -65,13 +65,7 @@
     try:
         tickets = dict(_parse_row(row) for row in answer.body["good"])
         valid_ms = numbers.parse_whole(answer.body.get("validMs") or 0)
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except numbers.MALFORMED_ERRORS as error:
         return _build_failure(
             f"malformed answer: {type(error).__name__}: {error}"
         )
--- a/packages/core/hickoryreach/platform/minion_replies.py
+++ b/packages/core/hickoryreach/platform/minion_replies.py
@@ -14,9 +14,7 @@
     return call_result.lash(_convert_failure).bind(_parse_order)
 
 
-def parse_poll(
-    call_result: http.CallResult,
-) -> minions.PollResult:
+def parse_poll(call_result: http.CallResult) -> minions.PollResult:
     """Returns what the answer to a poll lists."""
     return call_result.lash(_convert_failure).bind(_parse_poll_reply)
 
@@ -68,9 +66,7 @@
     )
 
 
-def _parse_poll_reply(
-    answer: http.Answer,
-) -> minions.PollResult:
+def _parse_poll_reply(answer: http.Answer) -> minions.PollResult:
     if answer.status != http.OK:
         return _build_refusal(answer)
     try:
@@ -83,13 +79,7 @@
                 ends=tuple(_parse_end(row) for row in body["finished"]),
             )
         )
-    except (
-        ArithmeticError,
-        AttributeError,
-        LookupError,
-        TypeError,
-        ValueError,
-    ) as error:
+    except numbers.MALFORMED_ERRORS as error:
         return _build_malformed_failure(error)
 
 
--- a/packages/core/hickoryreach/platform/numbers.py
+++ b/packages/core/hickoryreach/platform/numbers.py
@@ -1,6 +1,13 @@
 """Numbers in answers of the platform, its minions and its advice service."""
 
 MAX_WHOLE = 2**53  # the largest whole number that JSON readers agree on
+MALFORMED_ERRORS = (
+    ArithmeticError,
+    AttributeError,
+    LookupError,
+    TypeError,
+    ValueError,
+)  # what reading a malformed answer may raise
 
 
 def parse_whole(value: object) -> int:
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -311,8 +311,8 @@
     def get_unknown_lease_ms(self) -> int:
         """Returns how long orders unknown to this link may hold a lease, in ms.
 
-        One meant for the previous incarnation that has reached this one counts
-        on another clock; the minion cuts its deadline to the longest lease.
+        An order for the previous incarnation that reaches this one carries a
+        deadline on another clock; the minion cuts it to the longest lease.
         """
         if self.incarnation:
             return self.get_terms().hold_limit_ms
--- a/tests/entry/cell/test_end_numbers.py
+++ b/tests/entry/cell/test_end_numbers.py
@@ -49,7 +49,7 @@
         self.assertEqual(self.ends.acknowledged, 0)
         self.assertEqual(len(self.ends.take(build_ends(1))), 1)
 
-    def test_numbers_that_were_skipped_are_counted(self) -> None:
+    def test_numbers_that_were_never_listed_are_counted(self) -> None:
         self.assertEqual(self.ends.count_missed(build_ends(4)), 0)
         self.ends.take(build_ends(4))
         self.assertEqual(self.ends.count_missed(build_ends(4, 7)), 2)
