--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -87,6 +87,26 @@
     number), beside what the base class reads.
     """
 
+    def lose_power(self, for_s: float) -> None:
+        """Ends what runs; the minion is silent until a new life begins."""
+        for run in list(self.runs.values()):
+            if run.task in self.runs:
+                self.end(run, minions.CRASHED)
+        self.silent = True
+        gevent.spawn_later(for_s, self.regain_power)
+
+    def regain_power(self) -> None:
+        """Starts a new life under the same id."""
+        self.be_reborn()
+        self.silent = False
+
+    def answer(
+        self, path: str, body: dict, expected: str
+    ) -> tuple[int, dict | None] | None:
+        """Answers one call, unless the power is lost meanwhile."""
+        answered = super().answer(path, body, expected)
+        return None if self.silent else answered
+
     def get_checkpoint(self, run: minions.Run) -> str:
         """Returns the newest checkpoint of a run whose step saves."""
         if not getattr(self, "words", {}).get(run.task, {}).get("saves"):
