--- a/review/6/play.py
+++ b/review/6/play.py
@@ -10,6 +10,7 @@
 from review import harness_2 as harness
 
 OWNER_KEY = "hickoryreach/owner"
+MINIONS = 24
 SLOW_S = 4.5
 SLOW_ANSWER_S = 0.24
 KILL_DELAY_S = 1.0
@@ -192,4 +193,6 @@
 
 
 if __name__ == "__main__":
-    harness.run_case(os.path.dirname(os.path.abspath(__file__)), play)
+    harness.run_case(
+        os.path.dirname(os.path.abspath(__file__)), play, minion_count=MINIONS
+    )
