--- a/packages/entry/hickoryreach_entry/cell/advisors.py
+++ b/packages/entry/hickoryreach_entry/cell/advisors.py
@@ -20,6 +20,7 @@
 from hickoryreach_entry.cell import local_advisor
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import moving_load
+from hickoryreach_entry.cell import ownership_scope
 
 log = logging.getLogger(__name__)
 
@@ -61,6 +62,7 @@
     def __init__(
         self,
         *,
+        scope: ownership_scope.OwnershipScope,
         local: local_advisor.LocalAdvisor,
         get_channels: Callable[[], dict[str, channel.Channel]],
         get_incarnation: Callable[[str], int],
@@ -69,11 +71,13 @@
         """Creates the dispatcher of one ownership.
 
         Args:
+            scope: The ownership.
             local: Advisor of the owner's own entry.
             get_channels: Returns the channels to the other entries, by name.
             get_incarnation: Returns the incarnation of a minion, or 0.
             emit: Receives an event when a call has ended.
         """
+        self.scope = scope
         self.local = local
         self.get_channels = get_channels
         self.get_incarnation = get_incarnation
@@ -125,7 +129,12 @@
         return None
 
     def dispatch(self) -> None:
-        """Starts the waiting calls for which an entry is free."""
+        """Starts the waiting calls for which an entry is free.
+
+        An ownership that has ended starts none.
+        """
+        if self.scope.closed:
+            return
         started: set[int] = set()
         blocked: set[bool] = set()
         for call in self.list_in_turn():
@@ -143,7 +152,10 @@
                 self.fast_load.add(effect.cost_ms / 1_000)
             if is_overdue(call):
                 self.overdue_steps.setdefault(slow, get_step(effect))
-            gevent.spawn(self._make_call, name, effect, queued_at)
+            # A call of this entry may end after the ownership: the next owner
+            # can use its answer, and the service takes one call at a time.
+            spawn = gevent.spawn if name == LOCAL_ENTRY else self.scope.spawn
+            spawn(self._make_call, name, effect, queued_at)
         self.waiting = [call for call in self.waiting if call[1] not in started]
 
     def list_in_turn(self) -> list[WaitingCall]:
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -2,8 +2,6 @@
 
 import logging
 
-import gevent
-
 from hickoryreach.decisions import registry
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
@@ -47,7 +45,7 @@
             return
         self._observe_first_start(effect)
         self.pending_starts += 1
-        gevent.spawn(self._start, link, effect)
+        self.owner.scope.spawn(self._start, link, effect)
 
     def _start(self, link, effect: effects.StartTask) -> None:
         """Sends a start order; emits its end, however it ends."""
@@ -85,7 +83,7 @@
         """Sends a stop order."""
         link = self.owner.fleet.links.get(effect.minion_id)
         if link is not None:
-            gevent.spawn(self._stop, link, effect)
+            self.owner.scope.spawn(self._stop, link, effect)
 
     def _stop(self, link, effect: effects.StopTask) -> None:
         """Sends a stop order; emits its end, however it ends."""
@@ -107,7 +105,7 @@
         """Sends the share of its speed that a run may use."""
         link = self.owner.fleet.links.get(effect.minion_id)
         if link is not None:
-            gevent.spawn(link.orders.pace, effect)
+            self.owner.scope.spawn(link.orders.pace, effect)
 
     @handlers.register(effects.AskAdvice)
     def request_advice(self, effect: effects.AskAdvice) -> None:
@@ -134,7 +132,7 @@
     @handlers.register(effects.FindStoredJob)
     def look_up_job(self, effect: effects.FindStoredJob) -> None:
         """Looks up in the store a job that a minion lists."""
-        gevent.spawn(recovery.look_up_job, self.owner, effect.job_id)
+        self.owner.scope.spawn(recovery.look_up_job, self.owner, effect.job_id)
 
     @handlers.register(effects.AcknowledgeEnd)
     def record_end(self, effect: effects.AcknowledgeEnd) -> None:
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -4,7 +4,6 @@
 import logging
 import time
 
-import gevent
 from returns import result
 
 from hickoryreach.platform import documents
@@ -12,6 +11,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
 from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import prefix_watcher
 
 log = logging.getLogger(__name__)
@@ -37,6 +37,7 @@
     def __init__(
         self,
         *,
+        scope: ownership_scope.OwnershipScope,
         client: store.Store,
         get_terms: Callable[[], links.Terms],
         emit: Callable[[events.Event], None],
@@ -45,6 +46,7 @@
     ) -> None:
         """Creates a fleet without minions; the watch is not started."""
         self.change_heartbeat(heartbeat_ms)
+        self.scope = scope
         self.get_terms = get_terms
         self.emit = emit
         self.on_fenced = on_fenced
@@ -57,6 +59,7 @@
             pause_s=WATCH_PAUSE_S,
             on_item=self.handle_item,
             on_page=self.remove_unlisted,
+            spawn=scope.spawn,
         )
 
     def change_heartbeat(self, heartbeat_ms: int) -> None:
@@ -130,6 +133,7 @@
         if known is not None:
             known.close()
         self.links[minion.minion_id] = links.MinionLink(
+            scope=self.scope,
             minion=minion,
             get_terms=self.get_terms,
             emit=self.emit,
@@ -144,7 +148,7 @@
             return
         if self.may_reregister(link):
             registered_at = self.registered_at.get(minion_id)
-            gevent.spawn_later(
+            self.scope.spawn_later(
                 REREGISTRATION_TIMEOUT_S,
                 self.remove_unless_reregistered,
                 link,
@@ -194,7 +198,7 @@
         link.removed = True
         if self.has_left_as_planned(link):
             link.report_expiry("left")
-        gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_expired, link)
+        self.scope.spawn_later(UNREGISTERED_GRACE_S, self.drop_expired, link)
 
     def has_left_as_planned(self, link: links.MinionLink) -> bool:
         """Returns whether a minion shut down as planned.
@@ -224,7 +228,7 @@
             link.close()
             self.emit(events.LeaseExpired(minion_id=minion_id))
             return
-        gevent.spawn_later(UNREGISTERED_GRACE_S, self.drop_expired, link)
+        self.scope.spawn_later(UNREGISTERED_GRACE_S, self.drop_expired, link)
 
     def list_silent(self) -> dict[str, int]:
         """Returns unresponsive minions, with ms until their leases expire."""
@@ -244,6 +248,5 @@
 
     def close(self) -> None:
         """Closes every link."""
-        self.watcher.close()
         for link in self.links.values():
             link.close()
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -20,6 +20,7 @@
 from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import orders
+from hickoryreach_entry.cell import ownership_scope
 
 log = logging.getLogger(__name__)
 
@@ -70,6 +71,7 @@
     def __init__(
         self,
         *,
+        scope: ownership_scope.OwnershipScope,
         minion: cells.Minion,
         get_terms: Callable[[], Terms],
         emit: Callable[[events.Event], None],
@@ -79,6 +81,7 @@
         """Starts polling a minion.
 
         Args:
+            scope: The ownership to which the link belongs.
             minion: The minion.
             get_terms: Returns the terms for orders.
             emit: Receives events.
@@ -87,6 +90,7 @@
                 taken over, so that runs there count as ended when it expires
                 even if the new address never answers.
         """
+        self.scope = scope
         self.minion = minion
         self.get_terms = get_terms
         self.emit = emit
@@ -115,7 +119,7 @@
             self.incarnation_known_ms = previous.incarnation_known_ms
             self.lease = copy.copy(previous.lease)
             self.lapsed = previous.lapsed
-        self.greenlet = gevent.spawn(self.poll_forever)
+        self.greenlet = scope.spawn(self.poll_forever)
 
     def poll_forever(self) -> None:
         """Polls the minion until the link is closed."""
@@ -182,7 +186,7 @@
         """Polls in the background, beside a poll that waits for an end."""
         if not self.polling_now and not self.silent:
             self.polling_now = True
-            gevent.spawn(self._poll_now)
+            self.scope.spawn(self._poll_now)
 
     def _poll_now(self) -> None:
         try:
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -20,7 +20,6 @@
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
 from hickoryreach_entry import clock
-from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import configuration_watch
@@ -31,6 +30,7 @@
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import local_advisor
 from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import ownership_validity
 from hickoryreach_entry.cell import prefix_watcher
 from hickoryreach_entry.cell import progress
@@ -56,6 +56,7 @@
     """One ownership of the cell.
 
     Attributes:
+        scope: Runs all that the ownership starts.
         epoch: Number of the ownership.
         revision: Revision of the owner's key; the fencing token.
         state: Scheduling state that the reducer works on.
@@ -89,6 +90,7 @@
         on_deposed: Callable[[str], None],
     ) -> None:
         """Creates an owner that has not started yet."""
+        self.scope = ownership_scope.OwnershipScope(epoch=epoch)
         self.settings = settings
         self.client = client
         self.epoch = epoch
@@ -120,18 +122,21 @@
             epoch=epoch,
         )
         self.progress = progress.ProgressWriter(
+            scope=self.scope,
             client=client,
             epoch=epoch,
             revision=revision,
             on_deposed=on_deposed,
         )
         self.advice_dispatcher = advisors.AdviceDispatcher(
+            scope=self.scope,
             local=local_advisor,
             get_channels=get_channels,
             get_incarnation=self.state.get_incarnation,
             emit=self.emit,
         )
         self.fleet = fleet.Fleet(
+            scope=self.scope,
             client=client,
             get_terms=self.get_terms,
             emit=self.emit,
@@ -150,6 +155,7 @@
         )
         self.effect_executor = effect_executor.EffectExecutor(owner=self)
         self.retention = retention.Retention(
+            scope=self.scope,
             client=client,
             progress=self.progress,
             retention_s=settings.bounds.keep_state_s,
@@ -165,8 +171,8 @@
             pause_s=JOBS_WATCH_PAUSE_S,
             on_item=self.process_job_item,
             on_page=self.pace_jobs_watch,
+            spawn=self.scope.spawn,
         )
-        self.greenlets: list[gevent.Greenlet] = []
 
     def get_terms(self) -> links.Terms:
         """Returns the fencing token and lease lengths for orders.
@@ -184,10 +190,8 @@
 
     def start(self) -> None:
         """Starts the takeover and the scheduling loop."""
-        self.greenlets.append(greenlets.spawn_vital(self.run))
-        self.greenlets.append(
-            greenlets.spawn_vital(self.ownership_validity.confirm_forever)
-        )
+        self.scope.spawn_vital(self.run)
+        self.scope.spawn_vital(self.ownership_validity.confirm_forever)
 
     def run(self) -> None:
         """Recovers the cell, then processes events until stopped."""
@@ -206,15 +210,9 @@
                 "took_ms": int(took_s * 1000),
             },
         )
-        self.greenlets.append(
-            greenlets.spawn_vital(self.known_minions.save_forever)
-        )
-        self.greenlets.append(
-            greenlets.spawn_vital(self.takeover_history.save_forever)
-        )
-        self.greenlets.append(
-            greenlets.spawn_vital(self.configuration_source.confirm_forever)
-        )
+        self.scope.spawn_vital(self.known_minions.save_forever)
+        self.scope.spawn_vital(self.takeover_history.save_forever)
+        self.scope.spawn_vital(self.configuration_source.confirm_forever)
         self.jobs_watcher.start()
         while not self.inbox.empty():
             self.apply(self.inbox.get_nowait())
@@ -368,7 +366,7 @@
             "order_fenced", extra={"minion": minion_id, "token": self.revision}
         )
         self.ownership_validity.record_later_owner(minion_id)
-        gevent.spawn(self.ownership_validity.confirm)
+        self.scope.spawn(self.ownership_validity.confirm)
 
     def hand_over(self) -> None:
         """Waits until the progress is stored and no start is pending.
@@ -390,11 +388,5 @@
         """Ends the ownership; no further orders are sent."""
         self.stopped = True
         metrics.owning.set(0)
-        self.jobs_watcher.close()
+        self.scope.close()
         self.fleet.close()
-        self.progress.close()
-        current = gevent.getcurrent()
-        gevent.killall(
-            [each for each in self.greenlets if each is not current],
-            block=False,
-        )
--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -47,6 +47,7 @@
         on_item: Callable[[store.Item], None],
         on_page: Callable[[store.Page, bool], None] = ignore_page,
         pause_s: float = 0.0,
+        spawn: Callable[..., gevent.Greenlet] = gevent.spawn,
     ) -> None:
         """Creates a watcher that is not started yet.
 
@@ -58,6 +59,7 @@
             on_page: Called with a page and whether it holds all items, after
                 its items were handled.
             pause_s: Time between two calls, in s.
+            spawn: Starts the greenlet of the watch.
         """
         self.client = client
         self.prefix = prefix
@@ -65,6 +67,7 @@
         self.on_item = on_item
         self.on_page = on_page
         self.pause_s = pause_s
+        self.spawn = spawn
         self.revision = -1
         self.skipped: dict[str, int] = {}
         self.ahead: dict[str, int] = {}
@@ -75,7 +78,7 @@
 
     def start(self) -> None:
         """Starts the watch."""
-        self.greenlet = gevent.spawn(self.watch_forever)
+        self.greenlet = self.spawn(self.watch_forever)
 
     def watch_forever(self) -> None:
         """Reads the prefix, then watches it.
--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -7,11 +7,11 @@
 
 import gevent
 from gevent import event as gevent_event
-from gevent import pool
 from returns import result
 
 from hickoryreach.platform import store
 from hickoryreach_entry.cell import metrics
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import records
 
 log = logging.getLogger(__name__)
@@ -59,7 +59,8 @@
 
     Several greenlets write parts concurrently. Callbacks run in the order in
     which they were added, so that a job's final state is published after the
-    ends that caused it.
+    ends that caused it. Minions report ends that are not stored when the
+    ownership ends to the next owner again.
 
     Attributes:
         epoch: Number of the ownership.
@@ -68,8 +69,8 @@
         healthy: Whether the last write succeeded.
         failing_since: When the first of the present failed writes was sent,
             on the monotonic clock in s; 0 while writes succeed.
-        extra_writes: Writes of large parts, besides those of the greenlets that
-            write all the time.
+        extra_writes: Number of writes of large parts, besides those of the
+            greenlets that write all the time.
         on_part: Called with the key and the rows of each stored part.
         on_final: Called with each job whose final record is stored.
     """
@@ -77,12 +78,14 @@
     def __init__(
         self,
         *,
+        scope: ownership_scope.OwnershipScope,
         client: store.Store,
         epoch: int,
         revision: int,
         on_deposed: Callable[[str], None],
     ) -> None:
         """Starts the greenlets that write."""
+        self.scope = scope
         self.client = client
         self.epoch = epoch
         self.revision = revision
@@ -98,11 +101,9 @@
         self.next_stored = 1
         self.on_part: Callable[[str, list[records.Row]], None] | None = None
         self.on_final: Callable[[str], None] | None = None
-        self.extra_writes = pool.Pool(MAX_EXTRA_WRITES)
-        self.greenlets = [
-            gevent.spawn(self.write_parts_forever)
-            for _ in range(CONCURRENT_WRITES)
-        ]
+        self.extra_writes = 0
+        for _ in range(CONCURRENT_WRITES):
+            scope.spawn(self.write_parts_forever)
 
     def append(
         self,
@@ -131,7 +132,7 @@
             self.open.finals |= finals
         self.pending.set()
         if row is not None and not len(self.open.rows) % ROWS_PER_EXTRA_WRITE:
-            gevent.spawn(self.write_large_part)
+            self.scope.spawn(self.write_large_part)
 
     def write_large_part(self) -> None:
         """Writes a part that grew large while the other writes are under way.
@@ -140,8 +141,17 @@
         writes and its own.
         """
         is_large = len(self.open.rows) >= ROWS_PER_EXTRA_WRITE
-        if is_large and self.extra_writes.free_count() and not self.stopped:
-            self.extra_writes.spawn(self.write_part, self.close_open_part())
+        if (
+            not is_large
+            or self.stopped
+            or self.extra_writes >= MAX_EXTRA_WRITES
+        ):
+            return
+        self.extra_writes += 1
+        try:
+            self.write_part(self.close_open_part())
+        finally:
+            self.extra_writes -= 1
 
     def is_empty(self) -> bool:
         """Returns whether everything that was added is stored."""
@@ -227,7 +237,7 @@
         """
         writers: list[gevent.Greenlet] = []
         while len(writers) < MAX_HEDGED_ATTEMPTS and not part.written:
-            writers.append(gevent.spawn(self.attempt_write, part, puts))
+            writers.append(self.scope.spawn(self.attempt_write, part, puts))
             for done in gevent.wait(writers, timeout=HEDGE_DELAY_S, count=1):
                 return bool(done.value)
         return any(done.value for done in gevent.iwait(writers)) or part.written
@@ -295,22 +305,6 @@
         elif not self.failing_since:
             self.failing_since = sent_at
 
-    def close(self) -> None:
-        """Stops writing.
-
-        Minions report ends that were not stored to the next owner again.
-        """
-        self.stopped = True
-        self.pending.set()
-        gevent.killall(
-            [
-                each
-                for each in [*self.greenlets, *self.extra_writes]
-                if each is not gevent.getcurrent()
-            ],
-            block=False,
-        )
-
 
 def run_callback(kept: Callable[[], None]) -> None:
     """Runs one callback; its error keeps no other one from its turn."""
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -42,15 +42,17 @@
         owner.apply(
             events.ConfigurationChanged(configuration=owner.configuration)
         )
-    configuration = gevent.spawn(read_configuration, owner)
-    fleet = gevent.spawn(read_fleet, owner)
-    known_minions = gevent.spawn(owner.known_minions.read)
-    progress = gevent.spawn(
+    progress = owner.scope.spawn(
         store_reads.read_prefix, owner.client, records.PROGRESS_PREFIX
     )
-    history = gevent.spawn(owner.takeover_history.read)
+    others = [
+        owner.scope.spawn(read_configuration, owner),
+        owner.scope.spawn(read_fleet, owner),
+        owner.scope.spawn(owner.known_minions.read),
+        owner.scope.spawn(owner.takeover_history.read),
+    ]
     jobs = store_reads.read_prefix(owner.client, records.JOBS_PREFIX)
-    gevent.joinall([configuration, fleet, progress, known_minions, history])
+    owner.scope.join([progress, *others])
     kept = progress.value
     owner.jobs_watcher.revision = jobs.revision
     deadline = time.monotonic() + FIRST_POLLS_TIMEOUT_S
@@ -74,7 +76,7 @@
                 "until_ms": unconfirmed_until_ms,
             },
         )
-        gevent.spawn(end_uncertainty, owner, unconfirmed_until_ms)
+        owner.scope.spawn(end_uncertainty, owner, unconfirmed_until_ms)
     else:
         owner.known_minions.drop_earlier()
 
--- a/packages/entry/hickoryreach_entry/cell/retention.py
+++ b/packages/entry/hickoryreach_entry/cell/retention.py
@@ -9,6 +9,7 @@
 from returns import result
 
 from hickoryreach.platform import store
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import progress as progress_module
 from hickoryreach_entry.cell import records
 
@@ -41,6 +42,7 @@
     def __init__(
         self,
         *,
+        scope: ownership_scope.OwnershipScope,
         client: store.Store,
         progress: progress_module.ProgressWriter,
         retention_s: int,
@@ -49,11 +51,13 @@
         """Subscribes to the progress; nothing is removable yet.
 
         Args:
+            scope: The ownership.
             client: The store.
             progress: Progress of the ownership; its revision guards removals.
             retention_s: How long a finished job's state is retained, in s.
             on_expired: Called with each job whose retention is over.
         """
+        self.scope = scope
         self.client = client
         self.progress = progress
         self.retention_s = retention_s
@@ -124,7 +128,7 @@
         )
         if self.removable and due and not self.removing:
             self.removing = True
-            gevent.spawn(self.remove)
+            self.scope.spawn(self.remove)
 
     def remove(self) -> None:
         """Removes one batch of keys from the store."""
--- a/packages/entry/hickoryreach_entry/greenlets.py
+++ b/packages/entry/hickoryreach_entry/greenlets.py
@@ -18,7 +18,11 @@
     other entries take over, where going on in part would leave a shard with
     an owner that decides nothing.
     """
-    greenlet = gevent.spawn(run, *args)
+    return make_vital(gevent.spawn(run, *args))
+
+
+def make_vital(greenlet: gevent.Greenlet) -> gevent.Greenlet:
+    """Makes the failure of a greenlet end the process; returns the greenlet."""
     greenlet.link_exception(end_process)
     return greenlet
 
--- a/tests/entry/cell/link_cases.py
+++ b/tests/entry/cell/link_cases.py
@@ -11,6 +11,7 @@
 from hickoryreach.structure import steps
 from hickoryreach_entry import clock
 from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import ownership_scope
 from standins.users import minions as standin
 from standins.users import servers
 
@@ -47,7 +48,10 @@
         self.addCleanup(self.server.stop, 0)
         self.events: list[events.Event] = []
         self.fenced: list[str] = []
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
+        self.addCleanup(self.scope.close)
         self.link = links.MinionLink(
+            scope=self.scope,
             minion=cells.Minion(
                 minion_id="i-1",
                 service="s",
--- a/tests/entry/cell/test_advisors.py
+++ b/tests/entry/cell/test_advisors.py
@@ -14,6 +14,7 @@
 from hickoryreach_entry.cell import advisors
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import local_advisor
+from hickoryreach_entry.cell import ownership_scope
 
 INCARNATIONS = {"m0": 1_700_000_000_001}
 
@@ -81,6 +82,7 @@
         self.local = FakeEntry(advisors.LOCAL_ENTRY, self.calls)
         self.emitted: list = []
         self.dispatcher = advisors.AdviceDispatcher(
+            scope=ownership_scope.OwnershipScope(epoch=1),
             local=self.local,
             get_channels=lambda: self.entries,
             get_incarnation=INCARNATIONS.get,
@@ -279,6 +281,7 @@
         self.asked: list[str] = []
         self.emitted: list = []
         self.dispatcher = advisors.AdviceDispatcher(
+            scope=ownership_scope.OwnershipScope(epoch=1),
             local=self,
             get_channels=dict,
             get_incarnation=INCARNATIONS.get,
@@ -336,6 +339,7 @@
         self.channels = {name: self.entries[name] for name in "bc"}
         self.emitted: list = []
         self.dispatcher = advisors.AdviceDispatcher(
+            scope=ownership_scope.OwnershipScope(epoch=1),
             local=self.entries[advisors.LOCAL_ENTRY],
             get_channels=lambda: self.channels,
             get_incarnation=INCARNATIONS.get,
@@ -429,6 +433,7 @@
         self.emitted: list = []
         self.received: list[str] = []
         self.dispatcher = advisors.AdviceDispatcher(
+            scope=ownership_scope.OwnershipScope(epoch=1),
             local=local_advisor.LocalAdvisor(address=None),
             get_channels=lambda: self.channels,
             get_incarnation=INCARNATIONS.get,
--- a/tests/entry/cell/test_effect_executor.py
+++ b/tests/entry/cell/test_effect_executor.py
@@ -13,6 +13,7 @@
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import effect_executor
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import progress
 from hickoryreach_entry.cell import records
 from tests.entry.cell import cases
@@ -26,16 +27,19 @@
     def setUp(self) -> None:
         """Serves a store and creates an executor with a fake owner."""
         super().setUp()
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
+        self.addCleanup(self.scope.close)
         self.progress = progress.ProgressWriter(
+            scope=self.scope,
             client=self.client,
             epoch=1,
             revision=self.model.put(records.OWNER_KEY, b"{}"),
             on_deposed=lambda reason: None,
         )
-        self.addCleanup(self.progress.close)
         self.link = mock.Mock()
         self.emitted: list[events.Event] = []
         self.owner = types.SimpleNamespace(
+            scope=self.scope,
             progress=self.progress,
             serving=False,
             emit=self.emitted.append,
--- a/tests/entry/cell/test_end_pages.py
+++ b/tests/entry/cell/test_end_pages.py
@@ -5,6 +5,7 @@
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import ownership_scope
 from tests.core.scheduling import cases
 
 
@@ -17,7 +18,10 @@
         """Starts a task, and opens a link to an address without a minion."""
         super().setUp()
         self.emitted: list[events.Event] = []
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
+        self.addCleanup(self.scope.close)
         self.link = links.MinionLink(
+            scope=self.scope,
             minion=self.cell.minions["m0"].minion,
             get_terms=lambda: links.Terms(
                 token=1, lease_ms=1_000, hold_limit_ms=6_000
--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -14,6 +14,7 @@
 from hickoryreach.structure import resources
 from hickoryreach_entry.cell import fleet
 from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import ownership_scope
 from standins.users import minions as standin
 from standins.users import servers
 from tests.entry.cell import cases
@@ -47,7 +48,9 @@
         self.server = servers.serve("127.0.0.1:0", answer)
         self.addCleanup(self.server.stop, 0)
         self.events: list[events.Event] = []
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
         self.fleet = fleet.Fleet(
+            scope=self.scope,
             client=mock.Mock(),
             get_terms=lambda: links.Terms(
                 token=5, lease_ms=LEASE_MS, hold_limit_ms=6_000
@@ -56,6 +59,7 @@
             on_fenced=lambda minion_id: None,
             heartbeat_ms=500,
         )
+        self.addCleanup(self.scope.close)
         self.addCleanup(self.fleet.close)
         self.minion = cells.Minion(
             minion_id="i-1",
@@ -138,7 +142,9 @@
         """Creates a fleet that reads the store, and does not start it."""
         super().setUp()
         self.events: list[events.Event] = []
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
         self.fleet = fleet.Fleet(
+            scope=self.scope,
             client=self.client,
             get_terms=lambda: links.Terms(
                 token=5, lease_ms=LEASE_MS, hold_limit_ms=6_000
@@ -147,6 +153,7 @@
             on_fenced=lambda minion_id: None,
             heartbeat_ms=500,
         )
+        self.addCleanup(self.scope.close)
         self.addCleanup(self.fleet.close)
         fast = mock.patch.object(self.fleet.watcher, "pause_s", 0.0)
         fast.start()
--- a/tests/entry/cell/test_odd_registrations.py
+++ b/tests/entry/cell/test_odd_registrations.py
@@ -21,6 +21,7 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import fleet
 from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import ownership_scope
 
 SOUND = {
     "service": "s",
@@ -96,12 +97,15 @@
         patch.start()
         self.addCleanup(patch.stop)
         self.begin()
+        self.addCleanup(lambda: self.scope.close())
         self.addCleanup(lambda: self.fleet.close())
 
     def begin(self) -> None:
         """Starts anew without any minion."""
         self.cell = state.CellState(settings=settings.Settings(), epoch=1)
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
         self.fleet = fleet.Fleet(
+            scope=self.scope,
             client=mock.Mock(),
             get_terms=lambda: links.Terms(
                 token=5, lease_ms=800, hold_limit_ms=6_000
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -6,6 +6,7 @@
 from gevent import event
 
 from hickoryreach.scheduling import state
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import progress
 from hickoryreach_entry.cell import records
 from tests.entry.cell import cases
@@ -22,13 +23,15 @@
         self.revision = self.model.put(records.OWNER_KEY, b"{}")
         self.deposed: list[str] = []
         self.kept: list[int] = []
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
+        self.addCleanup(self.scope.close)
         self.progress = progress.ProgressWriter(
+            scope=self.scope,
             client=self.client,
             epoch=1,
             revision=self.revision,
             on_deposed=self.deposed.append,
         )
-        self.addCleanup(self.progress.close)
 
     def append(self, number: int) -> None:
         """Adds a row whose callback records its number."""
--- a/tests/entry/cell/test_retention.py
+++ b/tests/entry/cell/test_retention.py
@@ -7,6 +7,7 @@
 import gevent
 from returns import result
 
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import retention
 
@@ -22,6 +23,7 @@
         self.client.write.return_value = result.Success(1)
         self.expired: list[str] = []
         self.retention = retention.Retention(
+            scope=ownership_scope.OwnershipScope(epoch=1),
             client=self.client,
             progress=types.SimpleNamespace(revision=5),
             retention_s=120,
--- a/tests/entry/cell/test_settings_reload.py
+++ b/tests/entry/cell/test_settings_reload.py
@@ -119,7 +119,7 @@
             may_recall_advice=False,
             on_deposed=lambda reason: None,
         )
-        self.addCleanup(self.owner.progress.close)
+        self.addCleanup(self.owner.close)
         member.owner = self.owner
 
     def test_bounds_apply_to_the_owner(self) -> None:
