Split the watch of stored jobs off the owner, and statuses off the member

No behaviour changes: StoredJobs holds the watch and its pause, member_status what an entry tells its peers, succession the order of takeover.

--- a/packages/entry/hickoryreach_entry/cell/fitness_review.py
+++ b/packages/entry/hickoryreach_entry/cell/fitness_review.py
@@ -7,6 +7,7 @@
 from returns import result
 
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import succession
 
 log = logging.getLogger(__name__)
 
@@ -17,7 +18,6 @@
 STORE_READ_TIMEOUT_S = 0.5
 STRONGER_FACTOR = 1.5
 MIN_STABLE_S = 1.0
-STORE_CONTACT_MAX_AGE_S = 2.2  # longer than one watch call of an idle entry
 
 
 class FitnessReview:
@@ -76,7 +76,7 @@
         Entries with less may take over while the others fail or are isolated.
         """
         owner = self.member.owner
-        first = next(iter(self.member.list_succession()), None)
+        first = next(iter(succession.list_peers(self.member)), None)
         if owner is None or not owner.serving or owner.leaving or not first:
             return
         if first.processor < STRONGER_FACTOR * self.member.own_info.processor:
@@ -86,7 +86,10 @@
             owner.begun_at, self.member.followers[first.name].opened_at
         )
         served_s = now - self.member.store_served_at.get(first.name, 0.0)
-        if stable_s < MIN_STABLE_S or served_s > STORE_CONTACT_MAX_AGE_S:
+        if (
+            stable_s < MIN_STABLE_S
+            or served_s > succession.STORE_CONTACT_MAX_AGE_S
+        ):
             return
         if self.member.client.health.failing_since:
             return
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -11,7 +11,6 @@
 from hickoryreach.platform import store
 from hickoryreach.structure import cells
 from hickoryreach.wire import frames
-from hickoryreach_entry import clock
 from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import channel
@@ -19,6 +18,7 @@
 from hickoryreach_entry.cell import election
 from hickoryreach_entry.cell import fitness_review
 from hickoryreach_entry.cell import local_advisor
+from hickoryreach_entry.cell import member_status
 from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_client
 from hickoryreach_entry.cell import records
@@ -26,9 +26,7 @@
 log = logging.getLogger(__name__)
 
 STATUS_INTERVAL_S = 0.15
-MAX_SUCCESSORS = 6
 CALL_TIMEOUT_S = 1.0
-MS_PER_S = 1_000
 
 handlers: registry.Registry = registry.Registry(title="frame handlers")
 
@@ -117,7 +115,7 @@
         self.owner.ownership_validity.quorum.add(message.peer.name)
         self.owner.advice_dispatcher.dispatch()
         log.info("follower_added", extra={"peer": message.peer.name})
-        peer.send(status=self.build_status())
+        peer.send(status=member_status.build_status(self))
 
     @handlers.register("status")
     def handle_status(
@@ -146,7 +144,9 @@
         if message.epoch > self.owner.epoch:
             validity.record_later_owner(name)
         elif message.epoch == self.owner.epoch and message.echoed_ms:
-            validity.quorum.record_echo(name, message.echoed_ms / MS_PER_S)
+            validity.quorum.record_echo(
+                name, message.echoed_ms / member_status.MS_PER_S
+            )
         if message.leaving:
             validity.quorum.record_leaving(name)
 
@@ -280,78 +280,19 @@
                 extra={"peer": peer.peer.name, "reason": peer.reason},
             )
 
-    def build_status(self) -> frames.Status:
-        """Returns the status that is sent to followers."""
-        owner = self.owner
-        return frames.Status(
-            epoch=owner.epoch if owner else 0,
-            pending=owner.published_states.count_pending()
-            if owner and owner.serving
-            else {},
-            succession=self.list_succession()[:MAX_SUCCESSORS],
-            leaving=bool(owner and owner.leaving),
-            silent=owner.fleet.list_silent() if owner else {},
-            serving=bool(owner and owner.serving),
-            cell_ms=self.cell_clock.now_ms(),
-            sent_ms=int(clock.boot_s() * MS_PER_S),
-            followers=len(self.followers),
-        )
-
-    def list_succession(self) -> list[frames.PeerInfo]:
-        """Returns the followers in the order in which they take over.
-
-        Followers that reach the store and are not silent come first, and
-        among them those with the most processor time.
-        """
-        now = time.monotonic()
-        booted_s = clock.boot_s()
-        return [
-            peer.peer
-            for peer in sorted(
-                self.followers.values(),
-                key=lambda peer: (
-                    now - self.store_served_at.get(peer.peer.name, 0.0)
-                    > fitness_review.STORE_CONTACT_MAX_AGE_S,
-                    booted_s - peer.last_received_at > election.SILENCE_LIMIT_S,
-                    -peer.peer.processor,
-                    peer.peer.name,
-                ),
-            )
-        ]
-
     def send_status_forever(self) -> None:
         """Sends the status to followers, or a pulse to the owner."""
         while True:
             gevent.sleep(STATUS_INTERVAL_S)
             if self.owner is not None:
                 self.fitness_review.run()
-                status = self.build_status()
+                status = member_status.build_status(self)
                 for peer in list(self.followers.values()):
                     peer.send(status=status)
             elif self.election.owner_channel is not None:
-                self.election.owner_channel.send(pulse=self.build_pulse())
-
-    def get_echoed_ms(self) -> int:
-        """Returns when the owner sent its last status, on its clock.
-
-        Returns:
-            The time in ms; 0 if this entry may have taken over since, or knows
-            of a later owner.
-        """
-        last = self.election.last_status
-        newest = last.epoch == self.election.highest_epoch
-        return last.sent_ms if newest and not self.election.claiming else 0
-
-    def build_pulse(self) -> frames.Pulse:
-        """Returns the pulse that is sent to the owner."""
-        age_s = time.monotonic() - self.client.health.answered_at
-        return frames.Pulse(
-            store_age_ms=int(age_s * MS_PER_S),
-            wall_ms=clock.wall_ms(),
-            epoch=self.election.highest_epoch,
-            echoed_ms=self.get_echoed_ms(),
-            leaving=self.draining and not self.election.claiming,
-        )
+                self.election.owner_channel.send(
+                    pulse=member_status.build_pulse(self)
+                )
 
     def release_ownership(self) -> None:
         """Releases the ownership to the first entry in the succession."""
@@ -359,7 +300,7 @@
         if owner is None or owner.leaving:
             return
         owner.leaving = True
-        status = self.build_status()
+        status = member_status.build_status(self)
         self.election.owner_lookup.record_peers(status.succession)
         for peer in list(self.followers.values()):
             peer.send(status=status)
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -32,21 +32,18 @@
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import ownership_validity
-from hickoryreach_entry.cell import prefix_watcher
 from hickoryreach_entry.cell import progress
 from hickoryreach_entry.cell import published_states
 from hickoryreach_entry.cell import records
 from hickoryreach_entry.cell import recovery
 from hickoryreach_entry.cell import retention
+from hickoryreach_entry.cell import stored_jobs
 from hickoryreach_entry.cell import takeover_history
 
 log = logging.getLogger(__name__)
 
 TICK_S = 0.1
 BATCH_LIMIT = 200
-JOBS_WATCH_PAUSE_S = 0.5
-JOBS_WATCH_WAIT_S = 0.5
-UNREPORTED_WINDOW_S = 5.0
 MAX_PASS_GAP_S = 0.05
 HANDOVER_TIMEOUT_S = 0.8
 HANDOVER_POLL_S = 0.02
@@ -65,7 +62,6 @@
         may_recall_advice: Whether entries may hold advice that the previous
             owner asked for.
         published_states: Job states that callers may be told.
-        unreported_at: When a job was last found that no entry reported, in s.
         next_pass_at: Earliest start of the next placement pass, in s.
         serving: Whether the takeover is complete and decisions are made.
         leaving: Whether the ownership is being handed over.
@@ -110,7 +106,6 @@
             on_deposed=on_deposed,
         )
         self.inbox: gevent_queue.Queue = gevent_queue.Queue()
-        self.unreported_at = -UNREPORTED_WINDOW_S
         self.next_pass_at = 0.0
         self.serving = False
         self.leaving = False
@@ -164,14 +159,11 @@
         self.published_states = published_states.PublishedStates(
             on_final=self.retention.record_final
         )
-        self.jobs_watcher = prefix_watcher.PrefixWatcher(
+        self.stored_jobs = stored_jobs.StoredJobs(
+            scope=self.scope,
             client=client,
-            prefix=records.JOBS_PREFIX,
-            wait_s=JOBS_WATCH_WAIT_S,
-            pause_s=JOBS_WATCH_PAUSE_S,
-            on_item=self.process_job_item,
-            on_page=self.pace_jobs_watch,
-            spawn=self.scope.spawn,
+            is_known=self.published_states.__contains__,
+            submit=self.submit,
         )
 
     def get_terms(self) -> links.Terms:
@@ -213,7 +205,7 @@
         self.scope.spawn_vital(self.known_minions.save_forever)
         self.scope.spawn_vital(self.takeover_history.save_forever)
         self.scope.spawn_vital(self.configuration_source.confirm_forever)
-        self.jobs_watcher.start()
+        self.stored_jobs.start()
         while not self.inbox.empty():
             self.apply(self.inbox.get_nowait())
         ticked_at = 0.0
@@ -288,27 +280,6 @@
         if job.job_id not in self.published_states:
             self.emit(events.JobOffered(job=job))
 
-    def process_job_item(self, item: store.Item) -> None:
-        """Accepts a job that an entry stored without reporting it."""
-        job_id = item.key.removeprefix(records.JOBS_PREFIX)
-        if item.data is None or job_id in self.published_states:
-            return
-        job = recovery.decode_item(item)
-        if isinstance(job, steps.Job):
-            self.unreported_at = time.monotonic()
-            self.submit(job)
-
-    def pace_jobs_watch(self, page: store.Page, complete: bool) -> None:
-        """Sets the pause of the watch of the stored jobs.
-
-        It runs without one until no unreported job has been found for
-        `UNREPORTED_WINDOW_S`.
-        """
-        all_reported = (
-            time.monotonic() - self.unreported_at > UNREPORTED_WINDOW_S
-        )
-        self.jobs_watcher.pause_s = JOBS_WATCH_PAUSE_S if all_reported else 0.0
-
     def apply_past_advice(self, advice_news: frames.AdviceNews) -> None:
         """Queues advice that an earlier owner asked for."""
         for past in advice_news.answers or ():
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -54,7 +54,7 @@
     jobs = store_reads.read_prefix(owner.client, records.JOBS_PREFIX)
     owner.scope.join([progress, *others])
     kept = progress.value
-    owner.jobs_watcher.revision = jobs.revision
+    owner.stored_jobs.start_after(jobs.revision)
     deadline = time.monotonic() + FIRST_POLLS_TIMEOUT_S
     wait_until(lambda: has_attempted_all_polls(owner), deadline)
     unconfirmed_until_ms = get_uncertain_until_ms(owner)
--- a/tests/entry/cell/test_fitness_review.py
+++ b/tests/entry/cell/test_fitness_review.py
@@ -15,6 +15,7 @@
 from hickoryreach_entry.cell import fitness_review
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import succession
 
 
 class StoreAccessTest(unittest.TestCase):
@@ -123,7 +124,7 @@
         self.add_follower("strong", 2.0, since_s=5.0)
         idle_s = configuration_watch.WATCH_WAIT_S + 0.2
         self.member.store_served_at["strong"] = self.now - idle_s
-        first, _ = self.member.list_succession()
+        first, _ = succession.list_peers(self.member)
         self.assertEqual(first.name, "strong")
 
     def test_does_not_release_to_an_equal_follower(self) -> None:
--- a/tests/entry/cell/test_follower_quorum.py
+++ b/tests/entry/cell/test_follower_quorum.py
@@ -12,6 +12,7 @@
 from hickoryreach_entry.cell import election as election_module
 from hickoryreach_entry.cell import follower_quorum
 from hickoryreach_entry.cell import member as member_module
+from hickoryreach_entry.cell import member_status
 from hickoryreach_entry.cell import owner_status
 from hickoryreach_entry.cell import records
 
@@ -195,16 +196,16 @@
         self.election.handle_status(self.election.owner_channel, status)
 
     def test_it_echoes_the_last_status(self) -> None:
-        pulse = self.member.build_pulse()
+        pulse = member_status.build_pulse(self.member)
         self.assertEqual((pulse.epoch, pulse.echoed_ms), (2, 500))
 
     def test_it_echoes_nothing_while_it_claims_the_cell(self) -> None:
         self.election.claiming = True
-        self.assertEqual(self.member.build_pulse().echoed_ms, 0)
+        self.assertEqual(member_status.build_pulse(self.member).echoed_ms, 0)
 
     def test_it_echoes_nothing_if_it_knows_a_later_owner(self) -> None:
         self.election.highest_epoch = 3
-        pulse = self.member.build_pulse()
+        pulse = member_status.build_pulse(self.member)
         self.assertEqual((pulse.epoch, pulse.echoed_ms), (3, 0))
 
     def report(self, **words: int) -> mock.Mock:
@@ -231,13 +232,13 @@
     """An entry is about to stop."""
 
     def test_it_says_that_it_will_not_take_over(self) -> None:
-        self.assertFalse(self.member.build_pulse().leaving)
+        self.assertFalse(member_status.build_pulse(self.member).leaving)
         self.member.draining = True
-        self.assertTrue(self.member.build_pulse().leaving)
+        self.assertTrue(member_status.build_pulse(self.member).leaving)
 
     def test_it_says_nothing_while_it_claims_the_cell(self) -> None:
         self.member.draining = self.election.claiming = True
-        self.assertFalse(self.member.build_pulse().leaving)
+        self.assertFalse(member_status.build_pulse(self.member).leaving)
 
     def test_it_does_not_take_over(self) -> None:
         self.member.draining = True
--- a/tests/entry/cell/test_malformed_frames.py
+++ b/tests/entry/cell/test_malformed_frames.py
@@ -9,6 +9,7 @@
 
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import member as member_module
+from hickoryreach_entry.cell import member_status
 from hickoryreach_entry.cell import records
 
 TEXT = strategies.none() | strategies.text(max_size=6)
@@ -92,7 +93,9 @@
 
     def run_vital_parts(self) -> None:
         """Runs what must not fail, since its failure ends the process."""
-        frames.encode(frames.Frame(status=self.member.build_status()))
+        frames.encode(
+            frames.Frame(status=member_status.build_status(self.member))
+        )
         self.member.fitness_review.run()
         self.member.cell_clock.now_ms()
         known = records.Ownership(name="a", address="a:1", epoch=2)
