--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -382,9 +382,7 @@
             silent=silent,
             get_wall_ms=self.member.cell_clock.now_ms,
             may_recall_advice=followed,
-            on_deposed=lambda reason: gevent.spawn(
-                self.member.end_ownership, reason
-            ),
+            on_deposed=self.member.end_deposed,
         )
         self.member.owner.start()
         self.member.forward_advice()
--- a/packages/entry/hickoryreach_entry/cell/fitness_review.py
+++ b/packages/entry/hickoryreach_entry/cell/fitness_review.py
@@ -53,7 +53,7 @@
             self.member.election.declined_until = (
                 time.monotonic() + TAKEOVER_PAUSE_S
             )
-            gevent.spawn(self.member.release_ownership)
+            gevent.spawn(self.member.release_ownership, owner)
 
     def get_failing_since(self) -> float:
         """Returns since when the store fails here, in s; 0 if it doesn't.
@@ -103,7 +103,7 @@
             },
         )
         self.member.election.declined_until = now + TAKEOVER_PAUSE_S
-        gevent.spawn(self.member.release_ownership)
+        gevent.spawn(self.member.release_ownership, owner)
 
     def is_store_responding(self) -> bool:
         """Returns whether the store answers a read within the timeout."""
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -294,10 +294,14 @@
                     pulse=member_status.build_pulse(self)
                 )
 
-    def release_ownership(self) -> None:
-        """Releases the ownership to the first entry in the succession."""
-        owner = self.owner
-        if owner is None or owner.leaving:
+    def release_ownership(self, owner: owner_module.Owner | None) -> None:
+        """Releases an ownership to the first entry in the succession.
+
+        Args:
+            owner: The owner; nothing is done for None, nor for one that has
+                ended or is being released.
+        """
+        if owner is None or owner is not self.owner or owner.leaving:
             return
         owner.leaving = True
         status = member_status.build_status(self)
@@ -312,12 +316,26 @@
             },
         )
         owner.hand_over()
-        self.end_ownership("released")
+        self.end_ownership(owner, "released")
 
-    def end_ownership(self, reason: str) -> None:
-        """Stops the owner and closes the channels of its followers."""
-        owner = self.owner
-        if owner is None:
+    def end_deposed(self, owner: owner_module.Owner, reason: str) -> None:
+        """Ends an ownership whose own greenlet reports that it is over."""
+        gevent.spawn(self.end_ownership, owner, reason)
+
+    def end_ownership(self, owner: owner_module.Owner, reason: str) -> None:
+        """Stops an owner and closes the channels of its followers.
+
+        What is told of an ownership that has ended concerns no later one.
+
+        Args:
+            owner: The owner.
+            reason: Why it ends, for logs.
+        """
+        if owner is not self.owner:
+            log.info(
+                "ownership_end_ignored",
+                extra={"epoch": owner.epoch, "cause": reason},
+            )
             return
         self.owner = None
         owner.close()
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -83,9 +83,28 @@
         silent: dict[str, int],
         get_wall_ms: Callable[[], int],
         may_recall_advice: bool,
-        on_deposed: Callable[[str], None],
+        on_deposed: Callable[["Owner", str], None],
     ) -> None:
-        """Creates an owner that has not started yet."""
+        """Creates an owner that has not started yet.
+
+        Args:
+            settings: Settings of the entry.
+            client: The store.
+            epoch: Number of the ownership.
+            revision: Revision of the owner's key; the fencing token.
+            configuration: The configuration in force, or None.
+            configuration_source: Watch of the configuration.
+            local_advisor: Advisor of this entry.
+            get_channels: Returns the channels to the followers, by name.
+            quorum: The entries that may take over.
+            silent: Minions that did not answer the previous owner.
+            get_wall_ms: Returns the time of day that the entries agree on, in
+                ms since 1970.
+            may_recall_advice: Whether entries may hold advice that the
+                previous owner asked for.
+            on_deposed: Called with this owner and the reason when the store
+                names another one.
+        """
         self.scope = ownership_scope.OwnershipScope(epoch=epoch)
         self.settings = settings
         self.client = client
@@ -103,7 +122,7 @@
             client=client,
             revision=revision,
             quorum=quorum,
-            on_deposed=on_deposed,
+            on_deposed=self.report_deposed,
         )
         self.inbox: gevent_queue.Queue = gevent_queue.Queue()
         self.next_pass_at = 0.0
@@ -121,7 +140,7 @@
             client=client,
             epoch=epoch,
             revision=revision,
-            on_deposed=on_deposed,
+            on_deposed=self.report_deposed,
         )
         self.advice_dispatcher = advisors.AdviceDispatcher(
             scope=self.scope,
@@ -339,6 +358,10 @@
         self.ownership_validity.record_later_owner(minion_id)
         self.scope.spawn(self.ownership_validity.confirm)
 
+    def report_deposed(self, reason: str) -> None:
+        """Reports that the store names another owner."""
+        self.on_deposed(self, reason)
+
     def hand_over(self) -> None:
         """Waits until the progress is stored and no start is pending.
 
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -162,7 +162,7 @@
         self.member.draining = True
         log.info("drain_started", extra={})
         self.front.draining = True
-        self.member.release_ownership()
+        self.member.release_ownership(self.member.owner)
         gevent.sleep(
             max(0.0, started_at + LOAD_BALANCER_DELAY_S - time.monotonic())
         )
--- a/tests/entry/cell/test_ended_ownership.py
+++ b/tests/entry/cell/test_ended_ownership.py
@@ -33,7 +33,7 @@
         self.users.store.faults.busy.add(ownership_cases.NAME)
         self.ended = self.begin(1)
         gevent.sleep(0.3)
-        self.member.release_ownership()
+        self.member.release_ownership(self.ended)
         self.users.store.faults.busy.clear()
 
     # Guards against an entry whose links of an ended ownership depose each
@@ -75,7 +75,7 @@
         self.users.remove("i-00")
         self.users.remove("i-01")
         gevent.sleep(0.5)
-        self.member.release_ownership()
+        self.member.release_ownership(self.owner)
         self.wait(lambda: list_greenlets() == self.before, limit_s=1.0)
 
     # Guards against calls that occupy the advice service for nobody.
@@ -102,6 +102,6 @@
                 )
             )
         gevent.sleep(0.1)
-        self.member.release_ownership()
+        self.member.release_ownership(self.owner)
         gevent.sleep(LATER_S)
         self.assertEqual(made, ["0"])
