--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -31,6 +31,7 @@
 POLLS_PER_LEASE = 4
 ACKNOWLEDGE_WAIT_S = 0.1
 RETRY_S = 0.2
+MAX_FENCED_PAUSE_S = 1.6
 UNREACHED_MARGIN_MS = 1_500
 
 
@@ -66,6 +67,7 @@
         lapsed: Whether its lease has expired, so that nothing can run there
             until it answers.
         removed: Whether its registration is gone.
+        fenced_pause_s: Pause after the next poll refused for its token, in s.
     """
 
     def __init__(
@@ -111,6 +113,7 @@
         self.silent = True
         self.lapsed = False
         self.removed = False
+        self.fenced_pause_s = RETRY_S
         self.stopped = False
         self.polling_now = False
         self.orders = orders.OrderSender(link=self)
@@ -232,6 +235,7 @@
         if reply.incarnation != self.incarnation:
             self.begin_incarnation(reply)
         self.silent = self.lapsed = False
+        self.fenced_pause_s = RETRY_S
         self.lease.read_clock(reply.clock_ms)
         self.report_missed_ends(reply)
         new_ends = self.ends.take(reply.ends)
@@ -326,7 +330,10 @@
         """Handles a poll that was not answered or was refused."""
         if failure.refusal is minions.Refusal.FENCED:
             self.on_fenced(self.minion.minion_id)
-            gevent.sleep(RETRY_S)
+            gevent.sleep(self.fenced_pause_s)
+            self.fenced_pause_s = min(
+                2 * self.fenced_pause_s, MAX_FENCED_PAUSE_S
+            )
             return
         if not self.silent:
             log.warning(
--- a/packages/entry/hickoryreach_entry/cell/metrics.py
+++ b/packages/entry/hickoryreach_entry/cell/metrics.py
@@ -60,6 +60,10 @@
 jobs = prometheus_client.Counter(
     "hickoryreach_job_states", "Jobs that entered a state", ["state"]
 )
+fenced_calls = prometheus_client.Counter(
+    "hickoryreach_fenced_calls",
+    "Polls and orders that minions refused for the token of a later owner",
+)
 owning = prometheus_client.Gauge(
     "hickoryreach_owning", "1 while this entry owns the cell"
 )
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -119,6 +119,7 @@
         self.on_deposed = on_deposed
         self.begun_at = time.monotonic()
         self.ownership_validity = ownership_validity.OwnershipValidity(
+            scope=self.scope,
             client=client,
             revision=revision,
             quorum=quorum,
@@ -352,11 +353,12 @@
 
     def handle_fenced(self, minion_id: str) -> None:
         """Re-confirms the ownership after a minion reported a later owner."""
+        metrics.fenced_calls.inc()
         log.warning(
             "order_fenced", extra={"minion": minion_id, "token": self.revision}
         )
         self.ownership_validity.record_later_owner(minion_id)
-        self.scope.spawn(self.ownership_validity.confirm)
+        self.ownership_validity.confirm_soon()
 
     def report_deposed(self, reason: str) -> None:
         """Reports that the store names another owner."""
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -54,6 +54,29 @@
         self.assertGreater(self.count(events.MinionPolled), replies)
 
 
+class FencedLinkTest(link_cases.LinkCase):
+    """The minion knows the token of a later owner."""
+
+    def setUp(self) -> None:
+        """Lets the minion refuse the link's token."""
+        super().setUp()
+        self.model.token = 99
+
+    # Guards against an owner that can't reach the store and burdens every
+    # minion with polls that none of them accepts.
+    def test_polls_become_rare(self) -> None:
+        gevent.sleep(3.0)
+        self.assertLessEqual(len(self.fenced), 5)
+        self.assertGreater(len(self.fenced), 1)
+
+    def test_polls_are_as_frequent_as_before_once_accepted(self) -> None:
+        self.wait(lambda: len(self.fenced) > 1)
+        self.model.token = 0
+        replies = self.count(events.MinionPolled)
+        self.wait(lambda: self.count(events.MinionPolled) > replies)
+        self.assertEqual(self.link.fenced_pause_s, links.RETRY_S)
+
+
 class LinkTest(link_cases.LinkCase):
     """Leases, polls and orders."""
 
--- a/tests/entry/cell/test_ownership_validity.py
+++ b/tests/entry/cell/test_ownership_validity.py
@@ -4,11 +4,14 @@
 import unittest
 from unittest import mock
 
+import gevent
+from gevent import event
 from returns import result
 
 from hickoryreach.platform import store
 from hickoryreach_entry import clock
 from hickoryreach_entry.cell import follower_quorum
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import ownership_validity
 from hickoryreach_entry.cell import records
 
@@ -29,10 +32,13 @@
     def setUp(self) -> None:
         """Confirms an ownership by the store."""
         self.client = mock.Mock()
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
+        self.addCleanup(self.scope.close)
         self.answer(revision=7)
         self.quorum = follower_quorum.FollowerQuorum(expected=(), complete=True)
         self.on_deposed = mock.Mock()
         self.validity = ownership_validity.OwnershipValidity(
+            scope=self.scope,
             client=self.client,
             revision=7,
             quorum=self.quorum,
@@ -203,4 +209,62 @@
         self.on_deposed.assert_called_once_with("owner_key_changed")
 
 
+class FencedCallsTest(ValidityCase):
+    """Minions refuse the owner's token, again and again."""
+
+    def setUp(self) -> None:
+        """Lets the store answer late."""
+        super().setUp()
+        self.client.get.reset_mock()
+        self.answered = event.Event()
+        self.late = self.client.get.return_value
+
+        def answer_late(key: str) -> result.Result:
+            self.answered.wait()
+            return self.late
+
+        self.client.get.side_effect = answer_late
+
+    def refuse(self, seconds: float) -> None:
+        """Lets a hundred minions refuse the token for a while."""
+        deadline = time.monotonic() + seconds
+        while time.monotonic() < deadline:
+            for _ in range(100):
+                self.validity.confirm_soon()
+            gevent.sleep(0.01)
+
+    # Guards against a read of the store for each refused poll of each minion.
+    def test_few_checks_are_made_at_once(self) -> None:
+        self.refuse(1.5)
+        self.assertLessEqual(
+            self.client.get.call_count, ownership_validity.MAX_CHECKS
+        )
+
+    def test_checks_keep_their_distance_once_the_store_answers(self) -> None:
+        self.answered.set()
+        self.refuse(1.0)
+        most = 1 + int(1.0 / ownership_validity.MIN_CHECK_GAP_S)
+        self.assertLessEqual(self.client.get.call_count, most)
+        self.assertGreater(self.client.get.call_count, 1)
+
+    def test_a_check_that_hangs_keeps_no_other_off(self) -> None:
+        self.refuse(ownership_validity.MIN_CHECK_GAP_S + 0.1)
+        item = store.Item(key=records.OWNER_KEY, data=b"{}", revision=8)
+        self.client.get.side_effect = None
+        self.client.get.return_value = result.Success(item)
+        self.refuse(ownership_validity.MIN_CHECK_GAP_S + 0.1)
+        self.on_deposed.assert_called_with("owner_key_changed")
+
+    def test_an_answer_that_is_late_takes_nothing_back(self) -> None:
+        late = gevent.spawn(self.validity.confirm)
+        gevent.sleep(0.05)
+        self.client.get.side_effect = None
+        self.client.get.return_value = self.late
+        self.validity.confirm()
+        confirmed_at = self.validity.stored_at
+        self.answered.set()
+        late.join(1.0)
+        self.assertEqual(self.validity.stored_at, confirmed_at)
+
+
 del ValidityCase
