--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,6 +7,7 @@
 import contextlib
 import random
 import signal
+import time
 
 import gevent
 
@@ -19,6 +20,9 @@
 LIMITS_CPU = (4_000, 8_000, 24_000)
 KINDS = ("a", "b")
 HEARTBEAT_S = 1.5
+SLOW_ANSWER_S = 0.2
+TAKEOVER_LIMIT_S = 4.0
+POLL_S = 0.01
 
 faults: dict[str, Fault] = {}
 
@@ -132,6 +136,32 @@
             entry.start()
 
 
+@register
+def turn_successor_away(trouble: Trouble) -> None:
+    """Kills the owner, and cuts who takes over from the store as it does.
+
+    The store is slow, so that the takeover has not read the cell by then.
+    """
+    store = trouble.cell.users.store
+    first = trouble.cell.find_owner()
+    if first is None:
+        return
+    with trouble.take(first) as entries:
+        for entry in entries:
+            store.faults.delay_s = SLOW_ANSWER_S
+            entry.kill()
+            deadline = time.monotonic() + TAKEOVER_LIMIT_S
+            while time.monotonic() < deadline:
+                if trouble.cell.find_owner() is not first:
+                    break
+                gevent.sleep(POLL_S)
+            successor = trouble.cell.find_owner()
+            rule = proxy.Rule(source=successor.name, target="store", cut=True)
+            trouble.apply_rule(rule, 2.0, 5.0)
+            store.faults.delay_s = 0.0
+            entry.start()
+
+
 def strike_store(trouble: Trouble, **way: bool) -> None:
     """Puts a rule between the store and one entry, or all, in force."""
     source = trouble.generator.choice(["*", trouble.pick_entry().name])
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -19,6 +19,8 @@
 TASK_CPU = 1_000
 SIZE = checker.TaskSize(workspace=platform.WORKSPACE, cpu=TASK_CPU)
 SETTLE_S = 40.0
+STALE_LIMIT_S = 5.0  # in which an earlier owner ends, after all trouble
+STALE_WATCH_S = 2.0
 HAND_IN_GAP_S = 0.08
 CANCEL_EACH = 9
 LABEL_EACH = 4
@@ -36,6 +38,7 @@
         has_kinds: Whether minions are of several kinds and jobs require them.
         seed: Seed of what is drawn.
         struck: Faults in the order in which they began.
+        settled_at: When all trouble had ended, on the monotonic clock in s.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.struck: list[str] = []
         self.callers = pool.Group()
         self.stopping = False
+        self.settled_at = 0.0
         self.has_kinds = faults.change_kind.__name__ in self.names
         if self.has_kinds:
             faults.assign_kinds(self.cell.users)
@@ -91,6 +95,7 @@
         gevent.joinall([callers, *strikes])
         self.callers.join()
         self.network.set_rules([])
+        self.settled_at = time.monotonic()
         return [*self.find_unfinished(), *self.find_faults()]
 
     def strike(self, number: int, struck: set[str]) -> None:
@@ -171,6 +176,9 @@
 
     def find_faults(self) -> list[str]:
         """Returns what minions have run and must not have."""
+        stale_since = self.settled_at + STALE_LIMIT_S
+        watched_until = stale_since + STALE_WATCH_S
+        gevent.sleep(max(0.0, watched_until - time.monotonic()))
         seen = self.cell.users.seen
         begun = {each.task.split(".", 1)[0] for each in seen}
         completed = dict.fromkeys(self.accepted, TASKS)
@@ -178,6 +186,7 @@
         return [
             *checker.find_faults(seen, completed),
             *checker.find_misplaced(seen, self.labels),
+            *checker.find_stale_tokens(self.cell.users.fenced, stale_since),
             *checker.find_overcommits(seen, TASK_CPU, capacity),
             *checker.find_limit_breaches(
                 seen, dict.fromkeys(begun, SIZE), self.cell.users.limits
--- a/standins/users/checker.py
+++ b/standins/users/checker.py
@@ -65,6 +65,24 @@
     ]
 
 
+def find_stale_tokens(
+    fenced: Iterable[minions.Fenced], since_s: float
+) -> list[str]:
+    """Returns the tokens that were used though minions knew a higher one.
+
+    Args:
+        fenced: Calls that minions refused for their token.
+        since_s: Time from which none is to be used, on the monotonic clock.
+    """
+    counts = collections.Counter(
+        each.token for each in fenced if each.at_s >= since_s
+    )
+    return [
+        f"token {token} of an earlier owner was used {count} times"
+        for token, count in sorted(counts.items())
+    ]
+
+
 def _find_doubles(seen: Iterable[minions.Begun]) -> list[str]:
     """Returns tasks that ran twice at once, or again after they were done.
 
--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -11,6 +11,8 @@
 import gevent
 from gevent import event as gevent_event
 
+from standins.users import gangs as gang_module
+
 ENDS_AT_ONCE = 500
 CHECKPOINT_MS = 500
 CRASH_DELAY_S = 0.05
@@ -50,39 +52,6 @@
         return self.task.rsplit(".", 1)[0], self.number
 
 
-class Gangs:
-    """Members of gangs that are present on any minion.
-
-    They work only together, and end together.
-
-    Attributes:
-        present: Present members with their minions, by gang.
-    """
-
-    def __init__(self) -> None:
-        """Knows no gang."""
-        self.present: dict[tuple[str, int], dict[str, Minion]] = {}
-
-    def join(self, minion: Minion, run: Run) -> None:
-        """Adds a member; all begin their work with the last one."""
-        members = self.present.setdefault(run.gang, {})
-        members[run.task] = minion
-        if self.is_complete(run):
-            for task, other in members.items():
-                other.runs[task].begun_ms = other.get_clock()
-
-    def is_complete(self, run: Run) -> bool:
-        """Returns whether all members of a run's gang are present."""
-        return len(self.present.get(run.gang, ())) >= run.members
-
-    def leave(self, run: Run, how: str) -> None:
-        """Ends the other members of a gang of which one has ended."""
-        members = self.present.pop(run.gang, {})
-        for task, other in members.items():
-            if task != run.task and task in other.runs:
-                other.end(other.runs[task], how if how == "done" else "broken")
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Begun:
     """What a checker looks at: a start, an end, or an end's being noted.
@@ -99,6 +68,15 @@
     kind: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Fenced:
+    """A call that a minion refused, as it knew a higher token."""
+
+    token: int
+    minion_id: str
+    at_s: float
+
+
 class Minion:
     """One life of a minion after another.
 
@@ -118,6 +96,7 @@
         lapses_at: How many had when each end was listed.
         incarnation: Start of its life, in ms since 1970.
         seen: What has begun and ended, for checks.
+        fenced: Calls that were refused for their token, for checks.
         starts: Starts by task, on all minions.
         gangs: Gangs on all minions.
         silent: Whether it leaves calls unanswered.
@@ -135,8 +114,9 @@
         cpu: int = 16_000,
         hold_limit_ms: int = 6_000,
         seen: list[Begun] | None = None,
+        fenced: list[Fenced] | None = None,
         starts: dict[str, int] | None = None,
-        gangs: Gangs | None = None,
+        gangs: gang_module.Gangs | None = None,
         draw_clock_s: Callable[[], float] = lambda: 0.0,
     ) -> None:
         """Creates a minion that runs nothing.
@@ -148,8 +128,9 @@
         self.cpu = cpu
         self.hold_limit_ms = hold_limit_ms
         self.seen = seen if seen is not None else []
+        self.fenced = fenced if fenced is not None else []
         self.starts = starts if starts is not None else {}
-        self.gangs = gangs if gangs is not None else Gangs()
+        self.gangs = gangs if gangs is not None else gang_module.Gangs()
         self.silent = False
         self.late_s = 0.0
         self.on_crash: Callable[[Minion, str], None] | None = None
@@ -272,6 +253,13 @@
         """Returns whether an order's token is not too low."""
         token = body.get("fencingToken", 0)
         if token < self.token:
+            self.fenced.append(
+                Fenced(
+                    token=token,
+                    minion_id=self.minion_id,
+                    at_s=time.monotonic(),
+                )
+            )
             return False
         self.token = token
         return True
--- a/standins/users/platform.py
+++ b/standins/users/platform.py
@@ -12,6 +12,7 @@
 
 from standins import proxy
 from standins.users import checker
+from standins.users import gangs
 from standins.users import minions
 from standins.users import servers
 from standins.users import store
@@ -42,6 +43,7 @@
         denied: Minions that the advice service lets no step use.
         advice_calls: Steps that were asked about.
         seen: What the minions have begun and ended.
+        fenced: Calls that minions refused for their token.
         starts: Starts by task, on all minions.
         gangs: Gangs on all minions.
         limit_cpu: Limit of the workspace, in thousandths of a core; 0 for
@@ -69,8 +71,9 @@
         self.block = int(self.guard.getsockname()[0].split(".")[1])
         self.store = store.KeyValueStore()
         self.seen: list[minions.Begun] = []
+        self.fenced: list[minions.Fenced] = []
         self.starts: dict[str, int] = {}
-        self.gangs = minions.Gangs()
+        self.gangs = gangs.Gangs()
         self.limit_cpu = limit_cpu
         self.limits: list[checker.Limit] = []
         self.minions: dict[str, minions.Minion] = {}
@@ -124,6 +127,7 @@
         minion = minions.Minion(
             minion_id=minion_id,
             seen=self.seen,
+            fenced=self.fenced,
             starts=self.starts,
             gangs=self.gangs,
             draw_clock_s=lambda: random.uniform(0.0, FIRST_CLOCK_S),
--- a/tests/integration/broken_cell.py
+++ b/tests/integration/broken_cell.py
@@ -15,6 +15,7 @@
 from hickoryreach.scheduling import runs  # noqa: E402
 from hickoryreach_entry import __main__ as entry_main  # noqa: E402
 from hickoryreach_entry.cell import links  # noqa: E402
+from hickoryreach_entry.cell import ownership_scope  # noqa: E402
 from hickoryreach_entry.cell import progress  # noqa: E402
 from hickoryreach_entry.cell import recovery  # noqa: E402
 
@@ -50,6 +51,12 @@
     links.MinionLink.may_have_restarted = lambda self, incarnation: False
 
 
+@removals.register("scope")
+def remove_scope() -> None:
+    """What an ownership has started goes on when it ends."""
+    ownership_scope.OwnershipScope.close = lambda self: None
+
+
 @removals.register("room")
 def remove_room() -> None:
     """Runs take up no room."""
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -10,6 +10,7 @@
     "lose_registration",
     "change_limit",
     "change_kind",
+    "turn_successor_away",
 }
 
 
--- a/tests/integration/test_soak_removed.py
+++ b/tests/integration/test_soak_removed.py
@@ -14,7 +14,7 @@
 
 @cases.long_only
 class SoakRemovedTest(unittest.TestCase):
-    """One test for each of four protections of the users' cell."""
+    """One test for each of five protections of the users' cell."""
 
     def find_without(
         self,
@@ -54,5 +54,10 @@
     def test_a_registration_of_another_incarnation(self) -> None:
         self.find_without("incarnations", " requires ", {"change_kind"})
 
+    def test_work_that_outlives_its_ownership(self) -> None:
+        self.find_without(
+            "scope", "token ", {"turn_successor_away", "cut_store"}
+        )
+
     def test_runs_that_take_no_room(self) -> None:
         self.find_without("room", " tasks")
--- a/tests/standins/test_users_checker.py
+++ b/tests/standins/test_users_checker.py
@@ -105,3 +105,29 @@
 
     def test_a_start_with_it_and_an_end_are_not(self) -> None:
         self.assertEqual(self.find("a") + self.find("b", "end"), [])
+
+
+class StaleTokenTest(unittest.TestCase):
+    """Calls that minions refused for a token lower than one they know."""
+
+    def find(self, since_s: float) -> list[str]:
+        """Returns what is found of two calls, at 3 s and at 9 s."""
+        fenced = [
+            minions.Fenced(token=5, minion_id="m", at_s=at_s)
+            for at_s in (3.0, 9.0)
+        ]
+        return checker.find_stale_tokens(fenced, since_s)
+
+    def test_a_call_after_the_time_is_found(self) -> None:
+        (found,) = self.find(since_s=5.0)
+        self.assertIn("token 5", found)
+        self.assertIn("used 1 times", found)
+
+    def test_calls_before_the_time_are_allowed(self) -> None:
+        self.assertEqual(self.find(since_s=9.5), [])
+
+    def test_a_minion_records_what_it_refuses(self) -> None:
+        minion = minions.Minion(minion_id="m")
+        for token in (7, 6):
+            minion.answer("/hold", {"fencingToken": token, "lastSeen": 0}, "")
+        self.assertEqual([each.token for each in minion.fenced], [6])
--- a/tests/standins/test_users_minions.py
+++ b/tests/standins/test_users_minions.py
@@ -5,6 +5,7 @@
 
 import gevent
 
+from standins.users import gangs
 from standins.users import minions
 
 WORK_MS = 100
@@ -16,7 +17,7 @@
     def setUp(self) -> None:
         """Creates two minions whose clocks stand still."""
         self.now_ms = 10.0
-        self.gangs = minions.Gangs()
+        self.gangs = gangs.Gangs()
         self.minions = [self.build(f"m{index}") for index in range(2)]
 
     def build(self, minion_id: str) -> minions.Minion:
