Release an ownership that begins while its entry stops

The election now releases what it begins while the entry stops. An entry that stops still makes no new claim.

Failed before: LateClaimTest.

--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -343,6 +343,8 @@
             self.claiming = False
         if isinstance(claimed, result.Success):
             self.begin_ownership(wanted, claimed.unwrap())
+            if self.member.draining:  # it began to stop during the write
+                self.member.release_ownership(self.member.owner)
             return True
         log.info(
             "takeover_refused",
--- a/tests/entry/cell/test_earlier_reports.py
+++ b/tests/entry/cell/test_earlier_reports.py
@@ -1,8 +1,14 @@
 """Tests of reports that concern an ownership that has ended."""
 
+from unittest import mock
+
 import gevent
+from returns import result
 
+from hickoryreach.platform import store
 from hickoryreach_entry.cell import owner as owner_module
+from hickoryreach_entry.cell import ownership_claim
+from hickoryreach_entry.cell import records
 from tests.entry.cell import ownership_cases
 
 LATER_S = 0.3
@@ -55,3 +61,31 @@
         self.member.release_ownership(first)
         self.assertFalse(second.leaving)
         self.check_lasts(second)
+
+
+class LateClaimTest(ownership_cases.OwnershipCase):
+    """The owner's key is written as the entry begins to stop."""
+
+    # Guards against an owner that ends with its process, without a handover.
+    def test_the_ownership_is_released(self) -> None:
+        owners: list[owner_module.Owner] = []
+
+        def claim(client, ownership, revision):
+            data = records.encode_ownership(ownership)
+            written = self.users.store.put(records.OWNER_KEY, data)
+            self.member.draining = True
+            self.member.release_ownership(self.member.owner)
+            return result.Success(written)
+
+        def record(owner: owner_module.Owner) -> None:
+            owners.append(owner)
+            self.addCleanup(owner.close)
+
+        item = store.Item(key=records.OWNER_KEY, data=None, revision=0)
+        with (
+            mock.patch.object(ownership_claim, "claim_ownership", claim),
+            mock.patch.object(owner_module.Owner, "start", record),
+        ):
+            self.assertTrue(self.member.election.take_over(item, None))
+        self.assertIsNone(self.member.owner)
+        self.assertTrue(owners[0].stopped)
