--- a/tests/core/scheduling/model/advice.py
+++ b/tests/core/scheduling/model/advice.py
@@ -52,6 +52,7 @@
     def __init__(self, *, service: Service) -> None:
         """Creates the dispatcher of the present owner."""
         super().__init__(
+            scope=types.SimpleNamespace(spawn=service.spawn, closed=False),
             local=None,
             get_channels=service.list_channels,
             get_incarnation=service.model.cell.get_incarnation,
@@ -139,7 +140,7 @@
     def _drive(self) -> Iterator[None]:
         """Lets the dispatcher's calls and its clock be those of the model."""
         known = advisors.gevent, advisors.time
-        advisors.gevent = types.SimpleNamespace(spawn=self._spawn)
+        advisors.gevent = types.SimpleNamespace(spawn=self.spawn)
         advisors.time = types.SimpleNamespace(
             monotonic=lambda: self.model.now_ms / 1_000
         )
@@ -148,7 +149,7 @@
         finally:
             advisors.gevent, advisors.time = known
 
-    def _spawn(self, action: Callable, name: str, effect, *words) -> None:
+    def spawn(self, action: Callable, name: str, effect, *words) -> None:
         """Begins a call, which ends once the service has answered."""
         entry = self.entries[name]
         now_ms = self.model.now_ms
