--- a/packages/core/hickoryreach/scheduling/crash_records.py
+++ b/packages/core/hickoryreach/scheduling/crash_records.py
@@ -7,6 +7,7 @@
 
 SUSPECT_CRASHES = 2
 SOLITARY_CRASHES = 3
+PROVEN_CRASHES = 2  # without which no job is given up
 NO_RUN = -1
 
 
@@ -17,6 +18,8 @@
     Attributes:
         runs: Numbers of the runs under which a minion crashed.
         unstored: Those of them that the store doesn't hold yet.
+        proven: Those of them that were at work on a minion which has crashed
+            for certain. The others may have met one that was away already.
         solitary_run: Number of the latest run that was started alone on its
             minion, or -1.
         doubtful_run: Number of the run that was alone on a minion of which it
@@ -28,6 +31,7 @@
 
     runs: set[int] = dataclasses.field(default_factory=set)
     unstored: set[int] = dataclasses.field(default_factory=set)
+    proven: set[int] = dataclasses.field(default_factory=set)
     solitary_run: int = NO_RUN
     doubtful_run: int = NO_RUN
     inconclusive: bool = False
@@ -48,6 +52,11 @@
         """Whether the task runs only alone on a minion."""
         return self.count >= SOLITARY_CRASHES
 
+    @property
+    def is_convictable(self) -> bool:
+        """Whether enough minions have crashed under it to give its job up."""
+        return len(self.proven) >= PROVEN_CRASHES
+
     @property
     def must_wait(self) -> bool:
         """Whether its crashes must be certain and stored before it starts."""
@@ -65,12 +74,14 @@
             don't count any longer.
         lapsed_ms: When the lease expired, on the owner's clock.
         runs: The runs, by task and number.
+        at_work: Those of them that were at work on the minion.
         solitary: Those of them that were alone on the minion.
     """
 
     incarnation: int
     lapsed_ms: int
     runs: tuple[tuple[steps.TaskKey, int], ...]
+    at_work: tuple[tuple[steps.TaskKey, int], ...] = ()
     solitary: tuple[tuple[steps.TaskKey, int], ...] = ()
 
 
@@ -128,6 +139,8 @@
     number: int,
     kind: minions.EndKind,
     hidden_limit: int,
+    *,
+    proven: bool,
 ) -> None:
     """Applies a row of an earlier owner to the crashed tasks of a step.
 
@@ -140,6 +153,9 @@
     )
     if kind is minions.EndKind.STOPPED:
         task.runs.discard(number)
+        task.proven.discard(number)
     else:
         task.runs.add(number)
+        if proven:
+            task.proven.add(number)
     task.inconclusive = len(task.runs) > SOLITARY_CRASHES
--- a/packages/core/hickoryreach/scheduling/crashes.py
+++ b/packages/core/hickoryreach/scheduling/crashes.py
@@ -4,7 +4,9 @@
 beside. From its second crash on a task is kept apart from other suspects, from
 its third on it runs alone, and a crash of a minion on which it ran alone shows
 that it is the cause: its job fails. It is uncertain whether a silent minion
-has crashed until it answers or its registration is gone.
+has crashed until it answers or its registration is gone. What only may have
+been a crash keeps a task apart or alone, but no job fails before two minions
+have crashed for certain with a run of the task at work.
 """
 
 from collections.abc import Generator
@@ -63,19 +65,39 @@
             continue
         is_cause = task.needs_solitude and _is_cause(cell, minion, run, task)
         task.runs.add(run.number)
+        if is_certain and _was_at_work(run):
+            task.proven.add(run.number)
         counted.append(run)
         detail = _describe(run.number, run.minion_id, incarnation, task)
         yield _log("crash_counted", run.key, f"{reason} {detail}")
-        if is_cause and is_certain:
+        if is_cause and is_certain and task.is_convictable:
             yield from _convict(cell, run.step, run.key, f"{reason} {detail}")
             continue
         if is_cause:
-            task.doubtful_run = run.number
+            _suspend(task, run.number, is_certain=is_certain)
         task.unstored.add(run.number)
-        yield effects.RecordCrash(key=run.key, number=run.number)
+        yield effects.RecordCrash(
+            key=run.key,
+            number=run.number,
+            proven=run.number in task.proven,
+        )
     return counted
 
 
+def _suspend(
+    task: crash_records.CrashedTask, number: int, *, is_certain: bool
+) -> None:
+    """Keeps a task that seems to be the cause from being convicted yet.
+
+    While the crash is uncertain the task waits. After a certain one too few
+    crashes are proven, and the next one in a row counts as caused by it.
+    """
+    if is_certain:
+        task.inconclusive = True
+    else:
+        task.doubtful_run = number
+
+
 def _convict(
     cell: state.CellState,
     step: state.StepRecord,
@@ -107,6 +129,9 @@
         incarnation=minion.incarnation,
         lapsed_ms=cell.now_ms,
         runs=tuple((run.key, run.number) for run in counted),
+        at_work=tuple(
+            (run.key, run.number) for run in counted if _was_at_work(run)
+        ),
         solitary=tuple(
             (run.key, run.number)
             for run in counted
@@ -134,6 +159,7 @@
     for step, task, key, number in _list_counted(cell, group.runs):
         task.runs.discard(number)
         task.unstored.discard(number)
+        task.proven.discard(number)
         _end_doubt(task, number)
         detail = _describe(number, minion_id, group.incarnation, task)
         yield _log("crash_retracted", key, f"minion_returned {detail}")
@@ -144,7 +170,9 @@
 def confirm(
     cell: state.CellState, minion_id: str, reason: str
 ) -> Iterator[effects.Effect]:
-    """Ends the jobs of tasks that were alone when a minion fell silent.
+    """Proves crashes; ends the jobs of tasks that were alone on the minion.
+
+    A task of which too few crashes are proven starts again.
 
     Args:
         cell: State of the cell.
@@ -154,9 +182,18 @@
     group = cell.crashes.lapsed.get(minion_id)
     if group is None:
         return
+    for _, task, key, number in _list_counted(cell, group.at_work):
+        if number not in task.proven:
+            task.proven.add(number)
+            yield effects.RecordCrash(key=key, number=number, proven=True)
     for step, task, key, number in _list_counted(cell, group.solitary):
         detail = _describe(number, minion_id, group.incarnation, task)
-        yield from _convict(cell, step, key, f"{reason} {detail}")
+        if task.is_convictable:
+            yield from _convict(cell, step, key, f"{reason} {detail}")
+        elif _end_doubt(task, number):
+            _suspend(task, number, is_certain=True)
+            yield _log("crash_unproven", key, f"{reason} {detail}")
+            _release(cell, step, key.index)
 
 
 def end_doubts(cell: state.CellState) -> Iterator[effects.Effect]:
@@ -248,6 +285,15 @@
     return run.step is not None and run.key.index not in run.step.done
 
 
+def _was_at_work(run: state.Run) -> bool:
+    """Returns whether a run was at work on its minion until that was lost.
+
+    A start without an answer shows it if the minion was there right before;
+    else it may have met a minion that had crashed already.
+    """
+    return run.contacted or (run.confirmed_ms >= 0 and run.stopped_ms < 0)
+
+
 def _is_cause(
     cell: state.CellState,
     minion: minion_records.MinionRecord,
@@ -291,7 +337,7 @@
     """Returns the inputs of a decision on a crash, for logs."""
     return (
         f"run={number} minion={minion_id} incarnation={incarnation} "
-        f"count={task.count}"
+        f"count={task.count} proven={len(task.proven)}"
     )
 
 
--- a/packages/core/hickoryreach/scheduling/effects.py
+++ b/packages/core/hickoryreach/scheduling/effects.py
@@ -22,6 +22,8 @@
             begin the run.
         incarnation: Incarnation of the minion that it was decided for; 0 if
             not known.
+        contact_first: Whether the minion must answer a poll right before the
+            start, so that a start without an answer shows a crash under it.
         detail: Inputs of the decision, for logs.
     """
 
@@ -33,6 +35,7 @@
     ticket: str
     valid_until_ms: int
     incarnation: int = 0
+    contact_first: bool = False
     detail: str = ""
 
 
@@ -168,11 +171,14 @@
         key: The task.
         number: Number of the run.
         retracted: Whether an earlier crash of this run counts no longer.
+        proven: Whether the minion crashed for certain while the run was at
+            work there.
     """
 
     key: steps.TaskKey
     number: int
     retracted: bool = False
+    proven: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -80,6 +80,21 @@
     failure: minions.OrderFailure | None = None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StartContacted:
+    """A minion answered a poll right before a start is sent to it.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        minion_id: Id of the minion.
+    """
+
+    key: steps.TaskKey
+    number: int
+    minion_id: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StopAnswered:
     """A stop was confirmed, or not.
@@ -134,12 +149,15 @@
         number: Number of the run.
         kind: How the run ended.
         checkpoint: The newest checkpoint of the task, or empty.
+        proven: Whether the minion crashed for certain while the run was at
+            work there, if this tells of a crash.
     """
 
     key: steps.TaskKey
     number: int
     kind: minions.EndKind
     checkpoint: str
+    proven: bool = True
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -262,6 +280,7 @@
     | MinionUnreachable
     | LeaseExpired
     | StartAnswered
+    | StartContacted
     | StopAnswered
     | JobOffered
     | JobAccepted
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -179,6 +179,7 @@
             end.number,
             end.kind,
             record.hidden_crashes + record.takeover_hides,
+            proven=end.proven,
         )
         return
     yield from apply_outcome(cell, step, end.key.index, end.number, end.kind)
--- a/packages/core/hickoryreach/scheduling/orders.py
+++ b/packages/core/hickoryreach/scheduling/orders.py
@@ -14,6 +14,17 @@
 REFUSAL_QUARANTINE_MS = 500
 
 
+def handle_contact(
+    cell: state.CellState, event: events.StartContacted
+) -> Iterator[effects.Effect]:
+    """Notes that a minion was there right before a start was sent."""
+    minion = cell.minions.get(event.minion_id)
+    run = minion and minion.runs.get((event.key, event.number))
+    if run is not None:
+        run.contacted = True
+    yield from ()
+
+
 def handle_start_answer(
     cell: state.CellState, event: events.StartAnswered
 ) -> Iterator[effects.Effect]:
@@ -130,6 +141,7 @@
     """Starts a task on a minion."""
     key = step.get_key(index)
     minion_id = minion.minion.minion_id
+    crashed = step.crashes.get(index)
     ticket = step.tickets.get(minion_id)
     run = state.Run(
         key=key,
@@ -156,6 +168,7 @@
         ticket=ticket.text if ticket else "",
         valid_until_ms=cell.now_ms + cell.settings.start_valid_ms,
         incarnation=minion.incarnation,
+        contact_first=crashed is not None and crashed.needs_solitude,
         detail=_describe_limit(cell, run),
     )
 
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -31,6 +31,7 @@
 
 handlers.register(events.MinionPolled)(poll_replies.handle_reply)
 handlers.register(events.LeaseExpired)(poll_replies.expire_lease)
+handlers.register(events.StartContacted)(orders.handle_contact)
 handlers.register(events.StartAnswered)(orders.handle_start_answer)
 handlers.register(events.StopAnswered)(orders.handle_stop_answer)
 handlers.register(events.CrashStored)(crashes.handle_stored)
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -62,6 +62,7 @@
         minion_id: Id of the minion that it was started on.
         incarnation: Incarnation of the minion that it was decided for; 0 if
             that is not known.
+        contacted: Whether the minion answered a poll right before the start.
         step: The step, or None if the run belongs to no known step.
         need: What it occupies of the minion's capacity.
         limit_need: What it occupies of its workspace's limit.
@@ -96,6 +97,7 @@
     progress_ms: int = 0
     listed_ms: int = -1
     incarnation: int = 0
+    contacted: bool = False
     checkpoint: str = ""
     share: int = 100
     has_known_size: bool = True
--- a/packages/entry/hickoryreach_entry/cell/effect_executor.py
+++ b/packages/entry/hickoryreach_entry/cell/effect_executor.py
@@ -192,6 +192,7 @@
                 number=effect.number,
                 kind=kind,
                 checkpoint="",
+                proven=effect.proven,
             ),
         )
         stored = events.CrashStored(key=effect.key, number=effect.number)
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -34,10 +34,12 @@
         after a pause of this process between the decision and the call.
         """
         terms = self.link.get_terms()
-        if terms.lease_ms:
-            failure = self.send_start(effect, terms.token)
-        else:
+        if not terms.lease_ms:
             failure = minions.OrderFailure(reason="ownership_unconfirmed")
+        elif effect.contact_first and not self.contact(effect):
+            failure = minions.OrderFailure(reason="not_contacted")
+        else:
+            failure = self.send_start(effect, terms.token)
         outcome = "confirmed"
         if failure is not None:
             outcome = describe_failure(failure)
@@ -61,6 +63,25 @@
             )
         )
 
+    def contact(self, effect: effects.StartTask) -> bool:
+        """Polls the minion right before a start; returns whether it answers.
+
+        Without an answer to that start it is then certain enough that the
+        minion crashed under it, and had not crashed before.
+        """
+        poll_result, sent_ms = self.link.poll(immediate=True)
+        if isinstance(poll_result, result.Failure):
+            return False
+        self.link.handle_poll_reply(poll_result.unwrap(), sent_ms)
+        self.link.emit(
+            events.StartContacted(
+                key=effect.key,
+                number=effect.number,
+                minion_id=self.link.minion.minion_id,
+            )
+        )
+        return True
+
     def send_start(
         self, effect: effects.StartTask, token: int
     ) -> minions.OrderFailure | None:
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -211,12 +211,14 @@
 def _encode_row(row: Row) -> list:
     if row.end is None:
         return [row.kind, row.job_id]
+    unproven = [] if row.end.proven else [False]
     return [
         row.kind,
         minions.format_task(row.end.key),
         row.end.number,
         str(row.end.kind),
         row.end.checkpoint,
+        *unproven,
     ]
 
 
@@ -259,5 +261,6 @@
             number=numbers.parse_whole(number),
             kind=minions.EndKind(end_kind),
             checkpoint=str(checkpoint or ""),
+            proven=row[5:6] != [False],
         ),
     )
--- a/tests/core/scheduling/crash_cases.py
+++ b/tests/core/scheduling/crash_cases.py
@@ -6,6 +6,7 @@
 from hickoryreach.platform import minions
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
+from hickoryreach.scheduling import reducer
 from hickoryreach.scheduling import solitude
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
@@ -27,9 +28,12 @@
         incarnations: Incarnations of the minions that have crashed, by id.
         waits: Jobs whose suspects have started beside others after all, with
             how long they had waited in ms, and whether the cell was calm.
+        answers_polls: Whether minions answer the polls that go before some
+            starts.
     """
 
     minion_count = 6
+    answers_polls = True
 
     def setUp(self) -> None:
         """Creates the cell."""
@@ -44,6 +48,7 @@
         is_calm = self.is_calm()
         super().apply(event, elapsed_ms)
         self.all_effects += self.last_effects
+        self.contact_minions()
         for effect in self.get_effects(effects.LogDecision):
             if effect.event_name == "solitude_given_up":
                 waited_ms = int(
@@ -53,6 +58,20 @@
                 if waited_ms < self.now_ms:  # else no wait was noted
                     self.waits[job_id] = waited_ms, is_calm
 
+    def contact_minions(self) -> None:
+        """Lets minions answer the polls that go before some starts."""
+        for start in self.get_starts():
+            if start.contact_first and self.answers_polls:
+                reducer.reduce(
+                    self.cell,
+                    events.StartContacted(
+                        key=start.key,
+                        number=start.number,
+                        minion_id=start.minion_id,
+                    ),
+                    self.now_ms,
+                )
+
     def is_calm(self) -> bool:
         """Returns whether less than half of the minions' capacity is in use."""
         used = [each.used.cpu_millis for each in self.cell.minions.values()]
--- a/tests/core/scheduling/model/cell.py
+++ b/tests/core/scheduling/model/cell.py
@@ -51,6 +51,7 @@
         complete_gangs: Gangs whose members have all begun, by id of the job,
             position of the step and number of the run.
         outcomes: Why jobs are in their final state, by id.
+        crashes: Number of minions that have crashed under each task.
         crash_chances: How probable it is that a run of a job crashes its
             minion, by id of the job.
         trace: Receives the time and each effect.
@@ -68,6 +69,7 @@
         )
         self.minion_numbers = itertools.count()
         self.minions: dict[str, workers.Minion] = {}
+        self.crashes: collections.Counter[steps.TaskKey] = collections.Counter()
         for number in range(scenario.minion_count):
             self.add_minion(f"r{number // scenario.rack_size}")
         self.jobs: dict[str, steps.Job] = {}
@@ -104,7 +106,10 @@
         number = next(self.minion_numbers)
         kinds = self.scenario.kinds
         minion = workers.Minion(
-            name=f"m{number}", rack=rack, kind=kinds[number % len(kinds)]
+            name=f"m{number}",
+            rack=rack,
+            kind=kinds[number % len(kinds)],
+            crashes=self.crashes,
         )
         minion.write_registration()
         self.minions[minion.name] = minion
--- a/tests/core/scheduling/model/lost.py
+++ b/tests/core/scheduling/model/lost.py
@@ -18,6 +18,7 @@
 IDLE_MS = 3_000
 LASTING_IDLE_MS = 6_000
 LIMIT_MS = 45_000
+EXCUSING_CRASHES = 2  # of minions under a task, after which it may be given up
 
 
 class Judge:
@@ -72,6 +73,19 @@
             for position, step in enumerate(job.steps)
         )
 
+    def check_given_up(self, job: steps.Job) -> None:
+        """Checks that minions have crashed under a job that is given up."""
+        most = max(
+            (
+                count
+                for key, count in self.model.crashes.items()
+                if key.job_id == job.job_id
+            ),
+            default=0,
+        )
+        if most < EXCUSING_CRASHES:
+            self.report(job, f"was given up after {most} crashes")
+
     def list_unfinished(self) -> list[steps.Job]:
         """Returns the jobs that are not over."""
         return [
--- a/tests/core/scheduling/model/orders.py
+++ b/tests/core/scheduling/model/orders.py
@@ -17,6 +17,7 @@
 STOP_MS = 300
 ORDER_TIMEOUT_MS = 800
 LOST = minions.OrderFailure(reason="no_answer", effect_unknown=True)
+NOT_CONTACTED = minions.OrderFailure(reason="not_contacted")
 UNKNOWN = minions.OrderFailure(reason="minion_unknown")
 
 
@@ -54,13 +55,18 @@
         if minion.up and minion.incarnation == incarnation:
             begin(model, effect, epoch)
 
+    if effect.contact_first and minion.is_reachable(model.now_ms):
+        contacted = events.StartContacted(
+            key=effect.key, number=effect.number, minion_id=effect.minion_id
+        )
+        model.later(0, lambda: model.apply(contacted))
     chance = model.draw.random()
     late_share = 0.0 if model.calm else model.scenario.late_share
     lost_share = 0.0 if model.calm else model.scenario.lost_share
     if effect.minion_id not in model.owner.links:
         failure = UNKNOWN
     elif not minion.is_reachable(model.now_ms):
-        failure = LOST
+        failure = NOT_CONTACTED if effect.contact_first else LOST
     elif chance < late_share:
         model.later(model.draw.randint(100, 5_000), begin_late, owned=False)
         failure = LOST
@@ -75,7 +81,8 @@
         minion_id=effect.minion_id,
         failure=failure,
     )
-    delay_ms = ORDER_TIMEOUT_MS if failure is LOST else 0
+    is_late = failure in (LOST, NOT_CONTACTED)
+    delay_ms = ORDER_TIMEOUT_MS if is_late else 0
     model.later(delay_ms, lambda: model.apply(answered))
 
 
@@ -204,7 +211,11 @@
     if effect.retracted:
         kind = minions.EndKind.STOPPED
     row = events.RecordedEnd(
-        key=effect.key, number=effect.number, kind=kind, checkpoint=""
+        key=effect.key,
+        number=effect.number,
+        kind=kind,
+        checkpoint="",
+        proven=effect.proven,
     )
     model.rows.setdefault(effect.key.job_id, []).append(row)
     model.apply(events.CrashStored(key=effect.key, number=effect.number))
@@ -215,6 +226,8 @@
     job = model.jobs[effect.job_id]
     if effect.state is state.JobState.CANCELLED:
         model.write(lambda: model.cancelled.add(effect.job_id))
+    if effect.reason == "crashes":
+        model.lost.check_given_up(job)
     completed = effect.state is state.JobState.COMPLETED
     ended = predecessors.EndedJob(
         workspace=job.workspace,
--- a/tests/core/scheduling/model/workers.py
+++ b/tests/core/scheduling/model/workers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import collections
 import dataclasses
 import itertools
 
@@ -68,6 +69,8 @@
         barred: Highest number of a run that was stopped or ended, by task.
         ends: Ends that were not acknowledged.
         end_numbers: Numbers of its ends.
+        crashes: Number of minions that have crashed under each task, or with
+            an end of it that no owner has acknowledged.
     """
 
     name: str
@@ -89,6 +92,9 @@
     end_numbers: itertools.count = dataclasses.field(
         default_factory=lambda: itertools.count(1)
     )
+    crashes: collections.Counter[steps.TaskKey] = dataclasses.field(
+        default_factory=collections.Counter
+    )
 
     @property
     def labels(self) -> tuple[str, str]:
@@ -128,9 +134,15 @@
             elif run.ends_ms <= now_ms and not run.stalls:
                 self.end(run, minions.EndKind.DONE)
 
+    def note_crashes(self) -> None:
+        """Counts a crash under each task that an owner takes to be here."""
+        unseen = {end.key for end in self.ends}
+        self.crashes.update(unseen.union(self.runs))
+
     def lose_power(self) -> None:
         """Ends its life without a word."""
         self.up = False
+        self.note_crashes()
         self.runs.clear()
         self.ends.clear()
 
@@ -140,6 +152,7 @@
         self.incarnation += 1
         self.token = 0
         self.lease_ms = 0
+        self.note_crashes()
         self.runs.clear()
         self.barred.clear()
         self.ends.clear()
--- a/tests/entry/cell/test_effect_executor.py
+++ b/tests/entry/cell/test_effect_executor.py
@@ -130,6 +130,19 @@
         self.assertEqual(row.end.number, 7)
         self.assertEqual(row.end.kind, minions.EndKind.LEASE_EXPIRED)
 
+    def test_it_is_stored_whether_a_crash_is_proven(self) -> None:
+        key = steps.TaskKey(job_id=JOB, repeat=0, step=0, index=3)
+        for number, proven in ((7, False), (8, True)):
+            self.executor.execute(
+                effects.RecordCrash(key=key, number=number, proven=proven)
+            )
+        with gevent.Timeout(5.0):
+            while len(self.emitted) < 2:
+                gevent.sleep(0.01)
+        self.assertEqual(
+            [row.end.proven for row in self.read_rows()], [False, True]
+        )
+
     def test_a_retracted_crash_is_stored_after_the_crash(self) -> None:
         key = steps.TaskKey(job_id=JOB, repeat=0, step=0, index=3)
         for retracted in (False, True):
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -54,6 +54,52 @@
         self.assertGreater(self.count(events.MinionPolled), replies)
 
 
+class ContactTest(link_cases.LinkCase):
+    """Starts that need the minion to be there right before."""
+
+    def start_after_contact(self) -> list[events.Event]:
+        """Sends such a start; returns what was emitted of it."""
+        known = len(self.events)
+        decision = dataclasses.replace(self.build_start(), contact_first=True)
+        self.link.orders.start(decision)
+        return [
+            event
+            for event in self.events[known:]
+            if isinstance(event, events.StartContacted | events.StartAnswered)
+        ]
+
+    def test_the_contact_is_told_before_the_start(self) -> None:
+        contacted, answered = self.start_after_contact()
+        self.assertIsInstance(contacted, events.StartContacted)
+        self.assertEqual(contacted.number, answered.number)
+        self.assertIsNone(answered.failure)
+        self.assertEqual(len(self.model.starts), 1)
+
+    # Guards against starts that meet a minion which has crashed already and
+    # are taken for its cause.
+    def test_nothing_is_sent_to_a_minion_that_does_not_answer(self) -> None:
+        self.model.silent = True
+        (answered,) = self.start_after_contact()
+        self.assertFalse(answered.failure.effect_unknown)
+        self.assertEqual(answered.failure.reason, "not_contacted")
+        self.model.silent = False
+        gevent.sleep(0.3)
+        self.assertEqual(self.model.starts, {})
+
+    def test_a_start_without_an_answer_was_contacted(self) -> None:
+        poll = self.link.poll
+
+        def fall_silent(**words):
+            answer = poll(**words)
+            self.model.silent = words["immediate"]
+            return answer
+
+        with mock.patch.object(self.link, "poll", fall_silent):
+            contacted, answered = self.start_after_contact()
+        self.assertIsInstance(contacted, events.StartContacted)
+        self.assertTrue(answered.failure.effect_unknown)
+
+
 class FencedLinkTest(link_cases.LinkCase):
     """The minion knows the token of a later owner."""
 
