Model: measure the load of fast calls for advice by the model's clock

Cause: the dispatcher's MovingLoad read the machine's clock, not the model's. In the product both are one clock. No judge and no bound of the model changes.

--- a/tests/core/scheduling/model/advice.py
+++ b/tests/core/scheduling/model/advice.py
@@ -16,6 +16,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import moving_load
 from tests.core.scheduling.model import workers
 
 ENTRIES = 6
@@ -92,7 +93,8 @@
         The entries report what is still valid of the answers that they got for
         earlier owners.
         """
-        self.dispatcher = Dispatcher(service=self)
+        with self._drive():
+            self.dispatcher = Dispatcher(service=self)
         for entry in self.entries.values():
             for until_ms, past in entry.answers:
                 if until_ms > self.model.now_ms + LATE_ANSWER_MS:
@@ -139,15 +141,15 @@
     @contextlib.contextmanager
     def _drive(self) -> Iterator[None]:
         """Lets the dispatcher's calls and its clock be those of the model."""
-        known = advisors.gevent, advisors.time
+        known = advisors.gevent, advisors.time, moving_load.time
         advisors.gevent = types.SimpleNamespace(spawn=self.spawn)
-        advisors.time = types.SimpleNamespace(
+        advisors.time = moving_load.time = types.SimpleNamespace(
             monotonic=lambda: self.model.now_ms / 1_000
         )
         try:
             yield
         finally:
-            advisors.gevent, advisors.time = known
+            advisors.gevent, advisors.time, moving_load.time = known
 
     def spawn(self, action: Callable, name: str, effect, *words) -> None:
         """Begins a call, which ends once the service has answered."""
