--- a/packages/entry/hickoryreach_entry/cell/ownership_scope.py
+++ b/packages/entry/hickoryreach_entry/cell/ownership_scope.py
@@ -68,8 +68,9 @@
         Raises:
             GreenletExit: The scope was closed meanwhile. The caller, which
                 belongs to it, is to end too.
+            Exception: What one of the greenlets has raised.
         """
-        gevent.joinall(list(joined))
+        gevent.joinall(list(joined), raise_error=True)
         if self.closed:
             raise gevent.GreenletExit
 
--- a/tests/entry/cell/test_ended_ownership.py
+++ b/tests/entry/cell/test_ended_ownership.py
@@ -1,11 +1,14 @@
 """Tests of what an ownership leaves behind when it ends."""
 
 import gc
+from unittest import mock
 
 import gevent
 
 from hickoryreach.scheduling import effects
+from hickoryreach_entry import greenlets
 from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import known_minions
 from tests.entry.cell import ownership_cases
 
 PRODUCT = "hickoryreach_entry"
@@ -105,3 +108,21 @@
         self.member.release_ownership(self.owner)
         gevent.sleep(LATER_S)
         self.assertEqual(made, ["0"])
+
+
+class BrokenTakeoverTest(ownership_cases.OwnershipCase):
+    """A read of a takeover fails with an error that nobody expects."""
+
+    # Guards against an owner that knows of no earlier minion, and so starts
+    # again what still runs there.
+    def test_the_process_ends_before_it_serves(self) -> None:
+        ended: list[gevent.Greenlet] = []
+        with (
+            mock.patch.object(greenlets, "end_process", ended.append),
+            mock.patch.object(
+                known_minions.KnownMinions, "read", side_effect=KeyError("odd")
+            ),
+        ):
+            owner = self.begin(1)
+            self.wait(lambda: ended)
+        self.assertFalse(owner.serving)
--- a/tests/entry/cell/test_ownership_scope.py
+++ b/tests/entry/cell/test_ownership_scope.py
@@ -75,3 +75,8 @@
             joined.join(1.0)
         self.assertEqual(self.done, [])
         end_process.assert_not_called()
+
+    def test_the_error_of_a_joined_greenlet_is_raised(self) -> None:
+        broken = self.scope.spawn(mock.Mock(side_effect=ValueError("odd")))
+        with self.assertRaises(ValueError):
+            self.scope.join([broken, self.scope.spawn(self.work, "read")])
