Let an entry that stops follow the next owner (cancellations answered 504)

Cause: an entry that stops as the owner follows nobody afterwards, so that it has no owner to ask. One that followed lost its owner with the next takeover.

Now an entry that stops follows whom the store names, or its peers without the store; it still makes no claim.

--- a/packages/entry/hickoryreach_entry/cell/election.py
+++ b/packages/entry/hickoryreach_entry/cell/election.py
@@ -13,12 +13,11 @@
 from hickoryreach_entry import clock
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import failure_detector
-from hickoryreach_entry.cell import follower_quorum
-from hickoryreach_entry.cell import owner as owner_module
 from hickoryreach_entry.cell import owner_lookup
 from hickoryreach_entry.cell import owner_status
 from hickoryreach_entry.cell import ownership_claim
 from hickoryreach_entry.cell import records
+from hickoryreach_entry.cell import succeeding_owner
 
 log = logging.getLogger(__name__)
 
@@ -106,19 +105,40 @@
         )
 
     def follow_forever(self) -> None:
-        """Stays connected to the owner, or takes over if there is none."""
+        """Stays connected to the owner, or takes over if there is none.
+
+        An entry that is about to stop takes over no more.
+        """
         if not self.member.draining:
             self.delay_first_election()
-        while not self.member.draining:
+        while True:
             if self.member.owner is not None:
                 gevent.sleep(CHECK_INTERVAL_S)
                 continue
             if self.is_following() and not self.is_owner_leaving():
                 self.owner_channel.closed.wait(CHECK_INTERVAL_S)
                 continue
-            if not self.find_or_replace_owner():
+            found = (
+                self.follow_successor()
+                if self.member.draining
+                else self.find_or_replace_owner()
+            )
+            if not found:
                 gevent.sleep(CHECK_INTERVAL_S)
 
+    def follow_successor(self) -> bool:
+        """Follows whom the store names, as an entry that is about to stop.
+
+        Its last callers still ask for what only an owner can answer.
+        """
+        read = self.member.client.get(records.OWNER_KEY)
+        if isinstance(read, result.Failure):
+            return self.follow_reported_owner()
+        found = records.decode_ownership(read.unwrap().data)
+        if found is None or found.name == self.member.own_info.name:
+            return False
+        return found.epoch != self.leaving_epoch and self.follow(found)
+
     def delay_first_election(self) -> None:
         """Delays entries with less processor time if no owner can be read."""
         found = self.member.client.get(records.OWNER_KEY).value_or(None)
@@ -357,34 +377,18 @@
     ) -> None:
         """Starts the owner under its epoch and fencing token."""
         self.close_owner_channel("took_over")
-        silent = self.last_status.get_silent_minions(ownership.epoch)
-        followed = self.last_status.epoch == ownership.epoch - 1
-        quorum = follower_quorum.build_successor_quorum(
-            epoch=ownership.epoch,
-            own_name=ownership.name,
-            previous_name=self.ownership.name if self.ownership else "",
-            last_status=self.last_status,
-        )
-        self.ownership = ownership
+        previous, self.ownership = self.ownership, ownership
         self.detector.reset()
         log.info(
             "ownership_taken",
             extra={"epoch": ownership.epoch, "token": revision},
         )
-        self.member.owner = owner_module.Owner(
-            settings=self.member.settings,
-            client=self.member.client,
-            epoch=ownership.epoch,
+        self.member.owner = succeeding_owner.build_owner(
+            member=self.member,
+            ownership=ownership,
             revision=revision,
-            configuration=self.member.configuration,
-            configuration_source=self.member.configuration_source,
-            local_advisor=self.member.advisor,
-            get_channels=lambda: self.member.followers,
-            quorum=quorum,
-            silent=silent,
-            get_wall_ms=self.member.cell_clock.now_ms,
-            may_recall_advice=followed,
-            on_deposed=self.member.end_deposed,
+            previous=previous,
+            last_status=self.last_status,
         )
         self.member.owner.start()
         self.member.forward_advice()
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -38,6 +38,7 @@
         own_info: Name, address and processor time of this entry.
         owner: The owner that runs in this entry, or None.
         followers: Channels of the entries that follow this one, by name.
+        leaving_followers: Names of those that are about to stop.
         store_served_at: When the store last served each follower, in s.
         cell_clock: Time of day that the entries agree on.
         election: Election that follows the owner or takes over from it.
@@ -67,6 +68,7 @@
         self.configuration: cells.Configuration | None = None
         self.owner: owner_module.Owner | None = None
         self.followers: dict[str, channel.Channel] = {}
+        self.leaving_followers: set[str] = set()
         self.store_served_at: dict[str, float] = {}
         self.draining = False
         self.election = election.Election(member=self)
@@ -112,6 +114,7 @@
             )
             return
         self.followers[message.peer.name] = peer
+        self.leaving_followers.discard(message.peer.name)
         self.owner.ownership_validity.quorum.add(message.peer.name)
         self.owner.advice_dispatcher.dispatch()
         log.info("follower_added", extra={"peer": message.peer.name})
@@ -131,6 +134,8 @@
         """Records a follower's clock, its store and what it hears."""
         if peer.peer is None:
             return
+        if message.leaving:
+            self.leaving_followers.add(peer.peer.name)
         if self.owner is not None:
             self.record_echo(peer.peer.name, message)
         self.store_served_at[peer.peer.name] = (
@@ -273,6 +278,7 @@
             return
         if self.followers.get(peer.peer.name) is peer:
             del self.followers[peer.peer.name]
+            self.leaving_followers.discard(peer.peer.name)
             self.store_served_at.pop(peer.peer.name, None)
             self.cell_clock.drop_sample(peer.peer.name)
             log.warning(
@@ -345,3 +351,4 @@
         for peer in list(self.followers.values()):
             peer.close(reason)
         self.followers.clear()
+        self.leaving_followers.clear()
--- a/packages/entry/hickoryreach_entry/cell/member_status.py
+++ b/packages/entry/hickoryreach_entry/cell/member_status.py
@@ -17,18 +17,19 @@
         member: The entry as a member of the cell.
     """
     owner = member.owner
+    successors = succession.list_peers(member)
     return frames.Status(
         epoch=owner.epoch if owner else 0,
         pending=owner.published_states.count_pending()
         if owner and owner.serving
         else {},
-        succession=succession.list_peers(member)[: succession.MAX_PEERS],
+        succession=successors[: succession.MAX_PEERS],
         leaving=bool(owner and owner.leaving),
         silent=owner.fleet.list_silent() if owner else {},
         serving=bool(owner and owner.serving),
         cell_ms=member.cell_clock.now_ms(),
         sent_ms=int(clock.boot_s() * MS_PER_S),
-        followers=len(member.followers),
+        followers=len(successors),
     )
 
 
--- a/packages/entry/hickoryreach_entry/cell/owner_status.py
+++ b/packages/entry/hickoryreach_entry/cell/owner_status.py
@@ -17,7 +17,7 @@
         succession: First entries in the order in which they take over.
         leaving: Whether the owner was handing its ownership over.
         sent_ms: When the owner sent the status, on its clock.
-        followers: Number of entries that followed the owner.
+        followers: Number of followers that could take over from the owner.
         silent: Minions that did not answer, with the time in ms after which
             nothing that the owner started can run there.
         received_at: When the status arrived, on the boot clock in s.
--- a/packages/entry/hickoryreach_entry/cell/succession.py
+++ b/packages/entry/hickoryreach_entry/cell/succession.py
@@ -14,7 +14,8 @@
     """Returns the followers in the order in which they take over.
 
     Followers that reach the store and are not silent come first, and among
-    them those with the most processor time.
+    them those with the most processor time. Those that are about to stop are
+    left out.
 
     Args:
         member: The owner's entry as a member of the cell.
@@ -24,7 +25,11 @@
     return [
         peer.peer
         for peer in sorted(
-            member.followers.values(),
+            (
+                each
+                for name, each in member.followers.items()
+                if name not in member.leaving_followers
+            ),
             key=lambda peer: (
                 now - member.store_served_at.get(peer.peer.name, 0.0)
                 > STORE_CONTACT_MAX_AGE_S,
--- a/tests/entry/cell/test_fitness_review.py
+++ b/tests/entry/cell/test_fitness_review.py
@@ -95,6 +95,7 @@
         self.member.election = types.SimpleNamespace(declined_until=0.0)
         self.member.store_served_at = {}
         self.member.followers = {}
+        self.member.leaving_followers = set()
         self.member.client = mock.Mock()
         self.member.client.health.failing_since = 0.0
         self.member.release_ownership = mock.Mock()
@@ -127,6 +128,13 @@
         first, _ = succession.list_peers(self.member)
         self.assertEqual(first.name, "strong")
 
+    def test_a_follower_that_is_about_to_stop_is_no_successor(self) -> None:
+        self.add_follower("weak", 0.5, since_s=5.0)
+        self.add_follower("strong", 2.0, since_s=5.0)
+        self.member.leaving_followers.add("strong")
+        (first,) = succession.list_peers(self.member)
+        self.assertEqual(first.name, "weak")
+
     def test_does_not_release_to_an_equal_follower(self) -> None:
         self.add_follower("equal", 0.5, since_s=5.0)
         self.assertFalse(self.check())
--- a/tests/entry/cell/test_follower_quorum.py
+++ b/tests/entry/cell/test_follower_quorum.py
@@ -182,6 +182,7 @@
     def setUp(self) -> None:
         """Creates a follower of an owner of epoch 2."""
         self.member = member_module.Member.__new__(member_module.Member)
+        self.member.leaving_followers = set()
         self.member.owner = None
         self.member.draining = False
         self.member.store_served_at = {}
@@ -256,6 +257,7 @@
 
     def test_its_entry_still_has_to_confirm(self) -> None:
         member = member_module.Member.__new__(member_module.Member)
+        member.leaving_followers = set()
         member.store_served_at = {}
         member.cell_clock = cell_clock.CellClock()
         quorum = build("b", "c", "d")
