Take an odd Request-Deadline-Ms for an absent one (answered 500)

Now only whole numbers of ASCII digits count, of 12 at most; any other text counts as absent, as before.

--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -12,6 +12,7 @@
 from hickoryreach.platform import store
 from hickoryreach.structure import cells
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import caller_requests
 from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import job_saver
 from hickoryreach_entry.cell import member as member_module
@@ -21,8 +22,6 @@
 
 log = logging.getLogger(__name__)
 
-DEADLINE_HEADER = "Request-Deadline-Ms"
-DEADLINE_DEFAULT_MS = 3_000
 ANSWER_MARGIN_S = 0.15
 OWNER_TIMEOUT_S = 1.5
 OWNER_RETRY_DELAY_S = 0.05
@@ -132,7 +131,8 @@
             self.deny(resp, falcon.HTTP_401)
             return
         job_id = req.path[len(queue.prefix) :]
-        deadline = started_at + get_deadline_s(req) - ANSWER_MARGIN_S
+        wait_s = caller_requests.get_deadline_s(req) - ANSWER_MARGIN_S
+        deadline = started_at + wait_s
         if not job_id and req.method == "GET":
             self.count(resp, queue, deadline)
         elif not callers.is_job_id(job_id):
@@ -341,14 +341,6 @@
         return self.owner_client.call(deadline, "cancellation", message)
 
 
-def get_deadline_s(req: falcon.Request) -> float:
-    """Returns the time until the caller's deadline, in s."""
-    text = req.get_header(DEADLINE_HEADER) or ""
-    if text.isdigit():
-        return int(text) / 1000
-    return DEADLINE_DEFAULT_MS / 1000
-
-
 def refuse(resp: falcon.Response, reason: str) -> None:
     """Responds that a request was not served and when to retry it."""
     fail(resp, falcon.HTTP_503, reason)
