Read bodies that come in chunks (answered 400)

HTTP/1.1 obliges a server to take them, and a balancer may send them.

Now such a body is read up to the limit of the configuration; a larger one is answered 413, a malformed one counts as empty (400).

--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -195,10 +195,11 @@
         deadline: float,
     ) -> None:
         """Stores a job and reports it to the owner."""
-        if (req.content_length or 0) > self.configuration.body_limit:
+        body = caller_requests.read_body(req, self.configuration.body_limit)
+        if body is None:
             resp.status = falcon.HTTP_413
             return
-        parsed = callers.parse_job(req.bounded_stream.read())
+        parsed = callers.parse_job(body)
         if isinstance(parsed, result.Failure):
             fail(resp, falcon.HTTP_400, parsed.failure())
             return
--- a/packages/entry/hickoryreach_entry/cell/caller_requests.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_requests.py
@@ -1,7 +1,11 @@
-"""Deadline of a caller's request."""
+"""Deadline and body of a caller's request."""
+
+import logging
 
 import falcon
 
+log = logging.getLogger(__name__)
+
 DEADLINE_HEADER = "Request-Deadline-Ms"
 DEADLINE_DEFAULT_MS = 3_000
 MAX_DEADLINE_DIGITS = 12
@@ -17,3 +21,22 @@
     if is_whole and len(text) <= MAX_DEADLINE_DIGITS:
         return int(text) / 1000
     return DEADLINE_DEFAULT_MS / 1000
+
+
+def read_body(req: falcon.Request, limit_bytes: int) -> bytes | None:
+    """Returns the body, or None if it is too large.
+
+    A body that comes in chunks has no stated length. One that is cut off or
+    malformed counts as empty.
+    """
+    encoding = req.get_header("Transfer-Encoding") or ""
+    if "chunked" not in encoding.lower():
+        if (req.content_length or 0) > limit_bytes:
+            return None
+        return req.bounded_stream.read()
+    try:
+        data = req.stream.read(limit_bytes + 1)
+    except OSError as error:
+        log.info("body_unreadable", extra={"reason": str(error)})
+        return b""
+    return data if len(data) <= limit_bytes else None
--- a/tests/entry/cell/test_caller_requests.py
+++ b/tests/entry/cell/test_caller_requests.py
@@ -1,11 +1,15 @@
-"""Tests of odd deadlines of callers' requests."""
+"""Tests of odd deadlines and bodies of callers' requests."""
 
 import unittest
 
+import falcon
 from falcon import testing
+from gevent import socket
 
+from hickoryreach_entry import http_server
 from hickoryreach_entry.cell import caller_requests
 
+LIMIT_BYTES = 100
 ODD_DEADLINES = ("²", "-5", "1.5", "1e3", "x", "", "9" * 5_000, "٣")
 
 
@@ -30,3 +34,60 @@
                     self.get_s(text),
                     caller_requests.DEADLINE_DEFAULT_MS / 1000,
                 )
+
+
+class BodyTest(unittest.TestCase):
+    """Bodies with a stated length, and in chunks."""
+
+    def setUp(self) -> None:
+        """Serves the size of each body, or 413."""
+        app = falcon.App()
+        app.add_sink(self.answer, prefix="/")
+        self.server = http_server.HttpServer(("127.0.0.1", 0), app, log=None)
+        self.server.start()
+        self.addCleanup(self.server.stop, 0)
+
+    def answer(self, req: falcon.Request, resp: falcon.Response) -> None:
+        """Answers with the body."""
+        data = caller_requests.read_body(req, LIMIT_BYTES)
+        if data is None:
+            resp.status = falcon.HTTP_413
+        else:
+            resp.data = data
+
+    def send(self, header: str, body: bytes) -> tuple[str, bytes]:
+        """Sends one request; returns the status and the body of the answer."""
+        address = ("127.0.0.1", self.server.server_port)
+        with socket.create_connection(address, timeout=5.0) as connection:
+            head = f"POST / HTTP/1.1\r\nHost: h\r\n{header}\r\n"
+            head += "Connection: close\r\n\r\n"
+            connection.sendall(head.encode() + body)
+            connection.shutdown(socket.SHUT_WR)
+            data = b"".join(iter(lambda: connection.recv(4_096), b""))
+        head, _, answer = data.partition(b"\r\n\r\n")
+        return head.split(b" ")[1].decode(), answer
+
+    def send_chunks(self, *chunks: bytes) -> tuple[str, bytes]:
+        """Sends a body in chunks."""
+        parts = [b"%x\r\n%s\r\n" % (len(each), each) for each in chunks]
+        body = b"".join(parts) + b"0\r\n\r\n"
+        return self.send("Transfer-Encoding: chunked", body)
+
+    def test_a_body_with_a_length_is_read(self) -> None:
+        answer = self.send("Content-Length: 3", b"abc")
+        self.assertEqual(answer, ("200", b"abc"))
+
+    # Guards against a sound job that is answered 400.
+    def test_a_body_in_chunks_is_read(self) -> None:
+        answer = self.send_chunks(b"abc", b"defg")
+        self.assertEqual(answer, ("200", b"abcdefg"))
+
+    def test_a_body_that_is_too_large_is_refused(self) -> None:
+        large = b"x" * (LIMIT_BYTES + 1)
+        self.assertEqual(self.send_chunks(large)[0], "413")
+        header = f"Content-Length: {len(large)}"
+        self.assertEqual(self.send(header, large)[0], "413")
+
+    def test_malformed_chunks_count_as_empty(self) -> None:
+        answer = self.send("Transfer-Encoding: chunked", b"zz\r\nabc")
+        self.assertEqual(answer, ("200", b""))
