--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -95,6 +95,23 @@
     minion_id: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ShareAnswered:
+    """A minion has confirmed or refused a share of its speed for a run.
+
+    Attributes:
+        key: The task.
+        number: Number of the run.
+        minion_id: Id of the minion.
+        share: The share, in percent.
+    """
+
+    key: steps.TaskKey
+    number: int
+    minion_id: str
+    share: int
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StopAnswered:
     """A stop was confirmed, or not.
@@ -281,6 +298,7 @@
     | LeaseExpired
     | StartAnswered
     | StartContacted
+    | ShareAnswered
     | StopAnswered
     | JobOffered
     | JobAccepted
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -46,7 +46,7 @@
         yield from _handle_end(cell, minion, end)
     pace.update_speed(cell, minion, reply.running)
     listed = yield from _update_runs(cell, minion, reply)
-    yield from throttling.adjust_shares(minion, reply.running)
+    yield from throttling.adjust_shares(cell, minion, reply.running)
     missing = [run for name, run in minion.runs.items() if name not in listed]
     if restarted and missing:
         yield from crashes.count(
@@ -245,6 +245,7 @@
         percent=task.percent,
         progress_ms=cell.now_ms,
         checkpoint=task.checkpoint,
+        share_answered=False,
     )
     runs.add(cell, minion, run)
     yield effects.LogDecision(
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -21,6 +21,7 @@
 from hickoryreach.scheduling import poll_replies
 from hickoryreach.scheduling import predecessors
 from hickoryreach.scheduling import state
+from hickoryreach.scheduling import throttling
 from hickoryreach.scheduling import waits
 
 Handler = Callable[[state.CellState, object], Iterator[effects.Effect]]
@@ -33,6 +34,7 @@
 handlers.register(events.LeaseExpired)(poll_replies.expire_lease)
 handlers.register(events.StartContacted)(orders.handle_contact)
 handlers.register(events.StartAnswered)(orders.handle_start_answer)
+handlers.register(events.ShareAnswered)(throttling.handle_answer)
 handlers.register(events.StopAnswered)(orders.handle_stop_answer)
 handlers.register(events.CrashStored)(crashes.handle_stored)
 handlers.register(events.JobRecovered)(lifecycle.recover)
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -78,6 +78,8 @@
         listed_ms: When the minion last listed it, or -1.
         checkpoint: Last known checkpoint.
         share: Share of its full speed that a filler may use, in percent.
+        share_answered: Whether the minion has answered to that share.
+        share_sent_ms: When it was last sent.
         has_known_size: Whether `need` and `workspace` are those of its task.
     """
 
@@ -100,6 +102,8 @@
     contacted: bool = False
     checkpoint: str = ""
     share: int = 100
+    share_answered: bool = True
+    share_sent_ms: int = 0
     has_known_size: bool = True
 
 
--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -196,7 +196,7 @@
     def pace(self, effect: effects.SetTaskShare) -> None:
         """Sets the share of its speed that a run may use.
 
-        Emits no event: the next poll shows whether the order had an effect.
+        Emits that the minion has answered, as no poll shows it.
         """
         order_result = self.link.client.pace(
             effect.key, effect.number, effect.share, self.link.get_terms().token
@@ -211,6 +211,15 @@
                 "outcome": failure.reason if failure else "confirmed",
             },
         )
+        if failure is None or not failure.effect_unknown:
+            self.link.emit(
+                events.ShareAnswered(
+                    key=effect.key,
+                    number=effect.number,
+                    minion_id=self.link.minion.minion_id,
+                    share=effect.share,
+                )
+            )
 
     def extract_failure(
         self, order_result: minions.OrderResult
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -100,6 +100,32 @@
         self.assertTrue(answered.failure.effect_unknown)
 
 
+class ShareTest(link_cases.LinkCase):
+    """Orders that set the share of a run's speed."""
+
+    def set_share(self) -> list[events.ShareAnswered]:
+        """Sends such an order; returns what was emitted."""
+        start = self.build_start()
+        self.link.orders.pace(
+            effects.SetTaskShare(
+                key=start.key, number=1, minion_id="i-1", share=50
+            )
+        )
+        return [
+            event
+            for event in self.events
+            if isinstance(event, events.ShareAnswered)
+        ]
+
+    def test_an_answer_is_told_also_a_refusal(self) -> None:
+        (answered,) = self.set_share()  # the stand-in knows no such order
+        self.assertEqual(answered.share, 50)
+
+    def test_nothing_is_told_without_an_answer(self) -> None:
+        self.model.silent = True
+        self.assertEqual(self.set_share(), [])
+
+
 class FencedLinkTest(link_cases.LinkCase):
     """The minion knows the token of a later owner."""
 
