--- a/packages/core/hickoryreach/scheduling/crashes.py
+++ b/packages/core/hickoryreach/scheduling/crashes.py
@@ -59,7 +59,7 @@
     for run in [each for each in lost if _can_be_cause(each)]:
         task = run.step.crashes.setdefault(
             run.key.index,
-            crash_records.CrashedTask(hidden_limit=_count_hidden(cell, run)),
+            crash_records.CrashedTask(hidden_limit=_count_hidden(run)),
         )
         if run.number in task.runs or run.step.job.state.is_final:
             continue
@@ -260,20 +260,19 @@
 
 
 def note_adopted(run: state.Run) -> None:
-    """Notes that the latest takeover has hidden no crash of a task."""
+    """Notes that the takeovers since a run's start have hidden no crash."""
     task = run.step and run.step.crashes.get(run.key.index)
     if task is not None:
-        task.hidden_limit = run.step.job.hidden_crashes
+        task.hidden_limit = _count_hidden(run)
 
 
-def _count_hidden(cell: state.CellState, run: state.Run) -> int:
+def _count_hidden(run: state.Run) -> int:
     """Returns how many crashes of a run's task takeovers may have hidden.
 
-    A run that has outlived the latest takeover shows that it hid none.
+    A run that has outlived takeovers shows that they hid none.
     """
-    job = run.step.job
-    is_adopted = run.number <= (cell.epoch - 1) * runs.RUNS_PER_EPOCH
-    return job.hidden_crashes + (job.takeover_hides and not is_adopted)
+    begun_epoch = runs.get_epoch(run.number)
+    return sum(epoch <= begun_epoch for epoch in run.step.job.hiding_epochs)
 
 
 def _can_be_cause(run: state.Run) -> bool:
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -201,17 +201,15 @@
         unconfirmed_until_ms: Time before which none of its tasks may start,
             because a run of an earlier owner may still execute on a minion
             that does not answer.
-        hidden_crashes: Number of crashes under each of its tasks that
-            takeovers before this one may have hidden from their owners.
-        takeover_hides: Whether this takeover may have hidden one.
+        hiding_epochs: Epochs whose takeovers may each have hidden a crash under
+            each of its tasks.
     """
 
     job: steps.Job
     ends: tuple[RecordedEnd, ...] = ()
     cancelled: bool = False
     unconfirmed_until_ms: int = 0
-    hidden_crashes: int = 0
-    takeover_hides: bool = False
+    hiding_epochs: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -82,8 +82,7 @@
     record = _create_record(cell, job, cell.now_ms - age_ms)
     record.unconfirmed_until_ms = event.unconfirmed_until_ms
     record.recovered = True
-    record.hidden_crashes = event.hidden_crashes
-    record.takeover_hides = event.takeover_hides
+    record.hiding_epochs = event.hiding_epochs
     if event.cancelled:
         yield from finish(cell, record, state.JobState.CANCELLED, "restored")
         return
@@ -178,7 +177,7 @@
             end.key.index,
             end.number,
             end.kind,
-            record.hidden_crashes + record.takeover_hides,
+            len(record.hiding_epochs),
             proven=end.proven,
         )
         return
--- a/packages/core/hickoryreach/scheduling/runs.py
+++ b/packages/core/hickoryreach/scheduling/runs.py
@@ -24,6 +24,11 @@
     return max(highest, (cell.epoch - 1) * RUNS_PER_EPOCH) + 1
 
 
+def get_epoch(number: int) -> int:
+    """Returns the epoch in which a run was started, by its number."""
+    return (number - 1) // RUNS_PER_EPOCH + 1
+
+
 def add(
     cell: state.CellState,
     minion: minion_records.MinionRecord,
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -232,9 +232,8 @@
             its tasks may start, because a run of an earlier owner may still
             execute unseen.
         recovered: Whether it was read from the store after a takeover.
-        hidden_crashes: Number of crashes that takeovers before the latest one
-            may have hidden from their owners.
-        takeover_hides: Whether the latest takeover may have hidden one.
+        hiding_epochs: Epochs whose takeovers may each have hidden a crash under
+            each of its tasks.
     """
 
     job: steps.Job
@@ -250,8 +249,7 @@
     exceeds_share: bool = False
     unconfirmed_until_ms: int = 0
     recovered: bool = False
-    hidden_crashes: int = 0
-    takeover_hides: bool = False
+    hiding_epochs: tuple[int, ...] = ()
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -165,6 +165,7 @@
         )
         self.takeover_history = takeover_history.TakeoverHistory(
             client=client,
+            epoch=epoch,
             revision=revision,
             get_incarnations=self.fleet.list_incarnations,
         )
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -72,10 +72,13 @@
             since 1970, by id.
         hiding_ms: When takeovers may have hidden crashes of minions, in ms
             since 1970, the oldest first.
+        hiding_epochs: Epochs that these takeovers began; none in a record of
+            an earlier version.
     """
 
     incarnations: dict[str, int] = dataclasses.field(default_factory=dict)
     hiding_ms: tuple[int, ...] = ()
+    hiding_epochs: tuple[int, ...] = ()
 
 
 _takeovers_adapter = pydantic.TypeAdapter(Takeovers)
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -206,8 +206,7 @@
             ends=tuple(ends.get(job.job_id, ())),
             cancelled=job.job_id in cancelled,
             unconfirmed_until_ms=unconfirmed_until_ms,
-            hidden_crashes=owner.takeover_history.count_hiding(job.accepted_ms),
-            takeover_hides=owner.takeover_history.hides,
+            hiding_epochs=owner.takeover_history.list_hiding(job.accepted_ms),
         )
         owner.execute(reducer.reduce(owner.state, event, clock.now_ms()))
 
--- a/packages/entry/hickoryreach_entry/cell/takeover_history.py
+++ b/packages/entry/hickoryreach_entry/cell/takeover_history.py
@@ -18,6 +18,7 @@
 
 SAVE_INTERVAL_S = 0.5
 MAX_TAKEOVERS = 50
+UNKNOWN_EPOCH = 0  # before any run
 
 
 class TakeoverHistory:
@@ -26,6 +27,7 @@
     Attributes:
         earlier: What earlier owners have recorded.
         hiding_ms: When takeovers may have hidden crashes, in ms since 1970.
+        hiding_epochs: Epochs that these takeovers began.
         hides: Whether this takeover may have hidden one.
         kept: The value that the store holds; None if unknown.
     """
@@ -34,6 +36,7 @@
         self,
         *,
         client: store.Store,
+        epoch: int,
         revision: int,
         get_incarnations: Callable[[], dict[str, int]],
     ) -> None:
@@ -41,16 +44,19 @@
 
         Args:
             client: The store.
+            epoch: Number of the ownership.
             revision: Revision of the owner's key; every write requires that
                 the key still has it.
             get_incarnations: Returns the incarnations of the minions that have
                 answered this owner, by id.
         """
         self.client = client
+        self.epoch = epoch
         self.revision = revision
         self.get_incarnations = get_incarnations
         self.earlier = records.Takeovers()
         self.hiding_ms: tuple[int, ...] = ()
+        self.hiding_epochs: tuple[int, ...] = ()
         self.hides = False
         self.kept: bytes | None = None
 
@@ -65,8 +71,15 @@
             )
             return
         self.kept = item.data
-        self.earlier = decoded.unwrap()
-        self.hiding_ms = self.earlier.hiding_ms
+        self.inherit(decoded.unwrap())
+
+    def inherit(self, earlier: records.Takeovers) -> None:
+        """Takes over what earlier owners have recorded."""
+        self.earlier = earlier
+        self.hiding_ms = earlier.hiding_ms
+        self.hiding_epochs = earlier.hiding_epochs
+        if len(self.hiding_epochs) != len(self.hiding_ms):
+            self.hiding_epochs = (UNKNOWN_EPOCH,) * len(self.hiding_ms)
 
     def record(self, unpolled: list[str], wall_ms: int) -> None:
         """Records whether this takeover may have hidden crashes.
@@ -85,6 +98,8 @@
         if not self.hides:
             return
         self.hiding_ms = (*self.hiding_ms, wall_ms)[-MAX_TAKEOVERS:]
+        epochs = (*self.hiding_epochs, self.epoch)
+        self.hiding_epochs = epochs[-MAX_TAKEOVERS:]
         log.info(
             "takeover_hides_crashes",
             extra={
@@ -94,14 +109,16 @@
             },
         )
 
-    def count_hiding(self, accepted_ms: int) -> int:
-        """Returns how many earlier takeovers may have hidden a job's crashes.
+    def list_hiding(self, accepted_ms: int) -> tuple[int, ...]:
+        """Returns the epochs whose takeovers may have hidden a job's crashes.
 
         Args:
             accepted_ms: When the job was accepted, in ms since 1970.
         """
-        earlier = self.hiding_ms[:-1] if self.hides else self.hiding_ms
-        return sum(taken_ms >= accepted_ms for taken_ms in earlier)
+        taken = zip(self.hiding_epochs, self.hiding_ms, strict=True)
+        return tuple(
+            epoch for epoch, taken_ms in taken if taken_ms >= accepted_ms
+        )
 
     def save_forever(self) -> None:
         """Stores the history periodically, if it has changed."""
@@ -115,6 +132,7 @@
             records.Takeovers(
                 incarnations=self.get_incarnations(),
                 hiding_ms=self.hiding_ms,
+                hiding_epochs=self.hiding_epochs,
             )
         )
         if data == self.kept:
--- a/tests/core/scheduling/model/owners.py
+++ b/tests/core/scheduling/model/owners.py
@@ -77,7 +77,10 @@
         self.earlier_ids: set[str] = set()
         self.incarnations: dict[str, int] = {}
         self.history = takeover_history.TakeoverHistory(
-            client=None, revision=model.epoch, get_incarnations=self.list_lives
+            client=None,
+            epoch=model.epoch,
+            revision=model.epoch,
+            get_incarnations=self.list_lives,
         )
 
     def recover(self, previous: Owner | None) -> None:
@@ -91,11 +94,13 @@
         if previous is not None:
             self.earlier_ids = set(previous.links) | previous.earlier_ids
             silent = self.list_unpolled()
-            self.history.earlier = records.Takeovers(
-                incarnations=previous.incarnations,
-                hiding_ms=previous.history.hiding_ms,
+            self.history.inherit(
+                records.Takeovers(
+                    incarnations=previous.incarnations,
+                    hiding_ms=previous.history.hiding_ms,
+                    hiding_epochs=previous.history.hiding_epochs,
+                )
             )
-            self.history.hiding_ms = previous.history.hiding_ms
             self.history.record(silent, now_ms)
             self.cell.earlier_advice_until_ms = now_ms + EARLIER_ADVICE_WAIT_MS
         until_ms = now_ms + TAKEOVER_LEASE_MS
@@ -168,8 +173,7 @@
                     ends=tuple(model.rows.get(job_id, ())),
                     cancelled=job_id in model.cancelled,
                     unconfirmed_until_ms=until_ms,
-                    hidden_crashes=self.history.count_hiding(job.accepted_ms),
-                    takeover_hides=self.history.hides,
+                    hiding_epochs=self.history.list_hiding(job.accepted_ms),
                 )
             )
 
--- a/tests/core/scheduling/test_proven_crashes.py
+++ b/tests/core/scheduling/test_proven_crashes.py
@@ -118,7 +118,7 @@
             for number, each in enumerate(proven, 1)
         )
         job = self.build_job()
-        self.apply(events.JobRecovered(job=job, ends=rows, takeover_hides=True))
+        self.apply(events.JobRecovered(job=job, ends=rows, hiding_epochs=(2,)))
         return job.job_id
 
     def crash(self, job_id: str) -> None:
--- a/tests/core/scheduling/test_recorded_crashes.py
+++ b/tests/core/scheduling/test_recorded_crashes.py
@@ -107,15 +107,11 @@
     def test_crashes_that_two_takeovers_may_have_hidden_are_assumed(
         self,
     ) -> None:
-        job_id = self.recover_after_hidden(
-            hidden_crashes=1, takeover_hides=True
-        )
+        job_id = self.recover_after_hidden(hiding_epochs=(1, 2))
         self.assertTrue(self.is_alone_after_a_crash(job_id))
 
     def test_takeovers_alone_make_no_suspect(self) -> None:
-        job_id = self.recover_after_hidden(
-            hidden_crashes=4, takeover_hides=True
-        )
+        job_id = self.recover_after_hidden(hiding_epochs=(1, 1, 1, 1, 2))
         host = self.find_run(job_id).minion_id
         self.submit(cases.build_step(count=24))
         self.assertEqual(len(self.list_running(host)), 4)
@@ -128,14 +124,27 @@
         self,
     ) -> None:
         job_id = self.recover_after_hidden(
-            hidden_crashes=1,
-            takeover_hides=True,
+            hiding_epochs=(1, 2),
+            unconfirmed_until_ms=self.now_ms + 60_000,
+        )
+        key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=0)
+        self.poll("m0", running=(cases.build_listed_run(key, 3),))
+        self.apply(events.EarlierRunsConfirmed())
+        self.assertFalse(self.is_alone_after_a_crash(job_id))
+
+    # Guards against a task that must run alone after its first crash, though
+    # its run has outlived every takeover.
+    def test_a_run_that_outlived_several_takeovers_hides_no_crash(self) -> None:
+        job_id = self.recover_after_hidden(
+            hiding_epochs=(2, 3, 4),
             unconfirmed_until_ms=self.now_ms + 60_000,
         )
         key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=0)
         self.poll("m0", running=(cases.build_listed_run(key, 3),))
         self.apply(events.EarlierRunsConfirmed())
         self.assertFalse(self.is_alone_after_a_crash(job_id))
+        step = self.cell.jobs[job_id].steps[(0, 0)]
+        self.assertEqual(step.crashes[0].count, 1)
 
     def test_a_recorded_crash_starts_nothing_before_its_turn(self) -> None:
         row = self.build_row(1, minions.EndKind.LEASE_EXPIRED)
