Take no write for stored that ended with its ownership

A hedged write looked only for truth, so that ends could have been acknowledged that the store never got (TWICE), had a writer run on after the end.

Now only True counts. Failed before: test_a_part_is_not_stored_by_a_closed_scope.

--- a/packages/entry/hickoryreach_entry/cell/progress.py
+++ b/packages/entry/hickoryreach_entry/cell/progress.py
@@ -233,14 +233,16 @@
 
         An attempt that is not answered soon is joined by others. The part's
         key must not exist yet, so a conflict in a later attempt shows that
-        an earlier one succeeded.
+        an earlier one succeeded. One that ended with the ownership returns
+        something else than True.
         """
         writers: list[gevent.Greenlet] = []
         while len(writers) < MAX_HEDGED_ATTEMPTS and not part.written:
             writers.append(self.scope.spawn(self.attempt_write, part, puts))
             for done in gevent.wait(writers, timeout=HEDGE_DELAY_S, count=1):
-                return bool(done.value)
-        return any(done.value for done in gevent.iwait(writers)) or part.written
+                return done.value is True
+        ended = list(gevent.iwait(writers))
+        return part.written or any(done.value is True for done in ended)
 
     def attempt_write(self, part: Part, puts: tuple[store.Put, ...]) -> bool:
         """Makes one attempt to write a part; returns whether it is stored."""
--- a/tests/entry/cell/test_progress.py
+++ b/tests/entry/cell/test_progress.py
@@ -54,6 +54,28 @@
             for row in records.decode_rows(item.data)
         ]
 
+    # Guards against ends that are acknowledged, and so forgotten by their
+    # minion, though the store never got them.
+    def test_nothing_counts_as_stored_that_ends_with_the_ownership(
+        self,
+    ) -> None:
+        for ended_s in (0.0, 0.005, 0.1, 0.3):
+            with self.subTest(ended_s):
+                self.model.faults.silent.add("*")
+                self.append(1)
+                gevent.sleep(ended_s)
+                self.scope.close()
+                gevent.sleep(0.1)
+                self.model.faults.silent.clear()
+                gevent.sleep(0.5)
+                self.assertEqual(self.kept, [])
+                self.setUp()
+
+    def test_a_part_is_not_stored_by_a_closed_scope(self) -> None:
+        self.scope.close()
+        part = progress.Part(number=1)
+        self.assertFalse(self.progress.write_hedged(part, ()))
+
     def test_rows_are_stored_in_order(self) -> None:
         for number in range(40):
             self.append(number)
