Send no start after a contact with another incarnation

No start was sent then, but the run was noted as contacted, by which a later crash would have been proven.

Failed before: ContactTest.test_nothing_is_sent_to_another_incarnation.

--- a/packages/entry/hickoryreach_entry/cell/orders.py
+++ b/packages/entry/hickoryreach_entry/cell/orders.py
@@ -64,15 +64,18 @@
         )
 
     def contact(self, effect: effects.StartTask) -> bool:
-        """Polls the minion right before a start; returns whether it answers.
+        """Polls the minion right before a start; returns whether it is there.
 
         Without an answer to that start it is then certain enough that the
-        minion crashed under it, and had not crashed before.
+        minion crashed under it, and had not crashed before. Another incarnation
+        than the start was decided for does not count.
         """
         poll_result, sent_ms = self.link.poll(immediate=True)
-        if isinstance(poll_result, result.Failure):
+        if isinstance(poll_result, result.Failure) or self.link.stopped:
             return False
         self.link.handle_poll_reply(poll_result.unwrap(), sent_ms)
+        if self.link.may_have_restarted(effect.incarnation):
+            return False
         self.link.emit(
             events.StartContacted(
                 key=effect.key,
--- a/tests/entry/cell/test_links.py
+++ b/tests/entry/cell/test_links.py
@@ -86,6 +86,17 @@
         gevent.sleep(0.3)
         self.assertEqual(self.model.starts, {})
 
+    def test_nothing_is_sent_to_another_incarnation(self) -> None:
+        decision = dataclasses.replace(
+            self.build_start(),
+            contact_first=True,
+            incarnation=self.model.incarnation,
+        )
+        self.model.be_reborn()
+        self.link.orders.start(decision)
+        self.assertEqual(self.count(events.StartContacted), 0)
+        self.assertEqual(self.model.starts, {})
+
     def test_a_start_without_an_answer_was_contacted(self) -> None:
         poll = self.link.poll
 
