--- a/packages/core/hickoryreach/scheduling/crashes.py
+++ b/packages/core/hickoryreach/scheduling/crashes.py
@@ -74,7 +74,7 @@
             yield from _convict(cell, run.step, run.key, f"{reason} {detail}")
             continue
         if is_cause:
-            _suspend(task, run.number, is_certain=is_certain)
+            _defer_conviction(task, run.number, is_certain=is_certain)
         task.unstored.add(run.number)
         yield effects.RecordCrash(
             key=run.key,
@@ -84,7 +84,7 @@
     return counted
 
 
-def _suspend(
+def _defer_conviction(
     task: crash_records.CrashedTask, number: int, *, is_certain: bool
 ) -> None:
     """Keeps a task that seems to be the cause from being convicted yet.
@@ -191,7 +191,7 @@
         if task.is_convictable:
             yield from _convict(cell, step, key, f"{reason} {detail}")
         elif _end_doubt(task, number):
-            _suspend(task, number, is_certain=True)
+            _defer_conviction(task, number, is_certain=True)
             yield _log("crash_unproven", key, f"{reason} {detail}")
             _release(cell, step, key.index)
 
