--- a/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
+++ b/packages/entry/hickoryreach_entry/cell/prefix_watcher.py
@@ -36,6 +36,8 @@
         answered_at: When a call was last answered, on the monotonic clock in s.
         healthy_since: When a call was last answered after a failed one, on the
             monotonic clock in s.
+        greenlet: Greenlet of the watch, or None before it is started. It ends
+            with the ownership in whose scope `spawn` starts it.
     """
 
     def __init__(
@@ -166,8 +168,3 @@
                 },
             )
         self.healthy = healthy
-
-    def close(self) -> None:
-        """Stops the watch."""
-        if self.greenlet is not None:
-            self.greenlet.kill(block=False)
--- a/tests/core/scheduling/crash_cases.py
+++ b/tests/core/scheduling/crash_cases.py
@@ -20,6 +20,19 @@
 ROUNDS = 12
 
 
+def build_crash_row(
+    key: steps.TaskKey, number: int, *, proven: bool = True
+) -> events.RecordedEnd:
+    """Returns a crash under a run of a task as an earlier owner recorded it."""
+    return events.RecordedEnd(
+        key=key,
+        number=number,
+        kind=minions.EndKind.LEASE_EXPIRED,
+        checkpoint="",
+        proven=proven,
+    )
+
+
 class CrashCase(cases.CellCase):
     """A cell whose minions can crash.
 
--- a/tests/core/scheduling/test_proven_crashes.py
+++ b/tests/core/scheduling/test_proven_crashes.py
@@ -108,13 +108,7 @@
         """Recovers a job with a recorded crash for each argument."""
         key = steps.TaskKey(job_id="job1", repeat=0, step=0, index=0)
         rows = tuple(
-            events.RecordedEnd(
-                key=key,
-                number=number,
-                kind=minions.EndKind.LEASE_EXPIRED,
-                checkpoint="",
-                proven=each,
-            )
+            crash_cases.build_crash_row(key, number, proven=each)
             for number, each in enumerate(proven, 1)
         )
         job = self.build_job()
--- a/tests/core/scheduling/test_suspect_waits.py
+++ b/tests/core/scheduling/test_suspect_waits.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 
-from hickoryreach.platform import minions
 from hickoryreach.scheduling import crash_records
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
@@ -253,12 +252,7 @@
         job = self.build_job(cases.build_step(estimate_ms=600_000))
         key = steps.TaskKey(job_id=job.job_id, repeat=0, step=0, index=0)
         rows = tuple(
-            events.RecordedEnd(
-                key=key,
-                number=number,
-                kind=minions.EndKind.LEASE_EXPIRED,
-                checkpoint="",
-            )
+            crash_cases.build_crash_row(key, number)
             for number in range(1, crashed + 1)
         )
         self.apply(events.JobRecovered(job=job, ends=rows))
--- a/tests/entry/cell/test_configuration_watch.py
+++ b/tests/entry/cell/test_configuration_watch.py
@@ -24,9 +24,9 @@
         self.watch = configuration_watch.ConfigurationWatch(
             client=self.client, on_configuration=self.applied.append
         )
-        self.addCleanup(self.watch.watcher.close)
         self.put(json.dumps(self.build(1)))
         self.watch.start()
+        self.addCleanup(self.watch.watcher.greenlet.kill)
         self.wait_for(1)
 
     def build(self, version: int, **tenant: object) -> dict:
@@ -73,7 +73,7 @@
     """A watch whose connection is dead without a sign."""
 
     def test_a_new_limit_is_known_before_the_watch_times_out(self) -> None:
-        self.watch.watcher.close()
+        self.watch.watcher.greenlet.kill(block=False)
         confirming = gevent.spawn(self.watch.confirm_forever)
         self.addCleanup(confirming.kill)
         self.put(json.dumps(self.build(2)))
@@ -82,14 +82,14 @@
                 gevent.sleep(0.01)
 
     def test_a_configuration_that_fails_to_apply_ends_nothing(self) -> None:
-        self.watch.watcher.close()
+        self.watch.watcher.greenlet.kill(block=False)
         self.watch.on_configuration = mock.Mock(side_effect=RuntimeError)
         self.put(json.dumps(self.build(2)))
         with self.assertLogs(prefix_watcher.log, "ERROR"):
             self.assertTrue(self.watch.refresh())
 
     def test_a_failing_store_is_asked_again(self) -> None:
-        self.watch.watcher.close()
+        self.watch.watcher.greenlet.kill(block=False)
         self.model.faults.busy.add("*")
         with self.assertLogs(configuration_watch.log, "WARNING"):
             self.assertFalse(self.watch.refresh())
--- a/tests/entry/cell/test_prefix_watcher.py
+++ b/tests/entry/cell/test_prefix_watcher.py
@@ -6,6 +6,7 @@
 import gevent
 
 from hickoryreach.platform import store
+from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import prefix_watcher
 from tests.entry.cell import cases
 
@@ -28,7 +29,7 @@
         )
         self.model.put(f"{PREFIX}a", b"1")
         self.watcher.start()
-        self.addCleanup(self.watcher.close)
+        self.addCleanup(self.watcher.greenlet.kill)
 
     def accept(self, page: store.Page, complete: bool) -> None:
         """Records a page; fails at the second one."""
@@ -65,7 +66,9 @@
             on_item=self.handle_item,
             on_page=self.count_page,
         )
-        self.addCleanup(self.watcher.close)
+        self.scope = ownership_scope.OwnershipScope(epoch=1)
+        self.watcher.spawn = self.scope.spawn
+        self.addCleanup(self.scope.close)
 
     def handle_item(self, item: store.Item) -> None:
         """Records an item; fails on odd ones."""
