--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import base64
+import dataclasses
 import http.client
 import json
 import os
 import pathlib
+import resource
 import secrets
 import signal
 import subprocess
@@ -24,10 +26,34 @@
 FRONT_PORT = 8183
 READY_PORT = 8184
 CONTROL_PORT = 8180
+METRICS_PORT = 9464
 START_LIMIT_S = 30.0
 POLL_S = 0.05
 MODULE = "hickoryreach_entry"
 CALL_TIMEOUT_S = 4.0
+FILE_DESCRIPTORS = 200
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True)
+class Limits:
+    """Limits of an entry's machine.
+
+    Attributes:
+        memory_mb: Memory, in MB.
+        max_fds: Descriptors, of which `FILE_DESCRIPTORS` are for files.
+    """
+
+    memory_mb: int
+    max_fds: int
+
+    @property
+    def max_sockets(self) -> int:
+        """Descriptors that sockets and pipes share."""
+        return self.max_fds - FILE_DESCRIPTORS
+
+    def to_settings(self) -> dict[str, int]:
+        """Returns the limits as fields of the settings file."""
+        return {"memoryMb": self.memory_mb, "maxFds": self.max_fds}
 
 
 class Entry:
@@ -47,6 +73,7 @@
         index: int,
         folder: pathlib.Path,
         module: str = MODULE,
+        limits: Limits | None = None,
     ) -> None:
         """Writes the entry's settings; starts nothing.
 
@@ -55,7 +82,9 @@
             index: Number of the entry.
             folder: Where its settings and its log go.
             module: What is run, with words that go before the command.
+            limits: Limits of the entry's machine, or None for none.
         """
+        self.limits = limits
         self.module = module.split()
         self.name = f"entry-{index}"
         self.host = f"127.{users.block}.1.{index + 1}"
@@ -72,7 +101,8 @@
                         "ready": f"{self.host}:{READY_PORT}",
                         "control": f"{self.host}:{CONTROL_PORT}",
                     },
-                    "limits": {"cpuShare": 1.0, "cores": 1},
+                    "limits": {"cpuShare": 1.0, "cores": 1}
+                    | (limits.to_settings() if limits else {}),
                     "heartbeatMs": 1_500,
                     "orders": "call",
                     "advice": users.advice,
@@ -92,6 +122,11 @@
                 stdout=log,
                 stderr=log,
             )
+        if self.limits is not None:
+            sockets = self.limits.max_sockets
+            resource.prlimit(
+                self.process.pid, resource.RLIMIT_NOFILE, (sockets, sockets)
+            )
 
     def signal(self, number: int) -> None:
         """Sends the process a signal."""
@@ -169,10 +204,12 @@
         network: proxy.Network | None = None,
         module: str = MODULE,
         limit_cpu: int = 0,
+        limits: Limits | None = None,
     ) -> None:
         """Starts a cell, behind a proxy if one is given.
 
         A workspace may use `limit_cpu` thousandths of a core; 0 for any.
+        `limits` are those of each entry's machine.
         """
         self.users = platform.Platform(
             minion_count=minion_count, network=network, limit_cpu=limit_cpu
@@ -185,6 +222,7 @@
                 index=index,
                 folder=pathlib.Path(self.folder.name),
                 module=module,
+                limits=limits,
             )
             for index in range(entry_count)
         ]
--- a/tests/__main__.py
+++ b/tests/__main__.py
@@ -21,6 +21,7 @@
     )
     with futures.ThreadPoolExecutor(GROUPS_AT_ONCE) as pool:
         outcomes = list(pool.map(run_group, suites.get_groups(names)))
+    outcomes += map(run_group, suites.get_lone_groups(names))
     for outcome in outcomes:
         print_outcome(outcome)
     return close(outcomes)
