Bound the head and the body of a request, and its time (memory, hang)

What callers saw: 60 clients whose heads of long lines never ended took 497 MB (limit in the test 128 MB), on the address for callers, for readiness and for metrics alike; one client whose body in chunks never ended stopped all answers of the entry for as long as it sent.

Cause: the library bounds the request line and each header line, but not the head as a whole (100 lines of 64 KiB), nor trailers, chunk framing, unwanted bodies, nor the time of any of them.

Mend: one raw stream (http_reader) under the library's parser counts the bytes of each part of a request and its time, per read from the socket and not per line. Beyond a limit the request is refused (408, 413, 414, 431) before it has run, or the connection closed. The limits are declared once (config.client_limits) with type, default and validation.

A relative, found by reading and shown on the code before: a head that was cut off ran as if it were whole (DELETE /x answered 200 after half a head).

Refusals are counted, and logged once a second for each reason; each used to write a line or a trace to the error stream. A body that is cut off under a stated length no longer raises an error in the API (it counts as empty, as one in chunks did).

Ruled out: the request line (bounded at 8 KiB), short, folded and empty lines (the library stops at 100 lines; an empty line is answered 400).

--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -7,6 +7,7 @@
 from returns import result
 import yaml
 
+from hickoryreach.config import client_limits
 from hickoryreach.platform import documents
 
 PATH_VARIABLE = "HICKORYREACH_CONFIG"
@@ -24,8 +25,8 @@
     control: str
 
 
-class LimitsRow(documents.Document):
-    """Processor limits of this process."""
+class LimitsRow(documents.Document, client_limits.ClientLimits):
+    """Limits of this process."""
 
     cpu_share: float = 1.0
     cores: float = 1.0
--- a/packages/entry/hickoryreach_entry/cell/caller_requests.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_requests.py
@@ -30,11 +30,12 @@
     malformed counts as empty.
     """
     encoding = req.get_header("Transfer-Encoding") or ""
-    if "chunked" not in encoding.lower():
-        if (req.content_length or 0) > limit_bytes:
-            return None
-        return req.bounded_stream.read()
+    is_chunked = "chunked" in encoding.lower()
+    if not is_chunked and (req.content_length or 0) > limit_bytes:
+        return None
     try:
+        if not is_chunked:
+            return req.bounded_stream.read()
         data = req.stream.read(limit_bytes + 1)
     except OSError as error:
         log.info("body_unreadable", extra={"reason": str(error)})
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -69,15 +69,45 @@
             client=self.client,
             configuration_source=self.configuration_watch,
         )
-        self.front = build_http_server(
-            settings.listen.front, caller_api.build_app(self.caller_api), front
+        self.front = self.build_http_server(
+            "front",
+            settings.listen.front,
+            caller_api.build_app(self.caller_api),
+            front,
         )
-        self.ready = build_http_server(
-            settings.listen.ready, self.handle_ready_request
+        self.ready = self.build_http_server(
+            "ready",
+            settings.listen.ready,
+            self.handle_ready_request,
         )
         host = settings.listen.front.rsplit(":", 1)[0]
-        self.metrics = build_http_server(
-            f"{host}:{METRICS_PORT}", prometheus_client.make_wsgi_app()
+        self.metrics = self.build_http_server(
+            "metrics",
+            f"{host}:{METRICS_PORT}",
+            prometheus_client.make_wsgi_app(),
+        )
+
+    def build_http_server(
+        self,
+        name: str,
+        address: str,
+        app,
+        listener: socket.socket | None = None,
+    ) -> http_server.HttpServer:
+        """Returns an HTTP server that is not started yet.
+
+        Args:
+            name: Name of the listener, for metrics and logs.
+            address: `host:port` to listen at.
+            app: The WSGI application.
+            listener: Socket that listens there already, or None to open one.
+        """
+        host, port = address.rsplit(":", 1)
+        return http_server.HttpServer(
+            listener or (host, int(port)),
+            app,
+            name=name,
+            limits=self.settings.limits,
         )
 
     def is_ready(self) -> bool:
@@ -100,6 +130,7 @@
 
     def change_configuration(self, configuration: cells.Configuration) -> None:
         """Puts a configuration in force."""
+        self.front.max_body_bytes = configuration.body_limit
         self.caller_api.change_configuration(configuration)
         self.member.change_configuration(configuration)
 
@@ -174,20 +205,6 @@
         self.stopped.set()
 
 
-def build_http_server(
-    address: str, app, listener: socket.socket | None = None
-) -> http_server.HttpServer:
-    """Returns an HTTP server that is not started yet.
-
-    Args:
-        address: `host:port` to listen at.
-        app: The WSGI application.
-        listener: Socket that listens there already, or None to open one.
-    """
-    host, port = address.rsplit(":", 1)
-    return http_server.HttpServer(listener or (host, int(port)), app, log=None)
-
-
 def get_modification_time(path: str) -> float:
     """Returns when a file was last modified, or 0 if it can't be read."""
     try:
--- a/packages/entry/hickoryreach_entry/config/settings.py
+++ b/packages/entry/hickoryreach_entry/config/settings.py
@@ -3,6 +3,7 @@
 import pydantic
 from returns import result
 
+from hickoryreach.config import client_limits
 from hickoryreach.config import settings
 
 HIDDEN_NAMES = ("first_operator_hash",)
@@ -10,7 +11,7 @@
 REQUEST_ROOM_MS = 1_500
 
 
-class Settings(settings.Settings):
+class Settings(settings.Settings, client_limits.ClientLimits):
     """Every setting with its type, default and check."""
 
     name: str = pydantic.Field(
--- /dev/null
+++ b/packages/entry/hickoryreach_entry/http_reader.py
@@ -0,0 +1,129 @@
+"""Reads requests from a connection within limits of size and time."""
+
+import enum
+import io
+import socket
+import time
+
+from hickoryreach.config import client_limits
+from hickoryreach_entry import http_refusals
+
+BUFFER_BYTES = io.DEFAULT_BUFFER_SIZE
+FRAMING_FACTOR = 8  # a chunk of one byte takes six
+
+
+class Phase(enum.Enum):
+    """Part of a request that is being read."""
+
+    REQUEST_LINE = enum.auto()
+    HEADERS = enum.auto()
+    BODY = enum.auto()
+
+
+TOO_LARGE = {
+    Phase.REQUEST_LINE: http_refusals.Reason.TARGET_TOO_LONG,
+    Phase.HEADERS: http_refusals.Reason.HEAD_TOO_LARGE,
+    Phase.BODY: http_refusals.Reason.BODY_TOO_LARGE,
+}
+
+
+class RequestReader(io.RawIOBase):
+    """Raw stream of the requests of one connection.
+
+    Limits are checked for each read from the socket, not for each line. The
+    limit of a head is exceeded by what one read may bring beyond its end.
+
+    Attributes:
+        phase: Part of a request that is being read.
+        refusal: Why the present request is not read to its end, or None.
+    """
+
+    def __init__(
+        self,
+        *,
+        connected: socket.socket,
+        limits: client_limits.ClientLimits,
+    ) -> None:
+        """Creates a reader that has read nothing."""
+        super().__init__()
+        self.socket = connected
+        self.limits = limits
+        self.refusal: http_refusals.Reason | None = None
+        self.phase = Phase.REQUEST_LINE
+        self.received = 0
+        self.limit_bytes = 0
+        self.deadline = 0.0
+
+    def readable(self) -> bool:
+        """Returns that this stream can be read."""
+        return True
+
+    def begin_request(self) -> None:
+        """Forgets the request before, and waits for the next one."""
+        self.phase = Phase.REQUEST_LINE
+        self.received = 0
+        self.limit_bytes = self.limits.max_head_bytes + BUFFER_BYTES
+        self.deadline = time.monotonic() + self.limits.idle_timeout_s
+
+    def begin_headers(self) -> None:
+        """Goes on to the header lines."""
+        self.phase = Phase.HEADERS
+        if not self.received:
+            self.deadline = time.monotonic() + self.limits.head_timeout_s
+
+    def begin_body(self, max_body_bytes: int) -> None:
+        """Goes on to the body, with its limit in bytes.
+
+        The limit here leaves room for framing, and for a body that is too
+        large to be read to its end, so that its sender gets the answer.
+        """
+        self.phase = Phase.BODY
+        self.received = 0
+        self.limit_bytes = (
+            FRAMING_FACTOR * max_body_bytes + self.limits.max_head_bytes
+        )
+        self.deadline = time.monotonic() + self.limits.body_timeout_s
+
+    def readinto(self, buffer: memoryview) -> int:
+        """Reads what has arrived, or waits for it; returns how many bytes.
+
+        Raises:
+            RequestRefusedError: The request exceeds a limit or was cut off.
+            OSError: The connection is broken.
+        """
+        if self.refusal is not None:
+            raise http_refusals.RequestRefusedError(reason=self.refusal)
+        try:
+            count = self.receive(buffer)
+            self.account(count)
+        except http_refusals.RequestRefusedError as error:
+            self.refusal = error.reason
+            raise
+        return count
+
+    def receive(self, buffer: memoryview) -> int:
+        """Waits for bytes until the deadline of the phase."""
+        self.socket.settimeout(max(0.0, self.deadline - time.monotonic()))
+        try:
+            return self.socket.recv_into(buffer)
+        except (TimeoutError, BlockingIOError) as error:
+            is_idle = self.phase is Phase.REQUEST_LINE and not self.received
+            raise http_refusals.RequestRefusedError(
+                reason=http_refusals.Reason.IDLE
+                if is_idle
+                else http_refusals.Reason.TOO_SLOW
+            ) from error
+
+    def account(self, count: int) -> None:
+        """Checks the limits after a read."""
+        if not count and self.phase is Phase.HEADERS:
+            raise http_refusals.RequestRefusedError(
+                reason=http_refusals.Reason.CUT_OFF
+            )
+        if count and not self.received and self.phase is Phase.REQUEST_LINE:
+            self.deadline = time.monotonic() + self.limits.head_timeout_s
+        self.received += count
+        if self.received > self.limit_bytes:
+            raise http_refusals.RequestRefusedError(
+                reason=TOO_LARGE[self.phase]
+            )
--- a/packages/entry/hickoryreach_entry/http_server.py
+++ b/packages/entry/hickoryreach_entry/http_server.py
@@ -1,12 +1,111 @@
-"""An HTTP server that counts its requests and ends connections in a drain."""
+"""An HTTP server that bounds its clients and ends connections in a drain."""
 
+import errno
+import io
 import socket
 
 import gevent.pywsgi
 
+from hickoryreach.config import client_limits
+from hickoryreach_entry import http_reader
+from hickoryreach_entry import http_refusals
+
+DISCARD_BYTES = 1_024
+
+
+class RequestBody(gevent.pywsgi.Input):
+    """The body of a request."""
+
+    __slots__ = ()
+
+    def _discard(self) -> None:
+        """Reads what no one wanted, in pieces that take little memory."""
+        while self.read(DISCARD_BYTES):
+            pass
+
 
 class HttpHandler(gevent.pywsgi.WSGIHandler):
-    """Counts the requests being answered, and ends connections in a drain."""
+    """Serves one connection.
+
+    Attributes:
+        reader: Reads requests from it.
+        reason: What the library found wrong with a request, or None.
+        detail: What was wrong with it, for the log.
+    """
+
+    def __init__(
+        self,
+        connected: socket.socket,
+        address: object,
+        server: "HttpServer",
+    ) -> None:
+        """Begins to serve a connection."""
+        self.reader = http_reader.RequestReader(
+            connected=connected, limits=server.limits
+        )
+        self.reason: http_refusals.Reason | None = None
+        self.detail = ""
+        super().__init__(
+            connected, address, server, rfile=io.BufferedReader(self.reader)
+        )
+
+    def handle_one_request(self) -> bool | None:
+        """Serves one request; refuses it if it can't be read.
+
+        Returns:
+            True if the connection goes on, else None.
+        """
+        self.reader.begin_request()
+        outcome = super().handle_one_request()
+        reason = self.find_refusal(outcome)
+        if reason is None:
+            return outcome
+        self.server.refusals.record(reason, self.client_address, self.detail)
+        if self.reader.phase is not http_reader.Phase.BODY:
+            http_refusals.send(self.socket, reason)
+        return None
+
+    def find_refusal(self, outcome: object) -> http_refusals.Reason | None:
+        """Returns why a request was refused, or None if it wasn't.
+
+        Args:
+            outcome: What the library made of the request; a tuple if it was
+                malformed or its first line too long.
+        """
+        reason = self.reader.refusal
+        if reason is None and isinstance(outcome, tuple):
+            return self.reason or http_refusals.Reason.TARGET_TOO_LONG
+        return reason or self.reason
+
+    def read_requestline(self) -> str:
+        """Returns the request line, or nothing if it was cut off."""
+        line = super().read_requestline()
+        is_whole = line.endswith("\n")
+        if not is_whole and len(line) < gevent.pywsgi.MAX_REQUEST_LINE:
+            return ""
+        self.reader.begin_headers()
+        return line
+
+    def _handle_client_error(self, ex: Exception) -> tuple[str, bytes]:
+        """Notes why a request can't be read."""
+        self.reason = http_refusals.Reason.MALFORMED
+        self.detail = type(ex).__name__
+        return self.detail, b""
+
+    def get_environ(self) -> dict:
+        """Returns the environment of the request, with a bounded body."""
+        environ = super().get_environ()
+        body = self.wsgi_input
+        self.wsgi_input = RequestBody(
+            body.rfile,
+            body.content_length,
+            socket=body.socket,
+            chunked_input=body.chunked_input,
+        )
+        environ["wsgi.input"] = self.wsgi_input
+        environ["wsgi.input_terminated"] = True
+        self.reader.begin_body(self.server.max_body_bytes)
+        return environ
 
     def handle_one_response(self) -> None:
         """Answers one request."""
@@ -15,28 +114,55 @@
             super().handle_one_response()
         finally:
             self.server.active -= 1
+        if self.reader.refusal is not None:
+            self.close_connection = True
 
     def finalize_headers(self) -> None:
         """Asks the client for another connection while draining."""
         super().finalize_headers()
-        if self.server.draining:
+        if self.server.draining or self.reader.refusal is not None:
             self.close_connection = True
             self.response_headers.append((b"Connection", b"close"))
 
+    def _sendall(self, data: bytes) -> None:
+        """Sends a part of the answer, which the client may not take."""
+        self.socket.settimeout(self.server.limits.answer_timeout_s)
+        try:
+            super()._sendall(data)
+        except OSError as error:
+            if isinstance(error, TimeoutError):
+                self.reader.refusal = http_refusals.Reason.ANSWER_NOT_TAKEN
+            raise BrokenPipeError(errno.EPIPE, str(error)) from error
+
 
 class HttpServer(gevent.pywsgi.WSGIServer):
     """A WSGI server that sends each write at once.
 
     Attributes:
+        limits: Limits on what clients may take.
+        max_body_bytes: Longest body that the application takes, in bytes.
+        name: Name of the listener, for metrics and logs.
+        refusals: Counts and logs what was refused.
         active: Requests being answered.
         draining: Whether connections end with their next answer.
     """
 
     handler_class = HttpHandler
 
-    def __init__(self, *args, **kwargs) -> None:
+    def __init__(
+        self,
+        *args,
+        name: str,
+        limits: client_limits.ClientLimits,
+        max_body_bytes: int = 0,
+        **kwargs,
+    ) -> None:
         """Creates a server that is not started yet."""
-        super().__init__(*args, **kwargs)
+        super().__init__(*args, log=None, **kwargs)
+        self.limits = limits
+        self.max_body_bytes = max_body_bytes
+        self.name = name
+        self.refusals = http_refusals.RefusalLog(listener=name)
         self.active = 0
         self.draining = False
 
--- a/packages/entry/hickoryreach_entry/metrics.py
+++ b/packages/entry/hickoryreach_entry/metrics.py
@@ -85,3 +85,8 @@
     "Messages to peers dropped because a queue was full or a call failed",
     ["reason"],
 )
+http_refusals = prometheus_client.Counter(
+    "hickoryreach_http_refusals",
+    "Requests refused before they were read, and connections closed",
+    ["listener", "reason"],
+)
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -13,6 +13,7 @@
 from hickoryreach_entry import peers
 from hickoryreach_entry import router
 from hickoryreach_entry.api import app
+from hickoryreach_entry.api import bodies
 from hickoryreach_entry.config import settings as entry_settings
 
 log = logging.getLogger(__name__)
@@ -67,7 +68,9 @@
                 is_ready=self.is_ready,
                 list_jobs=self.router.find_jobs,
             ),
-            log=None,
+            name="http",
+            limits=settings,
+            max_body_bytes=bodies.LIMIT_BYTES,
         )
 
     def is_ready(self) -> bool:
--- a/tests/entry/cell/test_caller_requests.py
+++ b/tests/entry/cell/test_caller_requests.py
@@ -6,8 +6,8 @@
 from falcon import testing
 from gevent import socket
 
-from hickoryreach_entry import http_server
 from hickoryreach_entry.cell import caller_requests
+from tests.entry import http_servers
 
 LIMIT_BYTES = 100
 ODD_DEADLINES = ("²", "-5", "1.5", "1e3", "x", "", "9" * 5_000, "٣")
@@ -43,7 +43,7 @@
         """Serves the size of each body, or 413."""
         app = falcon.App()
         app.add_sink(self.answer, prefix="/")
-        self.server = http_server.HttpServer(("127.0.0.1", 0), app, log=None)
+        self.server = http_servers.build(app, max_body_bytes=LIMIT_BYTES)
         self.server.start()
         self.addCleanup(self.server.stop, 0)
 
