Let clients that send without a pause take turns (hang)

What callers saw: 40 clients that send bodies of tiny chunks, or trailers without end, left every other call of the entry unanswered for as long as they sent, and the entry could lose the cell.

Cause: a read from a socket that has bytes ready doesn't hand over to other greenlets.

Mend: a connection may take a few steps in one pass of the event loop; the next one, and each read of a body in chunks, waits for its turn, of which there is one at a time in the process and one in each pass.

Ruled out: a pause in each read (it would cost ordinary requests a timer).

--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -13,6 +13,7 @@
 from hickoryreach.platform import node as node_module
 from hickoryreach.platform import store
 from hickoryreach.structure import cells
+from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_server
 from hickoryreach_entry.cell import caller_api
 from hickoryreach_entry.cell import configuration_watch
@@ -69,6 +70,7 @@
             client=self.client,
             configuration_source=self.configuration_watch,
         )
+        self.client_share = http_connections.ClientShare()
         self.front = self.build_http_server(
             "front",
             settings.listen.front,
@@ -107,6 +109,7 @@
             listener or (host, int(port)),
             app,
             name=name,
+            share=self.client_share,
             limits=self.settings.limits,
         )
 
--- a/packages/entry/hickoryreach_entry/http_reader.py
+++ b/packages/entry/hickoryreach_entry/http_reader.py
@@ -5,10 +5,14 @@
 import socket
 import time
 
+import gevent
+
 from hickoryreach.config import client_limits
+from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_refusals
 
 BUFFER_BYTES = io.DEFAULT_BUFFER_SIZE
+STEPS_AT_ONCE = 4
 FRAMING_FACTOR = 8  # a chunk of one byte takes six
 
 
@@ -42,14 +46,20 @@
         self,
         *,
         connected: socket.socket,
+        share: http_connections.ClientShare,
         limits: client_limits.ClientLimits,
     ) -> None:
         """Creates a reader that has read nothing."""
         super().__init__()
         self.socket = connected
+        self.share = share
         self.limits = limits
+        self.loop = gevent.get_hub().loop
+        self.iteration = -1
+        self.steps = 0
         self.refusal: http_refusals.Reason | None = None
         self.phase = Phase.REQUEST_LINE
+        self.is_chunked = False
         self.received = 0
         self.limit_bytes = 0
         self.deadline = 0.0
@@ -61,9 +71,11 @@
     def begin_request(self) -> None:
         """Forgets the request before, and waits for the next one."""
         self.phase = Phase.REQUEST_LINE
+        self.is_chunked = False
         self.received = 0
         self.limit_bytes = self.limits.max_head_bytes + BUFFER_BYTES
         self.deadline = time.monotonic() + self.limits.idle_timeout_s
+        self.take_step()
 
     def begin_headers(self) -> None:
         """Goes on to the header lines."""
@@ -71,18 +83,32 @@
         if not self.received:
             self.deadline = time.monotonic() + self.limits.head_timeout_s
 
-    def begin_body(self, max_body_bytes: int) -> None:
+    def begin_body(self, max_body_bytes: int, *, is_chunked: bool) -> None:
         """Goes on to the body, with its limit in bytes.
 
         The limit here leaves room for framing, and for a body that is too
         large to be read to its end, so that its sender gets the answer.
         """
         self.phase = Phase.BODY
+        self.is_chunked = is_chunked
         self.received = 0
         self.limit_bytes = (
             FRAMING_FACTOR * max_body_bytes + self.limits.max_head_bytes
         )
         self.deadline = time.monotonic() + self.limits.body_timeout_s
+        if is_chunked:
+            self.share.take_turn()
+
+    def take_step(self) -> None:
+        """Lets others run after some steps without a wait."""
+        if self.loop.iteration != self.iteration:
+            self.iteration = self.loop.iteration
+            self.steps = 0
+        self.steps += 1
+        if self.is_chunked or self.steps > STEPS_AT_ONCE:
+            self.share.take_turn()
+            self.iteration = self.loop.iteration
+            self.steps = STEPS_AT_ONCE
 
     def readinto(self, buffer: memoryview) -> int:
         """Reads what has arrived, or waits for it; returns how many bytes.
@@ -94,6 +120,7 @@
         if self.refusal is not None:
             raise http_refusals.RequestRefusedError(reason=self.refusal)
         try:
+            self.take_step()
             count = self.receive(buffer)
             self.account(count)
         except http_refusals.RequestRefusedError as error:
--- a/packages/entry/hickoryreach_entry/http_server.py
+++ b/packages/entry/hickoryreach_entry/http_server.py
@@ -7,6 +7,7 @@
 import gevent.pywsgi
 
 from hickoryreach.config import client_limits
+from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_reader
 from hickoryreach_entry import http_refusals
 
@@ -41,7 +42,7 @@
     ) -> None:
         """Begins to serve a connection."""
         self.reader = http_reader.RequestReader(
-            connected=connected, limits=server.limits
+            connected=connected, share=server.share, limits=server.limits
         )
         self.reason: http_refusals.Reason | None = None
         self.detail = ""
@@ -104,7 +105,9 @@
         )
         environ["wsgi.input"] = self.wsgi_input
         environ["wsgi.input_terminated"] = True
-        self.reader.begin_body(self.server.max_body_bytes)
+        self.reader.begin_body(
+            self.server.max_body_bytes, is_chunked=body.chunked_input
+        )
         return environ
 
     def handle_one_response(self) -> None:
@@ -142,6 +145,7 @@
         limits: Limits on what clients may take.
         max_body_bytes: Longest body that the application takes, in bytes.
         name: Name of the listener, for metrics and logs.
+        share: What all listeners share.
         refusals: Counts and logs what was refused.
         active: Requests being answered.
         draining: Whether connections end with their next answer.
@@ -153,6 +157,7 @@
         self,
         *args,
         name: str,
+        share: http_connections.ClientShare,
         limits: client_limits.ClientLimits,
         max_body_bytes: int = 0,
         **kwargs,
@@ -162,6 +167,7 @@
         self.limits = limits
         self.max_body_bytes = max_body_bytes
         self.name = name
+        self.share = share
         self.refusals = http_refusals.RefusalLog(listener=name)
         self.active = 0
         self.draining = False
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -7,6 +7,7 @@
 from gevent import event as gevent_event
 
 from hickoryreach.trial import store
+from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_server
 from hickoryreach_entry import lists
 from hickoryreach_entry import membership
@@ -69,6 +70,7 @@
                 list_jobs=self.router.find_jobs,
             ),
             name="http",
+            share=http_connections.ClientShare(),
             limits=settings,
             max_body_bytes=bodies.LIMIT_BYTES,
         )
--- a/tests/entry/http_servers.py
+++ b/tests/entry/http_servers.py
@@ -1,6 +1,7 @@
 """Servers of an entry's kind for tests."""
 
 from hickoryreach.config import client_limits
+from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_server
 
 
@@ -12,6 +13,7 @@
         ("127.0.0.1", 0),
         app,
         name="test",
+        share=http_connections.ClientShare(),
         limits=client_limits.ClientLimits(**limits),
         max_body_bytes=max_body_bytes,
     )
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -231,3 +231,14 @@
                     self.count(http_refusals.Reason.ANSWER_NOT_TAKEN) > before
                 )
             )
+
+    def test_others_run_between_requests_of_one_connection(self) -> None:
+        self.serve()
+        with self.connect(GET * 200) as connection:
+            reading = gevent.spawn(read_to_end, connection)
+            passes = 0
+            while len(self.paths) < 200:
+                passes += 1
+                gevent.sleep(0.0005)
+            reading.kill()
+        self.assertGreater(passes, 20)
