Keep places for callers, and descriptors for an entry's own links

What callers saw: 700 connections on a machine of 624 descriptors for sockets, on the address for callers, readiness or metrics, idle or dribbling or not reading, and the entry answered nobody until they left.

Cause: nothing bounded the number of connections. Beyond the descriptors accepting fails, and so do the entry's links to minions, store and peers.

Mend: each listener has a table of connections with a limit that follows from the machine's descriptors and memory (settings file: limits.maxFds, memoryMb). When it is full, a newcomer takes the place of the connection that has waited longest to send its first request, else of the one idle longest; what is being answered is never cut off. So ordinary callers come in however many hold their connections, and nothing need be closed for its age alone.

Ruled out: a pool of the library, which stops to accept when it is full, and with it ordinary callers; short time-outs, which slow links would meet.

--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -31,6 +31,14 @@
     cpu_share: float = 1.0
     cores: float = 1.0
 
+    @pydantic.field_validator("memory_mb", "max_fds", mode="before")
+    @classmethod
+    def read_absent_limit(
+        cls, value: object, info: pydantic.ValidationInfo
+    ) -> object:
+        """Reads a limit that is empty or 0 as the default."""
+        return value or cls.model_fields[info.field_name].default
+
 
 class BoundsRow(pydantic.BaseModel):
     """Limits of the platform that this process must observe.
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -75,18 +75,21 @@
             "front",
             settings.listen.front,
             caller_api.build_app(self.caller_api),
+            settings.limits.max_caller_connections,
             front,
         )
         self.ready = self.build_http_server(
             "ready",
             settings.listen.ready,
             self.handle_ready_request,
+            settings.limits.max_check_connections,
         )
         host = settings.listen.front.rsplit(":", 1)[0]
         self.metrics = self.build_http_server(
             "metrics",
             f"{host}:{METRICS_PORT}",
             prometheus_client.make_wsgi_app(),
+            settings.limits.max_check_connections,
         )
 
     def build_http_server(
@@ -94,6 +97,7 @@
         name: str,
         address: str,
         app,
+        max_connections: int,
         listener: socket.socket | None = None,
     ) -> http_server.HttpServer:
         """Returns an HTTP server that is not started yet.
@@ -102,14 +106,18 @@
             name: Name of the listener, for metrics and logs.
             address: `host:port` to listen at.
             app: The WSGI application.
+            max_connections: Most connections at a time.
             listener: Socket that listens there already, or None to open one.
         """
         host, port = address.rsplit(":", 1)
         return http_server.HttpServer(
             listener or (host, int(port)),
             app,
-            name=name,
-            share=self.client_share,
+            table=http_connections.ConnectionTable(
+                name=name,
+                max_connections=max_connections,
+                share=self.client_share,
+            ),
             limits=self.settings.limits,
         )
 
--- a/packages/entry/hickoryreach_entry/http_reader.py
+++ b/packages/entry/hickoryreach_entry/http_reader.py
@@ -2,7 +2,6 @@
 
 import enum
 import io
-import socket
 import time
 
 import gevent
@@ -45,13 +44,13 @@
     def __init__(
         self,
         *,
-        connected: socket.socket,
+        connection: http_connections.Connection,
         share: http_connections.ClientShare,
         limits: client_limits.ClientLimits,
     ) -> None:
         """Creates a reader that has read nothing."""
         super().__init__()
-        self.socket = connected
+        self.connection = connection
         self.share = share
         self.limits = limits
         self.loop = gevent.get_hub().loop
@@ -70,6 +69,7 @@
 
     def begin_request(self) -> None:
         """Forgets the request before, and waits for the next one."""
+        self.connection.activity = http_connections.Activity.WAITING
         self.phase = Phase.REQUEST_LINE
         self.is_chunked = False
         self.received = 0
@@ -80,6 +80,7 @@
     def begin_headers(self) -> None:
         """Goes on to the header lines."""
         self.phase = Phase.HEADERS
+        self.connection.activity = http_connections.Activity.READING
         if not self.received:
             self.deadline = time.monotonic() + self.limits.head_timeout_s
 
@@ -119,6 +120,9 @@
         """
         if self.refusal is not None:
             raise http_refusals.RequestRefusedError(reason=self.refusal)
+        activity = self.connection.activity
+        if self.phase is not Phase.REQUEST_LINE:
+            self.connection.activity = http_connections.Activity.READING
         try:
             self.take_step()
             count = self.receive(buffer)
@@ -126,13 +130,17 @@
         except http_refusals.RequestRefusedError as error:
             self.refusal = error.reason
             raise
+        finally:
+            if self.phase is Phase.BODY:
+                self.connection.activity = activity
         return count
 
     def receive(self, buffer: memoryview) -> int:
         """Waits for bytes until the deadline of the phase."""
-        self.socket.settimeout(max(0.0, self.deadline - time.monotonic()))
+        connected = self.connection.socket
+        connected.settimeout(max(0.0, self.deadline - time.monotonic()))
         try:
-            return self.socket.recv_into(buffer)
+            return connected.recv_into(buffer)
         except (TimeoutError, BlockingIOError) as error:
             is_idle = self.phase is Phase.REQUEST_LINE and not self.received
             raise http_refusals.RequestRefusedError(
@@ -149,6 +157,7 @@
             )
         if count and not self.received and self.phase is Phase.REQUEST_LINE:
             self.deadline = time.monotonic() + self.limits.head_timeout_s
+            self.connection.activity = http_connections.Activity.READING
         self.received += count
         if self.received > self.limit_bytes:
             raise http_refusals.RequestRefusedError(
--- a/packages/entry/hickoryreach_entry/http_refusals.py
+++ b/packages/entry/hickoryreach_entry/http_refusals.py
@@ -12,6 +12,7 @@
 log = logging.getLogger(__name__)
 
 LOG_INTERVAL_S = 1.0
+RETRY_AFTER_S = 1
 
 
 class Reason(enum.StrEnum):
@@ -25,6 +26,7 @@
     CUT_OFF = enum.auto()
     IDLE = enum.auto()
     ANSWER_NOT_TAKEN = enum.auto()
+    CONNECTIONS = enum.auto()
 
 
 STATUSES = {
@@ -33,6 +35,7 @@
     Reason.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Reason.MALFORMED: http.HTTPStatus.BAD_REQUEST,
     Reason.TOO_SLOW: http.HTTPStatus.REQUEST_TIMEOUT,
+    Reason.CONNECTIONS: http.HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
 
@@ -59,6 +62,8 @@
         "Connection: close",
         "Content-Length: 0",
     ]
+    if status is http.HTTPStatus.SERVICE_UNAVAILABLE:
+        lines.append(f"Retry-After: {RETRY_AFTER_S}")
     return "\r\n".join([*lines, "", ""]).encode("ascii")
 
 
--- a/packages/entry/hickoryreach_entry/http_server.py
+++ b/packages/entry/hickoryreach_entry/http_server.py
@@ -29,6 +29,7 @@
     """Serves one connection.
 
     Attributes:
+        connection: Entry of the connection in its server's table.
         reader: Reads requests from it.
         reason: What the library found wrong with a request, or None.
         detail: What was wrong with it, for the log.
@@ -39,10 +40,14 @@
         connected: socket.socket,
         address: object,
         server: "HttpServer",
+        connection: http_connections.Connection,
     ) -> None:
-        """Begins to serve a connection."""
+        """Begins to serve an admitted connection."""
+        self.connection = connection
         self.reader = http_reader.RequestReader(
-            connected=connected, share=server.share, limits=server.limits
+            connection=connection,
+            share=server.table.share,
+            limits=server.limits,
         )
         self.reason: http_refusals.Reason | None = None
         self.detail = ""
@@ -73,7 +78,7 @@
             outcome: What the library made of the request; a tuple if it was
                 malformed or its first line too long.
         """
-        reason = self.reader.refusal
+        reason = self.connection.closed_for or self.reader.refusal
         if reason is None and isinstance(outcome, tuple):
             return self.reason or http_refusals.Reason.TARGET_TOO_LONG
         return reason or self.reason
@@ -113,10 +118,12 @@
     def handle_one_response(self) -> None:
         """Answers one request."""
         self.server.active += 1
+        self.connection.activity = http_connections.Activity.ANSWERING
         try:
             super().handle_one_response()
         finally:
             self.server.active -= 1
+            self.connection.end_request()
         if self.reader.refusal is not None:
             self.close_connection = True
 
@@ -130,12 +137,18 @@
     def _sendall(self, data: bytes) -> None:
         """Sends a part of the answer, which the client may not take."""
         self.socket.settimeout(self.server.limits.answer_timeout_s)
+        activity = self.connection.activity
+        self.connection.activity = http_connections.Activity.WRITING
         try:
             super()._sendall(data)
         except OSError as error:
             if isinstance(error, TimeoutError):
-                self.reader.refusal = http_refusals.Reason.ANSWER_NOT_TAKEN
+                self.connection.closed_for = (
+                    http_refusals.Reason.ANSWER_NOT_TAKEN
+                )
             raise BrokenPipeError(errno.EPIPE, str(error)) from error
+        finally:
+            self.connection.activity = activity
 
 
 class HttpServer(gevent.pywsgi.WSGIServer):
@@ -144,20 +157,19 @@
     Attributes:
         limits: Limits on what clients may take.
         max_body_bytes: Longest body that the application takes, in bytes.
-        name: Name of the listener, for metrics and logs.
-        share: What all listeners share.
+        table: Open connections.
         refusals: Counts and logs what was refused.
         active: Requests being answered.
         draining: Whether connections end with their next answer.
     """
 
     handler_class = HttpHandler
+    max_accept = 32
 
     def __init__(
         self,
         *args,
-        name: str,
-        share: http_connections.ClientShare,
+        table: http_connections.ConnectionTable,
         limits: client_limits.ClientLimits,
         max_body_bytes: int = 0,
         **kwargs,
@@ -166,9 +178,8 @@
         super().__init__(*args, log=None, **kwargs)
         self.limits = limits
         self.max_body_bytes = max_body_bytes
-        self.name = name
-        self.share = share
-        self.refusals = http_refusals.RefusalLog(listener=name)
+        self.table = table
+        self.refusals = http_refusals.RefusalLog(listener=table.name)
         self.active = 0
         self.draining = False
 
@@ -176,3 +187,20 @@
         """Turns Nagle's algorithm off before serving a connection."""
         args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         super().do_handle(*args)
+
+    def handle(self, sock: socket.socket, address: object) -> None:
+        """Serves one connection if there is a place for it."""
+        connection = http_connections.Connection(connected=sock)
+        if not self.table.admit(connection):
+            self.turn_away(sock, address)
+            return
+        try:
+            self.handler_class(sock, address, self, connection).handle()
+        finally:
+            self.table.remove(connection)
+
+    def turn_away(self, sock: socket.socket, address: object) -> None:
+        """Refuses a connection at once, when all others are being answered."""
+        reason = http_refusals.Reason.CONNECTIONS
+        self.refusals.record(reason, address)
+        http_refusals.send(sock, reason)
--- a/packages/entry/hickoryreach_entry/metrics.py
+++ b/packages/entry/hickoryreach_entry/metrics.py
@@ -85,6 +85,11 @@
     "Messages to peers dropped because a queue was full or a call failed",
     ["reason"],
 )
+http_connections = prometheus_client.Gauge(
+    "hickoryreach_http_connections",
+    "Open connections of clients",
+    ["listener"],
+)
 http_refusals = prometheus_client.Counter(
     "hickoryreach_http_refusals",
     "Requests refused before they were read, and connections closed",
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -69,8 +69,12 @@
                 is_ready=self.is_ready,
                 list_jobs=self.router.find_jobs,
             ),
-            name="http",
-            share=http_connections.ClientShare(),
+            table=http_connections.ConnectionTable(
+                name="http",
+                max_connections=settings.max_callers
+                + settings.max_check_connections,
+                share=http_connections.ClientShare(),
+            ),
             limits=settings,
             max_body_bytes=bodies.LIMIT_BYTES,
         )
--- /dev/null
+++ b/tests/core/config/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the declaration of settings."""
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -231,6 +231,7 @@
                     self.count(http_refusals.Reason.ANSWER_NOT_TAKEN) > before
                 )
             )
+            self.wait(lambda: not self.server.table.connections)
 
     def test_others_run_between_requests_of_one_connection(self) -> None:
         self.serve()
@@ -242,3 +243,40 @@
                 gevent.sleep(0.0005)
             reading.kill()
         self.assertGreater(passes, 20)
+
+
+class PlaceTest(ServerCase):
+    """More connections than there are places."""
+
+    def test_the_longest_waiting_gives_its_place(self) -> None:
+        self.serve(max_connections=2)
+        with self.connect(START) as first, self.connect(START) as second:
+            self.wait(lambda: len(self.server.table.connections) == 2)
+            self.assertEqual(self.get_status(GET), 200)
+            self.assertEqual(read_to_end(first), b"")
+            second.sendall(b"\r\n")
+            self.assertEqual(read_status(second), 200)
+
+    def test_a_served_client_keeps_its_place_before_newcomers(self) -> None:
+        self.serve(max_connections=2)
+        with self.connect(GET) as served, self.connect() as newcomer:
+            self.assertEqual(read_status(served), 200)
+            self.wait(lambda: len(self.server.table.connections) == 2)
+            self.assertEqual(self.get_status(GET), 200)
+            self.assertEqual(read_to_end(newcomer), b"")
+            served.sendall(GET)
+            self.assertEqual(read_status(served), 200)
+
+    def test_a_request_that_is_being_answered_is_not_cut_off(self) -> None:
+        self.serve(max_connections=1)
+        with self.connect(b"GET /held HTTP/1.1\r\n\r\n") as held:
+            self.wait(lambda: self.paths)
+            self.assertIn(b"Retry-After: 1", self.exchange())
+            self.gate.set()
+            self.assertEqual(read_status(held), 200)
+
+    def test_places_are_free_again(self) -> None:
+        self.serve(max_connections=2)
+        for _ in range(10):
+            self.assertEqual(self.get_status(GET), 200)
+        self.wait(lambda: not self.server.table.connections)
