Bound what all clients hold together (memory)

What callers saw: 400 clients whose bodies of 256 KiB lacked the last byte took 183 MB, and 700 that read no answer 185 MB, most of it received and unread (limit in the test 128 MB).

Cause: a bound for each connection is none for their sum.

Mend: requests that are read or answered hold an eighth of the memory together; above it the one that holds most is given up, so that ordinary ones, which are small, go on. The receive buffers of listeners are 16 KiB (the kernel doubles that). A closed connection leaves the turns at once.

MemoryTest checks who is given up. Ruled out: a leak of the library (no growth in one process without turns).

--- a/packages/core/hickoryreach/config/client_limits.py
+++ b/packages/core/hickoryreach/config/client_limits.py
@@ -16,7 +16,8 @@
 class ClientLimits(pydantic.BaseModel):
     """Limits of one process, most of them per connection.
 
-    An eighth of the memory is for the connections themselves.
+    An eighth of the memory is for the connections themselves, and another for
+    requests that are being read or answered.
     """
 
     memory_mb: int = pydantic.Field(
@@ -57,11 +58,15 @@
         description="Longest time between two requests of a connection, in s.",
     )
 
+    @property
+    def max_held_bytes(self) -> int:
+        """Most bytes of requests that are being read or answered."""
+        return self.memory_mb * BYTES_PER_MB // MEMORY_DIVISOR
+
     @property
     def max_caller_connections(self) -> int:
         """Most connections of callers at a time."""
-        memory_bytes = self.memory_mb * BYTES_PER_MB // MEMORY_DIVISOR
-        fitting = memory_bytes // BYTES_PER_CONNECTION
+        fitting = self.max_held_bytes // BYTES_PER_CONNECTION
         return max(
             LEAST_CONNECTIONS, min(self._sockets // CALLER_DIVISOR, fitting)
         )
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -70,7 +70,9 @@
             client=self.client,
             configuration_source=self.configuration_watch,
         )
-        self.client_share = http_connections.ClientShare()
+        self.client_share = http_connections.ClientShare(
+            max_held_bytes=settings.limits.max_held_bytes
+        )
         self.front = self.build_http_server(
             "front",
             settings.listen.front,
--- a/packages/entry/hickoryreach_entry/http_connections.py
+++ b/packages/entry/hickoryreach_entry/http_connections.py
@@ -1,11 +1,12 @@
 """Open connections of clients, bounded in number and in memory."""
 
+import collections
 import enum
 import socket
 import time
 
 import gevent
-from gevent import lock
+from gevent import event as gevent_event
 
 from hickoryreach_entry import http_refusals
 from hickoryreach_entry import metrics
@@ -30,6 +31,8 @@
         activity: What it is doing.
         served: Whether a request of it has been answered.
         active_at: When it was opened or last answered, monotonic, in s.
+        held_bytes: Bytes read of the present request.
+        turn: Set once it may go on, while it waits for its turn.
         closed_for: Why this process closed it, or None.
     """
 
@@ -39,6 +42,8 @@
         self.activity = Activity.WAITING
         self.served = False
         self.active_at = time.monotonic()
+        self.held_bytes = 0
+        self.turn = gevent_event.Event()
         self.closed_for: http_refusals.Reason | None = None
 
     def is_closable(self) -> bool:
@@ -63,23 +68,93 @@
         """Closes it; whoever reads from or writes to it gets an error."""
         self.closed_for = reason
         self.socket.close()
+        self.turn.set()
+
+
+class Turns:
+    """Lets one connection go on in each pass of the event loop.
+
+    Attributes:
+        waiting: Connections that wait for their turn, the first one first.
+    """
+
+    def __init__(self) -> None:
+        """Starts without a connection."""
+        self.waiting: collections.deque[Connection] = collections.deque()
+        self.greenlet: gevent.Greenlet | None = None
+
+    def take(self, connection: Connection) -> None:
+        """Waits for a connection's turn, or until it is closed."""
+        connection.turn.clear()
+        if connection.closed_for is not None:
+            return
+        self.waiting.append(connection)
+        if self.greenlet is None:
+            self.greenlet = gevent.spawn(self._give_turns)
+        connection.turn.wait()
+
+    def _give_turns(self) -> None:
+        while self.waiting:
+            gevent.sleep(TURN_PAUSE_S)
+            self._give_turn()
+        self.greenlet = None
+
+    def _give_turn(self) -> None:
+        """Lets the first connection go on that has not been closed."""
+        while self.waiting:
+            connection = self.waiting.popleft()
+            if not connection.turn.is_set():
+                connection.turn.set()
+                return
 
 
 class ClientShare:
     """What the connections of all listeners of a process share.
 
     Attributes:
-        turns: Held by the connection whose turn it is.
+        max_held_bytes: Most bytes held for requests at a time.
+        held_bytes: Bytes held now.
+        connections: All open connections.
+        turns: Gives turns to the connections that send without a pause.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, max_held_bytes: int) -> None:
         """Creates a share of which nothing is taken."""
-        self.turns = lock.BoundedSemaphore(1)
+        self.max_held_bytes = max_held_bytes
+        self.held_bytes = 0
+        self.connections: set[Connection] = set()
+        self.turns = Turns()
 
-    def take_turn(self) -> None:
-        """Lets everything else run that is ready; one connection at a time."""
-        with self.turns:
-            gevent.sleep(TURN_PAUSE_S)
+    def hold(self, connection: Connection, count: int) -> None:
+        """Counts bytes that were read.
+
+        When there are too many, the connection that holds the most is closed.
+
+        Raises:
+            RequestRefusedError: That connection is this one.
+        """
+        connection.held_bytes += count
+        self.held_bytes += count
+        while self.held_bytes > self.max_held_bytes:
+            largest = max(
+                (
+                    each
+                    for each in self.connections
+                    if each is connection or each.is_closable()
+                ),
+                key=lambda each: each.held_bytes,
+            )
+            self.release(largest)
+            if largest is connection:
+                raise http_refusals.RequestRefusedError(
+                    reason=http_refusals.Reason.MEMORY
+                )
+            largest.close(http_refusals.Reason.MEMORY)
+
+    def release(self, connection: Connection) -> None:
+        """Gives up what is held for a connection's request."""
+        self.held_bytes -= connection.held_bytes
+        connection.held_bytes = 0
 
 
 class ConnectionTable:
@@ -116,10 +191,13 @@
             self.remove(longest)
             longest.close(http_refusals.Reason.CONNECTIONS)
         self.connections.add(connection)
+        self.share.connections.add(connection)
         self.gauge.set(len(self.connections))
         return True
 
     def remove(self, connection: Connection) -> None:
         """Removes a connection that has ended, if it is still there."""
         self.connections.discard(connection)
+        self.share.connections.discard(connection)
+        self.share.release(connection)
         self.gauge.set(len(self.connections))
--- a/packages/entry/hickoryreach_entry/http_reader.py
+++ b/packages/entry/hickoryreach_entry/http_reader.py
@@ -69,6 +69,7 @@
 
     def begin_request(self) -> None:
         """Forgets the request before, and waits for the next one."""
+        self.share.release(self.connection)
         self.connection.activity = http_connections.Activity.WAITING
         self.phase = Phase.REQUEST_LINE
         self.is_chunked = False
@@ -98,7 +99,7 @@
         )
         self.deadline = time.monotonic() + self.limits.body_timeout_s
         if is_chunked:
-            self.share.take_turn()
+            self.share.turns.take(self.connection)
 
     def take_step(self) -> None:
         """Lets others run after some steps without a wait."""
@@ -107,7 +108,7 @@
             self.steps = 0
         self.steps += 1
         if self.is_chunked or self.steps > STEPS_AT_ONCE:
-            self.share.take_turn()
+            self.share.turns.take(self.connection)
             self.iteration = self.loop.iteration
             self.steps = STEPS_AT_ONCE
 
@@ -163,3 +164,4 @@
             raise http_refusals.RequestRefusedError(
                 reason=TOO_LARGE[self.phase]
             )
+        self.share.hold(self.connection, count)
--- a/packages/entry/hickoryreach_entry/http_refusals.py
+++ b/packages/entry/hickoryreach_entry/http_refusals.py
@@ -26,6 +26,7 @@
     CUT_OFF = enum.auto()
     IDLE = enum.auto()
     ANSWER_NOT_TAKEN = enum.auto()
+    MEMORY = enum.auto()
     CONNECTIONS = enum.auto()
 
 
@@ -35,6 +36,7 @@
     Reason.BODY_TOO_LARGE: http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
     Reason.MALFORMED: http.HTTPStatus.BAD_REQUEST,
     Reason.TOO_SLOW: http.HTTPStatus.REQUEST_TIMEOUT,
+    Reason.MEMORY: http.HTTPStatus.SERVICE_UNAVAILABLE,
     Reason.CONNECTIONS: http.HTTPStatus.SERVICE_UNAVAILABLE,
 }
 
--- a/packages/entry/hickoryreach_entry/http_server.py
+++ b/packages/entry/hickoryreach_entry/http_server.py
@@ -11,6 +11,7 @@
 from hickoryreach_entry import http_reader
 from hickoryreach_entry import http_refusals
 
+UNREAD_BYTES = 16 * 1024  # the kernel takes twice as much
 DISCARD_BYTES = 1_024
 
 
@@ -159,6 +160,7 @@
         max_body_bytes: Longest body that the application takes, in bytes.
         table: Open connections.
         refusals: Counts and logs what was refused.
+        starting: Connections that were accepted and have yet to begin.
         active: Requests being answered.
         draining: Whether connections end with their next answer.
     """
@@ -180,16 +182,35 @@
         self.max_body_bytes = max_body_bytes
         self.table = table
         self.refusals = http_refusals.RefusalLog(listener=table.name)
+        self.starting = 0
         self.active = 0
         self.draining = False
 
+    def full(self) -> bool:
+        """Returns whether to accept no more for the moment.
+
+        A busy process accepts faster than it begins to serve.
+        """
+        return self.starting >= self.max_accept
+
+    def init_socket(self) -> None:
+        """Bounds what waits unread in each connection, then listens."""
+        super().init_socket()
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, UNREAD_BYTES
+        )
+
     def do_handle(self, *args) -> None:
         """Turns Nagle's algorithm off before serving a connection."""
         args[0].setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.starting += 1
         super().do_handle(*args)
 
     def handle(self, sock: socket.socket, address: object) -> None:
         """Serves one connection if there is a place for it."""
+        self.starting -= 1
+        if self.started:
+            self.start_accepting()
         connection = http_connections.Connection(connected=sock)
         if not self.table.admit(connection):
             self.turn_away(sock, address)
--- a/packages/entry/hickoryreach_entry/server.py
+++ b/packages/entry/hickoryreach_entry/server.py
@@ -73,7 +73,9 @@
                 name="http",
                 max_connections=settings.max_callers
                 + settings.max_check_connections,
-                share=http_connections.ClientShare(),
+                share=http_connections.ClientShare(
+                    max_held_bytes=settings.max_held_bytes
+                ),
             ),
             limits=settings,
             max_body_bytes=bodies.LIMIT_BYTES,
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -280,3 +280,30 @@
         for _ in range(10):
             self.assertEqual(self.get_status(GET), 200)
         self.wait(lambda: not self.server.table.connections)
+
+
+class MemoryTest(ServerCase):
+    """More bytes under way than all requests may hold."""
+
+    def test_the_largest_request_is_given_up(self) -> None:
+        self.serve(max_held_bytes=20_000, max_body_bytes=100_000)
+        head = b"POST /read HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+        with self.connect(head + b"a" * 15_000) as large:
+            self.wait(lambda: self.server.table.share.held_bytes >= 15_000)
+            small = b"POST /read HTTP/1.1\r\nContent-Length: 6000\r\n\r\n"
+            self.assertEqual(self.get_status(small + b"a" * 6_000), 200)
+            self.assertEqual(read_to_end(large), b"")
+
+    def test_a_request_larger_than_all_may_hold_is_refused(self) -> None:
+        self.serve(max_held_bytes=20_000, max_body_bytes=100_000)
+        before = self.count(http_refusals.Reason.MEMORY)
+        head = b"POST /read HTTP/1.1\r\nContent-Length: 100000\r\n\r\n"
+        self.exchange(head + b"a" * 50_000)
+        after = self.count(http_refusals.Reason.MEMORY)
+        self.assertEqual(after, before + 1)
+
+    def test_nothing_is_held_after_the_answers(self) -> None:
+        self.serve()
+        with self.connect(GET) as connection:
+            self.assertEqual(read_status(connection), 200)
+            self.wait(lambda: not self.server.table.share.held_bytes)
