Bound connections that have yet to introduce themselves as entries (memory)

What callers saw: 700 idle connections on the address for entries, and the entry answered nobody; 60 that sent 3.9 MB of a frame each took 308 MB (limit in the test 128 MB).

Cause: whoever connected there could send frames of 4 MB without a greeting, in any number of connections.

Mend: until its greeting the other side may send 16 frames of 4 KiB, and such connections have a sixteenth of the descriptors; beyond that the oldest of them is closed. Entries that have introduced themselves have no such limit, nor has the answering side of a connection that this entry has opened.

NewcomerTest checks the limits. Ruled out: nested structures and odd lengths in a frame (the library refuses them: tried with 1,300 to 1,300,000 levels). Not mended: the channel between entries of `hickoryreach-entry serve` takes strings of any stated length (trial: five connections of 13 MB, 36 to 128 MB).

--- a/packages/core/hickoryreach/config/client_limits.py
+++ b/packages/core/hickoryreach/config/client_limits.py
@@ -11,6 +11,7 @@
 LEAST_CONNECTIONS = 4
 CALLER_DIVISOR = 6
 CHECK_DIVISOR = 64
+NEWCOMER_DIVISOR = 16
 
 
 class ClientLimits(pydantic.BaseModel):
@@ -76,6 +77,11 @@
         """Most connections for readiness checks, and most for metrics."""
         return max(LEAST_CONNECTIONS, self._sockets // CHECK_DIVISOR)
 
+    @property
+    def max_new_peers(self) -> int:
+        """Most connections of entries that have not introduced themselves."""
+        return max(LEAST_CONNECTIONS, self._sockets // NEWCOMER_DIVISOR)
+
     @property
     def _sockets(self) -> int:
         return max(0, self.max_fds - FILE_DESCRIPTORS)
--- a/packages/entry/hickoryreach_entry/cell/channel.py
+++ b/packages/entry/hickoryreach_entry/cell/channel.py
@@ -19,7 +19,11 @@
 
 HEADER = struct.Struct(">I")
 MAX_FRAME_BYTES = 4_000_000
+MAX_NEWCOMER_FRAME_BYTES = 4_096
+MAX_NEWCOMER_FRAMES = 16
 MAX_OUTBOX_FRAMES = 20_000
+MAX_NEWCOMERS = 128
+MAX_ACCEPT = 32
 CONNECT_TIMEOUT_S = 0.5
 FLUSH_TIMEOUT_S = 0.5
 
@@ -30,6 +34,8 @@
     """One connection to another entry, with length-prefixed frames.
 
     Attributes:
+        known: Whether the other side is known to be an entry.
+        newcomer_frames: Frames that came while it was not.
         peer: Information from the other side's greeting, or None before it.
         opened_at: When the channel was opened, on the monotonic clock in s.
         last_received_at: When the last frame arrived, on the boot clock in s.
@@ -46,6 +52,7 @@
         connection: socket.socket,
         handle: Handler,
         on_closed: Callable[["Channel"], None] = lambda channel: None,
+        known: bool = True,
     ) -> None:
         """Starts to read from and write to an open connection.
 
@@ -54,11 +61,15 @@
             handle: Called with the channel, the name and the content of each
                 message; returns the answer, if the message has one.
             on_closed: Called once the connection has ended.
+            known: Whether the other side is known to be an entry. One that
+                is not may send a few short frames before its greeting.
         """
         connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.connection = connection
         self.handle = handle
         self.on_closed = on_closed
+        self.known = known
+        self.newcomer_frames = 0
         self.peer: frames.PeerInfo | None = None
         self.opened_at = time.monotonic()
         self.last_received_at = clock.boot_s()
@@ -145,8 +156,7 @@
                 if len(header) < HEADER.size:
                     raise EOFError("connection closed by peer")
                 (size,) = HEADER.unpack(header)
-                if size > MAX_FRAME_BYTES:
-                    raise EOFError(f"frame of {size} bytes exceeds the limit")
+                self._check_size(size)
                 frame = frames.decode(reader.read(size))
                 if not self.closed.is_set():
                     self._handle_frame(frame)
@@ -155,6 +165,23 @@
         except Exception as error:  # noqa: BLE001  thrift's errors have no base
             self.close(f"undecodable frame: {error}")
 
+    def is_newcomer(self) -> bool:
+        """Returns whether the other side has yet to introduce itself."""
+        return not self.known and self.peer is None
+
+    def _check_size(self, size: int) -> None:
+        """Checks that a frame may come from the other side.
+
+        Raises:
+            EOFError: It is too long, or one too many of a newcomer.
+        """
+        limit = MAX_FRAME_BYTES
+        if self.is_newcomer():
+            limit = MAX_NEWCOMER_FRAME_BYTES
+            self.newcomer_frames += 1
+        if size > limit or self.newcomer_frames > MAX_NEWCOMER_FRAMES:
+            raise EOFError(f"frame of {size} bytes exceeds the limit")
+
     def _handle_frame(self, frame: frames.Frame) -> None:
         self.last_received_at = clock.boot_s()
         name, message = frames.get_message(frame)
@@ -235,10 +262,38 @@
     return Channel(connection=connection, handle=handle, on_closed=on_closed)
 
 
+class Newcomers:
+    """Channels whose other side has yet to introduce itself.
+
+    Attributes:
+        limit: Most such channels at a time.
+        channels: The channels, the oldest first.
+    """
+
+    def __init__(self, *, limit: int) -> None:
+        """Starts without a channel."""
+        self.limit = limit
+        self.channels: list[Channel] = []
+
+    def add(self, newcomer: Channel) -> None:
+        """Adds a channel, if need be in the place of the oldest one."""
+        self.channels = [
+            each
+            for each in self.channels
+            if each.is_newcomer() and not each.closed.is_set()
+        ]
+        while len(self.channels) >= self.limit:
+            oldest = self.channels.pop(0)
+            metrics.newcomers_closed.inc()
+            oldest.close("place taken by a newer connection")
+        self.channels.append(newcomer)
+
+
 def serve(
     address: str,
     handle: Handler,
     on_closed: Callable[[Channel], None],
+    max_newcomers: int = MAX_NEWCOMERS,
 ) -> gevent.server.StreamServer:
     """Starts a server that opens a channel for each connection.
 
@@ -246,14 +301,23 @@
         address: `host:port` to listen at.
         handle: Handler of the messages of all channels.
         on_closed: Called with each channel that has ended.
+        max_newcomers: Most channels whose other side has yet to introduce
+            itself.
     """
     host, port = address.rsplit(":", 1)
+    newcomers = Newcomers(limit=max_newcomers)
 
     def serve_channel(connection: socket.socket, _: object) -> None:
-        Channel(
-            connection=connection, handle=handle, on_closed=on_closed
-        ).closed.wait()
+        accepted = Channel(
+            connection=connection,
+            handle=handle,
+            on_closed=on_closed,
+            known=False,
+        )
+        newcomers.add(accepted)
+        accepted.closed.wait()
 
     server = gevent.server.StreamServer((host, int(port)), serve_channel)
+    server.max_accept = MAX_ACCEPT
     server.start()
     return server
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -81,7 +81,10 @@
     def start(self) -> None:
         """Starts to serve peers and to follow the owner."""
         self.server = channel.serve(
-            self.settings.listen.control, self.handle, self.remove_follower
+            self.settings.listen.control,
+            self.handle,
+            self.remove_follower,
+            self.settings.limits.max_new_peers,
         )
         greenlets.spawn_vital(self.election.follow_forever)
         greenlets.spawn_vital(self.send_status_forever)
--- a/packages/entry/hickoryreach_entry/cell/metrics.py
+++ b/packages/entry/hickoryreach_entry/cell/metrics.py
@@ -21,6 +21,10 @@
 peer_bytes = prometheus_client.Counter(
     "hickoryreach_peer_bytes", "Bytes written to other entries"
 )
+newcomers_closed = prometheus_client.Counter(
+    "hickoryreach_newcomers_closed",
+    "Connections closed before the other side introduced itself as an entry",
+)
 caller_requests = prometheus_client.Counter(
     "hickoryreach_caller_requests",
     "Requests of callers",
--- a/tests/entry/cell/test_channel.py
+++ b/tests/entry/cell/test_channel.py
@@ -93,6 +93,76 @@
         self.assertLess(received, UNREAD_FRAMES * FRAME_BYTES)
 
 
+class NewcomerTest(unittest.TestCase):
+    """Connections whose other side has yet to introduce itself."""
+
+    def setUp(self) -> None:
+        """Starts a server with places for two of them."""
+        self.served: list[channel.Channel] = []
+        self.names: list[str] = []
+        self.server = channel.serve(
+            "127.0.0.1:0", self.handle, lambda peer: None, max_newcomers=2
+        )
+        self.addCleanup(self.server.stop, 0)
+
+    def handle(self, peer: channel.Channel, name: str, message: object) -> None:
+        """Takes a greeting, and records each message."""
+        if isinstance(message, frames.Greeting):
+            peer.peer = message.peer
+        self.names.append(name)
+
+    def connect(self) -> channel.Channel:
+        """Returns a channel that has sent nothing."""
+        near = channel.connect(
+            f"127.0.0.1:{self.server.server_port}", self.handle
+        )
+        self.addCleanup(near.close, "test ended")
+        gevent.sleep(0.02)
+        return near
+
+    def greet(self, near: channel.Channel) -> None:
+        """Introduces a channel's side as an entry."""
+        peer = frames.PeerInfo(name="e", address="127.0.0.1:1")
+        near.send(greeting=frames.Greeting(peer=peer))
+        gevent.sleep(0.02)
+
+    def test_the_oldest_gives_its_place(self) -> None:
+        first, second, third = (self.connect() for _ in range(3))
+        self.assertTrue(first.closed.wait(LIMIT_S))
+        self.assertFalse(second.closed.is_set())
+        self.assertFalse(third.closed.is_set())
+
+    def test_an_entry_keeps_its_connection(self) -> None:
+        entry = self.connect()
+        self.greet(entry)
+        others = [self.connect() for _ in range(4)]
+        self.assertTrue(others[0].closed.wait(LIMIT_S))
+        self.assertFalse(entry.closed.is_set())
+
+    def test_a_newcomer_sends_no_long_frame(self) -> None:
+        near = self.connect()
+        job = bytes(2 * channel.MAX_NEWCOMER_FRAME_BYTES)
+        near.send(submission=frames.Submission(job=job))
+        self.assertTrue(near.closed.wait(LIMIT_S))
+        self.assertEqual(self.names, [])
+
+    def test_a_newcomer_sends_few_frames(self) -> None:
+        near = self.connect()
+        for _ in range(channel.MAX_NEWCOMER_FRAMES + 1):
+            near.send(pulse=frames.Pulse(store_age_ms=1, wall_ms=1))
+        self.assertTrue(near.closed.wait(LIMIT_S))
+        self.assertEqual(len(self.names), channel.MAX_NEWCOMER_FRAMES)
+
+    def test_an_entry_sends_long_frames_and_many(self) -> None:
+        near = self.connect()
+        self.greet(near)
+        job = bytes(2 * channel.MAX_NEWCOMER_FRAME_BYTES)
+        for _ in range(2 * channel.MAX_NEWCOMER_FRAMES):
+            near.send(submission=frames.Submission(job=job))
+        gevent.sleep(0.1)
+        self.assertEqual(len(self.names), 2 * channel.MAX_NEWCOMER_FRAMES + 1)
+
+
 class OddAddressTest(unittest.TestCase):
     """An odd address counts as an entry that can't be reached."""
 
