--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,6 +5,7 @@
 import sys
 import time
 
+from soak import faults
 from soak import trial
 
 SEED_S = 12.0
@@ -13,7 +14,10 @@
 def run_seed(seed: int, options: argparse.Namespace) -> bool:
     """Runs one seed; returns whether nothing was wrong."""
     soak = trial.Soak(
-        seed=seed, entries=options.entries, minions=options.minions
+        seed=seed,
+        entries=options.entries,
+        minions=options.minions,
+        names=options.faults.split(",") if options.faults else faults.faults,
     )
     try:
         found = soak.run(options.seconds)
@@ -42,6 +46,7 @@
     parser.add_argument("--seconds", type=float, default=SEED_S)
     parser.add_argument("--entries", type=int, default=4)
     parser.add_argument("--minions", type=int, default=6)
+    parser.add_argument("--faults", help="faults to draw from; all if absent")
     parser.add_argument("--logs", action="store_true", help="show logs")
     options = parser.parse_args()
     deadline = time.monotonic() + 60 * (options.minutes or 0)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -41,6 +41,7 @@
         network: The proxy between the entries and all else.
         generator: Draws what is struck and for how long.
         struck: Names of entries that a fault has in hand.
+        found: What is wrong, as far as the faults themselves have seen it.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         self.network = network
         self.generator = generator
         self.struck = struck
+        self.found: list[str] = []
 
     def pick_entry(self) -> cell.Entry:
         """Returns the owner half of the time, else any entry."""
--- a/soak/trial.py
+++ b/soak/trial.py
@@ -8,6 +8,7 @@
 import gevent
 from gevent import pool
 
+from soak import crowds
 from soak import faults
 from soak import waits
 from standins import proxy
@@ -38,6 +39,7 @@
         has_kinds: Whether minions are of several kinds and jobs require them.
         seed: Seed of what is drawn.
         struck: Faults in the order in which they began.
+        found: What the faults themselves have found wrong.
         settled_at: When all trouble had ended, on the monotonic clock in s.
     """
 
@@ -67,6 +69,7 @@
             minion_count=minions,
             network=self.network,
             module=module,
+            limits=crowds.LIMITS,
         )
         self.names = sorted(names)
         self.accepted: list[str] = []
@@ -74,6 +77,7 @@
         self.refused: list[str] = []
         self.labels: dict[str, str] = {}
         self.struck: list[str] = []
+        self.found: list[str] = []
         self.callers = pool.Group()
         self.stopping = False
         self.settled_at = 0.0
@@ -96,7 +100,7 @@
         self.callers.join()
         self.network.set_rules([])
         self.settled_at = time.monotonic()
-        return [*self.find_unfinished(), *self.find_faults()]
+        return [*self.found, *self.find_unfinished(), *self.find_faults()]
 
     def strike(self, number: int, struck: set[str]) -> None:
         """Brings about one fault after another."""
@@ -111,6 +115,8 @@
             name = trouble.generator.choice(self.names)
             self.struck.append(name)
             faults.faults[name](trouble)
+            self.found += trouble.found
+            trouble.found = []
 
     def hand_in(self) -> None:
         """Hands jobs in at every entry in turn; cancels some."""
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -1,5 +1,6 @@
 """Seeds of the soak that once failed, run again."""
 
+from collections.abc import Collection
 import unittest
 
 from soak import faults
@@ -11,19 +12,22 @@
     "change_limit",
     "change_kind",
     "turn_successor_away",
+    "meet_crowd",
 }
+EARLIER = frozenset(faults.faults) - LATER
+CROWDED = {"meet_crowd", "kill_entry", "stop_entry", "cut_minion"}
 
 
 class SoakTest(unittest.TestCase):
     """Random faults against real processes."""
 
-    def run_seed(self, seed: int) -> None:
-        """Runs one seed."""
+    def run_seed(self, seed: int, names: Collection[str] = EARLIER) -> None:
+        """Runs one seed with these faults."""
         soak = trial.Soak(
             seed=seed,
             entries=4,
             minions=6,
-            names=set(faults.faults) - LATER,
+            names=names,
         )
         self.addCleanup(soak.cell.close)
         found = soak.run(SECONDS)
@@ -35,3 +39,6 @@
 
     def test_task_started_again_after_a_noted_end(self) -> None:
         self.run_seed(202)
+
+    def test_crowds_beside_lost_entries_and_minions(self) -> None:
+        self.run_seed(97_100, CROWDED)
