Run nothing of a connection that was closed while it waited for its turn

Waiting for a turn now ends with an error if the connection has been closed.

Failed before: PlaceTest.test_nothing_runs_once_the_place_is_lost (POST ran).

--- a/packages/entry/hickoryreach_entry/http_connections.py
+++ b/packages/entry/hickoryreach_entry/http_connections.py
@@ -47,7 +47,7 @@
         self.closed_for: http_refusals.Reason | None = None
 
     def is_closable(self) -> bool:
-        """Returns whether closing it ends no request that may have run."""
+        """Returns whether it may be closed, as no request of it is at work."""
         return self.activity is not Activity.ANSWERING
 
     def get_rank(self) -> tuple[bool, float]:
@@ -84,14 +84,20 @@
         self.greenlet: gevent.Greenlet | None = None
 
     def take(self, connection: Connection) -> None:
-        """Waits for a connection's turn, or until it is closed."""
+        """Waits for a connection's turn.
+
+        Raises:
+            RequestRefusedError: The connection has been closed meanwhile.
+        """
         connection.turn.clear()
-        if connection.closed_for is not None:
-            return
         self.waiting.append(connection)
         if self.greenlet is None:
             self.greenlet = gevent.spawn(self._give_turns)
         connection.turn.wait()
+        if connection.closed_for is not None:
+            raise http_refusals.RequestRefusedError(
+                reason=connection.closed_for
+            )
 
     def _give_turns(self) -> None:
         while self.waiting:
--- a/packages/entry/hickoryreach_entry/http_server.py
+++ b/packages/entry/hickoryreach_entry/http_server.py
@@ -1,5 +1,6 @@
 """An HTTP server that bounds its clients and ends connections in a drain."""
 
+import contextlib
 import errno
 import io
 import socket
@@ -62,8 +63,10 @@
         Returns:
             True if the connection goes on, else None.
         """
-        self.reader.begin_request()
-        outcome = super().handle_one_request()
+        outcome = None
+        with contextlib.suppress(http_refusals.RequestRefusedError):
+            self.reader.begin_request()
+            outcome = super().handle_one_request()
         reason = self.find_refusal(outcome)
         if reason is None:
             return outcome
--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -5,11 +5,13 @@
 import contextlib
 import logging
 import unittest
+from unittest import mock
 
 import gevent
 from gevent import event as gevent_event
 from gevent import socket
 
+from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_refusals
 from hickoryreach_entry import http_server
 from hickoryreach_entry import metrics
@@ -30,12 +32,14 @@
 
     Attributes:
         paths: Paths of the requests that it was called for.
+        methods: Their methods.
         gate: The application answers `/held` once this is set.
     """
 
     def setUp(self) -> None:
         """Prepares the application; starts nothing."""
         self.paths: list[str] = []
+        self.methods: list[str] = []
         self.gate = gevent_event.Event()
         self.server: http_server.HttpServer | None = None
 
@@ -49,6 +53,7 @@
     def answer(self, environ: dict, start_response) -> list[bytes]:
         """Answers one request."""
         self.paths.append(environ["PATH_INFO"])
+        self.methods.append(environ["REQUEST_METHOD"])
         if environ["PATH_INFO"] == "/held":
             self.gate.wait(LIMIT_S)
         body = b""
@@ -281,6 +286,17 @@
             self.assertEqual(self.get_status(GET), 200)
         self.wait(lambda: not self.server.table.connections)
 
+    # Guards against a request that runs though its connection was closed.
+    def test_nothing_runs_once_the_place_is_lost(self) -> None:
+        self.serve(max_connections=1, max_body_bytes=BODY_BYTES)
+        body = b"1\r\na\r\n0\r\n\r\n"
+        with mock.patch.object(http_connections, "TURN_PAUSE_S", SHORT_S):
+            with self.connect(CHUNKED + body):
+                self.wait(lambda: self.server.table.share.turns.waiting)
+                self.assertEqual(self.get_status(GET), 200)
+            gevent.sleep(2 * SHORT_S)
+        self.assertEqual(self.methods, ["GET"])
+
 
 class MemoryTest(ServerCase):
     """More bytes under way than all requests may hold."""
