--- a/tests/entry/test_http_server.py
+++ b/tests/entry/test_http_server.py
@@ -10,15 +10,16 @@
 import gevent
 from gevent import event as gevent_event
 from gevent import socket
+import prometheus_client
 
 from hickoryreach_entry import http_connections
 from hickoryreach_entry import http_refusals
 from hickoryreach_entry import http_server
-from hickoryreach_entry import metrics
 from tests.entry import http_servers
 
 LIMIT_S = 5.0
 SHORT_S = 0.1
+REFUSALS = "hickoryreach_http_refusals_total"
 PAGE_BYTES = 2_000_000
 BODY_BYTES = 1_000
 HEAD_BYTES = 4_096
@@ -94,7 +95,10 @@
 
     def count(self, reason: http_refusals.Reason) -> float:
         """Returns how many refusals of a reason were counted."""
-        return metrics.http_refusals.labels("test", str(reason))._value.get()
+        labels = {"listener": "test", "reason": str(reason)}
+        return (
+            prometheus_client.REGISTRY.get_sample_value(REFUSALS, labels) or 0
+        )
 
 
 def read_to_end(connection: socket.socket) -> bytes:
