--- a/packages/entry/hickoryreach_entry/http_reader.py
+++ b/packages/entry/hickoryreach_entry/http_reader.py
@@ -38,6 +38,11 @@
 
     Attributes:
         phase: Part of a request that is being read.
+        iteration: Pass of the event loop in which steps were last counted.
+        steps: Reads, and begun requests, in that pass.
+        received: Bytes read of the present part.
+        limit_bytes: Most bytes of it.
+        deadline: When it must be there, on the monotonic clock in s.
         refusal: Why the present request is not read to its end, or None.
     """
 
--- a/packages/entry/hickoryreach_entry/http_server.py
+++ b/packages/entry/hickoryreach_entry/http_server.py
@@ -22,7 +22,7 @@
     __slots__ = ()
 
     def _discard(self) -> None:
-        """Reads what no one wanted, in pieces that take little memory."""
+        """Reads what the application left, in pieces of little memory."""
         while self.read(DISCARD_BYTES):
             pass
 
