--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -54,6 +54,8 @@
     "leaseMs": 3000,
 }
 
+LIMITS = {"cpuShare": 0.537, "cores": 2, "memoryMb": 300, "maxFds": 4100}
+
 
 class Minion(minions.Minion):
     """Minion that tells how far each run is, as the pages say.
@@ -86,12 +88,7 @@
         super().__init__(**options)
         rows = yaml.safe_load(self.settings_path.read_text())
         rows["bounds"] = BOUNDS
-        rows["limits"] = {
-            "cpuShare": 0.537,
-            "cores": 2,
-            "memoryMb": 300,
-            "maxFds": 4100,
-        }
+        rows["limits"] = LIMITS
         rows["seeds"] = [rows["listen"]["control"]]
         self.settings_path.write_text(yaml.safe_dump(rows))
 
