--- a/review/14/case.py
+++ b/review/14/case.py
@@ -56,7 +56,7 @@
 
 
 def play(case):
-    """Freezes an entry; returns the breaks of UNASKED."""
+    """Freezes an entry that isn't the owner; returns the breaks of UNASKED."""
     owner = case.read_owner()
     entry, other = [each for each in case.entries if each.name != owner][:2]
     job_id = secrets.token_hex(8)
@@ -76,6 +76,8 @@
         case.note(f"SIGCONT to {entry.name}")
         entry.signal(signal.SIGCONT)
     harness.pause(WATCH_S)
+    if case.read_owner() != owner:
+        raise RuntimeError("the owner has changed")
     return [
         f"{each.task} started {at_s - cancelled_at:.1f} s after the "
         f"cancelling was acknowledged ({status})"
