--- a/packages/core/hickoryreach/scheduling/candidates.py
+++ b/packages/core/hickoryreach/scheduling/candidates.py
@@ -69,7 +69,7 @@
     A step whose job is not stored yet counts as able to start while it has
     advice to request.
     """
-    if step.job.unconfirmed_until_ms > cell.now_ms:
+    if step.job.unconfirmed:
         return wait_causes.WaitCause.UNCONFIRMED
     if not step.job.kept and (
         step.allowed is not None
--- a/packages/core/hickoryreach/scheduling/events.py
+++ b/packages/core/hickoryreach/scheduling/events.py
@@ -37,7 +37,8 @@
         minion_id: Id of the minion.
         reply: Its running tasks and ends.
         sent_ms: When the poll was sent, on the owner's clock.
-        lists_all_ends: Whether the minion had no further end to list.
+        lists_all_ends: Whether the minion had no further end to list. Only
+            then does a run that is neither running nor ended not exist.
     """
 
     minion_id: str
@@ -198,9 +199,9 @@
         job: The job.
         ends: Recorded ends of its tasks.
         cancelled: Whether it was cancelled.
-        unconfirmed_until_ms: Time before which none of its tasks may start,
-            because a run of an earlier owner may still execute on a minion
-            that does not answer.
+        unconfirmed: Whether none of its tasks may start before
+            `EarlierRunsConfirmed`, because a run of an earlier owner may still
+            execute, or have ended, unseen.
         hiding_epochs: Epochs whose takeovers may each have hidden a crash under
             each of its tasks.
     """
@@ -208,7 +209,7 @@
     job: steps.Job
     ends: tuple[RecordedEnd, ...] = ()
     cancelled: bool = False
-    unconfirmed_until_ms: int = 0
+    unconfirmed: bool = False
     hiding_epochs: tuple[int, ...] = ()
 
 
@@ -242,7 +243,7 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class EarlierRunsConfirmed:
-    """No run of an earlier owner is unconfirmed any more."""
+    """Each run of an earlier owner is known or has ended without effect."""
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/packages/core/hickoryreach/scheduling/gangs.py
+++ b/packages/core/hickoryreach/scheduling/gangs.py
@@ -381,6 +381,6 @@
     """Stops gangs of which only some tasks run, as can follow a takeover."""
     for step in list(cell.ready.values()):
         if step.step.gang and step.runs and step.waiting:
-            if step.job.unconfirmed_until_ms > cell.now_ms:
+            if step.job.unconfirmed:
                 continue
             yield from preemption.stop_gang(cell, step)
--- a/packages/core/hickoryreach/scheduling/lifecycle.py
+++ b/packages/core/hickoryreach/scheduling/lifecycle.py
@@ -80,7 +80,7 @@
         return
     age_ms = max(0, cell.wall_ms - job.accepted_ms)
     record = _create_record(cell, job, cell.now_ms - age_ms)
-    record.unconfirmed_until_ms = event.unconfirmed_until_ms
+    record.unconfirmed = event.unconfirmed
     record.recovered = True
     record.hiding_epochs = event.hiding_epochs
     if event.cancelled:
--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -302,21 +302,24 @@
 ) -> str:
     """Returns why an unlisted run can't execute, or "" if it still may.
 
-    A reply that does not list all ends may lack that of a confirmed run, which
-    is therefore not given up yet.
+    A reply that does not list all ends may lack that of the run, which is not
+    given up before. Only what ran in an earlier incarnation is lost for
+    certain.
     """
     settings = cell.settings
     valid_ms = (
         settings.start_valid_ms * (1 + settings.clock_drift) + START_MARGIN_MS
     )
-    if run.phase in (state.Phase.RUNNING, state.Phase.STOPPING) and (
-        run.confirmed_ms >= 0
-    ):
-        if restarted:
-            return "" if _may_be_newer(run, event) else "minion_restarted"
-        if event.sent_ms > run.confirmed_ms and event.lists_all_ends:
-            return "not_listed"
+    is_confirmed = run.confirmed_ms >= 0 and run.phase in (
+        state.Phase.RUNNING,
+        state.Phase.STOPPING,
+    )
+    if is_confirmed and restarted:
+        return "" if _may_be_newer(run, event) else "minion_restarted"
+    if not event.lists_all_ends:
         return ""
+    if is_confirmed:
+        return "not_listed" if event.sent_ms > run.confirmed_ms else ""
     if 0 <= run.stopped_ms < event.sent_ms:
         return "stopped_before_start"
     if event.sent_ms > run.sent_ms + valid_ms:
--- a/packages/core/hickoryreach/scheduling/reducer.py
+++ b/packages/core/hickoryreach/scheduling/reducer.py
@@ -167,7 +167,7 @@
     """Lets the tasks of recovered jobs start."""
     cell.earlier_runs = None
     for record in cell.jobs.values():
-        record.unconfirmed_until_ms = 0
+        record.unconfirmed = False
     cell.dirty = True
     yield from ()
 
--- a/packages/core/hickoryreach/scheduling/state.py
+++ b/packages/core/hickoryreach/scheduling/state.py
@@ -228,9 +228,8 @@
         kept: Whether it is in the store; its tasks can't start before.
         exceeds_share: Whether its workspace had submitted more than its share
             of jobs; such jobs are placed after all others.
-        unconfirmed_until_ms: Time, on the owner's clock, before which none of
-            its tasks may start, because a run of an earlier owner may still
-            execute unseen.
+        unconfirmed: Whether none of its tasks may start yet, because a run of
+            an earlier owner may still execute, or have ended, unseen.
         recovered: Whether it was read from the store after a takeover.
         hiding_epochs: Epochs whose takeovers may each have hidden a crash under
             each of its tasks.
@@ -247,7 +246,7 @@
     begun: bool = False
     kept: bool = True
     exceeds_share: bool = False
-    unconfirmed_until_ms: int = 0
+    unconfirmed: bool = False
     recovered: bool = False
     hiding_epochs: tuple[int, ...] = ()
 
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -10,6 +10,7 @@
 from hickoryreach.platform import store
 from hickoryreach.scheduling import events
 from hickoryreach.structure import cells
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import ownership_scope
 from hickoryreach_entry.cell import prefix_watcher
@@ -39,7 +40,7 @@
         *,
         scope: ownership_scope.OwnershipScope,
         client: store.Store,
-        get_terms: Callable[[], links.Terms],
+        get_terms: Callable[[], leases.Terms],
         emit: Callable[[events.Event], None],
         on_fenced: Callable[[str], None],
         heartbeat_ms: int,
@@ -243,7 +244,7 @@
         return {
             minion_id: link.incarnation
             for minion_id, link in self.links.items()
-            if link.polled.is_set()
+            if link.incarnation
         }
 
     def close(self) -> None:
--- a/packages/entry/hickoryreach_entry/cell/leases.py
+++ b/packages/entry/hickoryreach_entry/cell/leases.py
@@ -2,12 +2,29 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from hickoryreach_entry import clock
 
 CLOCK_DRIFT = 0.02
 EXPIRY_MARGIN_MS = 100
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Terms:
+    """Fencing token and lease lengths that an owner's orders carry.
+
+    Attributes:
+        token: Fencing token.
+        lease_ms: Length of a minion's lease; 0 while no lease is renewed.
+        hold_limit_ms: Longest lease that a minion accepts.
+    """
+
+    token: int
+    lease_ms: int
+    hold_limit_ms: int
+
+
 class Lease:
     """Lease of a minion, on the clock of its present incarnation.
 
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -35,21 +35,6 @@
 UNREACHED_MARGIN_MS = 1_500
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Terms:
-    """Fencing token and lease lengths that an owner's orders carry.
-
-    Attributes:
-        token: Fencing token.
-        lease_ms: Length of a minion's lease; 0 while no lease is renewed.
-        hold_limit_ms: Longest lease that a minion accepts.
-    """
-
-    token: int
-    lease_ms: int
-    hold_limit_ms: int
-
-
 class MinionLink:
     """Renews a minion's lease, polls it and sends it orders.
 
@@ -60,7 +45,8 @@
         incarnation_known_ms: When that one first answered a poll.
         ends: Which of its ends were listed and may be acknowledged.
         lease: Its lease and its clock.
-        polled: Set once the minion has answered a poll.
+        polled: Set once the minion has listed all that runs there and all of
+            its ends; what it lists nowhere does not exist.
         poll_attempted: Set once a poll was answered or failed.
         orders: Sender of orders to the minion.
         silent: Whether the minion did not answer the last call.
@@ -75,7 +61,7 @@
         *,
         scope: ownership_scope.OwnershipScope,
         minion: cells.Minion,
-        get_terms: Callable[[], Terms],
+        get_terms: Callable[[], leases.Terms],
         emit: Callable[[events.Event], None],
         on_fenced: Callable[[str], None],
         previous: MinionLink | None = None,
@@ -107,7 +93,7 @@
         self.incarnation = 0
         self.incarnation_known_ms = 0
         self.lease = leases.Lease()
-        self.ends = end_numbers.EndNumbers()
+        self.ends = end_numbers.EndNumbers(minion_id=minion.minion_id)
         self.polled = gevent_event.Event()
         self.poll_attempted = gevent_event.Event()
         self.silent = True
@@ -122,8 +108,19 @@
             self.incarnation_known_ms = previous.incarnation_known_ms
             self.lease = copy.copy(previous.lease)
             self.lapsed = previous.lapsed
+            self.ends.incomplete = previous.ends.incomplete
         self.greenlet = scope.spawn(self.poll_forever)
 
+    @property
+    def owes_ends(self) -> bool:
+        """Whether ends of earlier owners' runs may still have to be listed.
+
+        Ends that a minion listed only after its lease has expired change
+        nothing any more.
+        """
+        has_ends_left = self.ends.incomplete and not self.lapsed
+        return has_ends_left and not self.polled.is_set()
+
     def poll_forever(self) -> None:
         """Polls the minion until the link is closed."""
         while not self.stopped:
@@ -237,7 +234,6 @@
         self.silent = self.lapsed = False
         self.fenced_pause_s = RETRY_S
         self.lease.read_clock(reply.clock_ms)
-        self.report_missed_ends(reply)
         new_ends = self.ends.take(reply.ends)
         for end in new_ends:
             metrics.task_ends.labels(str(end.kind)).inc()
@@ -246,10 +242,11 @@
                 minion_id=self.minion.minion_id,
                 reply=dataclasses.replace(reply, ends=new_ends),
                 sent_ms=sent_ms,
-                lists_all_ends=len(reply.ends) < minions.MAX_LISTED_ENDS,
+                lists_all_ends=not self.ends.incomplete,
             )
         )
-        self.polled.set()
+        if not self.ends.incomplete:
+            self.polled.set()
 
     def begin_incarnation(self, reply: minions.PollReply) -> None:
         """Forgets what was true of the previous incarnation only."""
@@ -272,20 +269,6 @@
         self.incarnation = reply.incarnation
         self.incarnation_known_ms = clock.now_ms()
 
-    def report_missed_ends(self, reply: minions.PollReply) -> None:
-        """Logs ends that the minion has deleted before it listed them here."""
-        missed = self.ends.count_missed(reply.ends)
-        if missed:
-            log.warning(
-                "ends_missed",
-                extra={
-                    "minion": self.minion.minion_id,
-                    "incarnation": self.incarnation,
-                    "last": self.ends.last,
-                    "missed": missed,
-                },
-            )
-
     def is_outdated(self, reply: minions.PollReply, sent_ms: int) -> bool:
         """Returns whether a reply may be older than the last one.
 
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -27,6 +27,7 @@
 from hickoryreach_entry.cell import fleet
 from hickoryreach_entry.cell import follower_quorum
 from hickoryreach_entry.cell import known_minions
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import local_advisor
 from hickoryreach_entry.cell import metrics
@@ -187,7 +188,7 @@
             submit=self.submit,
         )
 
-    def get_terms(self) -> links.Terms:
+    def get_terms(self) -> leases.Terms:
         """Returns the fencing token and lease lengths for orders.
 
         Leases are renewed only while the ownership is confirmed, so that
@@ -197,7 +198,7 @@
         lease_ms = min(links.LEASE_MS, hold_limit_ms)
         if not self.may_place():
             lease_ms = 0
-        return links.Terms(
+        return leases.Terms(
             token=self.revision, lease_ms=lease_ms, hold_limit_ms=hold_limit_ms
         )
 
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -59,12 +59,12 @@
     wait_until(lambda: has_attempted_all_polls(owner), deadline)
     unconfirmed_until_ms = get_uncertain_until_ms(owner)
     if owner.epoch > 1:
-        owner.takeover_history.record(list_unpolled(owner), owner.get_wall_ms())
+        owner.takeover_history.record(list_silent(owner), owner.get_wall_ms())
     if owner.may_recall_advice:
         owner.state.earlier_advice_until_ms = (
             clock.now_ms() + EARLIER_ADVICE_WAIT_MS
         )
-    recover_jobs(owner, jobs, kept, unconfirmed_until_ms)
+    recover_jobs(owner, jobs, kept, unconfirmed=bool(unconfirmed_until_ms))
     if unconfirmed_until_ms:
         owner.apply(describe_unconfirmed(owner))
     owner.fleet.watcher.start()
@@ -72,7 +72,8 @@
         log.warning(
             "takeover_in_doubt",
             extra={
-                "silent": ",".join(list_unpolled(owner)),
+                "silent": ",".join(list_silent(owner)),
+                "owing_ends": ",".join(list_owing_ends(owner)),
                 "until_ms": unconfirmed_until_ms,
             },
         )
@@ -99,13 +100,16 @@
     A minion that did not answer may still run what an earlier owner started:
     for as long as that owner reported, or else for a whole lease. So may one
     that the record of the known minions doesn't name because it is unreadable.
+    One that has not listed all of its ends may hide some for no longer than a
+    lease unless it goes on to answer.
     """
     now_ms = clock.now_ms()
     full_lease_ms = links.PREVIOUS_OWNER_LEASE_MS + LEASE_SLACK_MS
     left_ms = {
         name: owner.silent.get(name, full_lease_ms)
-        for name in list_unpolled(owner)
+        for name in list_silent(owner)
     }
+    left_ms |= dict.fromkeys(list_owing_ends(owner), full_lease_ms)
     complete = owner.known_minions.complete
     return events.EarlierRunsUnconfirmed(
         until_ms={
@@ -171,7 +175,8 @@
     owner,
     jobs: store.Page,
     kept: store.Page,
-    unconfirmed_until_ms: int,
+    *,
+    unconfirmed: bool,
 ) -> None:
     """Applies the stored jobs and their progress to the owner's state.
 
@@ -179,8 +184,7 @@
         owner: The new owner.
         jobs: The stored jobs.
         kept: The stored parts of the progress.
-        unconfirmed_until_ms: Until when runs of an earlier owner may be
-            unconfirmed; 0 if none are.
+        unconfirmed: Whether runs of an earlier owner may be unconfirmed.
     """
     unfinished = list(decode_jobs(owner, jobs))
     ends: dict[str, list[events.RecordedEnd]] = {}
@@ -205,7 +209,7 @@
             job=job,
             ends=tuple(ends.get(job.job_id, ())),
             cancelled=job.job_id in cancelled,
-            unconfirmed_until_ms=unconfirmed_until_ms,
+            unconfirmed=unconfirmed,
             hiding_epochs=owner.takeover_history.list_hiding(job.accepted_ms),
         )
         owner.execute(reducer.reduce(owner.state, event, clock.now_ms()))
@@ -284,11 +288,15 @@
 
 
 def has_polled_all(owner) -> bool:
-    """Returns whether every minion that may run tasks has answered a poll."""
-    return owner.known_minions.complete and not list_unpolled(owner)
+    """Returns whether every minion that may run tasks has listed them all."""
+    return not (
+        list_silent(owner)
+        or list_owing_ends(owner)
+        or not owner.known_minions.complete
+    )
 
 
-def list_unpolled(owner) -> list[str]:
+def list_silent(owner) -> list[str]:
     """Returns ids of known minions that have not answered a poll yet.
 
     Includes minions whose registration is gone, as they may still run tasks.
@@ -296,10 +304,15 @@
     return owner.known_minions.list_unlinked() + [
         name
         for name, link in owner.fleet.links.items()
-        if not link.polled.is_set()
+        if not (link.polled.is_set() or link.owes_ends)
     ]
 
 
+def list_owing_ends(owner) -> list[str]:
+    """Returns ids of minions that answer and have never listed all ends."""
+    return [name for name, link in owner.fleet.links.items() if link.owes_ends]
+
+
 def wait_until(is_done: Callable[[], bool], deadline: float) -> None:
     """Waits until a condition holds or the monotonic clock is past a deadline.
 
@@ -316,10 +329,12 @@
 
     Args:
         owner: The new owner.
-        until_ms: When the last such run has ended for certain, in ms.
+        until_ms: When the last such run has ended for certain, in ms, but for
+            those whose ends a minion that answers has yet to list.
     """
     while not owner.stopped:
-        if clock.now_ms() >= until_ms or has_polled_all(owner):
+        is_over = clock.now_ms() >= until_ms and not list_owing_ends(owner)
+        if is_over or has_polled_all(owner):
             owner.known_minions.drop_earlier()
             owner.emit(events.EarlierRunsConfirmed())
             return
--- a/tests/core/scheduling/model/cell.py
+++ b/tests/core/scheduling/model/cell.py
@@ -94,6 +94,7 @@
         self.crash_chances: dict[str, float] = {}
         self.trace: Callable[[int, effects.Effect], None] | None = None
         self.owner: owners.Owner | None = None
+        self.ownerless_until_ms = 0
         self.take_over()
 
     @property
@@ -140,6 +141,11 @@
         self.advice.begin_ownership()
         self.owner.recover(previous)
 
+    def lose_owner(self, until_ms: int) -> None:
+        """Leaves the cell without an owner for a while."""
+        self.epoch += 1
+        self.ownerless_until_ms = until_ms
+
     def configure(self) -> None:
         """Passes the newest configuration to the owner."""
         configuration = self.limits.build_configuration()
@@ -161,7 +167,8 @@
         deadline_ms = self.now_ms + int(seconds * 1_000)
         while self.now_ms < deadline_ms:
             self.advance()
-            faults.strike(self)
+            if not self.ownerless_until_ms:
+                faults.strike(self)
 
     def settle(self) -> None:
         """Ends all trouble and plays until every job is over, or is lost."""
@@ -202,6 +209,11 @@
         self.now_ms += STEP_MS
         self.run_queue()
         orders.advance_runs(self)
+        if self.ownerless_until_ms > self.now_ms:
+            return
+        if self.ownerless_until_ms:
+            self.ownerless_until_ms = 0
+            self.take_over()
         self.owner.poll_all()
         self.apply(events.Ticked(wall_ms=self.now_ms))
         for effect in reducer.advance(self.cell, self.now_ms):
--- a/tests/core/scheduling/model/faults.py
+++ b/tests/core/scheduling/model/faults.py
@@ -134,6 +134,11 @@
     model.take_over()
 
 
+def lose_owner(model) -> None:
+    """Ends the owner; another one takes over after a while."""
+    model.lose_owner(model.now_ms + model.draw.randint(200, 3_000))
+
+
 def list_up(model) -> list[workers.Minion]:
     """Returns the minions with power."""
     return [each for each in model.minions.values() if each.up]
--- a/tests/core/scheduling/model/judge.py
+++ b/tests/core/scheduling/model/judge.py
@@ -17,6 +17,7 @@
         jobs: All jobs by id.
         limits: Limits of the workspaces.
         done: Tasks whose end `done` is stored.
+        latest_starts: Number of the latest run of each task.
         faults: What must not have happened, one line each.
     """
 
@@ -27,12 +28,23 @@
         self.jobs = jobs
         self.limits = limits
         self.done: set[steps.TaskKey] = set()
+        self.latest_starts: dict[steps.TaskKey, int] = {}
         self.faults: list[str] = []
 
+    def check_done(self, key: steps.TaskKey, number: int) -> None:
+        """Checks that no run began after one whose end `done` is noted."""
+        if self.latest_starts.get(key, 0) > number:
+            self.faults.append(f"{key} was started again, run {number} is done")
+
     def check(
-        self, key: steps.TaskKey, present: Sequence[workers.Run], now_ms: int
+        self,
+        key: steps.TaskKey,
+        number: int,
+        present: Sequence[workers.Run],
+        now_ms: int,
     ) -> None:
         """Checks the start of a task, which is among the present runs."""
+        self.latest_starts[key] = max(self.latest_starts.get(key, 0), number)
         if sum(run.key == key for run in present) > 1:
             self.faults.append(f"{now_ms}: {key} runs twice")
         if key in self.done:
--- a/tests/core/scheduling/model/orders.py
+++ b/tests/core/scheduling/model/orders.py
@@ -117,7 +117,7 @@
     if failure is None:
         model.starts += 1
         present = list_runs(model)
-        model.judge.check(effect.key, present, model.now_ms)
+        model.judge.check(effect.key, run.number, present, model.now_ms)
         model.judge.check_route(effect.key, minion)
         faults.doom(model, minion, run)
     return failure
@@ -203,6 +203,8 @@
         minion.ends = [
             each for each in minion.ends if each.number != end.number
         ]
+        if end.kind is minions.EndKind.DONE and minion.counts(end):
+            model.judge.check_done(end.key, end.run)
 
 
 def record_crash(model, effect: effects.RecordCrash) -> None:
--- a/tests/core/scheduling/model/owners.py
+++ b/tests/core/scheduling/model/owners.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Iterator
 import dataclasses
 
 from hickoryreach.platform import minions
@@ -36,6 +37,7 @@
         removed: Whether its registration is gone.
         next_poll_ms: When it is polled next.
         last_ends: Number of the last end that was emitted, by incarnation.
+        polled: Whether the minion has listed all of its ends.
     """
 
     minion: workers.Minion
@@ -44,11 +46,17 @@
     removed: bool = False
     next_poll_ms: int = 0
     last_ends: dict[int, int] = dataclasses.field(default_factory=dict)
+    polled: bool = False
 
-    def list_news(self) -> tuple[minions.TaskEnd, ...]:
-        """Returns the ends that were not emitted yet."""
+    def list_news(self, max_listed: int) -> tuple[minions.TaskEnd, ...]:
+        """Returns the listed ends that were not emitted yet."""
         last = self.last_ends.get(self.minion.incarnation, 0)
-        return tuple(end for end in self.minion.ends if end.number > last)
+        listed = self.minion.ends[:max_listed]
+        return tuple(end for end in listed if end.number > last)
+
+    def owes_ends(self, max_listed: int) -> bool:
+        """Returns whether the minion has more ends than it may list."""
+        return len(self.minion.ends) >= max_listed
 
 
 class Owner:
@@ -90,6 +98,7 @@
         for minion in list(self.model.minions.values()):
             if minion.registered:
                 self.register(minion)
+        first_replies = list(self.poll_reachable())
         silent = []
         if previous is not None:
             self.earlier_ids = set(previous.links) | previous.earlier_ids
@@ -104,9 +113,12 @@
             self.history.record(silent, now_ms)
             self.cell.earlier_advice_until_ms = now_ms + EARLIER_ADVICE_WAIT_MS
         until_ms = now_ms + TAKEOVER_LEASE_MS
-        self.recover_jobs(until_ms if silent else 0)
+        unconfirmed = bool(silent or self.list_owing_ends())
+        self.recover_jobs(unconfirmed=unconfirmed and previous is not None)
+        for reply in first_replies:
+            self.model.apply(reply)
         self.save_incarnations()
-        if not silent:
+        if not unconfirmed or previous is None:
             self.earlier_ids.clear()
             return
         self.model.apply(
@@ -159,7 +171,7 @@
             return
         self.model.later(UNREGISTERED_GRACE_MS, lambda: self.drop(link))
 
-    def recover_jobs(self, until_ms: int) -> None:
+    def recover_jobs(self, *, unconfirmed: bool) -> None:
         """Reads the stored jobs."""
         model = self.model
         for job_id, job in model.jobs.items():
@@ -172,17 +184,17 @@
                     job=job,
                     ends=tuple(model.rows.get(job_id, ())),
                     cancelled=job_id in model.cancelled,
-                    unconfirmed_until_ms=until_ms,
+                    unconfirmed=unconfirmed,
                     hiding_epochs=self.history.list_hiding(job.accepted_ms),
                 )
             )
 
     def list_lives(self) -> dict[str, int]:
-        """Returns the incarnations of the minions that answer."""
+        """Returns the incarnations of the minions that have answered."""
         return {
             name: link.minion.incarnation
             for name, link in self.links.items()
-            if link.until_ms >= 0 or link.minion.is_reachable(self.model.now_ms)
+            if link.until_ms >= 0
         }
 
     def save_incarnations(self) -> None:
@@ -196,9 +208,18 @@
         known = dict.fromkeys([*self.links, *sorted(self.earlier_ids)])
         return [name for name in known if name not in answered]
 
+    def list_owing_ends(self) -> list[str]:
+        """Returns the minions that answer and have not listed all ends."""
+        return [
+            name
+            for name, link in self.links.items()
+            if link.until_ms >= 0 and not link.polled and not link.lapsed
+        ]
+
     def await_answers(self, until_ms: int) -> None:
         """Ends the doubt once no earlier run can be unconfirmed."""
-        if self.model.now_ms >= until_ms or not self.list_unpolled():
+        is_over = self.model.now_ms >= until_ms or not self.list_unpolled()
+        if is_over and not self.list_owing_ends():
             self.earlier_ids.clear()
             self.model.apply(events.EarlierRunsConfirmed())
         else:
@@ -207,10 +228,16 @@
     def poll_all(self) -> None:
         """Polls every minion whose turn it is."""
         for link in list(self.links.values()):
-            if link.minion.is_reachable(self.model.now_ms):
-                self.poll(link)
-            else:
+            if not link.minion.is_reachable(self.model.now_ms):
                 self.miss(link)
+        for reply in self.poll_reachable():
+            self.model.apply(reply)
+
+    def poll_reachable(self) -> Iterator[events.MinionPolled]:
+        """Yields the replies of the minions that answer."""
+        for link in list(self.links.values()):
+            if link.minion.is_reachable(self.model.now_ms):
+                yield from self.poll(link)
 
     def miss(self, link: Link) -> None:
         """Finds a minion silent."""
@@ -230,10 +257,16 @@
         link.lapsed = True
         self.model.apply(events.LeaseExpired(minion_id=link.minion.name))
 
-    def poll(self, link: Link) -> None:
-        """Polls a minion and renews its lease, at once if a run has ended."""
+    def poll(self, link: Link) -> Iterator[events.MinionPolled]:
+        """Polls a minion and renews its lease, at once if a run has ended.
+
+        Yields its reply; nothing if it is not its turn yet.
+        """
         now_ms = self.model.now_ms
-        news = link.list_news()
+        limit = self.model.scenario.max_listed_ends
+        news = link.list_news(limit)
+        owes_ends = link.owes_ends(limit)
+        link.polled = link.polled or not owes_ends
         if now_ms < link.next_poll_ms and not news:
             return
         minion = link.minion
@@ -245,23 +278,22 @@
         minion.lease_ms = max(minion.lease_ms, now_ms + lease_ms)
         if news:
             link.last_ends[minion.incarnation] = news[-1].number
-        self.model.apply(
-            events.MinionPolled(
-                minion_id=minion.name,
-                reply=minions.PollReply(
-                    incarnation=minion.incarnation,
-                    clock_ms=now_ms,
-                    running=tuple(
-                        minions.RunningTask(
-                            key=run.key,
-                            run=run.number,
-                            checkpoint="",
-                            percent=run.get_percent(now_ms),
-                        )
-                        for run in minion.runs.values()
-                    ),
-                    ends=news,
+        yield events.MinionPolled(
+            minion_id=minion.name,
+            reply=minions.PollReply(
+                incarnation=minion.incarnation,
+                clock_ms=now_ms,
+                running=tuple(
+                    minions.RunningTask(
+                        key=run.key,
+                        run=run.number,
+                        checkpoint="",
+                        percent=run.get_percent(now_ms),
+                    )
+                    for run in minion.runs.values()
                 ),
-                sent_ms=now_ms,
-            )
+                ends=news,
+            ),
+            sent_ms=now_ms,
+            lists_all_ends=not owes_ends,
         )
--- a/tests/core/scheduling/model/scenarios.py
+++ b/tests/core/scheduling/model/scenarios.py
@@ -6,6 +6,7 @@
 import dataclasses
 import random
 
+from hickoryreach.platform import minions
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
@@ -36,6 +37,7 @@
         lost_share: Share of the starts whose answer is lost.
         stall_share: Share of the runs that stand still.
         cancelled_share: Share of the jobs that a wave of cancels meets.
+        max_listed_ends: Most ends in one reply to a poll.
         settles: Whether it is judged what waits once trouble has ended.
         dooms: Whether some jobs crash the minions that run them.
         kinds: Kinds of the minions, in turn.
@@ -58,6 +60,7 @@
     cancelled_share: float = 0.5
     dooms: bool = False
     kinds: tuple[str, ...] = (workers.DEFAULT_KIND,)
+    max_listed_ends: int = minions.MAX_LISTED_ENDS
     settles: bool = False
     faults: tuple[tuple[float, Callable], ...] = ()
     closing: tuple[Callable, ...] = ()
@@ -105,6 +108,13 @@
     ),
 )
 
+SHORT_LISTS = dataclasses.replace(
+    TAKEOVERS,
+    limits_cpu={"hydro": (40_000, 24_000), "wind": (16_000, 6_000)},
+    max_listed_ends=3,
+    faults=(*TAKEOVERS.faults, (0.02, faults.lose_owner)),
+)
+
 ADVICE = Scenario(
     seconds=40.0,
     limits_cpu={
@@ -226,6 +236,7 @@
 BY_NAME = {
     "takeovers": TAKEOVERS,
     "few_jobs": FEW_JOBS,
+    "short_lists": SHORT_LISTS,
     "advice": ADVICE,
     "gangs": GANGS,
     "racks": RACKS,
--- a/tests/core/scheduling/model/workers.py
+++ b/tests/core/scheduling/model/workers.py
@@ -68,6 +68,8 @@
         runs: Present runs by task.
         barred: Highest number of a run that was stopped or ended, by task.
         ends: Ends that were not acknowledged.
+        lapses: Number of its leases that have lapsed.
+        lapses_at: How many had at each end, by its number.
         end_numbers: Numbers of its ends.
         crashes: Number of minions that have crashed under each task, or with
             an end of it that no owner has acknowledged.
@@ -89,6 +91,8 @@
     runs: dict[steps.TaskKey, Run] = dataclasses.field(default_factory=dict)
     barred: dict[steps.TaskKey, int] = dataclasses.field(default_factory=dict)
     ends: list[minions.TaskEnd] = dataclasses.field(default_factory=list)
+    lapses: int = 0
+    lapses_at: dict[int, int] = dataclasses.field(default_factory=dict)
     end_numbers: itertools.count = dataclasses.field(
         default_factory=lambda: itertools.count(1)
     )
@@ -123,9 +127,17 @@
                 checkpoint="",
             )
         )
+        self.lapses_at[self.ends[-1].number] = self.lapses
+
+    def counts(self, end: minions.TaskEnd) -> bool:
+        """Returns whether no lease has lapsed since an end."""
+        return self.lapses_at.get(end.number) == self.lapses
 
     def advance(self, now_ms: int) -> None:
         """Ends what has ended by now."""
+        if 0 < self.lease_ms < now_ms:
+            self.lapses += 1
+            self.lease_ms = 0
         for run in list(self.runs.values()):
             if now_ms > self.lease_ms:
                 self.end(run, minions.EndKind.LEASE_EXPIRED)
@@ -145,6 +157,7 @@
         self.note_crashes()
         self.runs.clear()
         self.ends.clear()
+        self.lapses_at.clear()
 
     def restart(self) -> None:
         """Begins a new life that holds and knows nothing."""
@@ -156,6 +169,7 @@
         self.runs.clear()
         self.barred.clear()
         self.ends.clear()
+        self.lapses_at.clear()
         self.end_numbers = itertools.count(1)
 
     def begin(
--- a/tests/core/scheduling/test_gang_restarts.py
+++ b/tests/core/scheduling/test_gang_restarts.py
@@ -218,11 +218,7 @@
         """Recovers a gang whose runs are not confirmed yet."""
         super().setUp()
         job = self.build_job(cases.build_step(count=2, cpu=4_000, gang=True))
-        self.apply(
-            events.JobRecovered(
-                job=job, unconfirmed_until_ms=self.now_ms + 5_000
-            )
-        )
+        self.apply(events.JobRecovered(job=job, unconfirmed=True))
         key = steps.TaskKey(job_id=job.job_id, repeat=0, step=0, index=0)
         self.member = cases.build_listed_run(key, 7)
 
--- a/tests/core/scheduling/test_lifecycle.py
+++ b/tests/core/scheduling/test_lifecycle.py
@@ -166,13 +166,19 @@
         self.assertEqual(self.get_state(job_id), state.JobState.RUNNING)
 
     def test_nothing_starts_while_earlier_runs_are_unconfirmed(self) -> None:
-        self.recover(unconfirmed_until_ms=self.now_ms + 5_000)
+        self.recover(unconfirmed=True)
         self.assertEqual(self.get_starts(), [])
         self.apply(events.EarlierRunsConfirmed())
         self.assertEqual(len(self.get_starts()), 2)
 
+    # Guards against starts that go ahead although ends are still to be listed.
+    def test_no_time_confirms_earlier_runs(self) -> None:
+        self.recover(unconfirmed=True)
+        self.tick(600_000)
+        self.assertEqual(self.get_starts(), [])
+
     def test_runs_that_a_minion_lists_are_adopted(self) -> None:
-        job_id = self.recover(unconfirmed_until_ms=self.now_ms + 5_000)
+        job_id = self.recover(unconfirmed=True)
         key = self.cell.jobs[job_id].steps[(0, 0)].get_key(0)
         start = cases.build_listed_run(key, 7)
         self.poll("m0", running=(start,))
--- a/tests/core/scheduling/test_limit_usage.py
+++ b/tests/core/scheduling/test_limit_usage.py
@@ -112,9 +112,7 @@
     def recover(self, **step: object) -> steps.Job:
         """Recovers a job of two tasks that may run unseen."""
         job = self.build_job(cases.build_step(2, cpu=1_500, **step))
-        self.apply(
-            events.JobRecovered(job=job, unconfirmed_until_ms=self.until_ms)
-        )
+        self.apply(events.JobRecovered(job=job, unconfirmed=True))
         return job
 
     def fall_silent(self, *names: str, elsewhere_until_ms: int = 0) -> None:
@@ -130,7 +128,9 @@
         self.fall_silent("m9")
         self.assertEqual(self.submit_new(), [])
         self.tick(self.silent_ms)
-        self.assertEqual(len(self.get_starts()), 2)
+        starts = self.get_starts()
+        self.apply(events.EarlierRunsConfirmed())
+        self.assertEqual(len(starts + self.get_starts()), 2)
 
     def test_new_job_that_fits_beside_it_starts_at_once(self) -> None:
         self.fall_silent("m9")
--- a/tests/core/scheduling/test_poll_replies.py
+++ b/tests/core/scheduling/test_poll_replies.py
@@ -11,6 +11,20 @@
 UNANSWERED = minions.OrderFailure(reason="timeout", effect_unknown=True)
 
 
+def build_page() -> tuple[minions.TaskEnd, ...]:
+    """Returns as many ends as a reply lists, of a job that has ended."""
+    return tuple(
+        minions.TaskEnd(
+            number=number,
+            key=steps.TaskKey(job_id="ended", repeat=0, step=0, index=number),
+            run=1,
+            kind=minions.EndKind.STOPPED,
+            checkpoint="",
+        )
+        for number in range(minions.MAX_LISTED_ENDS)
+    )
+
+
 class AbsenceTest(cases.CellCase):
     """Runs that a minion does not list."""
 
@@ -54,6 +68,34 @@
         (again,) = self.get_starts()
         self.assertGreater(again.number, start.number)
 
+    # Guards against a second run of a task whose first one was never answered
+    # and has ended, with more ends before its own than one reply lists.
+    def test_an_unanswered_start_is_kept_until_all_ends_are_listed(
+        self,
+    ) -> None:
+        self.apply(events.JobAlreadyEnded(job_id="ended"))
+        for answer in (UNANSWERED, STALE):
+            with self.subTest(answer.reason):
+                self.submit()
+                (start,) = self.get_starts()
+                self.answer(start, answer)
+                self.apply(
+                    events.StopAnswered(
+                        key=start.key,
+                        number=start.number,
+                        minion_id=start.minion_id,
+                        confirmed=True,
+                    )
+                )
+                for _ in range(2):
+                    self.tick(10_000)
+                    self.poll(start.minion_id, ends=build_page())
+                    self.assertEqual(self.get_starts(), [])
+                self.end(start)
+                self.assertEqual(self.get_starts(), [])
+                job = self.cell.jobs[start.key.job_id]
+                self.assertEqual(job.state, state.JobState.COMPLETED)
+
     def test_an_unanswered_start_expires_after_its_deadline(self) -> None:
         self.submit()
         (start,) = self.get_starts()
--- a/tests/core/scheduling/test_random_takeovers.py
+++ b/tests/core/scheduling/test_random_takeovers.py
@@ -7,6 +7,7 @@
 
 SEEDS = range(1, 11)
 FEW_JOBS_SEEDS = range(1, 6)
+SHORT_LISTS_SEEDS = range(1, 6)
 
 
 class RandomTakeoversTest(unittest.TestCase):
@@ -25,6 +26,12 @@
         for seed in SEEDS:
             self.play(seed, scenarios.TAKEOVERS)
 
+    # Guards against tasks that are started again although they have ended, as
+    # more ends wait than one reply to a poll lists.
+    def test_seeds_with_short_lists(self) -> None:
+        for seed in SHORT_LISTS_SEEDS:
+            self.play(seed, scenarios.SHORT_LISTS)
+
     def test_seeds_with_few_jobs(self) -> None:
         for seed in FEW_JOBS_SEEDS:
             self.play(seed, scenarios.FEW_JOBS)
--- a/tests/core/scheduling/test_recorded_crashes.py
+++ b/tests/core/scheduling/test_recorded_crashes.py
@@ -81,7 +81,7 @@
             events.JobRecovered(
                 job=job,
                 ends=rows,
-                unconfirmed_until_ms=self.now_ms + 60_000,
+                unconfirmed=True,
             )
         )
         key = steps.TaskKey(job_id=job.job_id, repeat=0, step=0, index=0)
@@ -125,7 +125,7 @@
     ) -> None:
         job_id = self.recover_after_hidden(
             hiding_epochs=(1, 2),
-            unconfirmed_until_ms=self.now_ms + 60_000,
+            unconfirmed=True,
         )
         key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=0)
         self.poll("m0", running=(cases.build_listed_run(key, 3),))
@@ -137,7 +137,7 @@
     def test_a_run_that_outlived_several_takeovers_hides_no_crash(self) -> None:
         job_id = self.recover_after_hidden(
             hiding_epochs=(2, 3, 4),
-            unconfirmed_until_ms=self.now_ms + 60_000,
+            unconfirmed=True,
         )
         key = steps.TaskKey(job_id=job_id, repeat=0, step=0, index=0)
         self.poll("m0", running=(cases.build_listed_run(key, 3),))
@@ -182,7 +182,7 @@
             events.JobRecovered(
                 job=job,
                 ends=rows,
-                unconfirmed_until_ms=self.now_ms + 60_000,
+                unconfirmed=True,
             ),
             self.now_ms,
         )
--- a/tests/core/scheduling/test_throttling.py
+++ b/tests/core/scheduling/test_throttling.py
@@ -124,11 +124,7 @@
 
     def test_the_share_of_an_adopted_filler_is_set(self) -> None:
         job = self.build_job(cases.build_step(filler=True))
-        self.apply(
-            events.JobRecovered(
-                job=job, unconfirmed_until_ms=self.now_ms + 60_000
-            )
-        )
+        self.apply(events.JobRecovered(job=job, unconfirmed=True))
         key = steps.TaskKey(job_id=job.job_id, repeat=0, step=0, index=0)
         self.now_ms += 2_000
         self.poll("m0", running=(cases.build_listed_run(key, 3),))
--- a/tests/entry/cell/link_cases.py
+++ b/tests/entry/cell/link_cases.py
@@ -10,6 +10,7 @@
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
 from hickoryreach_entry import clock
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import ownership_scope
 from standins.users import minions as standin
@@ -59,7 +60,7 @@
                 failure_domain="z",
                 capacity=resources.ZERO,
             ),
-            get_terms=lambda: links.Terms(
+            get_terms=lambda: leases.Terms(
                 token=5, lease_ms=self.lease_ms, hold_limit_ms=HOLD_LIMIT_MS
             ),
             emit=self.events.append,
--- a/tests/entry/cell/test_earlier_calls.py
+++ b/tests/entry/cell/test_earlier_calls.py
@@ -13,6 +13,7 @@
 from hickoryreach.scheduling import effects
 from hickoryreach.scheduling import events
 from hickoryreach.structure import steps
+from hickoryreach_entry.cell import end_numbers
 from hickoryreach_entry.cell import links
 from tests.entry.cell import link_cases
 
@@ -126,7 +127,7 @@
         self.end_task(7)
         self.model.forget(1)
         self.end_task(8)
-        with self.assertLogs(links.log) as logged:
+        with self.assertLogs(end_numbers.log) as logged:
             self.link.poll_once()
         self.assertIn("ends_missed", "".join(logged.output))
 
--- a/tests/entry/cell/test_end_numbers.py
+++ b/tests/entry/cell/test_end_numbers.py
@@ -26,7 +26,7 @@
 
     def setUp(self) -> None:
         """Knows no end."""
-        self.ends = end_numbers.EndNumbers()
+        self.ends = end_numbers.EndNumbers(minion_id="i-1")
 
     def test_each_end_is_taken_once(self) -> None:
         self.ends.take(build_ends(1, 2))
--- a/tests/entry/cell/test_end_pages.py
+++ b/tests/entry/cell/test_end_pages.py
@@ -4,6 +4,7 @@
 from hickoryreach.scheduling import events
 from hickoryreach.structure import resources
 from hickoryreach.structure import steps
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import links
 from hickoryreach_entry.cell import ownership_scope
 from tests.core.scheduling import cases
@@ -23,7 +24,7 @@
         self.link = links.MinionLink(
             scope=self.scope,
             minion=self.cell.minions["m0"].minion,
-            get_terms=lambda: links.Terms(
+            get_terms=lambda: leases.Terms(
                 token=1, lease_ms=1_000, hold_limit_ms=6_000
             ),
             emit=self.emitted.append,
--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -13,7 +13,7 @@
 from hickoryreach.structure import cells
 from hickoryreach.structure import resources
 from hickoryreach_entry.cell import fleet
-from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import ownership_scope
 from standins.users import minions as standin
 from standins.users import servers
@@ -52,7 +52,7 @@
         self.fleet = fleet.Fleet(
             scope=self.scope,
             client=mock.Mock(),
-            get_terms=lambda: links.Terms(
+            get_terms=lambda: leases.Terms(
                 token=5, lease_ms=LEASE_MS, hold_limit_ms=6_000
             ),
             emit=self.events.append,
@@ -146,7 +146,7 @@
         self.fleet = fleet.Fleet(
             scope=self.scope,
             client=self.client,
-            get_terms=lambda: links.Terms(
+            get_terms=lambda: leases.Terms(
                 token=5, lease_ms=LEASE_MS, hold_limit_ms=6_000
             ),
             emit=self.events.append,
--- a/tests/entry/cell/test_known_minions.py
+++ b/tests/entry/cell/test_known_minions.py
@@ -43,7 +43,9 @@
         heard.set()
         known = self.build(minion_ids)
         known.read()
-        link = types.SimpleNamespace(polled=heard, poll_attempted=heard)
+        link = types.SimpleNamespace(
+            polled=heard, poll_attempted=heard, owes_ends=False
+        )
         return types.SimpleNamespace(
             epoch=2,
             silent=reported,
@@ -59,7 +61,7 @@
 
     def test_an_unregistered_minion_may_still_run_tasks(self) -> None:
         owner = self.build_owner(["i-2"], {})
-        self.assertEqual(recovery.list_unpolled(owner), ["i-1"])
+        self.assertEqual(recovery.list_silent(owner), ["i-1"])
         self.assertGreater(recovery.get_uncertain_until_ms(owner), 0)
 
     def test_a_minion_whose_lease_has_expired_runs_nothing(self) -> None:
@@ -77,6 +79,26 @@
         end_greenlet.join(2.0)
         owner.emit.assert_called_once_with(events.EarlierRunsConfirmed())
 
+    # Guards against tasks that a new owner starts again although they have
+    # ended, as their minion lists more ends than one reply holds.
+    def test_uncertainty_lasts_until_all_ends_are_listed(self) -> None:
+        owner = self.build_owner(["i-1", "i-2"], {"i-1": 0})
+        owing = types.SimpleNamespace(
+            polled=gevent_event.Event(), owes_ends=True
+        )
+        owner.fleet.links["i-1"] = owing
+        self.assertEqual(recovery.list_silent(owner), [])
+        until_ms = recovery.get_uncertain_until_ms(owner)
+        self.assertGreater(until_ms, clock.now_ms())
+        end_greenlet = gevent.spawn(
+            recovery.end_uncertainty, owner, clock.now_ms()
+        )
+        gevent.sleep(2.5 * recovery.RETRY_S)
+        owner.emit.assert_not_called()
+        owing.owes_ends = False
+        end_greenlet.join(2.0)
+        owner.emit.assert_called_once_with(events.EarlierRunsConfirmed())
+
     def test_later_owners_know_the_minion_until_it_is_dropped(self) -> None:
         second = self.build(["i-2"])
         second.read()
--- a/tests/entry/cell/test_odd_records.py
+++ b/tests/entry/cell/test_odd_records.py
@@ -117,7 +117,7 @@
                 }
             ),
             self.build_items({}),
-            0,
+            unconfirmed=False,
         )
         return set(self.owner.state.jobs)
 
@@ -176,7 +176,7 @@
             self.owner,
             self.build_items(jobs),
             self.build_items({records.build_progress_key(1, 1): part}),
-            0,
+            unconfirmed=False,
         )
 
     def build_part(self, odd: object) -> bytes:
--- a/tests/entry/cell/test_odd_registrations.py
+++ b/tests/entry/cell/test_odd_registrations.py
@@ -20,7 +20,7 @@
 from hickoryreach.scheduling import state
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import fleet
-from hickoryreach_entry.cell import links
+from hickoryreach_entry.cell import leases
 from hickoryreach_entry.cell import ownership_scope
 
 SOUND = {
@@ -107,7 +107,7 @@
         self.fleet = fleet.Fleet(
             scope=self.scope,
             client=mock.Mock(),
-            get_terms=lambda: links.Terms(
+            get_terms=lambda: leases.Terms(
                 token=5, lease_ms=800, hold_limit_ms=6_000
             ),
             emit=self.apply,
