--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -11,6 +11,7 @@
 from hickoryreach.platform import documents
 
 PATH_VARIABLE = "HICKORYREACH_CONFIG"
+DEFAULT_CANCELS_PER_S = 50.0
 
 
 class ListenRow(documents.Document):
@@ -30,6 +31,12 @@
 
     cpu_share: float = 1.0
     cores: float = 1.0
+    cancels_per_s: float = pydantic.Field(
+        default=DEFAULT_CANCELS_PER_S,
+        gt=0,
+        description="Most cancellations of ids without a job that an entry "
+        "stores for one workspace, per second; ten times as many at once.",
+    )
 
     @pydantic.field_validator("memory_mb", "max_fds", mode="before")
     @classmethod
--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -9,15 +9,18 @@
 from returns import result
 
 from hickoryreach.platform import callers
+from hickoryreach.platform import node
 from hickoryreach.platform import store
 from hickoryreach.structure import cells
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import caller_requests
 from hickoryreach_entry.cell import configuration_watch
+from hickoryreach_entry.cell import job_canceller
 from hickoryreach_entry.cell import job_saver
 from hickoryreach_entry.cell import member as member_module
 from hickoryreach_entry.cell import metrics
 from hickoryreach_entry.cell import pause_detector
+from hickoryreach_entry.cell import rate_limits
 from hickoryreach_entry.cell import records
 
 log = logging.getLogger(__name__)
@@ -27,7 +30,6 @@
 OWNER_RETRY_DELAY_S = 0.05
 COUNT_MAX_AGE_S = 2.0
 RETRY_AFTER_S = 1
-CANCEL_RETRY_DELAY_S = 0.05
 CONFIGURATION_TIMEOUT_S = 0.5
 
 
@@ -38,6 +40,7 @@
         owner_client: Client of the cell's owner.
         cell_clock: Time of day that the entries agree on.
         job_saver: Saves submitted jobs.
+        job_canceller: Cancels jobs.
         client: Client of the store.
         configured: Set once there is a configuration; cleared after a pause
             until it has been read again.
@@ -53,6 +56,7 @@
         member: member_module.Member,
         client: store.Store,
         configuration_source: configuration_watch.ConfigurationWatch,
+        cancels_per_s: float = node.DEFAULT_CANCELS_PER_S,
     ) -> None:
         """Creates an API without a configuration.
 
@@ -60,10 +64,16 @@
             member: This entry as a member of the cell.
             client: Client of the store.
             configuration_source: Watch of the operator's configuration.
+            cancels_per_s: Most cancellations of ids without a job, per second
+                and workspace.
         """
         self.owner_client = member.owner_client
         self.cell_clock = member.cell_clock
         self.job_saver = job_saver.JobSaver(owner_client=member.owner_client)
+        self.job_canceller = job_canceller.JobCanceller(
+            owner_client=member.owner_client,
+            limit=rate_limits.RateLimit(per_s=cancels_per_s),
+        )
         self.client = client
         self.configuration: cells.Configuration | None = None
         self.configured = gevent_event.Event()
@@ -230,6 +240,8 @@
             resp.media = {}
         elif outcome is job_saver.Outcome.NOT_KEPT:
             refuse(resp, "the job could not be kept and does not run")
+        elif outcome is job_saver.Outcome.CANCELLED:
+            fail(resp, falcon.HTTP_410, "the job was cancelled before")
         elif outcome is job_saver.Outcome.OTHER_WORKSPACE:
             fail(resp, falcon.HTTP_409, "the id belongs to another job")
         else:
@@ -273,7 +285,8 @@
             refuse(resp, "the job can't be read")
             return
         kept = decoded.unwrap()
-        if workspace and kept.workspace != workspace:
+        is_job = not isinstance(kept, records.CancelledId)
+        if not is_job or (workspace and kept.workspace != workspace):
             resp.status = falcon.HTTP_410
             return
         if isinstance(kept, records.FinalRecord):
@@ -294,52 +307,17 @@
         if self.owner_client.is_isolated():
             refuse(resp, "this entry is cut off; the job is not cancelled")
             return
-        message = frames.Cancellation(job_id=job_id, workspace=workspace)
-        report = self.owner_client.call(deadline, "cancellation", message)
-        if report is not None and not report.known:
-            report = self.cancel_stored_job(resp, job_id, message, deadline)
-            if resp.status.startswith("410"):
-                return
-        known = report is not None and report.known
-        log.info(
-            "job_cancellation_handled",
-            extra={"job": job_id, "outcome": "kept" if known else "unclear"},
-        )
-        if known:
-            resp.media = callers.format_state(callers.State(report.state))
-        else:
-            resp.status = falcon.HTTP_504
-
-    def cancel_stored_job(
-        self,
-        resp: falcon.Response,
-        job_id: str,
-        message: frames.Cancellation,
-        deadline: float,
-    ) -> frames.JobReport | None:
-        """Cancels a job that may be stored but unknown to the owner."""
-        item = self.client.get(records.build_job_key(job_id)).value_or(None)
-        if item is None:
-            return None
-        if item.data is None:
-            resp.status = falcon.HTTP_410
-            return None
-        decoded = records.decode_stored_job(item.data)
-        if isinstance(decoded, result.Failure):
-            log.error(
-                "job_unreadable",
-                extra={"job": job_id, "reason": decoded.failure()},
+        cancelled = self.job_canceller.cancel(job_id, workspace, deadline)
+        if cancelled.outcome is job_canceller.Outcome.FINAL:
+            resp.media = callers.format_state(
+                callers.State(str(cancelled.final))
             )
-            return None
-        kept = decoded.unwrap()
-        if message.workspace and kept.workspace != message.workspace:
+        elif cancelled.outcome is job_canceller.Outcome.NO_JOB:
             resp.status = falcon.HTTP_410
-            return None
-        if isinstance(kept, records.FinalRecord):
-            return frames.JobReport(known=True, state=str(kept.final))
-        self.owner_client.report_stored_job(job_id, item.data)
-        gevent.sleep(CANCEL_RETRY_DELAY_S)
-        return self.owner_client.call(deadline, "cancellation", message)
+        elif cancelled.outcome is job_canceller.Outcome.REFUSED:
+            refuse(resp, "too many cancellations of ids without a job")
+        else:
+            resp.status = falcon.HTTP_504
 
 
 def refuse(resp: falcon.Response, reason: str) -> None:
--- a/packages/entry/hickoryreach_entry/cell/job_saver.py
+++ b/packages/entry/hickoryreach_entry/cell/job_saver.py
@@ -27,12 +27,14 @@
         KEPT: It is stored.
         NOT_KEPT: It is not stored and certainly never runs.
         OTHER_WORKSPACE: Its id belongs to a job of another workspace.
+        CANCELLED: It was cancelled before it was stored, and never runs.
         UNCLEAR: It may be stored, or may still be.
     """
 
     KEPT = "kept"
     NOT_KEPT = "not_kept"
     OTHER_WORKSPACE = "other"
+    CANCELLED = "cancelled"
     UNCLEAR = "unclear"
 
 
@@ -58,10 +60,14 @@
         """
         data = records.encode_job(job)
         uncertain = False
+        revision = 0
         self.owner_client.offer(data)
         while True:
             attempt = SaveAttempt(
-                owner_client=self.owner_client, job_id=job.job_id, data=data
+                owner_client=self.owner_client,
+                job_id=job.job_id,
+                data=data,
+                revision=revision,
             )
             if attempt.run(deadline):
                 return Outcome.KEPT
@@ -71,7 +77,11 @@
                 return Outcome.KEPT
             failure = written.failure()
             if failure.conflict:
-                return self.resolve_existing_job(job, failure.conflict[0])
+                item = failure.conflict[0]
+                found = self.resolve_existing_job(job, item)
+                if found is not None:
+                    return found
+                revision = item.revision
             uncertain = uncertain or attempt.uncertain or failure.effect_unknown
             if self.must_end(deadline):
                 return Outcome.UNCLEAR if uncertain else Outcome.NOT_KEPT
@@ -84,9 +94,18 @@
             or self.owner_client.is_isolated()
         )
 
-    def resolve_existing_job(self, job: steps.Job, item: store.Item) -> Outcome:
-        """Returns the outcome for a job whose id is stored already."""
-        decoded = records.decode_stored_job(item.data or b"")
+    def resolve_existing_job(
+        self, job: steps.Job, item: store.Item
+    ) -> Outcome | None:
+        """Returns the outcome for a job whose id is stored already.
+
+        Returns:
+            The outcome, or None if the job may replace what is stored: nothing
+            any more, or that others have cancelled the id.
+        """
+        if item.data is None:
+            return None
+        decoded = records.decode_stored_job(item.data)
         if isinstance(decoded, result.Failure):
             log.error(
                 "job_unreadable",
@@ -94,6 +113,9 @@
             )
             return Outcome.UNCLEAR
         kept = decoded.unwrap()
+        if isinstance(kept, records.CancelledId):
+            is_cancelled = job.workspace in kept.workspaces
+            return Outcome.CANCELLED if is_cancelled else None
         if kept.workspace != job.workspace:
             return Outcome.OTHER_WORKSPACE
         if isinstance(kept, steps.Job):
@@ -117,11 +139,14 @@
         owner_client: owner_client_module.OwnerClient,
         job_id: str,
         data: bytes,
+        revision: int,
     ) -> None:
-        """Starts to write the job."""
+        """Starts to write the job over what its key holds at a revision."""
         self.owner_client = owner_client
         self.data = data
-        self.writing = gevent.spawn(owner_client.write_job, job_id, data)
+        self.writing = gevent.spawn(
+            owner_client.write_record, job_id, data, revision
+        )
         self.uncertain = False
 
     def run(self, deadline: float) -> bool:
--- a/packages/entry/hickoryreach_entry/cell/member.py
+++ b/packages/entry/hickoryreach_entry/cell/member.py
@@ -196,7 +196,7 @@
         Returns:
             Why the job is not stored, or None if it is.
         """
-        written = self.owner_client.write_job(job_id, data)
+        written = self.owner_client.write_record(job_id, data)
         if isinstance(written, result.Success):
             return None
         failure = written.failure()
--- a/packages/entry/hickoryreach_entry/cell/owner.py
+++ b/packages/entry/hickoryreach_entry/cell/owner.py
@@ -21,6 +21,7 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry import clock
 from hickoryreach_entry.cell import advisors
+from hickoryreach_entry.cell import cancelled_ids
 from hickoryreach_entry.cell import channel
 from hickoryreach_entry.cell import configuration_watch
 from hickoryreach_entry.cell import effect_executor
@@ -178,6 +179,12 @@
             retention_s=settings.bounds.keep_state_s,
             on_expired=self.drop_job,
         )
+        self.cancelled_ids = cancelled_ids.CancelledIds(
+            scope=self.scope,
+            client=client,
+            owner_revision=revision,
+            retention_s=settings.bounds.keep_state_s,
+        )
         self.published_states = published_states.PublishedStates(
             on_final=self.retention.record_final
         )
@@ -186,6 +193,7 @@
             client=client,
             is_known=self.published_states.__contains__,
             submit=self.submit,
+            on_cancelled_id=self.cancelled_ids.record,
         )
 
     def get_terms(self) -> leases.Terms:
@@ -256,6 +264,7 @@
         if now >= ticked_at + TICK_S:
             self.apply(events.Ticked(wall_ms=self.get_wall_ms()))
             self.retention.run(now)
+            self.cancelled_ids.run(now)
             ticked_at = now
         if self.may_place() and now >= self.next_pass_at:
             self.run_placement_pass()
--- a/packages/entry/hickoryreach_entry/cell/owner_client.py
+++ b/packages/entry/hickoryreach_entry/cell/owner_client.py
@@ -65,13 +65,19 @@
         """Returns whether the owner runs in this entry or is followed by it."""
         return self.member.owner is not None or self.election.is_following()
 
-    def write_job(
-        self, job_id: str, data: bytes
+    def write_record(
+        self, job_id: str, data: bytes, revision: int = 0
     ) -> result.Result[int, store.StoreFailure]:
-        """Tries once to save a job whose id is not stored yet."""
+        """Tries once to store a job, or that its id is cancelled.
+
+        Args:
+            job_id: The job.
+            data: The value of its key.
+            revision: Revision that the key must have; 0 if it must not exist.
+        """
         key = records.build_job_key(job_id)
         return self.member.client.write(
-            puts=(store.Put(key=key, data=data),), expected=((key, 0),)
+            puts=(store.Put(key=key, data=data),), expected=((key, revision),)
         )
 
     def is_isolated(self) -> bool:
--- a/packages/entry/hickoryreach_entry/cell/records.py
+++ b/packages/entry/hickoryreach_entry/cell/records.py
@@ -20,6 +20,7 @@
 MINIONS_KEY = "hickoryreach/minions"
 TAKEOVERS_KEY = "hickoryreach/takeovers"
 FINAL_PREFIX = b'{"final":'
+CANCELLED_ID_PREFIX = b'{"workspaces":'
 END = "end"
 CANCELLED = "cancelled"
 
@@ -40,7 +41,25 @@
     step_sizes: tuple[steps.StepSize, ...] = ()
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CancelledId:
+    """Record of an id that was cancelled while no job was stored under it.
+
+    Attributes:
+        workspaces: Workspaces no job of which may be stored under it.
+    """
+
+    workspaces: tuple[str, ...]
+
+    def add(self, workspace: str) -> "CancelledId":
+        """Returns a record for one more workspace."""
+        return CancelledId(workspaces=(*self.workspaces, workspace))
+
+
+StoredRecord = steps.Job | FinalRecord | CancelledId
+
 _final_adapter = pydantic.TypeAdapter(FinalRecord)
+_cancelled_id_adapter = pydantic.TypeAdapter(CancelledId)
 _job_adapter = pydantic.TypeAdapter(steps.Job)
 _rows_adapter = pydantic.TypeAdapter(list[object])
 
@@ -131,14 +150,21 @@
     return orjson.dumps(final)
 
 
-def decode_stored_job(
-    data: bytes,
-) -> result.Result[steps.Job | FinalRecord, str]:
-    """Returns the job or the final record in a value, or why it is invalid."""
-    if not data.startswith(FINAL_PREFIX):
+def encode_cancelled_id(cancelled: CancelledId) -> bytes:
+    """Returns the value of an id that was cancelled without a job."""
+    return orjson.dumps(cancelled)
+
+
+def decode_stored_job(data: bytes) -> result.Result[StoredRecord, str]:
+    """Returns what is stored under a job's key, or why it is invalid."""
+    if data.startswith(FINAL_PREFIX):
+        adapter = _final_adapter
+    elif data.startswith(CANCELLED_ID_PREFIX):
+        adapter = _cancelled_id_adapter
+    else:
         return decode_job(data)
     try:
-        return result.Success(_final_adapter.validate_json(data))
+        return result.Success(adapter.validate_json(data))
     except pydantic.ValidationError as error:
         return result.Failure(str(error.errors(include_input=False)[:2]))
 
--- a/packages/entry/hickoryreach_entry/cell/recovery.py
+++ b/packages/entry/hickoryreach_entry/cell/recovery.py
@@ -247,16 +247,18 @@
     """Yields the unfinished jobs; records the final state of the others."""
     for item in jobs.items:
         kept = decode_item(item)
-        if isinstance(kept, records.FinalRecord):
-            job_id = item.key.removeprefix(records.JOBS_PREFIX)
+        job_id = item.key.removeprefix(records.JOBS_PREFIX)
+        if isinstance(kept, records.CancelledId):
+            owner.cancelled_ids.record(job_id, item.revision)
+        elif isinstance(kept, records.FinalRecord):
             owner.record_final(job_id, kept)
             owner.retention.mark_stored(job_id)
         elif kept is not None:
             yield kept
 
 
-def decode_item(item: store.Item) -> steps.Job | records.FinalRecord | None:
-    """Returns the job in an item of the store, or None if it is invalid."""
+def decode_item(item: store.Item) -> records.StoredRecord | None:
+    """Returns what an item holds for a job, or None if it is invalid."""
     decoded = records.decode_stored_job(item.data or b"").bind(
         lambda kept: check_key(item, kept)
     )
@@ -270,8 +272,8 @@
 
 
 def check_key(
-    item: store.Item, kept: steps.Job | records.FinalRecord
-) -> result.Result[steps.Job | records.FinalRecord, str]:
+    item: store.Item, kept: records.StoredRecord
+) -> result.Result[records.StoredRecord, str]:
     """Returns a record, or a failure if it is a job of another key."""
     if isinstance(kept, steps.Job) and item.key != records.build_job_key(
         kept.job_id
--- a/packages/entry/hickoryreach_entry/cell/settings_change.py
+++ b/packages/entry/hickoryreach_entry/cell/settings_change.py
@@ -69,4 +69,5 @@
         owner.state.settings, stop_grace_ms=settings.bounds.stop_grace_ms
     )
     owner.retention.retention_s = settings.bounds.keep_state_s
+    owner.cancelled_ids.retention_s = settings.bounds.keep_state_s
     owner.fleet.change_heartbeat(settings.heartbeat_ms)
--- a/packages/entry/hickoryreach_entry/cell/stored_jobs.py
+++ b/packages/entry/hickoryreach_entry/cell/stored_jobs.py
@@ -31,6 +31,7 @@
         client: store.Store,
         is_known: Callable[[str], bool],
         submit: Callable[[steps.Job], None],
+        on_cancelled_id: Callable[[str, int], None],
     ) -> None:
         """Creates a watch that is not started yet.
 
@@ -39,9 +40,12 @@
             client: The store.
             is_known: Returns whether the owner knows a job, by id.
             submit: Called with each job that it doesn't know.
+            on_cancelled_id: Called with each id that was cancelled without a
+                job, and the revision of its key.
         """
         self.is_known = is_known
         self.submit = submit
+        self.on_cancelled_id = on_cancelled_id
         self.unreported_at = -UNREPORTED_WINDOW_S
         self.watcher = prefix_watcher.PrefixWatcher(
             client=client,
@@ -62,14 +66,16 @@
         self.watcher.revision = revision
 
     def handle_item(self, item: store.Item) -> None:
-        """Accepts a job that an entry stored without reporting it."""
+        """Accepts what an entry stored without reporting it."""
         job_id = item.key.removeprefix(records.JOBS_PREFIX)
         if item.data is None or self.is_known(job_id):
             return
-        job = recovery.decode_item(item)
-        if isinstance(job, steps.Job):
+        kept = recovery.decode_item(item)
+        if isinstance(kept, steps.Job):
             self.unreported_at = time.monotonic()
-            self.submit(job)
+            self.submit(kept)
+        elif isinstance(kept, records.CancelledId):
+            self.on_cancelled_id(job_id, item.revision)
 
     def set_pause(self, page: store.Page, complete: bool) -> None:
         """Sets the pause between two calls of the watch.
--- a/tests/entry/cell/test_caller_api.py
+++ b/tests/entry/cell/test_caller_api.py
@@ -13,58 +13,67 @@
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import caller_api
 from hickoryreach_entry.cell import cell_clock
+from hickoryreach_entry.cell import job_canceller
 from hickoryreach_entry.cell import records
 
 JOB = "a072a0f6de83e5b3"
 
 
-class CancelStoredJobTest(unittest.TestCase):
-    """The stored job decides the response if the owner does not know it."""
-
-    def cancel_stored_job(
-        self, data: bytes | None, workspace: str = ""
-    ) -> tuple[falcon.Response, frames.JobReport | None]:
-        """Cancels a job that the store holds with some data."""
-        client = mock.Mock()
-        client.get.return_value = result.Success(
-            store.Item(key=records.build_job_key(JOB), data=data, revision=3)
+def build_api(
+    owner_client: mock.Mock, client: mock.Mock | None = None
+) -> caller_api.CallerApi:
+    """Returns an API on clients of the owner and the store."""
+    return caller_api.CallerApi(
+        member=types.SimpleNamespace(
+            owner_client=owner_client, cell_clock=cell_clock.CellClock()
+        ),
+        client=client or mock.Mock(),
+        configuration_source=mock.Mock(),
+    )
+
+
+class CancelledIdTest(unittest.TestCase):
+    """Responses about an id that was cancelled without a job."""
+
+    def setUp(self) -> None:
+        """Creates an API whose owner knows no job."""
+        self.owner_client = mock.Mock()
+        self.owner_client.is_isolated.return_value = False
+        self.owner_client.call.return_value = frames.JobReport(known=False)
+        data = records.encode_cancelled_id(
+            records.CancelledId(workspaces=("hydro",))
         )
-        owner_client = mock.Mock()
-        owner_client.call.return_value = None
-        api = caller_api.CallerApi(
-            member=types.SimpleNamespace(
-                owner_client=owner_client, cell_clock=cell_clock.CellClock()
-            ),
-            client=client,
-            configuration_source=mock.Mock(),
+        self.item = store.Item(
+            key=records.build_job_key(JOB), data=data, revision=3
         )
-        resp = falcon.Response()
-        message = frames.Cancellation(job_id=JOB, workspace=workspace)
-        return resp, api.cancel_stored_job(resp, JOB, message, 0.0)
-
-    def build_final(self) -> bytes:
-        """Returns the final record of a completed job of one workspace."""
-        return records.encode_final(
-            records.FinalRecord(
-                final=state.JobState.COMPLETED, workspace="hydro"
-            )
-        )
-
-    def test_an_unreadable_job_is_not_reported_as_gone(self) -> None:
-        resp, report = self.cancel_stored_job(b"{")
-        self.assertIsNone(report)
-        self.assertFalse(resp.status.startswith("410"))
-
-    def test_a_caller_without_a_workspace_sees_any_job(self) -> None:
-        resp, report = self.cancel_stored_job(self.build_final())
-        self.assertEqual(report.state, "completed")
-        self.assertFalse(resp.status.startswith("410"))
-
-    def test_absent_and_foreign_jobs_get_the_same_response(self) -> None:
-        for data in (None, self.build_final()):
-            resp, report = self.cancel_stored_job(data, workspace="wind")
-            self.assertIsNone(report)
-            self.assertTrue(resp.status.startswith("410"))
+        client = mock.Mock()
+        client.get.return_value = result.Success(self.item)
+        self.api = build_api(self.owner_client, client)
+        self.resp = falcon.Response()
+        self.deadline = time.monotonic() + 1.0
+
+    def test_no_job_is_shown(self) -> None:
+        self.api.show_state(self.resp, JOB, "hydro", self.deadline)
+        self.assertTrue(self.resp.status.startswith("410"))
+
+    def test_each_outcome_has_its_response(self) -> None:
+        outcomes = {
+            job_canceller.NO_JOB: "410",
+            job_canceller.UNCLEAR: "504",
+            job_canceller.Cancelled(
+                outcome=job_canceller.Outcome.REFUSED
+            ): "503",
+            job_canceller.Cancelled(
+                outcome=job_canceller.Outcome.FINAL,
+                final=state.JobState.CANCELLED,
+            ): "200",
+        }
+        for cancelled, status in outcomes.items():
+            self.api.job_canceller = mock.Mock()
+            self.api.job_canceller.cancel.return_value = cancelled
+            resp = falcon.Response()
+            self.api.cancel(resp, JOB, "hydro", self.deadline)
+            self.assertTrue(resp.status.startswith(status), cancelled)
 
 
 class CountTest(unittest.TestCase):
@@ -75,13 +84,7 @@
         owner_client = mock.Mock(unconfirmed_jobs={})
         owner_client.get_pending.side_effect = known + [known[-1]] * 100
         owner_client.is_isolated.return_value = False
-        api = caller_api.CallerApi(
-            member=types.SimpleNamespace(
-                owner_client=owner_client, cell_clock=cell_clock.CellClock()
-            ),
-            client=mock.Mock(),
-            configuration_source=mock.Mock(),
-        )
+        api = build_api(owner_client)
         resp = falcon.Response()
         queue = types.SimpleNamespace(name="runs")
         api.count(resp, queue, time.monotonic() + left_s)
--- a/tests/entry/cell/test_job_saver.py
+++ b/tests/entry/cell/test_job_saver.py
@@ -22,7 +22,7 @@
         """Submits a job while the owner answers each call with a report."""
         busy = store.StoreFailure(reason="status 503")
         owner_client = mock.Mock()
-        owner_client.write_job.return_value = result.Failure(busy)
+        owner_client.write_record.return_value = result.Failure(busy)
         owner_client.call_once.return_value = report
         owner_client.is_isolated.return_value = False
         saver = job_saver.JobSaver(owner_client=owner_client)
--- a/tests/entry/cell/test_member.py
+++ b/tests/entry/cell/test_member.py
@@ -19,7 +19,7 @@
         member = member_module.Member.__new__(member_module.Member)
         member.owner = mock.Mock(leaving=False)
         member.owner_client = mock.Mock()
-        member.owner_client.write_job.return_value = result.Failure(failure)
+        member.owner_client.write_record.return_value = result.Failure(failure)
         with mock.patch.object(records, "decode_job") as decode:
             decode.return_value = result.Success(mock.Mock(job_id="a"))
             return member.submit_locally(
