--- a/packages/core/hickoryreach/scheduling/poll_replies.py
+++ b/packages/core/hickoryreach/scheduling/poll_replies.py
@@ -29,6 +29,11 @@
     """Updates a minion's record from the running tasks and ends it lists."""
     minion = cell.minions.get(event.minion_id)
     if minion is None:
+        yield effects.LogDecision(
+            event_name="reply_without_minion",
+            subject=event.minion_id,
+            detail=f"ends={len(event.reply.ends)}",
+        )
         return
     reply = event.reply
     restarted = (
--- a/packages/entry/hickoryreach_entry/cell/fleet.py
+++ b/packages/entry/hickoryreach_entry/cell/fleet.py
@@ -139,6 +139,7 @@
             get_terms=self.get_terms,
             emit=self.emit,
             on_fenced=self.on_fenced,
+            on_lapsed=self.handle_lapse,
             previous=known,
         )
 
@@ -214,6 +215,22 @@
             and time.monotonic() - registered_at < self.planned_leave_limit_s
         )
 
+    def handle_lapse(self, link: links.MinionLink) -> None:
+        """Closes the link to a removed minion whose lease has expired.
+
+        The owner forgets such a minion at once, so that nothing may be read
+        from it before it registers again.
+        """
+        if link.removed and self.links.get(link.minion.minion_id) is link:
+            self.drop(link)
+
+    def drop(self, link: links.MinionLink) -> None:
+        """Closes a link and forgets its minion."""
+        minion_id = link.minion.minion_id
+        del self.links[minion_id]
+        self.registered_at.pop(minion_id, None)
+        link.close()
+
     def drop_expired(self, link: links.MinionLink) -> None:
         """Closes the link to a removed minion once its lease has expired.
 
@@ -224,10 +241,9 @@
         if self.links.get(minion_id) is not link or not link.removed:
             return
         if link.lapsed or (link.silent and not link.lease.is_known):
-            del self.links[minion_id]
-            self.registered_at.pop(minion_id, None)
-            link.close()
+            self.drop(link)
             self.emit(events.LeaseExpired(minion_id=minion_id))
+            self.emit(events.MinionRemoved(minion_id=minion_id))
             return
         self.scope.spawn_later(UNREGISTERED_GRACE_S, self.drop_expired, link)
 
--- a/packages/entry/hickoryreach_entry/cell/links.py
+++ b/packages/entry/hickoryreach_entry/cell/links.py
@@ -64,6 +64,7 @@
         get_terms: Callable[[], leases.Terms],
         emit: Callable[[events.Event], None],
         on_fenced: Callable[[str], None],
+        on_lapsed: Callable[[MinionLink], None],
         previous: MinionLink | None = None,
     ) -> None:
         """Starts polling a minion.
@@ -74,6 +75,7 @@
             get_terms: Returns the terms for orders.
             emit: Receives events.
             on_fenced: Called when the minion knows a later owner's token.
+            on_lapsed: Called with this link when the lease has expired.
             previous: Link to the minion's previous address. Its lease is
                 taken over, so that runs there count as ended when it expires
                 even if the new address never answers.
@@ -83,6 +85,7 @@
         self.get_terms = get_terms
         self.emit = emit
         self.on_fenced = on_fenced
+        self.on_lapsed = on_lapsed
         self.client = minion_client.MinionClient(
             minion_id=minion.minion_id,
             address=minion.address,
@@ -364,6 +367,7 @@
             },
         )
         self.emit(events.LeaseExpired(minion_id=self.minion.minion_id))
+        self.on_lapsed(self)
 
     def acknowledge_end(self, incarnation: int, number: int) -> None:
         """Allows the next poll to acknowledge an end.
--- a/tests/entry/cell/link_cases.py
+++ b/tests/entry/cell/link_cases.py
@@ -65,6 +65,7 @@
             ),
             emit=self.events.append,
             on_fenced=self.fenced.append,
+            on_lapsed=lambda link: None,
         )
         self.addCleanup(self.link.close)
         self.wait(lambda: self.link.polled.is_set())
--- a/tests/entry/cell/test_end_pages.py
+++ b/tests/entry/cell/test_end_pages.py
@@ -29,6 +29,7 @@
             ),
             emit=self.emitted.append,
             on_fenced=lambda minion_id: None,
+            on_lapsed=lambda link: None,
         )
         self.addCleanup(self.link.close)
         self.submit(cases.build_step(cpu=4_000))
--- a/tests/entry/cell/test_fleet.py
+++ b/tests/entry/cell/test_fleet.py
@@ -126,6 +126,28 @@
         self.wait(lambda: not self.fleet.links, 4.0)
         self.assertTrue(self.is_lease_expired())
 
+    # Guards against ends that a link takes while the owner has no record of
+    # the minion, and that are never acknowledged.
+    def test_a_lapsed_minion_is_not_read_before_it_registers_again(
+        self,
+    ) -> None:
+        self.fleet.connect(self.minion)
+        self.wait(lambda: self.fleet.links["i-1"].polled.is_set(), 5.0)
+        self.fleet.remove("i-1", "unregistered")
+        self.model.silent = True
+        self.wait(self.is_lease_expired, 8.0)
+        run = standin.Run(task="j.0.0.0", number=1, begun_ms=0.0, work_ms=1.0)
+        self.model.runs[run.task] = run
+        self.model.end(run, "lapsed")
+        self.model.silent = False
+        gevent.sleep(fleet.UNREGISTERED_GRACE_S + 0.5)
+        self.assertIsInstance(self.events[-1], events.LeaseExpired)
+        self.fleet.connect(self.minion)
+        link = self.fleet.links["i-1"]
+        self.wait(lambda: link.ends.last == 1, 5.0)
+        link.acknowledge_end(self.model.incarnation, 1)
+        self.wait(lambda: not self.model.ends, 5.0)
+
     def test_lease_expires_though_the_new_address_never_answers(self) -> None:
         self.fleet.connect(self.minion)
         self.wait(lambda: self.fleet.links["i-1"].polled.is_set(), 5.0)
