--- a/packages/core/hickoryreach/exceptions.py
+++ b/packages/core/hickoryreach/exceptions.py
@@ -11,6 +11,10 @@
     """A call that may not open a connection found none that is open."""
 
 
+class MalformedFrameError(HickoryreachError, ValueError):
+    """A serialized frame that doesn't hold what it states."""
+
+
 class InvariantError(HickoryreachError):
     """A violated invariant of the system; the process must stop."""
 
--- a/packages/entry/hickoryreach_entry/cell/channel.py
+++ b/packages/entry/hickoryreach_entry/cell/channel.py
@@ -11,6 +11,7 @@
 from gevent import queue as gevent_queue
 import gevent.server
 
+from hickoryreach.wire import frame_checks
 from hickoryreach.wire import frames
 from hickoryreach_entry import clock
 from hickoryreach_entry.cell import metrics
@@ -157,7 +158,7 @@
                     raise EOFError("connection closed by peer")
                 (size,) = HEADER.unpack(header)
                 self._check_size(size)
-                frame = frames.decode(reader.read(size))
+                frame = self._decode(reader.read(size))
                 if not self.closed.is_set():
                     self._handle_frame(frame)
         except (OSError, EOFError, ValueError) as error:
@@ -165,6 +166,12 @@
         except Exception as error:  # noqa: BLE001  thrift's errors have no base
             self.close(f"undecodable frame: {error}")
 
+    def _decode(self, data: bytes) -> frames.Frame:
+        """Returns a frame; it is checked first if anyone may have sent it."""
+        if not self.known:
+            frame_checks.check(data)
+        return frames.decode(data)
+
     def is_newcomer(self) -> bool:
         """Returns whether the other side has yet to introduce itself."""
         return not self.known and self.peer is None
--- a/standins/crowds/kinds.py
+++ b/standins/crowds/kinds.py
@@ -227,6 +227,13 @@
     yield b"a" * (FRAME_BYTES - 1)
 
 
+@register()
+def endless_lists(target: Target) -> Iterator[bytes]:
+    """Frames of a few bytes that state lists of more elements than follow."""
+    nested = bytes.fromhex("0f00010f7fffffff0f7fffffff")
+    yield from repeat(struct.pack(">I", len(nested)) + nested)
+
+
 @register()
 def foreign_frames(target: Target) -> Iterator[bytes]:
     """Frames between entries that can't be decoded, without end."""
--- /dev/null
+++ b/tests/core/wire/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the messages between entries."""
--- a/tests/crowds/test_frames.py
+++ b/tests/crowds/test_frames.py
@@ -20,6 +20,12 @@
             "foreign_frames", connections=60, port=cell.CONTROL_PORT
         )
 
+    # Guards against an entry that hangs in one frame of 13 bytes.
+    def test_endless_lists(self) -> None:
+        self.check_crowd(
+            "endless_lists", connections=60, port=cell.CONTROL_PORT
+        )
+
     def test_long_header_lines(self) -> None:
         self.check_crowd(
             "long_header_lines", connections=60, port=cell.CONTROL_PORT
