--- a/packages/core/hickoryreach/platform/callers.py
+++ b/packages/core/hickoryreach/platform/callers.py
@@ -14,6 +14,8 @@
 AUTHORIZATION_SCHEME = "Token "
 PAYLOAD_LIMIT_BYTES = 4_000
 TASKS_LIMIT = 100_000  # starts of one job, those of all repeats included
+STEPS_LIMIT = 1_000  # likewise, unless the settings state another
+MAX_STEPS = "max_steps"
 
 
 class State(enum.StrEnum):
@@ -85,14 +87,34 @@
     first_run_ms: documents.Count = 0
     interval_ms: documents.Count = 0
 
+    @pydantic.field_validator("steps", mode="before")
+    @classmethod
+    def check_length(
+        cls, value: object, info: pydantic.ValidationInfo
+    ) -> object:
+        """Checks the number of steps before any of them is read.
+
+        Raises:
+            ValueError: There are too many.
+        """
+        limit = get_max_steps(info)
+        if isinstance(value, list) and len(value) > limit:
+            raise ValueError(f"must have at most {limit} steps")
+        return value
+
     @pydantic.model_validator(mode="after")
-    def check_order(self) -> "JobBody":
+    def check_order(self, info: pydantic.ValidationInfo) -> "JobBody":
         """Checks the order of the steps, and the size of the job.
 
         Raises:
             ValueError: A step names a later step or itself in `after`, there
-                are too many tasks, or `spec` is too large.
+                are too many tasks or steps, or `spec` is too large.
         """
+        limit = get_max_steps(info)
+        if len(self.steps) * max(1, self.repeats) > limit:
+            raise ValueError(
+                f"steps: must be at most {limit}, those of all repeats included"
+            )
         tasks = sum(row.count for row in self.steps) * max(1, self.repeats)
         if tasks > TASKS_LIMIT:
             raise ValueError(f"steps: must have at most {TASKS_LIMIT} tasks")
@@ -108,10 +130,19 @@
         return self
 
 
-def parse_job(data: bytes) -> result.Result[JobBody, str]:
+def get_max_steps(info: pydantic.ValidationInfo) -> int:
+    """Returns the most steps that a job may have."""
+    return (info.context or {}).get(MAX_STEPS, STEPS_LIMIT)
+
+
+def parse_job(
+    data: bytes, max_steps: int = STEPS_LIMIT
+) -> result.Result[JobBody, str]:
     """Returns the job in a request body, or what the caller must change."""
     try:
-        return result.Success(JobBody.model_validate_json(data))
+        return result.Success(
+            JobBody.model_validate_json(data, context={MAX_STEPS: max_steps})
+        )
     except pydantic.ValidationError as error:
         return result.Failure(documents.describe_faults(error))
 
--- a/packages/core/hickoryreach/platform/node.py
+++ b/packages/core/hickoryreach/platform/node.py
@@ -8,10 +8,12 @@
 import yaml
 
 from hickoryreach.config import client_limits
+from hickoryreach.platform import callers
 from hickoryreach.platform import documents
 
 PATH_VARIABLE = "HICKORYREACH_CONFIG"
 DEFAULT_CANCELS_PER_S = 50.0
+JOB_MEMORY_DIVISOR = 4
 
 
 class ListenRow(documents.Document):
@@ -37,6 +39,17 @@
         description="Most cancellations of ids without a job that an entry "
         "stores for one workspace, per second; ten times as many at once.",
     )
+    max_job_steps: int = pydantic.Field(
+        default=callers.STEPS_LIMIT,
+        ge=1,
+        description="Most steps of a job, those of all repeats included.",
+    )
+
+    @property
+    def max_job_bytes(self) -> int:
+        """Most memory of all jobs for which this process accepts another."""
+        total = self.memory_mb * client_limits.BYTES_PER_MB
+        return total // JOB_MEMORY_DIVISOR
 
     @pydantic.field_validator("memory_mb", "max_fds", mode="before")
     @classmethod
--- a/packages/core/hickoryreach/wire/cell.thrift
+++ b/packages/core/hickoryreach/wire/cell.thrift
@@ -38,6 +38,8 @@
   9: i64 sent_ms = 0,
   // Number of entries that follow the owner.
   10: i32 followers = 0,
+  // Memory that jobs take of the owner, in bytes.
+  11: i64 job_bytes = 0,
 }
 
 // entry -> owner, several times a second.
--- a/packages/entry/hickoryreach_entry/cell/caller_api.py
+++ b/packages/entry/hickoryreach_entry/cell/caller_api.py
@@ -42,6 +42,7 @@
         job_saver: Saves submitted jobs.
         job_canceller: Cancels jobs.
         client: Client of the store.
+        limits: Limits of this process.
         configured: Set once there is a configuration; cleared after a pause
             until it has been read again.
         queues: Queues by host, the longest prefix first.
@@ -56,7 +57,7 @@
         member: member_module.Member,
         client: store.Store,
         configuration_source: configuration_watch.ConfigurationWatch,
-        cancels_per_s: float = node.DEFAULT_CANCELS_PER_S,
+        limits: node.LimitsRow,
     ) -> None:
         """Creates an API without a configuration.
 
@@ -64,17 +65,17 @@
             member: This entry as a member of the cell.
             client: Client of the store.
             configuration_source: Watch of the operator's configuration.
-            cancels_per_s: Most cancellations of ids without a job, per second
-                and workspace.
+            limits: Limits of this process.
         """
         self.owner_client = member.owner_client
         self.cell_clock = member.cell_clock
         self.job_saver = job_saver.JobSaver(owner_client=member.owner_client)
         self.job_canceller = job_canceller.JobCanceller(
             owner_client=member.owner_client,
-            limit=rate_limits.RateLimit(per_s=cancels_per_s),
+            limit=rate_limits.RateLimit(per_s=limits.cancels_per_s),
         )
         self.client = client
+        self.limits = limits
         self.configuration: cells.Configuration | None = None
         self.configured = gevent_event.Event()
         self.queues: dict[str, list[cells.Queue]] = {}
@@ -209,7 +210,7 @@
         if body is None:
             resp.status = falcon.HTTP_413
             return
-        parsed = callers.parse_job(body)
+        parsed = callers.parse_job(body, self.limits.max_job_steps)
         if isinstance(parsed, result.Failure):
             fail(resp, falcon.HTTP_400, parsed.failure())
             return
@@ -222,7 +223,9 @@
         )
         started_at = time.monotonic()
         outcome = job_saver.Outcome.NOT_KEPT
-        if not self.owner_client.is_isolated():
+        if self.is_full(job_id):
+            outcome = self.job_saver.find(job)
+        elif not self.owner_client.is_isolated():
             outcome = self.job_saver.save(job, deadline)
         log.info(
             "job_hand_in",
@@ -247,6 +250,21 @@
         else:
             resp.status = falcon.HTTP_504
 
+    def is_full(self, job_id: str) -> bool:
+        """Returns whether the owner has no memory for another job."""
+        held_bytes = self.owner_client.get_job_bytes()
+        if held_bytes < self.limits.max_job_bytes:
+            return False
+        log.warning(
+            "cell_full",
+            extra={
+                "job": job_id,
+                "held_bytes": held_bytes,
+                "limit_bytes": self.limits.max_job_bytes,
+            },
+        )
+        return True
+
     def show_state(
         self,
         resp: falcon.Response,
--- a/packages/entry/hickoryreach_entry/cell/job_saver.py
+++ b/packages/entry/hickoryreach_entry/cell/job_saver.py
@@ -87,6 +87,15 @@
                 return Outcome.UNCLEAR if uncertain else Outcome.NOT_KEPT
             gevent.sleep(RETRY_DELAY_S)
 
+    def find(self, job: steps.Job) -> Outcome:
+        """Returns the outcome for a job that may only be stored already."""
+        key = records.build_job_key(job.job_id)
+        read = self.owner_client.member.client.get(key)
+        if isinstance(read, result.Failure):
+            return Outcome.UNCLEAR
+        found = self.resolve_existing_job(job, read.unwrap())
+        return Outcome.NOT_KEPT if found is None else found
+
     def must_end(self, deadline: float) -> bool:
         """Returns whether no further attempt can help."""
         return (
--- a/packages/entry/hickoryreach_entry/cell/member_status.py
+++ b/packages/entry/hickoryreach_entry/cell/member_status.py
@@ -30,6 +30,7 @@
         cell_ms=member.cell_clock.now_ms(),
         sent_ms=int(clock.boot_s() * MS_PER_S),
         followers=len(successors),
+        job_bytes=owner.published_states.held_bytes if owner else 0,
     )
 
 
--- a/packages/entry/hickoryreach_entry/cell/owner_client.py
+++ b/packages/entry/hickoryreach_entry/cell/owner_client.py
@@ -141,6 +141,12 @@
                 return report
             gevent.sleep(min(CALL_RETRY_DELAY_S, left_s))
 
+    def get_job_bytes(self) -> int:
+        """Returns what jobs take of the owner's memory, 0 if not known."""
+        if self.member.owner is not None:
+            return self.member.owner.published_states.held_bytes
+        return self.election.last_status.job_bytes
+
     def get_pending(self, queue: str, limit_s: float) -> int | None:
         """Returns the number of jobs in a queue without a started task.
 
--- a/packages/entry/hickoryreach_entry/cell/owner_status.py
+++ b/packages/entry/hickoryreach_entry/cell/owner_status.py
@@ -20,6 +20,7 @@
         followers: Number of followers that could take over from the owner.
         silent: Minions that did not answer, with the time in ms after which
             nothing that the owner started can run there.
+        job_bytes: Memory that jobs take of the owner.
         received_at: When the status arrived, on the boot clock in s.
         pending: Last reported jobs by queue none of whose tasks has started.
         pending_received_at: When they were reported, on the monotonic clock in
@@ -33,6 +34,7 @@
         self.leaving = False
         self.sent_ms = 0
         self.followers = 0
+        self.job_bytes = 0
         self.silent: dict[str, int] = {}
         self.received_at = -math.inf
         self.pending: dict[str, int] = {}
@@ -45,6 +47,7 @@
         self.leaving = bool(message.leaving)
         self.sent_ms = message.sent_ms or 0
         self.followers = message.followers or 0
+        self.job_bytes = message.job_bytes or 0
         self.silent = dict(message.silent or {})
         self.received_at = clock.boot_s()
         if message.serving:
--- a/packages/entry/hickoryreach_entry/cell/published_states.py
+++ b/packages/entry/hickoryreach_entry/cell/published_states.py
@@ -9,6 +9,7 @@
 from hickoryreach.scheduling import state
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
+from hickoryreach_entry.cell import job_sizes
 from hickoryreach_entry.cell import records
 
 log = logging.getLogger(__name__)
@@ -22,6 +23,8 @@
         workspaces: Workspace of each of these jobs.
         unstarted: Queue name of each job none of whose tasks has started.
         waiters: Events by job id, set once its final state is published.
+        job_bytes: Memory that each job takes of the owner, in bytes.
+        held_bytes: Sum of it.
     """
 
     def __init__(self, *, on_final: Callable[[str, float], None]) -> None:
@@ -36,6 +39,8 @@
         self.workspaces: dict[str, str] = {}
         self.unstarted: dict[str, str] = {}
         self.waiters: dict[str, gevent_event.Event] = {}
+        self.job_bytes: dict[str, int] = {}
+        self.held_bytes = 0
 
     def __contains__(self, job_id: str) -> bool:
         """Returns whether a job is known."""
@@ -53,6 +58,8 @@
         self.states[job.job_id] = state.JobState.QUEUED
         self.workspaces[job.job_id] = job.workspace
         self.unstarted[job.job_id] = job.queue.name
+        self.job_bytes[job.job_id] = job_sizes.estimate_bytes(job)
+        self.held_bytes += self.job_bytes[job.job_id]
         if quiet:
             return
         log.info(
@@ -76,6 +83,7 @@
         """Drops a job whose state is no longer retained for callers."""
         self.states.pop(job_id, None)
         self.workspaces.pop(job_id, None)
+        self.held_bytes -= self.job_bytes.pop(job_id, 0)
 
     def publish(self, job_id: str, new_state: state.JobState) -> None:
         """Publishes a job's state; a final state is never replaced."""
--- a/packages/entry/hickoryreach_entry/cell/server.py
+++ b/packages/entry/hickoryreach_entry/cell/server.py
@@ -69,7 +69,7 @@
             member=self.member,
             client=self.client,
             configuration_source=self.configuration_watch,
-            cancels_per_s=settings.limits.cancels_per_s,
+            limits=settings.limits,
         )
         self.client_share = http_connections.ClientShare(
             max_held_bytes=settings.limits.max_held_bytes
--- a/tests/core/platform/test_documents.py
+++ b/tests/core/platform/test_documents.py
@@ -228,6 +228,28 @@
             (True, True, 2, True, True, 1),
         )
 
+    # Guards against jobs inside the limit of a body that take the memory of an
+    # owner.
+    def test_jobs_of_too_many_steps_are_rejected(self) -> None:
+        limit = callers.STEPS_LIMIT
+        for rows, words in (
+            ([{}] * limit, {}),
+            ([{}, {}], {"repeats": limit // 2}),
+        ):
+            self.assertIsInstance(self.parse(*rows, **words), result.Success)
+        for rows, words in (
+            ([{}] * (limit + 1), {}),
+            ([{}] * 87_000, {}),
+            ([{}, {}], {"repeats": limit // 2 + 1}),
+        ):
+            refused = self.parse(*rows, **words)
+            self.assertIn(str(limit), refused.failure())
+
+    def test_another_limit_of_steps_applies(self) -> None:
+        body = json.dumps({"spec": "", "steps": [{}] * 3}).encode()
+        self.assertIsInstance(callers.parse_job(body, 2), result.Failure)
+        self.assertIsInstance(callers.parse_job(body, 3), result.Success)
+
     def test_invalid_jobs_are_rejected(self) -> None:
         for parsed in (
             self.parse(),
--- a/tests/entry/cell/test_caller_api.py
+++ b/tests/entry/cell/test_caller_api.py
@@ -6,14 +6,17 @@
 from unittest import mock
 
 import falcon
+from falcon import testing
 from returns import result
 
+from hickoryreach.platform import node
 from hickoryreach.platform import store
 from hickoryreach.scheduling import state
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import caller_api
 from hickoryreach_entry.cell import cell_clock
 from hickoryreach_entry.cell import job_canceller
+from hickoryreach_entry.cell import job_saver
 from hickoryreach_entry.cell import records
 
 JOB = "a072a0f6de83e5b3"
@@ -29,6 +32,7 @@
         ),
         client=client or mock.Mock(),
         configuration_source=mock.Mock(),
+        limits=node.LimitsRow(),
     )
 
 
@@ -76,6 +80,41 @@
             self.assertTrue(resp.status.startswith(status), cancelled)
 
 
+class FullCellTest(unittest.TestCase):
+    """Jobs take as much of the owner as this entry lets them."""
+
+    def setUp(self) -> None:
+        """Creates an API of a full cell."""
+        self.owner_client = mock.Mock()
+        self.api = build_api(self.owner_client)
+        limit = self.api.limits.max_job_bytes
+        self.owner_client.get_job_bytes.return_value = limit
+        self.api.configuration = mock.Mock(version=1, body_limit=1_000)
+        self.api.job_saver = mock.Mock()
+
+    def submit(self, found: job_saver.Outcome) -> falcon.Response:
+        """Hands a job in, of which the store tells something."""
+        self.api.job_saver.find.return_value = found
+        resp = falcon.Response()
+        body = b'{"spec":"","steps":[{}]}'
+        req = testing.create_req(method="POST", body=body)
+        deadline = time.monotonic() + 1.0
+        queue = types.SimpleNamespace(name="runs")
+        self.api.submit(req, resp, queue, "hydro", JOB, deadline)
+        return resp
+
+    def test_another_job_is_refused(self) -> None:
+        resp = self.submit(job_saver.Outcome.NOT_KEPT)
+        self.assertTrue(resp.status.startswith("503"))
+        self.assertIsNotNone(resp.get_header("Retry-After"))
+        self.api.job_saver.save.assert_not_called()
+
+    # Guards against a refusal of a job that was accepted before.
+    def test_a_repeat_of_an_accepted_job_is_not_refused(self) -> None:
+        resp = self.submit(job_saver.Outcome.KEPT)
+        self.assertTrue(resp.status.startswith("200"))
+
+
 class CountTest(unittest.TestCase):
     """The number of pending jobs is returned once the owner reports it."""
 
--- a/tests/entry/cell/test_malformed_frames.py
+++ b/tests/entry/cell/test_malformed_frames.py
@@ -75,6 +75,7 @@
         )
         self.member.owner.progress.failing_since = 0.0
         self.member.owner.published_states.count_pending.return_value = {}
+        self.member.owner.published_states.held_bytes = 0
         self.member.owner.fleet.list_silent.return_value = {}
         self.member.release_ownership = mock.Mock()
 
--- a/tests/entry/cell/test_pauses.py
+++ b/tests/entry/cell/test_pauses.py
@@ -9,6 +9,7 @@
 import orjson
 
 from hickoryreach.platform import documents
+from hickoryreach.platform import node
 from hickoryreach.structure import cells
 from hickoryreach_entry.cell import caller_api
 from hickoryreach_entry.cell import cell_clock
@@ -37,6 +38,7 @@
             ),
             client=self.client,
             configuration_source=self.watch,
+            limits=node.LimitsRow(),
         )
         self.write_configuration(1, [KEY])
         self.watch.refresh()
