Soak: callers cancel at any moment of a hand-in, and a judge of late starts

The soak cancelled accepted jobs alone, at the entry that had accepted them, and judged nothing of them. Callers now cancel up to 1.5 s from the hand-in on, through any entry; the jobs have five steps, so that a job that runs late is seen late. Starts that a minion has held back are told apart.

--- a/soak/trial.py
+++ b/soak/trial.py
@@ -24,6 +24,10 @@
 STALE_WATCH_S = 2.0
 HAND_IN_GAP_S = 0.08
 CANCEL_EACH = 9
+CANCELLED_LATER_STEPS = 4
+CANCEL_DELAY_S = 1.5  # most, from the hand-in
+CANCEL_LIMIT_S = 3.0  # from its answer to the last start
+ANSWERED = (200, 410)
 LABEL_EACH = 4
 STRIKES_AT_ONCE = 2
 
@@ -34,6 +38,8 @@
     Attributes:
         accepted: Ids of accepted jobs that nobody cancels.
         cancelled: Ids of jobs that were cancelled.
+        answered_at: When these cancellations were answered, by job, on the
+            monotonic clock in s.
         refused: Ids of jobs of which each hand-in was refused.
         labels: Labels that jobs require, by job.
         has_kinds: Whether minions are of several kinds and jobs require them.
@@ -74,6 +80,8 @@
         self.names = sorted(names)
         self.accepted: list[str] = []
         self.cancelled: list[str] = []
+        self.answered_at: dict[str, float] = {}
+        self.cancels = random.Random(f"{seed}/cancels")
         self.refused: list[str] = []
         self.labels: dict[str, str] = {}
         self.struck: list[str] = []
@@ -135,24 +143,36 @@
         if self.has_kinds and number % LABEL_EACH == 0:
             label = faults.KINDS[number // LABEL_EACH % len(faults.KINDS)]
             self.labels[job_id] = step["requires"] = label
+        later_steps = 0
+        if number % CANCEL_EACH == 0:
+            later_steps = CANCELLED_LATER_STEPS
+            self.cancelled.append(job_id)
+            self.callers.spawn(self.cancel, job_id)
         try:
             status = self.cell.submit_as(
-                entry, job_id, {"work_ms": work_ms}, **step
+                entry,
+                job_id,
+                {"work_ms": work_ms},
+                later_steps=later_steps,
+                **step,
             )
         except OSError:
             return
         if status in (429, 503):
             self.refused.append(job_id)
-        if status != 200:
-            return
-        if number % CANCEL_EACH:
+        if status == 200 and number % CANCEL_EACH:
             self.accepted.append(job_id)
-            return
-        self.cancelled.append(job_id)
+
+    def cancel(self, job_id: str) -> None:
+        """Cancels a job at any entry and any moment of its hand-in."""
+        gevent.sleep(self.cancels.uniform(0.0, CANCEL_DELAY_S))
+        entry = self.cancels.choice(self.cell.entries)
         try:
-            entry.call("DELETE", f"/runs/{job_id}")
+            status, _ = entry.call("DELETE", f"/runs/{job_id}")
         except OSError:
             return
+        if status in ANSWERED:
+            self.answered_at[job_id] = time.monotonic()
 
     def find_unfinished(self) -> list[str]:
         """Returns the accepted jobs that wait or are not completed in time."""
@@ -192,6 +212,7 @@
         return [
             *checker.find_faults(seen, completed),
             *checker.find_misplaced(seen, self.labels),
+            *checker.find_late_starts(seen, self.answered_at, CANCEL_LIMIT_S),
             *checker.find_stale_tokens(self.cell.users.fenced, stale_since),
             *checker.find_overcommits(seen, TASK_CPU, capacity),
             *checker.find_limit_breaches(
--- a/standins/users/cell.py
+++ b/standins/users/cell.py
@@ -287,13 +287,16 @@
         payload: dict,
         *,
         queue: str = "runs",
+        later_steps: int = 0,
         **step: object,
     ) -> int:
-        """Hands a job of one step in under an id; returns the status."""
-        body = {
-            "spec": json.dumps(payload),
-            "steps": [{"count": 1, "cpu": 1_000, "estimateMs": 100} | step],
-        }
+        """Hands a job in under an id; returns the status.
+
+        It has one step, and `later_steps` like it, each after the one before.
+        """
+        first = {"count": 1, "cpu": 1_000, "estimateMs": 100} | step
+        later = [first | {"after": [number]} for number in range(later_steps)]
+        body = {"spec": json.dumps(payload), "steps": [first, *later]}
         status, _ = entry.call("POST", f"/{queue}/{job_id}", body)
         return status
 
--- a/standins/users/checker.py
+++ b/standins/users/checker.py
@@ -164,6 +164,30 @@
     return faults
 
 
+def find_late_starts(
+    seen: Iterable[minions.Begun],
+    cancelled: Mapping[str, float],
+    limit_s: float,
+) -> list[str]:
+    """Returns starts long after the cancellation of their job was answered.
+
+    Orders that a minion has held back don't count.
+
+    Args:
+        seen: What the minions have begun and ended, in order.
+        cancelled: When each cancellation was answered, by job.
+        limit_s: Longest time from the answer to a start.
+    """
+    return [
+        f"{each.task} started {age_s:.1f} s after its cancellation"
+        for each in seen
+        if each.what == "start" and each.how != minions.LATE
+        for answered_at in [cancelled.get(each.task.split(".", 1)[0])]
+        if answered_at is not None
+        and (age_s := each.at_s - answered_at) > limit_s
+    ]
+
+
 def find_misplaced(
     seen: Iterable[minions.Begun], labels: Mapping[str, str]
 ) -> list[str]:
--- a/standins/users/minions.py
+++ b/standins/users/minions.py
@@ -18,6 +18,7 @@
 CRASH_DELAY_S = 0.05
 CRASHED = "crashed"
 GANG_WAIT_MS = 3_000
+LATE = "late"
 DEFAULT_KIND = "a"
 
 
@@ -276,10 +277,10 @@
     def start_late(self, life: int, body: dict) -> None:
         """Carries out a start that this life has held back unanswered."""
         if life == self.incarnation:
-            self.start(body)
+            self.start(body, LATE)
 
-    def start(self, body: dict) -> tuple[int, dict] | None:
-        """Starts a task."""
+    def start(self, body: dict, how: str = "") -> tuple[int, dict] | None:
+        """Starts a task; `how` tells whether the order was held back."""
         if not self.take_token(body):
             return self.refuse("fence")
         task, number = body["task"], body["run"]
@@ -304,7 +305,7 @@
             done_ms=float(checkpoint.rsplit(":", 1)[1]) if checkpoint else 0.0,
         )
         self.runs[task] = run
-        self.note("start", run)
+        self.note("start", run, how)
         if run.members > 1:
             self.gangs.join(self, run)
         if words.get("unanswered"):
--- a/tests/integration/test_soak.py
+++ b/tests/integration/test_soak.py
@@ -42,3 +42,7 @@
 
     def test_crowds_beside_lost_entries_and_minions(self) -> None:
         self.run_seed(97_100, CROWDED)
+
+    # Guards against jobs that a paused entry stores after their cancellation.
+    def test_cancellations_beside_paused_entries(self) -> None:
+        self.run_seed(54_101, {"freeze_entry"})
--- a/tests/standins/test_users_checker.py
+++ b/tests/standins/test_users_checker.py
@@ -24,6 +24,24 @@
     ]
 
 
+class LateStartTest(unittest.TestCase):
+    """Starts after a cancellation was answered."""
+
+    def find(self, at_s: float, how: str = "") -> list[str]:
+        """Returns what is found of a start, with an answer at 1 s."""
+        start = minions.Begun(
+            what="start", task=TASK, number=1, minion_id="m", at_s=at_s, how=how
+        )
+        return checker.find_late_starts([start], {"0a": 1.0}, 3.0)
+
+    def test_only_a_start_after_the_limit_is_found(self) -> None:
+        self.assertEqual(self.find(3.9), [])
+        self.assertIn(TASK, self.find(4.1)[0])
+
+    def test_an_order_that_was_held_back_does_not_count(self) -> None:
+        self.assertEqual(self.find(9.0, minions.LATE), [])
+
+
 class CrashBudgetTest(unittest.TestCase):
     """Starts of tasks that crash their minions."""
 
