--- a/tests/entry/cell/cases.py
+++ b/tests/entry/cell/cases.py
@@ -3,9 +3,21 @@
 import unittest
 
 from hickoryreach.platform import store
+from hickoryreach.structure import cells
 from standins.users import servers
 from standins.users import store as standin
 
+QUEUE = cells.Queue(
+    name="runs",
+    host="h",
+    prefix="/runs/",
+    service="ledger",
+    rank=0,
+    attempts=2,
+    stretch=2.0,
+    objective_ms=1_000,
+)
+
 
 class StoreCase(unittest.TestCase):
     """Serves the stand-in of the store over HTTP.
--- a/tests/entry/cell/test_job_canceller.py
+++ b/tests/entry/cell/test_job_canceller.py
@@ -7,7 +7,6 @@
 
 from hickoryreach.platform import store
 from hickoryreach.scheduling import state
-from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import job_canceller
@@ -19,16 +18,6 @@
 
 JOB = "a072a0f6de83e5b3"
 KEY = records.build_job_key(JOB)
-QUEUE = cells.Queue(
-    name="runs",
-    host="h",
-    prefix="/runs/",
-    service="ledger",
-    rank=0,
-    attempts=2,
-    stretch=2.0,
-    objective_ms=1_000,
-)
 
 
 class CancellerCase(cases.StoreCase):
@@ -61,7 +50,7 @@
         job = steps.Job(
             job_id=JOB,
             workspace=workspace,
-            queue=QUEUE,
+            queue=cases.QUEUE,
             accepted_ms=0,
             payload="",
             steps=(steps.Step(count=1),),
--- a/tests/entry/cell/test_job_saver.py
+++ b/tests/entry/cell/test_job_saver.py
@@ -7,10 +7,10 @@
 from returns import result
 
 from hickoryreach.platform import store
-from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 from hickoryreach.wire import frames
 from hickoryreach_entry.cell import job_saver
+from tests.entry.cell import cases
 
 JOB = "a072a0f6de83e5b3"
 
@@ -29,16 +29,7 @@
         job = steps.Job(
             job_id=JOB,
             workspace="hydro",
-            queue=cells.Queue(
-                name="runs",
-                host="h",
-                prefix="/runs/",
-                service="ledger",
-                rank=0,
-                attempts=2,
-                stretch=2.0,
-                objective_ms=1_000,
-            ),
+            queue=cases.QUEUE,
             accepted_ms=0,
             payload="",
             steps=(),
--- a/tests/entry/cell/test_job_sizes.py
+++ b/tests/entry/cell/test_job_sizes.py
@@ -2,28 +2,21 @@
 
 import unittest
 
-from hickoryreach.structure import cells
 from hickoryreach.structure import steps
 from hickoryreach_entry.cell import job_sizes
 from hickoryreach_entry.cell import published_states
-
-QUEUE = cells.Queue(
-    name="runs",
-    host="h",
-    prefix="/runs/",
-    service="ledger",
-    rank=0,
-    attempts=2,
-    stretch=2.0,
-    objective_ms=1_000,
-)
+from tests.entry.cell import cases
 
 
 def build_job(*wanted: steps.Step, **words) -> steps.Job:
     """Returns a job of some steps."""
     fields = {"job_id": "j", "payload": ""} | words
     return steps.Job(
-        workspace="hydro", queue=QUEUE, steps=wanted, accepted_ms=0, **fields
+        workspace="hydro",
+        queue=cases.QUEUE,
+        steps=wanted,
+        accepted_ms=0,
+        **fields,
     )
 
 
